--- /dev/null
+++ b/agent/agent.go
@@ -0,0 +1,94 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/node"
+	"github.com/rillreach/rillreach/once"
+	"github.com/rillreach/rillreach/peer"
+)
+
+const (
+	// DefaultSlots is how many requests run at the backend server at once.
+	DefaultSlots = 64
+	// DefaultMaxWaiting is how many requests wait at the most.
+	DefaultMaxWaiting = 256
+)
+
+// Agent is one agent; exported fields are set before Run.
+type Agent struct {
+	// Node is the common part of the process.
+	Node *node.Node
+	// Backend takes the requests.
+	Backend rillreach.Backend
+	// Engine is the same server as a model engine; nil beside a plain service.
+	Engine rillreach.Engine
+	// Secret is the fleet's.
+	Secret []byte
+	// Slots and MaxWaiting bound the requests that run and wait; zero means the defaults.
+	Slots      int
+	MaxWaiting int
+	// Grace is how long a planned stop waits for running requests; zero means node.DefaultGrace.
+	Grace time.Duration
+
+	slots   *slots
+	ledger  *once.Ledger
+	signer  once.Signer
+	running node.Inflight
+	load    loadReport
+}
+
+// Run serves until the context ends, then leaves in order: it says so, takes nothing new and finishes what runs.
+func (a *Agent) Run(ctx context.Context) error {
+	if a.Backend == nil {
+		return errors.New("run agent: no backend server is set")
+	}
+	a.setDefaults()
+	a.Node.Start()
+	a.Node.Mux.Handle(peer.MethodServe, a.serve)
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	stop := context.AfterFunc(ctx, func() {
+		a.leave(life)
+		end()
+	})
+	defer stop()
+	return a.Node.Run(life, a.controllers()...)
+}
+
+func (a *Agent) setDefaults() {
+	if a.Slots == 0 {
+		a.Slots = DefaultSlots
+	}
+	if a.MaxWaiting == 0 {
+		a.MaxWaiting = DefaultMaxWaiting
+	}
+	if a.Grace == 0 {
+		a.Grace = node.DefaultGrace
+	}
+	a.slots = newSlots(a.Slots, a.MaxWaiting, a.Node.Clock)
+	a.ledger = &once.Ledger{}
+	a.signer = once.NewSigner(a.Secret)
+}
+
+func (a *Agent) controllers() []rillreach.Controller {
+	if a.Engine == nil {
+		return nil
+	}
+	return []rillreach.Controller{&loadWatcher{engine: a.Engine, report: &a.load, node: a.Node}}
+}
+
+// leave ends the agent's work without cutting any of it, within the grace.
+func (a *Agent) leave(ctx context.Context) {
+	a.Node.Log.Info("leaving", "instance", a.Node.Self.ID)
+	a.slots.close()
+	a.Node.Leave(ctx)
+	if !a.running.Wait(a.Grace) {
+		a.Node.Log.Info("grace is over, requests are cut", "requests", a.running.Count())
+	}
+	a.Node.Removed(ctx)
+}
--- /dev/null
+++ b/cmd/log.go
@@ -0,0 +1,27 @@
+package cmd
+
+import (
+	"log/slog"
+	"os"
+
+	"github.com/go-logr/logr"
+	"github.com/urfave/cli/v3"
+
+	"github.com/rillreach/rillreach/settings"
+)
+
+var logLevels = map[string]slog.Level{"debug": slog.LevelDebug, "info": slog.LevelInfo, "error": slog.LevelError}
+
+func checkLog(c *cli.Command, faults *settings.Faults) {
+	faults.OneOf("log-level", c.String("log-level"), "debug", "info", "error")
+	faults.OneOf("log-format", c.String("log-format"), "json", "console")
+}
+
+// newLog makes the log that the settings ask for; it goes to standard error.
+func newLog(c *cli.Command) logr.Logger {
+	options := &slog.HandlerOptions{Level: logLevels[c.String("log-level")]}
+	if c.String("log-format") == "console" {
+		return logr.FromSlogHandler(slog.NewTextHandler(os.Stderr, options))
+	}
+	return logr.FromSlogHandler(slog.NewJSONHandler(os.Stderr, options))
+}
--- /dev/null
+++ b/cmd/root.go
@@ -0,0 +1,89 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/rillreach/rillreach/settings"
+)
+
+// Exit codes of the command line.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitConflict = 3
+)
+
+// Execute runs the command line and returns the process's exit code.
+func Execute(version string, args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := newRoot(version).Run(ctx, args); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "rillreach:", err)
+		return exitCode(err)
+	}
+	return ExitOK
+}
+
+func newRoot(version string) *cli.Command {
+	return &cli.Command{
+		Name:                  "rillreach",
+		Usage:                 "serve language-model prompts that return after long gaps",
+		Version:               version,
+		EnableShellCompletion: true,
+		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		Before:                refuseUnknownEnvironment,
+		Commands: []*cli.Command{
+			newEntryCommand(),
+			newAgentCommand(),
+			newTableCommand(),
+			newStandinCommand(),
+		},
+	}
+}
+
+func refuseUnknownEnvironment(ctx context.Context, c *cli.Command) (context.Context, error) {
+	return ctx, settings.CheckEnvironment(os.Environ(), knownVariables(c.Root()))
+}
+
+// knownVariables are the environment variables of all flags of a command and those below it.
+func knownVariables(c *cli.Command) map[string]bool {
+	known := map[string]bool{}
+	for _, flag := range c.Flags {
+		if documented, ok := flag.(cli.DocGenerationFlag); ok {
+			for _, name := range documented.GetEnvVars() {
+				known[name] = true
+			}
+		}
+	}
+	for _, sub := range c.Commands {
+		for name := range knownVariables(sub) {
+			known[name] = true
+		}
+	}
+	return known
+}
+
+// codedError is an error with an exit code of its own.
+type codedError struct {
+	error
+	code int
+}
+
+// Unwrap returns the error without its code.
+func (e codedError) Unwrap() error { return e.error }
+
+func exitCode(err error) int {
+	var coded codedError
+	if errors.As(err, &coded) {
+		return coded.code
+	}
+	return ExitFailed
+}
--- /dev/null
+++ b/cmd/table_output.go
@@ -0,0 +1,50 @@
+package cmd
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+
+	"github.com/rillreach/rillreach"
+)
+
+// The forms of output.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+	outputYAML  = "yaml"
+)
+
+// writeRows writes rows in one of the forms of output.
+func writeRows(w io.Writer, form string, rows []rillreach.Row) error {
+	switch form {
+	case outputJSON:
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		return errors.Wrap(enc.Encode(rows), "write rows as JSON")
+	case outputYAML:
+		data, err := yaml.MarshalWithOptions(rows, yaml.UseJSONMarshaler())
+		if err != nil {
+			return errors.Wrap(err, "write rows as YAML")
+		}
+		_, err = w.Write(data)
+		return err
+	default:
+		return writeRowTable(w, rows)
+	}
+}
+
+func writeRowTable(w io.Writer, rows []rillreach.Row) error {
+	tab := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(tab, "ACCOUNT\tMODEL\tVERSION\tOLD\tNEW\tOBJECTIVE\tREQ/S\tTOKENS/MIN\tCONCURRENT\tKEPT BYTES\tKEYS")
+	for _, r := range rows {
+		_, _ = fmt.Fprintf(tab, "%s\t%s\t%s\t%d\t%d\t%s\t%g\t%d\t%d\t%d\t%d\n", r.Account, r.Model, r.Version, r.Weights.Old,
+			r.Weights.New, r.Objective, r.Limits.RequestsPerSecond, r.Limits.TokensPerMinute, r.Limits.Concurrent,
+			r.Limits.KeptBytes, len(r.Credentials))
+	}
+	return errors.Wrap(tab.Flush(), "write rows")
+}
--- /dev/null
+++ b/cmd/tls.go
@@ -0,0 +1,25 @@
+package cmd
+
+import (
+	"crypto/tls"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/rillreach/rillreach/settings"
+)
+
+func checkTLS(c *cli.Command, faults *settings.Faults) {
+	set := 0
+	for _, name := range []string{"tls-cert", "tls-key", "tls-ca"} {
+		if c.String(name) != "" {
+			set++
+		}
+	}
+	if set != 0 && set != 3 {
+		faults.Addf("tls-cert", "set all of --tls-cert, --tls-key and --tls-ca, or none")
+	}
+}
+
+func newTLS(*cli.Command) (*tls.Config, error) {
+	return nil, nil
+}
--- /dev/null
+++ b/controller/spread/spread.go
@@ -0,0 +1,242 @@
+package spread
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/fleet"
+	"github.com/rillreach/rillreach/membership"
+	"github.com/rillreach/rillreach/peer"
+	"github.com/rillreach/rillreach/replicate"
+)
+
+const (
+	// DefaultDigestEvery is how often marks are compared with a partner.
+	DefaultDigestEvery = 2 * time.Second
+	// DefaultWatchWait is how long one watch waits for a change.
+	DefaultWatchWait = 5 * time.Second
+
+	askTimeout     = 2 * time.Second
+	minBackoff     = 200 * time.Millisecond
+	maxBackoff     = 5 * time.Second
+	redrawEvery    = 10 * time.Minute
+	planCheckEvery = 500 * time.Millisecond
+)
+
+// Stats counts what the spreading has cost this process.
+type Stats struct {
+	PlatformCalls atomic.Int64
+	Pushes        atomic.Int64
+	Digests       atomic.Int64
+	Deltas        atomic.Int64
+	// Carried counts how often real traffic has shown that this process was behind.
+	Carried atomic.Int64
+}
+
+// Controller is the spreading of one process.
+type Controller struct {
+	// Self is this process.
+	Self rillreach.Instance
+	// Store is the platform's object API.
+	Store rillreach.ObjectStore
+	// Copy is what is kept close to the platform.
+	Copy *replicate.Copy
+	// Members are the known processes.
+	Members *membership.Members
+	// Pool connects to peers.
+	Pool *peer.Pool
+	// Clock tells the time.
+	Clock rillreach.Clock
+	// Log takes what goes wrong.
+	Log logr.Logger
+	// DigestEvery and WatchWait are the rhythm; zero means the defaults.
+	DigestEvery time.Duration
+	WatchWait   time.Duration
+	// Stats counts the cost.
+	Stats Stats
+
+	mu      sync.Mutex
+	plan    replicate.Plan
+	planned replicate.Mark
+	drawn   time.Time
+	turn    uint64
+	pushes  conc.WaitGroup
+	base    context.Context
+}
+
+// Name is the controller's name.
+func (c *Controller) Name() string { return "spread" }
+
+// Register sets the handlers for what peers ask of this controller.
+func (c *Controller) Register(mux *peer.Mux) {
+	peer.Answer(mux, peer.MethodPush, c.takePush)
+	peer.Answer(mux, peer.MethodSync, c.answerSync)
+	peer.Answer(mux, peer.MethodNotice, c.takeNotice)
+	peer.Answer(mux, peer.MethodStatus, c.answerCount)
+}
+
+// Run keeps the copy close to the platform until the context ends.
+func (c *Controller) Run(ctx context.Context) error {
+	c.setDefaults()
+	c.base = ctx
+	c.Members.Announce(c.Self)
+	c.bootstrap(ctx)
+	var wg conc.WaitGroup
+	for _, kind := range c.Copy.Kinds() {
+		wg.Go(func() { c.watchAll(ctx, kind) })
+	}
+	wg.Go(func() { c.digestAll(ctx) })
+	wg.Wait()
+	c.pushes.Wait()
+	return nil
+}
+
+func (c *Controller) setDefaults() {
+	if c.DigestEvery == 0 {
+		c.DigestEvery = DefaultDigestEvery
+	}
+	if c.WatchWait == 0 {
+		c.WatchWait = DefaultWatchWait
+	}
+}
+
+// bootstrap learns the instances from the platform and the rest from a peer, so that many processes that start
+// together do not all read everything from the platform.
+func (c *Controller) bootstrap(ctx context.Context) {
+	if err := c.list(ctx, rillreach.KindInstance); err != nil {
+		c.Log.Info("instances not listed at start", "cause", err.Error())
+	}
+	for _, id := range c.currentPlan().Partners {
+		if c.syncWith(ctx, id) == nil {
+			return
+		}
+	}
+}
+
+// watchAll watches one kind whenever that is this process's task.
+func (c *Controller) watchAll(ctx context.Context, kind rillreach.Kind) {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		if !c.currentPlan().Watches {
+			pause(ctx, planCheckEvery)
+			continue
+		}
+		if err := c.watch(ctx, kind); err != nil {
+			c.Log.V(1).Info("watch failed", "kind", kind, "cause", err.Error())
+			pause(ctx, jitter(backoff))
+			backoff = min(2*backoff, maxBackoff)
+			continue
+		}
+		backoff = minBackoff
+	}
+}
+
+func (c *Controller) watch(ctx context.Context, kind rillreach.Kind) error {
+	mark := c.Copy.Mark(kind)
+	if mark.Version == 0 {
+		return c.list(ctx, kind)
+	}
+	c.Stats.PlatformCalls.Add(1)
+	page, err := c.Store.Watch(ctx, kind, mark.Version, c.WatchWait)
+	if errors.Is(err, rillreach.ErrNotFound) {
+		return c.list(ctx, kind)
+	}
+	if err != nil {
+		return err
+	}
+	c.merge(replicate.Delta{
+		From:    mark.Version,
+		To:      replicate.Mark{Kind: kind, Version: page.Version, Time: page.Time},
+		Objects: page.Objects,
+	}, "")
+	return nil
+}
+
+func (c *Controller) list(ctx context.Context, kind rillreach.Kind) error {
+	c.Stats.PlatformCalls.Add(1)
+	page, err := c.Store.List(ctx, kind)
+	if err != nil {
+		return err
+	}
+	c.merge(replicate.Delta{
+		To:       replicate.Mark{Kind: kind, Version: page.Version, Time: page.Time},
+		Snapshot: true,
+		Objects:  page.Objects,
+	}, "")
+	return nil
+}
+
+// merge takes a delta in and hands it on if it was new.
+func (c *Controller) merge(d replicate.Delta, from rillreach.InstanceID) replicate.Verdict {
+	verdict := c.Copy.Merge(d)
+	if verdict != replicate.VerdictApplied || d.Snapshot {
+		return verdict
+	}
+	c.Stats.Deltas.Add(1)
+	for _, child := range c.currentPlan().Children {
+		if child != from {
+			c.pushes.Go(func() { c.push(child, d) })
+		}
+	}
+	return verdict
+}
+
+func (c *Controller) push(to rillreach.InstanceID, d replicate.Delta) {
+	c.Stats.Pushes.Add(1)
+	ctx, cancel := context.WithTimeout(c.base, askTimeout)
+	defer cancel()
+	conn, err := c.connect(ctx, to)
+	if err != nil {
+		c.Log.V(1).Info("change not handed on", "peer", to, "cause", err.Error())
+		return
+	}
+	if _, err := peer.Ask[fleet.Push, fleet.Pushed](ctx, conn, peer.MethodPush, fleet.Push{Delta: d}); err != nil {
+		c.Log.V(1).Info("change not handed on", "peer", to, "cause", err.Error())
+	}
+}
+
+func (c *Controller) connect(ctx context.Context, id rillreach.InstanceID) (*peer.Conn, error) {
+	m := c.Members.Find(id)
+	if m == nil {
+		return nil, errors.Newf("peer %s is not known", id)
+	}
+	return c.Pool.Get(ctx, m.Address)
+}
+
+func (c *Controller) takePush(ctx context.Context, from *peer.Conn, p fleet.Push) (fleet.Pushed, error) {
+	if c.merge(p.Delta, from.Peer.ID) == replicate.VerdictGap {
+		if err := c.syncOver(ctx, from); err != nil {
+			return fleet.Pushed{}, err
+		}
+	}
+	return fleet.Pushed{Mark: c.Copy.Mark(p.Delta.To.Kind)}, nil
+}
+
+func (c *Controller) takeNotice(_ context.Context, from *peer.Conn, n fleet.Notice) (fleet.Noted, error) {
+	if n.Instance.ID != from.Peer.ID {
+		return fleet.Noted{}, rillreach.NotRun(rillreach.ReasonBadRequest, "notice is about another instance than its sender")
+	}
+	c.Members.Announce(n.Instance)
+	return fleet.Noted{}, nil
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func jitter(wait time.Duration) time.Duration {
+	return wait/2 + rand.N(wait)
+}
--- /dev/null
+++ b/e2e/fleet_test.go
@@ -0,0 +1,170 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach"
+)
+
+const secret = "a secret of this test fleet"
+
+// testFleet is a fleet of separate processes.
+type testFleet struct {
+	t        *testing.T
+	platform string
+}
+
+func newFleet(t *testing.T) *testFleet {
+	t.Helper()
+	p := start(t, "standin", "platform")
+	return &testFleet{t: t, platform: "http://" + p.address("standin")}
+}
+
+func (f *testFleet) nodeArgs(more ...string) []string {
+	return append([]string{"--platform", f.platform, "--secret", secret, "--digest-every", "200ms"}, more...)
+}
+
+func (f *testFleet) entry(more ...string) *process {
+	args := append([]string{"entry", "--listen", "127.0.0.1:0"}, f.nodeArgs(more...)...)
+	return start(f.t, args...)
+}
+
+func (f *testFleet) agent(more ...string) *process {
+	return start(f.t, append([]string{"agent"}, f.nodeArgs(more...)...)...)
+}
+
+// engine starts an engine and the agent beside it.
+func (f *testFleet) engine(side rillreach.Side, more ...string) (*process, *process) {
+	e := start(f.t, append([]string{"standin", "engine", "--engine-version", "v1"}, more...)...)
+	a := f.agent("--backend", "http://"+e.address("standin"), "--side", string(side), "--model", "m", "--model-version", "v1")
+	return e, a
+}
+
+// service starts a plain service and the agent beside it.
+func (f *testFleet) service(side rillreach.Side, name string, more ...string) (*process, *process) {
+	s := start(f.t, "standin", "service")
+	a := f.agent(append([]string{"--backend", "http://" + s.address("standin"), "--side", string(side), "--service", name}, more...)...)
+	return s, a
+}
+
+// account makes a key for an account and writes its rows.
+func (f *testFleet) account(name string, rows ...rillreach.Row) string {
+	f.t.Helper()
+	key, credential, err := rillreach.NewKey(rillreach.AccountID(name))
+	require.NoError(f.t, err)
+	for i := range rows {
+		rows[i].Format = rillreach.RowFormat
+		rows[i].Account = rillreach.AccountID(name)
+		rows[i].Credentials = []rillreach.Credential{credential}
+		if rows[i].Objective == "" {
+			rows[i].Objective = rillreach.ObjectiveFirstToken
+		}
+	}
+	f.apply(rows...)
+	return key
+}
+
+func (f *testFleet) apply(rows ...rillreach.Row) {
+	f.t.Helper()
+	data, err := json.Marshal(rows)
+	require.NoError(f.t, err)
+	_, errOut, code := runCommand(f.t, string(data), "table", "apply", "--platform", f.platform, "-f", "-")
+	require.Zero(f.t, code, errOut)
+}
+
+func (f *testFleet) setFaults(faults string) {
+	f.t.Helper()
+	req, err := http.NewRequest(http.MethodPut, f.platform+"/faults", strings.NewReader(faults))
+	require.NoError(f.t, err)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(f.t, err)
+	require.NoError(f.t, resp.Body.Close())
+}
+
+// answer is a whole answer as a caller sees it.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// send sends one request of a caller.
+func send(t *testing.T, method, url, key, body string, headers ...string) answer {
+	t.Helper()
+	a, err := trySend(method, url, key, body, headers...)
+	require.NoError(t, err)
+	return a
+}
+
+func trySend(method, url, key, body string, headers ...string) (answer, error) {
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return answer{}, err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	req.Header.Set("Content-Type", "application/json")
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(data)}, err
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, condition func() bool, what string) {
+	t.Helper()
+	require.Eventually(t, condition, patience, 20*time.Millisecond, what)
+}
+
+// serves waits until an entry answers a request with a status.
+func serves(t *testing.T, status int, request func() (answer, error)) {
+	t.Helper()
+	var last string
+	eventually(t, func() bool {
+		a, err := request()
+		last = fmt.Sprint(a, err)
+		return err == nil && a.status == status
+	}, "entry answers with the status; last: "+last)
+}
+
+func get(t *testing.T, url string, into any) {
+	t.Helper()
+	resp, err := http.Get(url)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.NoError(t, json.NewDecoder(resp.Body).Decode(into))
+}
+
+// open sends a prompt and returns as soon as its answer has begun.
+func open(t *testing.T, url, key, body string) *http.Response {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	return resp
+}
+
+func readAll(t *testing.T, resp *http.Response) string {
+	t.Helper()
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return string(data)
+}
--- /dev/null
+++ b/e2e/path_test.go
@@ -0,0 +1,140 @@
+package e2e
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/internal/standin/engine"
+)
+
+const (
+	longText  = "one two three four five six seven eight nine ten eleven twelve thirteen fourteen fifteen sixteen"
+	chatPath  = "/v1/chat/completions"
+	userWord  = "<user>"
+	wordCount = 8
+)
+
+func chatBody(text string, stream bool) string {
+	data, err := json.Marshal(map[string]any{
+		"model":    "m",
+		"messages": []map[string]string{{"role": "user", "content": text}},
+		"stream":   stream,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return string(data)
+}
+
+// expected is the answer that the engine stand-in owes to a chat with one message.
+func expected(text string) string {
+	return " " + strings.Join(engine.AnswerWords("v1", userWord+` "`+text+`"`, wordCount), " ")
+}
+
+type chatAnswer struct {
+	Choices []struct {
+		Message struct{ Content string }
+		Delta   struct{ Content string }
+	}
+	Usage struct {
+		PromptTokens int `json:"prompt_tokens"`
+		Details      struct {
+			Cached int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	}
+}
+
+func decodeChat(t *testing.T, a answer) chatAnswer {
+	t.Helper()
+	require.Equal(t, http.StatusOK, a.status, a.body)
+	var parsed chatAnswer
+	require.NoError(t, json.Unmarshal([]byte(a.body), &parsed), a.body)
+	return parsed
+}
+
+// decodeStream joins the events of a streamed answer, and requires the mark that ends it.
+func decodeStream(t *testing.T, a answer) string {
+	t.Helper()
+	require.Equal(t, http.StatusOK, a.status, a.body)
+	require.True(t, strings.HasSuffix(a.body, "data: [DONE]\n\n"), a.body)
+	var text strings.Builder
+	for _, event := range strings.Split(strings.TrimSuffix(a.body, "data: [DONE]\n\n"), "\n\n") {
+		if event == "" {
+			continue
+		}
+		var parsed chatAnswer
+		require.NoError(t, json.Unmarshal([]byte(strings.TrimPrefix(event, "data: ")), &parsed), event)
+		text.WriteString(parsed.Choices[0].Delta.Content)
+	}
+	return text.String()
+}
+
+func allOld(model string) rillreach.Row {
+	return rillreach.Row{Model: rillreach.ModelID(model), Version: "v1", Weights: rillreach.Weights{Old: 100}}
+}
+
+func TestWholePath(t *testing.T) {
+	f := newFleet(t)
+	f.engine(rillreach.SideOld)
+	service, _ := f.service(rillreach.SideOld, "catalogue")
+	key := f.account("kigali", allOld("m"), allOld("catalogue"))
+	url := "http://" + f.entry().address("callers")
+	chat := func(text string, stream bool) func() (answer, error) {
+		return func() (answer, error) { return trySend(http.MethodPost, url+chatPath, key, chatBody(text, stream)) }
+	}
+	serves(t, http.StatusOK, chat("warm up", false))
+	serves(t, http.StatusOK, func() (answer, error) {
+		return trySend(http.MethodPost, url+"/services/catalogue/prices", key, "warm up")
+	})
+
+	t.Run("an unstreamed answer arrives byte for byte", func(t *testing.T) {
+		parsed := decodeChat(t, send(t, http.MethodPost, url+chatPath, key, chatBody("does the quote stand", false)))
+		assert.Equal(t, expected("does the quote stand"), parsed.Choices[0].Message.Content)
+	})
+	t.Run("a streamed answer arrives byte for byte", func(t *testing.T) {
+		a := send(t, http.MethodPost, url+chatPath, key, chatBody("does the vote carry", true))
+		assert.Equal(t, "text/event-stream", a.header.Get("Content-Type"))
+		assert.Equal(t, expected("does the vote carry"), decodeStream(t, a))
+	})
+	t.Run("a second prompt of a conversation reuses what the first left", func(t *testing.T) {
+		first := decodeChat(t, send(t, http.MethodPost, url+chatPath, key, chatBody(longText, false)))
+		second := decodeChat(t, send(t, http.MethodPost, url+chatPath, key, chatBody(longText, false)))
+		assert.Zero(t, first.Usage.Details.Cached)
+		assert.Positive(t, second.Usage.Details.Cached)
+	})
+	t.Run("a plain service is called", func(t *testing.T) {
+		a := send(t, http.MethodPost, url+"/services/catalogue/prices", key, "cement")
+		assert.Equal(t, `/prices ran "cement" time 1`, a.body)
+		var runs map[string]int
+		get(t, "http://"+service.address("standin")+"/runs", &runs)
+		assert.Equal(t, 1, runs["cement"])
+	})
+	t.Run("a refusal says that nothing was run", func(t *testing.T) {
+		a := send(t, http.MethodPost, url+chatPath, key, strings.Replace(chatBody("x", false), `"m"`, `"other"`, 1))
+		assertRefused(t, a, http.StatusNotFound, rillreach.OutcomeNotRun, rillreach.ReasonUnknownModel)
+	})
+	t.Run("a wrong key is refused", func(t *testing.T) {
+		a := send(t, http.MethodPost, url+chatPath, key+"x", chatBody("x", false))
+		assertRefused(t, a, http.StatusUnauthorized, rillreach.OutcomeNotRun, rillreach.ReasonUnauthorized)
+	})
+}
+
+func assertRefused(t *testing.T, a answer, status int, outcome rillreach.Outcome, reason rillreach.Reason) {
+	t.Helper()
+	assert.Equal(t, status, a.status, a.body)
+	assert.Equal(t, string(outcome), a.header.Get(rillreach.HeaderOutcome))
+	assert.Equal(t, string(reason), a.header.Get(rillreach.HeaderReason))
+	var body struct {
+		Error struct{ Message, Code, Outcome string }
+	}
+	require.NoError(t, json.Unmarshal([]byte(a.body), &body), a.body)
+	assert.Equal(t, string(outcome), body.Error.Outcome)
+	assert.Equal(t, string(reason), body.Error.Code)
+	assert.NotEmpty(t, body.Error.Message)
+}
--- /dev/null
+++ b/e2e/process_test.go
@@ -0,0 +1,154 @@
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const patience = 30 * time.Second
+
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "rillreach-e2e")
+	if err != nil {
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binary = filepath.Join(dir, "rillreach")
+	args := append([]string{"build"}, buildFlags...)
+	build := exec.Command("go", append(args, "-o", binary, "../cmd/rillreach")...)
+	build.Stderr = os.Stderr
+	if build.Run() != nil {
+		return 1
+	}
+	return m.Run()
+}
+
+// process is one process that a test has started.
+type process struct {
+	t   *testing.T
+	cmd *exec.Cmd
+
+	mu        sync.Mutex
+	log       bytes.Buffer
+	addresses map[string]string
+	changed   chan struct{}
+	exited    chan struct{}
+}
+
+type logLine struct {
+	Message string `json:"msg"`
+	For     string `json:"for"`
+	Address string `json:"address"`
+}
+
+// start starts the binary; it is killed at the end of the test.
+func start(t *testing.T, args ...string) *process {
+	t.Helper()
+	p := &process{
+		t:         t,
+		cmd:       exec.Command(binary, args...),
+		addresses: map[string]string{},
+		changed:   make(chan struct{}, 1),
+		exited:    make(chan struct{}),
+	}
+	output, err := p.cmd.StderrPipe()
+	require.NoError(t, err)
+	require.NoError(t, p.cmd.Start())
+	go p.read(output)
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			t.Logf("log of %v:\n%s", args, p.text())
+		}
+	})
+	return p
+}
+
+func (p *process) read(output io.Reader) {
+	defer close(p.exited)
+	scanner := bufio.NewScanner(output)
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		p.take(scanner.Bytes())
+	}
+	_ = p.cmd.Wait()
+}
+
+func (p *process) take(line []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.log.Write(line)
+	p.log.WriteByte('\n')
+	var parsed logLine
+	if json.Unmarshal(line, &parsed) == nil && parsed.Message == "listening" {
+		p.addresses[parsed.For] = parsed.Address
+	}
+	select {
+	case p.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (p *process) text() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+// address waits for the address that the process listens on for somebody.
+func (p *process) address(who string) string {
+	p.t.Helper()
+	deadline := time.After(patience)
+	for {
+		p.mu.Lock()
+		address := p.addresses[who]
+		p.mu.Unlock()
+		if address != "" {
+			return address
+		}
+		select {
+		case <-p.changed:
+		case <-p.exited:
+			require.FailNow(p.t, "process ended", p.text())
+		case <-deadline:
+			require.FailNow(p.t, "process does not listen", p.text())
+		}
+	}
+}
+
+func (p *process) signal(s syscall.Signal) {
+	_ = p.cmd.Process.Signal(s)
+}
+
+// kill ends the process at once, thawing it first if it was frozen.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.exited
+}
+
+// runCommand runs the binary to its end and returns its output and its exit code.
+func runCommand(t *testing.T, input string, args ...string) (string, string, int) {
+	t.Helper()
+	cmd := exec.Command(binary, args...)
+	var out, errOut bytes.Buffer
+	cmd.Stdin, cmd.Stdout, cmd.Stderr = bytes.NewBufferString(input), &out, &errOut
+	_ = cmd.Run()
+	return out.String(), errOut.String(), cmd.ProcessState.ExitCode()
+}
--- /dev/null
+++ b/e2e/race_on_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package e2e
+
+var buildFlags = []string{"-race"}
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,127 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/filter"
+	"github.com/rillreach/rillreach/filter/authenticate"
+	"github.com/rillreach/rillreach/filter/dispatch"
+	"github.com/rillreach/rillreach/filter/identify"
+	"github.com/rillreach/rillreach/filter/resolve"
+	"github.com/rillreach/rillreach/keep"
+	"github.com/rillreach/rillreach/node"
+	"github.com/rillreach/rillreach/once"
+	"github.com/rillreach/rillreach/retry"
+)
+
+const (
+	// DefaultMaxBody bounds a request's body, in bytes.
+	DefaultMaxBody = 8 << 20
+
+	maxHeader     = 64 << 10
+	headerTimeout = 10 * time.Second
+	bodyTimeout   = 60 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
+// Entry is one entry; exported fields are set before Run.
+type Entry struct {
+	// Node is the common part of the process.
+	Node *node.Node
+	// Listener takes the connections of callers.
+	Listener net.Listener
+	// Secret is the fleet's.
+	Secret []byte
+	// MaxBody bounds a request's body; zero means DefaultMaxBody.
+	MaxBody int64
+	// AckTimeout is how long an agent may take to say that it has a request; zero means a default.
+	AckTimeout time.Duration
+	// Grace is how long a planned stop waits for running requests; zero means node.DefaultGrace.
+	Grace time.Duration
+
+	chain    *filter.Chain
+	mint     *filter.Chain
+	dispatch *dispatch.Filter
+	running  node.Inflight
+	server   *http.Server
+}
+
+// Run serves until the context ends, then leaves in order: it says so, takes nothing new and finishes what runs.
+func (e *Entry) Run(ctx context.Context) error {
+	e.setDefaults()
+	e.Node.Start()
+	e.makeChains()
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	stop := context.AfterFunc(ctx, func() {
+		e.leave(life)
+		end()
+	})
+	defer stop()
+	return e.Node.Run(life, &callerServer{entry: e})
+}
+
+func (e *Entry) setDefaults() {
+	if e.MaxBody == 0 {
+		e.MaxBody = DefaultMaxBody
+	}
+	if e.Grace == 0 {
+		e.Grace = node.DefaultGrace
+	}
+	e.server = &http.Server{
+		Handler:           e.routes(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+	}
+}
+
+func (e *Entry) makeChains() {
+	e.dispatch = &dispatch.Filter{
+		Node:       e.Node,
+		Budget:     &retry.Budget{},
+		Signer:     once.NewSigner(e.Secret),
+		AckTimeout: e.AckTimeout,
+		Log:        e.Node.Log,
+	}
+	understand := []rillreach.Filter{
+		authenticate.Filter{Table: e.Node.Table},
+		identify.Filter{Clock: e.Node.Clock},
+		resolve.Filter{Table: e.Node.Table, Namer: keep.NewNamer(e.Secret)},
+	}
+	e.chain = &filter.Chain{Log: e.Node.Log, Filters: append(understand[:len(understand):len(understand)], e.dispatch)}
+	e.mint = &filter.Chain{Log: e.Node.Log, Filters: append(understand[:len(understand):len(understand)], ticketStep{e.dispatch})}
+}
+
+// leave ends the entry's work without cutting any of it, within the grace. It goes on taking connections for as long
+// as the balancer sends them, and refuses what comes on them.
+func (e *Entry) leave(ctx context.Context) {
+	e.Node.Log.Info("leaving", "instance", e.Node.Self.ID)
+	e.Node.Leave(ctx)
+	if !e.running.Wait(e.Grace) {
+		e.Node.Log.Info("grace is over, requests are cut", "requests", e.running.Count())
+	}
+	e.Node.Removed(ctx)
+}
+
+// callerServer accepts the connections of callers.
+type callerServer struct{ entry *Entry }
+
+// Name is the controller's name.
+func (s *callerServer) Name() string { return "callers" }
+
+// Run accepts connections until the context ends.
+func (s *callerServer) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.entry.server.Close() })
+	defer stop()
+	if err := s.entry.server.Serve(s.entry.Listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve callers")
+	}
+	return nil
+}
--- /dev/null
+++ b/filter/dispatch/attempt.go
@@ -0,0 +1,151 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/fleet"
+	"github.com/rillreach/rillreach/membership"
+	"github.com/rillreach/rillreach/peer"
+)
+
+var errSilent = errors.New("agent did not say in time that it has the request")
+
+// message makes what is sent to an agent.
+func (f *Filter) message(x *rillreach.Exchange, attempt int) fleet.Dispatch {
+	req := &x.Request
+	d := fleet.Dispatch{
+		ID:           req.ID,
+		Attempt:      attempt,
+		Account:      req.Account,
+		Objective:    req.Row.Objective,
+		KeptBytes:    req.Row.Limits.KeptBytes,
+		Service:      req.Service,
+		Method:       req.Method,
+		Path:         req.Path,
+		Query:        req.Query,
+		Header:       req.Header,
+		Body:         req.Body,
+		Deadline:     req.Deadline,
+		Conversation: req.Conversation,
+		Blocks:       req.Blocks,
+		Tokens:       req.Tokens,
+		Salt:         req.Salt,
+		Once:         req.Once,
+		Key:          req.Key,
+		Ticket:       req.Ticket,
+		Sides:        allowedSides(req.Row.Weights),
+		Mark:         f.Node.Copy.Mark(rillreach.KindRow).Version,
+	}
+	if req.Service == "" {
+		d.Model, d.Version = req.Row.Model, req.Row.Version
+	}
+	return d
+}
+
+func allowedSides(w rillreach.Weights) []rillreach.Side {
+	var sides []rillreach.Side
+	for _, side := range []rillreach.Side{rillreach.SideNew, rillreach.SideOld} {
+		if w.Of(side) > 0 {
+			sides = append(sides, side)
+		}
+	}
+	return sides
+}
+
+// attempt sends the request to one agent and passes the answer back.
+func (f *Filter) attempt(ctx context.Context, x *rillreach.Exchange, m *membership.Member, d fleet.Dispatch) error {
+	conn, err := f.Node.Pool.Get(ctx, m.Address)
+	if err != nil {
+		if ctx.Err() == nil {
+			m.Suspect(f.Node.Clock.Now())
+		}
+		return rillreach.NotRun(rillreach.ReasonNoBackend, "agent is out of reach: "+err.Error())
+	}
+	if conn.Peer.ID != m.ID {
+		return rillreach.NotRun(rillreach.ReasonNoBackend, "another instance answers at the agent's address")
+	}
+	body, err := peer.Encode(d)
+	if err != nil {
+		return err
+	}
+	stream, err := conn.Open(ctx, peer.MethodServe, body)
+	if err != nil {
+		return rillreach.NotRun(rillreach.ReasonNoBackend, "request could not be sent: "+err.Error())
+	}
+	defer stream.Close()
+	if err := f.awaitAck(ctx, stream, conn, m); err != nil {
+		return err
+	}
+	return passOn(ctx, x, stream)
+}
+
+// awaitAck waits for the agent to say that it has the request; one that stays silent is suspected.
+func (f *Filter) awaitAck(ctx context.Context, stream *peer.Stream, conn *peer.Conn, m *membership.Member) error {
+	timeout := f.AckTimeout
+	if timeout == 0 {
+		timeout = DefaultAckTimeout
+	}
+	waiting, cancel := context.WithTimeoutCause(ctx, timeout, errSilent)
+	defer cancel()
+	part, err := stream.Next(waiting)
+	if errors.Is(err, errSilent) || errors.Is(err, peer.ErrClosed) {
+		m.Suspect(f.Node.Clock.Now())
+	}
+	if err != nil {
+		return err
+	}
+	kind, data, err := fleet.SplitPart(part)
+	if err != nil {
+		return err
+	}
+	if kind != fleet.PartAck {
+		return errors.New("agent's answer does not begin with an acknowledgement")
+	}
+	ack, err := peer.Decode[fleet.Ack](data)
+	if err != nil {
+		return err
+	}
+	f.learn(conn, m, ack)
+	return nil
+}
+
+// learn takes from an acknowledgement how loaded the agent is, and whether its copy of the rows goes further.
+func (f *Filter) learn(conn *peer.Conn, m *membership.Member, ack fleet.Ack) {
+	hint := ack.Hint
+	hint.At = f.Node.Clock.Now()
+	m.SetHint(hint)
+	f.Node.Spread.CatchUp(conn, ack.Mark)
+}
+
+// passOn gives the answer to the caller: a streamed one as it comes, any other once it is whole, so that it can
+// still be tried again until then.
+func passOn(ctx context.Context, x *rillreach.Exchange, stream *peer.Stream) error {
+	w := answerWriter{x: x}
+	for {
+		part, err := stream.Next(ctx)
+		if errors.Is(err, io.EOF) {
+			return w.finish()
+		}
+		if err != nil {
+			return err
+		}
+		if err := w.take(part); err != nil {
+			return err
+		}
+	}
+}
+
+// waitFor is the time between two attempts at the same owner.
+func waitFor(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/filter/dispatch/dispatch.go
@@ -0,0 +1,103 @@
+// Package dispatch is the filter that chooses an agent for a request, sends it there, passes the answer back, and
+// tries again where that is allowed.
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/membership"
+	"github.com/rillreach/rillreach/node"
+	"github.com/rillreach/rillreach/once"
+	"github.com/rillreach/rillreach/retry"
+)
+
+// DefaultAckTimeout is how long an agent may take to say that it has a request.
+const DefaultAckTimeout = 2 * time.Second
+
+// Filter sends requests to agents.
+type Filter struct {
+	// Node is the entry's common part.
+	Node *node.Node
+	// Budget bounds the retries.
+	Budget *retry.Budget
+	// Signer signs and verifies tickets.
+	Signer once.Signer
+	// AckTimeout is how long an agent may take to say that it has a request; zero means the default.
+	AckTimeout time.Duration
+	// Log takes one line for each decision.
+	Log logr.Logger
+}
+
+// Name is the step's name.
+func (*Filter) Name() string { return "dispatch" }
+
+// Run has the request answered, or gives the refusal that is final.
+func (f *Filter) Run(ctx context.Context, x *rillreach.Exchange) error {
+	ctx, cancel := context.WithDeadlineCause(ctx, f.wallDeadline(x), errLate)
+	defer cancel()
+	if x.Request.Once {
+		return f.runOnce(ctx, x)
+	}
+	return f.runRepeatable(ctx, x)
+}
+
+var errLate = rillreach.Unknown(rillreach.ReasonDeadline, "deadline passed before the answer was whole")
+
+// wallDeadline is the request's deadline on the clock that contexts use.
+func (f *Filter) wallDeadline(x *rillreach.Exchange) time.Time {
+	return time.Now().Add(x.Request.Deadline.Sub(f.Node.Clock.Now()))
+}
+
+// runRepeatable tries agents until one has answered or no further attempt is allowed.
+func (f *Filter) runRepeatable(ctx context.Context, x *rillreach.Exchange) error {
+	var tried []rillreach.InstanceID
+	for attempt := 1; ; attempt++ {
+		m, err := f.choose(x, tried, attempt)
+		if err != nil {
+			return err
+		}
+		err = f.attempt(ctx, x, m, f.message(x, attempt))
+		if err == nil {
+			f.Budget.Earn()
+			return nil
+		}
+		tried = append(tried, m.ID)
+		refusal := asRefusal(err)
+		verdict := f.decide(ctx, x, refusal, attempt)
+		f.logAttempt(x, m, attempt, refusal, verdict)
+		if verdict != retry.VerdictRetry {
+			return refusal
+		}
+	}
+}
+
+func (f *Filter) decide(ctx context.Context, x *rillreach.Exchange, refusal *rillreach.Refusal, attempt int) retry.Verdict {
+	if ctx.Err() != nil {
+		return retry.VerdictDeadline
+	}
+	return f.Budget.Decide(f.Node.Clock.Now(), retry.Failure{
+		Refusal:  refusal,
+		Attempt:  attempt,
+		Began:    x.Began,
+		Once:     x.Request.Once,
+		Deadline: x.Request.Deadline,
+	})
+}
+
+func (f *Filter) logAttempt(x *rillreach.Exchange, m *membership.Member, attempt int, refusal *rillreach.Refusal, verdict retry.Verdict) {
+	f.Log.Info("attempt failed", "decision", verdict, "reason", refusal.Reason, "outcome", refusal.Outcome,
+		"request", x.Request.ID, "account", x.Request.Account, "chosen", m.ID, "attempt", attempt, "cause", refusal.Message)
+}
+
+func asRefusal(err error) *rillreach.Refusal {
+	var refusal *rillreach.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return rillreach.Unknown(rillreach.ReasonCut, err.Error())
+}
--- /dev/null
+++ b/filter/dispatch/once.go
@@ -0,0 +1,163 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/membership"
+	"github.com/rillreach/rillreach/once"
+	"github.com/rillreach/rillreach/retry"
+)
+
+const (
+	// TicketLifetime is how long a ticket may be used.
+	TicketLifetime = 15 * time.Minute
+
+	sameOwnerPause = 100 * time.Millisecond
+)
+
+// runOnce has a request answered that must not run twice.
+func (f *Filter) runOnce(ctx context.Context, x *rillreach.Exchange) error {
+	if x.Request.Key == "" && x.Request.Ticket == "" {
+		return f.runFresh(ctx, x)
+	}
+	m, err := f.owner(x)
+	if err != nil {
+		return err
+	}
+	return f.runAtOwner(ctx, x, m)
+}
+
+// runFresh mints a ticket for a request without an identity and hands it to the caller with whatever the answer is. As
+// long as nobody has been sent the ticket's request, another ticket may take its place.
+func (f *Filter) runFresh(ctx context.Context, x *rillreach.Exchange) error {
+	var tried []rillreach.InstanceID
+	for attempt := 1; ; attempt++ {
+		m, err := f.choose(x, tried, attempt)
+		if err != nil {
+			return err
+		}
+		ticket, err := f.Mint(x.Request.Account, x.Request.Service, m)
+		if err != nil {
+			return err
+		}
+		err = f.runWithTicket(ctx, x, m, ticket)
+		if err == nil {
+			return nil
+		}
+		tried = append(tried, m.ID)
+		refusal := asRefusal(err)
+		verdict := f.decide(ctx, x, refusal, attempt)
+		f.logAttempt(x, m, attempt, refusal, verdict)
+		if verdict != retry.VerdictRetry {
+			return refusal
+		}
+	}
+}
+
+// runWithTicket sends a request with a ticket that nobody else has been sent yet.
+func (f *Filter) runWithTicket(ctx context.Context, x *rillreach.Exchange, m *membership.Member, ticket string) error {
+	x.Writer.Header().Set(rillreach.HeaderTicket, ticket)
+	x.Request.Ticket = ticket
+	defer func() { x.Request.Ticket = "" }()
+	refusal := f.tryOwner(ctx, x, m, 1)
+	switch {
+	case refusal == nil:
+		return nil
+	case refusal.Reason == rillreach.ReasonOwnerGone:
+		return rillreach.NotRun(rillreach.ReasonNoBackend, refusal.Message)
+	case refusal.Outcome == rillreach.OutcomeNotRun:
+		return refusal
+	default:
+		return f.runAtOwner(ctx, x, m)
+	}
+}
+
+// runAtOwner asks the one agent that may run the request, more than once if need be: it runs the request just once,
+// and gives the outcome to everyone who asks.
+func (f *Filter) runAtOwner(ctx context.Context, x *rillreach.Exchange, m *membership.Member) error {
+	var refusal *rillreach.Refusal
+	for attempt := 1; attempt <= retry.MaxAttempts; attempt++ {
+		if refusal = f.tryOwner(ctx, x, m, attempt); refusal == nil {
+			return nil
+		}
+		if refusal.Owner || refusal.Reason != rillreach.ReasonCut || x.Began || ctx.Err() != nil || !f.Budget.Spend() {
+			return refusal
+		}
+		waitFor(ctx, sameOwnerPause)
+	}
+	return refusal
+}
+
+func (f *Filter) tryOwner(ctx context.Context, x *rillreach.Exchange, m *membership.Member, attempt int) *rillreach.Refusal {
+	err := f.attempt(ctx, x, m, f.message(x, attempt))
+	if err == nil {
+		f.Budget.Earn()
+		return nil
+	}
+	refusal := asRefusal(err)
+	f.logAttempt(x, m, attempt, refusal, "ask-owner")
+	return refusal
+}
+
+// owner finds the one agent that may run a request with an identity.
+func (f *Filter) owner(x *rillreach.Exchange) (*membership.Member, error) {
+	owner, err := f.ownerOf(x)
+	if err != nil {
+		return nil, err
+	}
+	m := f.Node.Members.Find(owner.ID)
+	if m == nil || m.Incarnation != owner.Incarnation {
+		return nil, rillreach.Unknown(rillreach.ReasonOwnerGone, "the agent that owns the request is gone; the request may have been run")
+	}
+	f.Log.Info("route", "decision", "owner", "request", x.Request.ID, "account", x.Request.Account,
+		"service", x.Request.Service, "chosen", m.ID)
+	return m, nil
+}
+
+func (f *Filter) ownerOf(x *rillreach.Exchange) (once.Owner, error) {
+	req := &x.Request
+	if req.Ticket != "" {
+		return f.ownerByTicket(req)
+	}
+	minted, err := once.ParseKey(req.Key)
+	if err != nil {
+		return once.Owner{}, rillreach.NotRun(rillreach.ReasonBadRequest, err.Error())
+	}
+	owner, verdict := f.Node.Owners.Find(req.Service, minted, once.KeyHash(req.Account, req.Key))
+	if verdict != once.VerdictOwned {
+		return once.Owner{}, rillreach.Unknown(rillreach.ReasonStaleView, "owner of the key is not certain now: "+string(verdict)).
+			After(comeBackAfter)
+	}
+	return owner, nil
+}
+
+func (f *Filter) ownerByTicket(req *rillreach.Request) (once.Owner, error) {
+	ticket, err := f.Signer.Verify(req.Ticket)
+	if err != nil {
+		return once.Owner{}, rillreach.NotRun(rillreach.ReasonBadRequest, err.Error())
+	}
+	if ticket.Account != req.Account || ticket.Service != req.Service {
+		return once.Owner{}, rillreach.NotRun(rillreach.ReasonBadRequest, "ticket is for another account or service")
+	}
+	return ticket.Owner, nil
+}
+
+// Mint makes a ticket for a member.
+func (f *Filter) Mint(account rillreach.AccountID, service rillreach.ServiceID, m *membership.Member) (string, error) {
+	return f.Signer.Sign(once.Ticket{
+		ID:      uuid.NewString(),
+		Account: account,
+		Service: service,
+		Owner:   once.Owner{ID: m.ID, Incarnation: m.Incarnation},
+		Expires: f.Node.Clock.Now().Add(TicketLifetime),
+	})
+}
+
+// Choose decides on the agent that a ticket is minted for.
+func (f *Filter) Choose(x *rillreach.Exchange) (*membership.Member, error) {
+	return f.choose(x, nil, 1)
+}
--- /dev/null
+++ b/fleet/doc.go
@@ -0,0 +1,2 @@
+// Package fleet holds the messages that the system's processes send each other.
+package fleet
--- /dev/null
+++ b/internal/hash/hash.go
@@ -0,0 +1,54 @@
+// Package hash does the keyed and unkeyed hashing that identities and placements are made of.
+package hash
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/zeebo/blake3"
+)
+
+// Size is the length of a keyed hash in bytes.
+const Size = 32
+
+// Key is a secret for keyed hashes.
+type Key [Size]byte
+
+// Derive makes the key for one purpose from a secret of any length.
+func Derive(purpose string, secret []byte) Key {
+	var key Key
+	blake3.DeriveKey("rillreach 2026 "+purpose, secret, key[:])
+	return key
+}
+
+// Keyed hashes parts in such a way that no two different lists of parts hash alike.
+func Keyed(key Key, parts ...[]byte) [Size]byte {
+	h, err := blake3.NewKeyed(key[:])
+	if err != nil {
+		panic(err) // the key's length is fixed by its type
+	}
+	var length [8]byte
+	for _, part := range parts {
+		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
+		_, _ = h.Write(length[:])
+		_, _ = h.Write(part)
+	}
+	var sum [Size]byte
+	h.Sum(sum[:0])
+	return sum
+}
+
+// String hashes a string for placement, where nobody gains by a collision.
+func String(s string) uint64 {
+	return xxhash.Sum64String(s)
+}
+
+// Mix joins two placement hashes into one that is spread evenly.
+func Mix(a, b uint64) uint64 {
+	x := a ^ (b + 0x9e3779b97f4a7c15 + (a << 6) + (a >> 2))
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
--- /dev/null
+++ b/internal/standin/serve.go
@@ -0,0 +1,30 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const headerTimeout = 10 * time.Second
+
+// Serve serves a stand-in on a listener until the context ends.
+func Serve(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrap(err, "serve stand-in")
+	}
+	return nil
+}
+
+// WriteJSON writes a value as the whole answer.
+func WriteJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/node/operators.go
@@ -0,0 +1,54 @@
+package node
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/replicate"
+)
+
+// Status is what a node says of itself to operators.
+type Status struct {
+	Instance rillreach.Instance `json:"instance"`
+	Ready    bool               `json:"ready"`
+	Leaving  bool               `json:"leaving"`
+	Marks    []replicate.Mark   `json:"marks"`
+	Members  int                `json:"members"`
+}
+
+// Operators returns what answers on the operators' address.
+func (n *Node) Operators() http.Handler {
+	router := httprouter.New()
+	router.GET("/healthz", func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	router.GET("/readyz", n.readyz)
+	router.GET("/status", n.status)
+	return router
+}
+
+func (n *Node) readyz(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if n.Copy == nil || !n.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (n *Node) status(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	if n.Copy == nil {
+		http.Error(w, "not started", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(Status{
+		Instance: n.Self,
+		Ready:    n.Ready(),
+		Leaving:  n.Leaving(),
+		Marks:    n.Copy.Marks(),
+		Members:  len(n.Members.All()),
+	})
+}
--- /dev/null
+++ b/peer/conn.go
@@ -0,0 +1,245 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+	"github.com/sourcegraph/conc"
+
+	"github.com/rillreach/rillreach"
+)
+
+const (
+	sendQueue      = 256
+	messageTarget  = 32 << 10
+	writeTimeout   = 10 * time.Second
+	pingEvery      = 3 * time.Second
+	pingTimeout    = 6 * time.Second
+	streamWindow   = 64 << 10
+	maxOpenStreams = 4096
+)
+
+var (
+	// ErrClosed says that the connection has ended; what its streams had asked may or may not have been done.
+	ErrClosed = errors.New("connection to peer has ended")
+	// ErrCancelled says that the opener wants no more of a stream.
+	ErrCancelled = errors.New("stream was cancelled by its opener")
+)
+
+// Conn is one connection between two processes; both sides may open streams on it.
+type Conn struct {
+	// Peer is what the other process has said of itself.
+	Peer rillreach.Instance
+
+	socket  *websocket.Conn
+	mux     *Mux
+	out     chan *Frame
+	ended   chan struct{}
+	endOnce sync.Once
+	next    atomic.Uint64
+	used    atomic.Int64
+
+	mu     sync.Mutex
+	opened map[uint64]*Stream
+	served map[uint64]*Call
+}
+
+func newConn(socket *websocket.Conn, mux *Mux, peer rillreach.Instance, limit int64) *Conn {
+	socket.SetReadLimit(limit)
+	c := &Conn{
+		Peer:   peer,
+		socket: socket,
+		mux:    mux,
+		out:    make(chan *Frame, sendQueue),
+		ended:  make(chan struct{}),
+		opened: map[uint64]*Stream{},
+		served: map[uint64]*Call{},
+	}
+	c.used.Store(time.Now().UnixNano())
+	return c
+}
+
+// run carries the connection until it ends.
+func (c *Conn) run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg conc.WaitGroup
+	wg.Go(func() { c.end(c.readAll(ctx)) })
+	wg.Go(func() { c.end(c.writeAll(ctx)) })
+	wg.Go(func() { c.end(c.pingAll(ctx)) })
+	wg.Go(func() {
+		<-c.ended
+		cancel()
+	})
+	wg.Wait()
+}
+
+// Close ends the connection and every stream on it.
+func (c *Conn) Close() {
+	c.end(nil)
+}
+
+// Done is closed once the connection has ended.
+func (c *Conn) Done() <-chan struct{} {
+	return c.ended
+}
+
+// Busy reports whether a stream is open on the connection.
+func (c *Conn) Busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.opened)+len(c.served) > 0
+}
+
+// LastUsed is when a stream was last opened on the connection.
+func (c *Conn) LastUsed() time.Time {
+	return time.Unix(0, c.used.Load())
+}
+
+func (c *Conn) end(error) {
+	c.endOnce.Do(func() {
+		close(c.ended)
+		_ = c.socket.CloseNow()
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, s := range c.opened {
+			s.fail(ErrClosed)
+		}
+		for _, call := range c.served {
+			call.cancel(ErrClosed)
+		}
+	})
+}
+
+func (c *Conn) send(ctx context.Context, f *Frame) error {
+	select {
+	case c.out <- f:
+		return nil
+	case <-c.ended:
+		return ErrClosed
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// sendNow queues a frame whose sender must not wait; a full queue ends the connection.
+func (c *Conn) sendNow(f *Frame) {
+	select {
+	case c.out <- f:
+	case <-c.ended:
+	default:
+		go c.end(ErrClosed)
+	}
+}
+
+func (c *Conn) writeAll(ctx context.Context) error {
+	var message bytes.Buffer
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case f := <-c.out:
+			if err := c.fill(&message, f); err != nil {
+				return err
+			}
+			if err := c.flush(ctx, &message); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// fill puts the first frame and those that wait behind it into one message.
+func (c *Conn) fill(message *bytes.Buffer, first *Frame) error {
+	message.Reset()
+	if err := appendFrame(message, first); err != nil {
+		return err
+	}
+	for message.Len() < messageTarget {
+		select {
+		case f := <-c.out:
+			if err := appendFrame(message, f); err != nil {
+				return err
+			}
+		default:
+			return nil
+		}
+	}
+	return nil
+}
+
+func (c *Conn) flush(ctx context.Context, message *bytes.Buffer) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	return errors.Wrap(c.socket.Write(ctx, websocket.MessageBinary, message.Bytes()), "write to peer")
+}
+
+func (c *Conn) readAll(ctx context.Context) error {
+	for {
+		_, message, err := c.socket.Read(ctx)
+		if err != nil {
+			return errors.Wrap(err, "read from peer")
+		}
+		if err := splitFrames(message, func(f Frame) { c.take(ctx, f) }); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *Conn) pingAll(ctx context.Context) error {
+	ticker := time.NewTicker(pingEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			if err := c.ping(ctx); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (c *Conn) ping(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	return errors.Wrap(c.socket.Ping(ctx), "ping peer")
+}
+
+// take hands a frame that has arrived to the stream it belongs to; frames of ended streams are dropped.
+func (c *Conn) take(ctx context.Context, f Frame) {
+	switch f.Type {
+	case TypeOpen:
+		c.accept(ctx, f)
+	case TypeCancel:
+		if call := c.callOf(f.Stream); call != nil {
+			call.cancel(ErrCancelled)
+		}
+	case TypeCredit:
+		if call := c.callOf(f.Stream); call != nil {
+			call.grant(int64(f.Seq))
+		}
+	case TypeData, TypeEnd, TypeFail:
+		if s := c.streamOf(f.Stream); s != nil {
+			s.arrive(f)
+		}
+	}
+}
+
+func (c *Conn) callOf(id uint64) *Call {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.served[id]
+}
+
+func (c *Conn) streamOf(id uint64) *Stream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.opened[id]
+}
--- /dev/null
+++ b/peer/doc.go
@@ -0,0 +1,3 @@
+// Package peer does the traffic between the system's own processes: many streams of CBOR frames
+// over one WebSocket connection for each pair of processes, with a window for each stream.
+package peer
