Pace the watchers, and prove that changes get around

Cause: each change of a row woke every watcher at once: 8.0 platform calls a change with two watchers in each of four zones, so that a burst of a hundred writes a second would cost 34 watchers 3,400 reads a second, over the platform's 2,000. Ruled out: fewer watchers (one a zone leaves the zone to the digests when it dies), polling (adds its period to every change, not just to those of a burst). Change: 200 ms between two watches of a kind by one watcher; marks are counted in the process's members, not in the platform's versions, so that a plan is made anew only when members change.

--- a/controller/spread/digest.go
+++ b/controller/spread/digest.go
@@ -95,16 +95,16 @@
 func (c *Controller) currentPlan() replicate.Plan {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	mark, now := c.Copy.Mark(rillreach.KindInstance), c.Clock.Now()
+	changes, now := c.Members.Changes(), c.Clock.Now()
 	redraw := now.Sub(c.drawn) > redrawEvery
-	if !redraw && mark.Version == c.planned.Version && c.turn > 0 {
+	if !redraw && changes == c.planned && c.turn > 0 {
 		return c.plan
 	}
 	if redraw {
 		c.turn++
 		c.drawn = now
 	}
-	c.planned = mark
+	c.planned = changes
 	c.plan = replicate.MakePlan(c.Self.ID, nodesOf(c.Members.All()), c.turn)
 	return c.plan
 }
--- a/controller/spread/spread.go
+++ b/controller/spread/spread.go
@@ -24,6 +24,9 @@
 	// DefaultWatchWait is how long one watch waits for a change.
 	DefaultWatchWait = 5 * time.Second
 
+	// watchGap is the least time between two watches of a kind, so that a burst of changes costs the platform no more
+	// than five calls a second for each watcher; the changes of one gap come together.
+	watchGap       = 200 * time.Millisecond
 	askTimeout     = 2 * time.Second
 	minBackoff     = 200 * time.Millisecond
 	maxBackoff     = 5 * time.Second
@@ -65,7 +68,7 @@
 
 	mu      sync.Mutex
 	plan    replicate.Plan
-	planned replicate.Mark
+	planned uint64
 	drawn   time.Time
 	turn    uint64
 	pushes  conc.WaitGroup
@@ -136,6 +139,7 @@
 			continue
 		}
 		backoff = minBackoff
+		pause(ctx, watchGap)
 	}
 }
 
--- a/membership/members.go
+++ b/membership/members.go
@@ -22,6 +22,7 @@
 	suspected atomic.Int64
 	failures  atomic.Int32
 	leaving   atomic.Bool
+	changes   *atomic.Uint64
 }
 
 // Hint is what an agent last said of its own load; it lags.
@@ -66,6 +67,7 @@
 func (m *Member) Suspect(now time.Time) time.Duration {
 	wait := firstSuspicion << min(m.failures.Add(1)-1, 5)
 	wait = min(wait, maxSuspicion)
+	m.changes.Add(1)
 	m.suspected.Store(now.Add(wait).UnixNano())
 	return wait
 }
@@ -74,6 +76,7 @@
 func (m *Member) Clear() {
 	m.failures.Store(0)
 	m.suspected.Store(0)
+	m.changes.Add(1)
 }
 
 // Suspected reports whether the member is to be kept out of use.
@@ -86,6 +89,12 @@
 	return m.failures.Load() > 0
 }
 
+func (m *Member) leave() {
+	if !m.leaving.Swap(true) {
+		m.changes.Add(1)
+	}
+}
+
 // IsLeaving reports whether the platform or the instance itself has said that it leaves.
 func (m *Member) IsLeaving() bool {
 	return m.leaving.Load()
@@ -100,8 +109,10 @@
 	Service rillreach.ServiceID
 }
 
-// Members is the set of known instances, sharded by nothing but read without waiting: a change makes new slices.
+// Members is the set of known instances. A change makes new slices, so that a reader never holds the lock for long.
 type Members struct {
+	changes atomic.Uint64
+
 	mu     sync.RWMutex
 	byID   map[rillreach.InstanceID]*Member
 	gone   map[rillreach.InstanceID]rillreach.Incarnation
@@ -142,7 +153,7 @@
 	old := s.byID[instance.ID]
 	switch {
 	case old == nil || instance.Incarnation > old.Incarnation:
-		s.replace(old, newMember(instance))
+		s.replace(old, s.newMember(instance))
 	case instance.Incarnation < old.Incarnation:
 		return
 	default:
@@ -150,8 +161,8 @@
 	}
 }
 
-func newMember(instance rillreach.Instance) *Member {
-	m := &Member{Instance: instance, Place: hash.String(string(instance.ID))}
+func (s *Members) newMember(instance rillreach.Instance) *Member {
+	m := &Member{Instance: instance, Place: hash.String(string(instance.ID)), changes: &s.changes}
 	m.leaving.Store(instance.Leaving)
 	return m
 }
@@ -159,12 +170,12 @@
 // update takes newer word of the same incarnation; leaving is never taken back within one.
 func (s *Members) update(old *Member, instance rillreach.Instance) {
 	if instance.Leaving {
-		old.leaving.Store(true)
+		old.leave()
 	}
 	if slices.Equal(old.Versions, instance.Versions) && old.Address == instance.Address {
 		return
 	}
-	m := newMember(instance)
+	m := s.newMember(instance)
 	m.leaving.Store(instance.Leaving || old.leaving.Load())
 	m.hint.Store(old.hint.Load())
 	s.replace(old, m)
@@ -173,10 +184,13 @@
 // Leave marks one incarnation as leaving.
 func (s *Members) Leave(id rillreach.InstanceID, incarnation rillreach.Incarnation) {
 	if m := s.Find(id); m != nil && m.Incarnation == incarnation {
-		m.leaving.Store(true)
+		m.leave()
 	}
 }
 
+// Changes counts the changes of the set, of its members' leaving and of their suspicion.
+func (s *Members) Changes() uint64 { return s.changes.Load() }
+
 // Find returns the member with the identifier, or nil.
 func (s *Members) Find(id rillreach.InstanceID) *Member {
 	s.mu.RLock()
@@ -218,6 +232,7 @@
 
 // replace swaps one member for another in the set and in its groups.
 func (s *Members) replace(old, m *Member) {
+	s.changes.Add(1)
 	if old != nil {
 		delete(s.byID, old.ID)
 		for _, g := range groupsOf(old.Instance) {
@@ -233,6 +248,7 @@
 	}
 }
 
+// groupsOf are the groups that an instance stands in.
 func groupsOf(i rillreach.Instance) []Group {
 	if i.Role == rillreach.RoleEntry {
 		return []Group{{Role: i.Role}}
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -38,6 +38,7 @@
 
 	socket  *websocket.Conn
 	mux     *Mux
+	traffic *Traffic
 	out     chan *Frame
 	ended   chan struct{}
 	endOnce sync.Once
@@ -49,16 +50,17 @@
 	served map[uint64]*Call
 }
 
-func newConn(socket *websocket.Conn, mux *Mux, peer rillreach.Instance, limit int64) *Conn {
-	socket.SetReadLimit(limit)
+func newConn(socket *websocket.Conn, pool *Pool, peer rillreach.Instance) *Conn {
+	socket.SetReadLimit(pool.MessageLimit)
 	c := &Conn{
-		Peer:   peer,
-		socket: socket,
-		mux:    mux,
-		out:    make(chan *Frame, sendQueue),
-		ended:  make(chan struct{}),
-		opened: map[uint64]*Stream{},
-		served: map[uint64]*Call{},
+		Peer:    peer,
+		socket:  socket,
+		mux:     pool.Mux,
+		traffic: &pool.Traffic,
+		out:     make(chan *Frame, sendQueue),
+		ended:   make(chan struct{}),
+		opened:  map[uint64]*Stream{},
+		served:  map[uint64]*Call{},
 	}
 	c.used.Store(time.Now().UnixNano())
 	return c
@@ -157,12 +159,14 @@
 // fill puts the first frame and those that wait behind it into one message.
 func (c *Conn) fill(message *bytes.Buffer, first *Frame) error {
 	message.Reset()
+	c.traffic.Frames.Add(1)
 	if err := appendFrame(message, first); err != nil {
 		return err
 	}
 	for message.Len() < messageTarget {
 		select {
 		case f := <-c.out:
+			c.traffic.Frames.Add(1)
 			if err := appendFrame(message, f); err != nil {
 				return err
 			}
@@ -176,6 +180,8 @@
 func (c *Conn) flush(ctx context.Context, message *bytes.Buffer) error {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
+	c.traffic.Messages.Add(1)
+	c.traffic.Bytes.Add(int64(message.Len()))
 	return errors.Wrap(c.socket.Write(ctx, websocket.MessageBinary, message.Bytes()), "write to peer")
 }
 
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,6 +32,16 @@
 	maxHelloSize = 4 << 10
 )
 
+// Traffic counts what a process has sent to its peers.
+type Traffic struct {
+	// Connections counts those that were dialled.
+	Connections atomic.Int64
+	// Frames, Messages and Bytes count what was written on all connections.
+	Frames   atomic.Int64
+	Messages atomic.Int64
+	Bytes    atomic.Int64
+}
+
 // Pool holds one connection to each peer that is in use, dials on demand and closes the idle ones.
 type Pool struct {
 	// Self is what this process says of itself.
@@ -44,6 +56,10 @@
 	Met func(rillreach.Instance)
 	// MessageLimit bounds one message; zero means DefaultMessageLimit.
 	MessageLimit int64
+	// Dial makes the connections; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Traffic counts what goes out to peers.
+	Traffic Traffic
 
 	client *http.Client
 	flight singleflight.Group
@@ -59,7 +75,7 @@
 	p.base = ctx
 	p.conns = map[netip.AddrPort]*Conn{}
 	p.all = map[*Conn]struct{}{}
-	p.client = &http.Client{Transport: &http.Transport{TLSClientConfig: p.TLS}}
+	p.client = &http.Client{Transport: &http.Transport{TLSClientConfig: p.TLS, DialContext: p.Dial}}
 	if p.MessageLimit == 0 {
 		p.MessageLimit = DefaultMessageLimit
 	}
@@ -140,7 +156,8 @@
 		_ = socket.CloseNow()
 		return nil, errors.Wrapf(err, "connect to peer %s", address)
 	}
-	c := newConn(socket, p.Mux, peer, p.MessageLimit)
+	c := newConn(socket, p, peer)
+	p.Traffic.Connections.Add(1)
 	p.add(c, address)
 	go func() {
 		c.run(p.base)
@@ -208,7 +225,7 @@
 		p.Log.V(1).Info("peer not accepted", "peer", peer.ID, "cause", err.Error())
 		return
 	}
-	c := newConn(socket, p.Mux, peer, p.MessageLimit)
+	c := newConn(socket, p, peer)
 	p.add(c, netip.AddrPort{})
 	c.run(p.base)
 	p.remove(c, netip.AddrPort{})
