Run a marked request at most once, by tickets and by keys that carry their time

Cause: two entries with different views of the agents pick two owners for one key, and both run it. Ruled out: hashing a key to an owner among the live agents (two views, two owners), a lease for each range of keys (an outage of the platform stops every call, or safety hangs on clocks). Change: epochs of owners, written once each, in force only from a time later by the lead than the platform recorded them; a key is decided only by a process that knows the platform up to its time less the lead. The agents beside a service propose the next epoch, in the order of their rank. After: go test -race ./once ./e2e passes: two entries race with one ticket and one key, the owner is killed before and while it runs, frozen past the deadline, replaced, doubled in its slot, and the answer is lost on its way. Conclusion: no clock, lease or call of the platform is needed for safety; a key's use waits for the platform after an outage longer than the lead, a ticket's does not.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/controller/epochs"
 	"github.com/rillreach/rillreach/node"
 	"github.com/rillreach/rillreach/once"
 	"github.com/rillreach/rillreach/peer"
@@ -76,10 +77,13 @@
 }
 
 func (a *Agent) controllers() []rillreach.Controller {
-	if a.Engine == nil {
-		return nil
+	if a.Engine != nil {
+		return []rillreach.Controller{&loadWatcher{engine: a.Engine, report: &a.load, node: a.Node}}
 	}
-	return []rillreach.Controller{&loadWatcher{engine: a.Engine, report: &a.load, node: a.Node}}
+	return []rillreach.Controller{&epochs.Controller{
+		Self: a.Node.Self, Store: a.Node.Store, Owners: a.Node.Owners, Members: a.Node.Members, Clock: a.Node.Clock, Log: a.Node.Log,
+		Keep: 2 * KeyLifetime,
+	}}
 }
 
 // leave ends the agent's work without cutting any of it, within the grace.
--- /dev/null
+++ b/e2e/once_test.go
@@ -0,0 +1,262 @@
+package e2e
+
+import (
+	"encoding/json"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach"
+)
+
+// quick are the settings with which a fleet knows its owners of keys after a few seconds.
+var quick = []string{"--owner-lead", "2s", "--watch-wait", "200ms"}
+
+// onceFleet is a fleet with two entries before two agents of one service.
+type onceFleet struct {
+	*testFleet
+	key      string
+	entries  [2]string
+	services [2]*process
+	agents   [2]*process
+	entry    [2]*process
+}
+
+func newOnceFleet(t *testing.T, delay string) *onceFleet {
+	t.Helper()
+	f := &onceFleet{testFleet: newFleet(t)}
+	for i := range f.services {
+		f.services[i] = start(t, "standin", "service", "--service-delay", delay)
+		args := []string{"--backend", "http://" + f.services[i].address("standin"), "--side", "old", "--service", "receipts"}
+		f.agents[i] = f.agent(append(args, quick...)...)
+	}
+	f.key = f.account("oja", allOld("receipts"))
+	for i := range f.entries {
+		f.entry[i] = f.testFleet.entry(append([]string{"--ack-timeout", "500ms"}, quick...)...)
+		f.entries[i] = "http://" + f.entry[i].address("callers")
+	}
+	for _, url := range f.entries {
+		serves(t, http.StatusOK, func() (answer, error) { return trySend(http.MethodGet, url+"/services/receipts/ready", f.key, "") })
+	}
+	return f
+}
+
+func (f *onceFleet) call(entry int, body string, headers ...string) (answer, error) {
+	return trySend(http.MethodPost, f.entries[entry]+"/services/receipts/issue", f.key, body, headers...)
+}
+
+func (f *onceFleet) ticket() string {
+	f.t.Helper()
+	a := send(f.t, http.MethodPost, f.entries[0]+"/v1/tickets/receipts", f.key, "")
+	require.Equal(f.t, http.StatusCreated, a.status, a.body)
+	var parsed struct{ Ticket string }
+	require.NoError(f.t, json.Unmarshal([]byte(a.body), &parsed))
+	return parsed.Ticket
+}
+
+// runs is how often the services ran a body.
+func (f *onceFleet) runs(body string) int {
+	f.t.Helper()
+	total := 0
+	for _, s := range f.services {
+		var runs map[string]int
+		get(f.t, "http://"+s.address("standin")+"/runs", &runs)
+		total += runs[body]
+	}
+	return total
+}
+
+func newKey(t *testing.T) string {
+	t.Helper()
+	id, err := uuid.NewV7()
+	require.NoError(t, err)
+	return id.String()
+}
+
+// race sends one call to both entries many times at once.
+func (f *onceFleet) race(body string, headers ...string) []answer {
+	f.t.Helper()
+	const times = 10
+	answers := make([]answer, 2*times)
+	var wg sync.WaitGroup
+	for i := range answers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			answers[i], _ = f.call(i%2, body, headers...)
+		}()
+	}
+	wg.Wait()
+	return answers
+}
+
+func TestTicketRunsOnce(t *testing.T) {
+	f := newOnceFleet(t, "50ms")
+	t.Run("sent to two entries at once", func(t *testing.T) {
+		for _, a := range f.race("race", rillreach.HeaderTicket, f.ticket()) {
+			assert.Equal(t, http.StatusOK, a.status, a.body)
+			assert.Equal(t, `/issue ran "race" time 1`, a.body)
+		}
+		assert.Equal(t, 1, f.runs("race"))
+	})
+	t.Run("a ticket used for another call is refused", func(t *testing.T) {
+		ticket := f.ticket()
+		_, err := f.call(0, "first use", rillreach.HeaderTicket, ticket)
+		require.NoError(t, err)
+		a, err := f.call(1, "second use", rillreach.HeaderTicket, ticket)
+		require.NoError(t, err)
+		assertRefused(t, a, http.StatusUnprocessableEntity, rillreach.OutcomeNotRun, rillreach.ReasonKeyReused)
+		assert.Zero(t, f.runs("second use"))
+	})
+	t.Run("a marked call without a ticket gets one with its answer", func(t *testing.T) {
+		a, err := f.call(0, "marked", rillreach.HeaderRepeat, rillreach.RepeatNever)
+		require.NoError(t, err)
+		again, err := f.call(1, "marked", rillreach.HeaderTicket, a.header.Get(rillreach.HeaderTicket))
+		require.NoError(t, err)
+		assert.Equal(t, a.body, again.body)
+		assert.Equal(t, 1, f.runs("marked"))
+	})
+	t.Run("a platform outage stops no tickets", func(t *testing.T) {
+		f.setFaults(`{"down":true}`)
+		defer f.setFaults(`{}`)
+		a, err := f.call(0, "outage", rillreach.HeaderTicket, f.ticket())
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusOK, a.status, a.body)
+	})
+}
+
+func TestKeyRunsOnce(t *testing.T) {
+	f := newOnceFleet(t, "50ms")
+	serves(t, http.StatusOK, func() (answer, error) { return f.call(0, "warm up", rillreach.HeaderKey, newKey(t)) })
+	serves(t, http.StatusOK, func() (answer, error) { return f.call(1, "warm up", rillreach.HeaderKey, newKey(t)) })
+	t.Run("sent to two entries at once", func(t *testing.T) {
+		for _, a := range f.race("race", rillreach.HeaderKey, newKey(t)) {
+			assert.Equal(t, http.StatusOK, a.status, a.body)
+		}
+		assert.Equal(t, 1, f.runs("race"))
+	})
+	t.Run("a key that carries no time is refused", func(t *testing.T) {
+		a, err := f.call(0, "plain key", rillreach.HeaderKey, "order 66")
+		require.NoError(t, err)
+		assertRefused(t, a, http.StatusBadRequest, rillreach.OutcomeNotRun, rillreach.ReasonBadRequest)
+	})
+	t.Run("a key of the future is not decided", func(t *testing.T) {
+		a, err := f.call(0, "future", rillreach.HeaderKey, "7f8f3c2e-7b5a-7cc1-8a1e-3c5d7f9b1a2b")
+		require.NoError(t, err)
+		assertRefused(t, a, http.StatusServiceUnavailable, rillreach.OutcomeUnknown, rillreach.ReasonStaleView)
+	})
+	t.Run("agents come and go while keys are raced", func(t *testing.T) {
+		for round := range 6 {
+			body := "change " + string(rune('a'+round))
+			if round == 1 {
+				f.agent(append([]string{"--backend", "http://" + f.services[1].address("standin"), "--side", "old", "--service", "receipts"}, quick...)...)
+			}
+			if round == 3 {
+				f.agents[0].signal(syscall.SIGTERM)
+			}
+			f.race(body, rillreach.HeaderKey, newKey(t))
+			assert.LessOrEqual(t, f.runs(body), 1, body)
+		}
+	})
+}
+
+func TestOwnerInTrouble(t *testing.T) {
+	t.Run("killed before it runs", func(t *testing.T) {
+		f := newOnceFleet(t, "0s")
+		ticket := f.ticket()
+		f.agents[0].kill()
+		f.agents[1].kill()
+		a, err := f.call(0, "before", rillreach.HeaderTicket, ticket)
+		require.NoError(t, err)
+		assert.Equal(t, string(rillreach.OutcomeUnknown), a.header.Get(rillreach.HeaderOutcome), a.body)
+		assert.Zero(t, f.runs("before"))
+	})
+	t.Run("killed while it runs", func(t *testing.T) {
+		f := newOnceFleet(t, "1s")
+		ticket := f.ticket()
+		answers := make(chan answer, 1)
+		go func() {
+			a, _ := f.call(0, "while", rillreach.HeaderTicket, ticket)
+			answers <- a
+		}()
+		eventually(t, func() bool { return f.runs("while") == 1 }, "service runs")
+		f.agents[0].kill()
+		f.agents[1].kill()
+		a := <-answers
+		assert.Equal(t, string(rillreach.OutcomeUnknown), a.header.Get(rillreach.HeaderOutcome), a.body)
+		again, err := f.call(1, "while", rillreach.HeaderTicket, ticket)
+		require.NoError(t, err)
+		assert.Equal(t, string(rillreach.OutcomeUnknown), again.header.Get(rillreach.HeaderOutcome), again.body)
+		assert.Equal(t, 1, f.runs("while"))
+	})
+	t.Run("frozen past the deadline and thawed", func(t *testing.T) {
+		f := newOnceFleet(t, "0s")
+		ticket := f.ticket()
+		for _, agent := range f.agents {
+			agent.signal(syscall.SIGSTOP)
+		}
+		a, err := f.call(0, "frozen", rillreach.HeaderTicket, ticket, rillreach.HeaderDeadline, "1s")
+		require.NoError(t, err)
+		assert.Equal(t, string(rillreach.OutcomeUnknown), a.header.Get(rillreach.HeaderOutcome), a.body)
+		time.Sleep(time.Second) // the freeze has to outlast the deadline
+		for _, agent := range f.agents {
+			agent.signal(syscall.SIGCONT)
+		}
+		serves(t, http.StatusOK, func() (answer, error) { return f.call(0, "after", rillreach.HeaderTicket, f.ticket()) })
+		assert.Zero(t, f.runs("frozen"))
+	})
+	t.Run("the answer is lost on its way back", func(t *testing.T) {
+		f := newOnceFleet(t, "500ms")
+		ticket := f.ticket()
+		lost := make(chan error, 1)
+		go func() {
+			_, err := f.call(0, "lost", rillreach.HeaderTicket, ticket)
+			lost <- err
+		}()
+		eventually(t, func() bool { return f.runs("lost") == 1 }, "service runs")
+		f.entry[0].kill()
+		require.Error(t, <-lost)
+		a, err := f.call(1, "lost", rillreach.HeaderTicket, ticket)
+		require.NoError(t, err)
+		assert.Equal(t, `/issue ran "lost" time 1`, a.body)
+		assert.Equal(t, 1, f.runs("lost"))
+	})
+	t.Run("replaced by a new incarnation after it ran", func(t *testing.T) {
+		f := newOnceFleet(t, "0s")
+		ticket := f.ticket()
+		a, err := f.call(0, "replaced", rillreach.HeaderTicket, ticket)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, a.status, a.body)
+		for i, agent := range f.agents {
+			address := agent.address("peers")
+			id := agent.instance()
+			agent.kill()
+			args := []string{"--instance", id, "--peer-listen", address, "--backend", "http://" + f.services[i].address("standin"), "--side", "old", "--service", "receipts"}
+			f.agents[i] = f.agent(append(args, quick...)...)
+		}
+		serves(t, http.StatusOK, func() (answer, error) { return f.call(1, "after", rillreach.HeaderTicket, f.ticket()) })
+		a, err = f.call(1, "replaced", rillreach.HeaderTicket, ticket)
+		require.NoError(t, err)
+		assertRefused(t, a, http.StatusBadGateway, rillreach.OutcomeUnknown, rillreach.ReasonOwnerGone)
+		assert.Equal(t, 1, f.runs("replaced"))
+	})
+	t.Run("two processes believe they have the slot", func(t *testing.T) {
+		f := newOnceFleet(t, "0s")
+		args := []string{"--instance", "slot", "--backend", "http://" + f.services[0].address("standin"), "--side", "old", "--service", "receipts"}
+		first := f.agent(append(args, quick...)...)
+		first.address("peers")
+		second := f.agent(append(args, quick...)...)
+		second.address("peers")
+		for range 10 {
+			key := newKey(t)
+			f.race("slot "+key, rillreach.HeaderKey, key)
+			assert.LessOrEqual(t, f.runs("slot "+key), 1)
+		}
+	})
+}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -48,6 +48,7 @@
 	mu        sync.Mutex
 	log       bytes.Buffer
 	addresses map[string]string
+	id        string
 	changed   chan struct{}
 	exited    chan struct{}
 }
@@ -55,6 +56,7 @@
 type logLine struct {
 	Message string `json:"msg"`
 	For     string `json:"for"`
+	ID      string `json:"instance"`
 	Address string `json:"address"`
 }
 
@@ -99,6 +101,7 @@
 	var parsed logLine
 	if json.Unmarshal(line, &parsed) == nil && parsed.Message == "listening" {
 		p.addresses[parsed.For] = parsed.Address
+		p.id = parsed.ID
 	}
 	select {
 	case p.changed <- struct{}{}:
@@ -133,6 +136,15 @@
 	}
 }
 
+// instance is the identifier that the process has given itself.
+func (p *process) instance() string {
+	p.t.Helper()
+	p.address("peers")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.id
+}
+
 func (p *process) signal(s syscall.Signal) {
 	_ = p.cmd.Process.Signal(s)
 }
--- /dev/null
+++ b/once/owners_test.go
@@ -0,0 +1,102 @@
+package once
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rillreach/rillreach"
+)
+
+const (
+	lead    = 30 * time.Second
+	service = rillreach.ServiceID("receipts")
+)
+
+var start = time.Unix(1_700_000_000, 0).UTC()
+
+func epochObject(t require.TestingT, number uint64, recorded, from time.Time, owners ...string) rillreach.Object {
+	e := Epoch{Service: service, Number: number, From: from}
+	for _, o := range owners {
+		e.Owners = append(e.Owners, Owner{ID: rillreach.InstanceID(o), Incarnation: rillreach.Incarnation(o)})
+	}
+	value, err := json.Marshal(e)
+	require.NoError(t, err)
+	return rillreach.Object{Kind: rillreach.KindOwners, Name: fmt.Sprint(number), Version: number, Changed: recorded, Value: value}
+}
+
+func assertOwner(t *testing.T, o *Owners, minted time.Time, owner string, verdict Verdict) {
+	t.Helper()
+	found, got := o.Find(service, minted, 7)
+	assert.Equal(t, verdict, got)
+	assert.Equal(t, owner, string(found.ID))
+}
+
+func TestOwners(t *testing.T) {
+	o := &Owners{Lead: lead}
+	require.NoError(t, o.Apply(epochObject(t, 1, start, start.Add(lead), "a")))
+	require.NoError(t, o.Apply(epochObject(t, 2, start.Add(time.Minute), start.Add(2*time.Minute), "b")))
+	o.Confirm(start.Add(3 * time.Minute))
+
+	t.Run("a key belongs to the owner in force when it was minted", func(t *testing.T) {
+		assertOwner(t, o, start.Add(time.Minute), "a", VerdictOwned)
+		assertOwner(t, o, start.Add(2*time.Minute), "b", VerdictOwned)
+	})
+	t.Run("a key from before the first epoch has no owner", func(t *testing.T) {
+		assertOwner(t, o, start, "", VerdictTooOld)
+	})
+	t.Run("a key from after all that is known is not decided", func(t *testing.T) {
+		assertOwner(t, o, start.Add(3*time.Minute+lead), "b", VerdictOwned)
+		assertOwner(t, o, start.Add(3*time.Minute+lead+1), "", VerdictUnknown)
+	})
+	t.Run("an epoch recorded too late for its time counts for nobody", func(t *testing.T) {
+		late := &Owners{Lead: lead}
+		require.Error(t, late.Apply(epochObject(t, 1, start.Add(1), start.Add(lead), "a")))
+		late.Confirm(start.Add(time.Hour))
+		assertOwner(t, late, start.Add(time.Minute), "", VerdictNoOwner)
+	})
+	t.Run("superseded epochs are those that no young key falls into", func(t *testing.T) {
+		assert.Equal(t, []uint64{1}, o.Superseded(service, start.Add(3*time.Minute)))
+		assert.Empty(t, o.Superseded(service, start.Add(2*time.Minute)))
+	})
+}
+
+// TestOwnersAgree has the platform record epochs in an order of its own, some of them too late, and two processes know
+// it up to different times: whenever both are certain of a key's owner, it is the same.
+func TestOwnersAgree(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		second := func(name string) time.Duration {
+			return time.Duration(rapid.IntRange(0, 300).Draw(rt, name)) * time.Second
+		}
+		var recorded []rillreach.Object
+		at := start
+		for i := range rapid.IntRange(0, 8).Draw(rt, "epochs") {
+			at = at.Add(second("gap"))
+			from := at.Add(second("ahead"))
+			recorded = append(recorded, epochObject(rt, uint64(i+1), at, from, fmt.Sprint("x", i), fmt.Sprint("y", i)))
+		}
+		know := func(name string) *Owners {
+			known := start.Add(6 * second(name))
+			o := &Owners{Lead: lead}
+			for _, object := range recorded {
+				if !object.Changed.After(known) {
+					_ = o.Apply(object)
+				}
+			}
+			o.Confirm(known)
+			return o
+		}
+		first, other := know("first"), know("other")
+		minted, key := start.Add(8*second("minted")), rapid.Uint64().Draw(rt, "key")
+		a, verdictA := first.Find(service, minted, key)
+		b, verdictB := other.Find(service, minted, key)
+		if verdictA == VerdictOwned && verdictB == VerdictOwned {
+			require.Equal(rt, a, b)
+		}
+	})
+}
