Measure the policy against baselines in virtual time

Cause: the ways to place prompts and to keep their state had not been compared. Ruled out: a simulator of the cluster; this is one model of engines, stores and links without network or processes, and it drives the packages that the daemons use. Change: rillreach bench policy; a returning prompt's home is preferred by how often its memory was found to hold such prompts.

--- /dev/null
+++ b/bench/policy/model.go
@@ -0,0 +1,152 @@
+package policy
+
+import (
+	"container/list"
+	"time"
+)
+
+// The model's figures: an engine that computes 8,000 tokens of a prompt a second and holds 400,000 in its memory, 64 KB
+// of state for each token, and stores of 128 GB of memory and 2 TB of disk each behind links of 5 GB a second, which
+// read from disk at 1.5 GB a second.
+const (
+	prefillRate    = 8000.0
+	engineTokens   = 400_000
+	bytesPerToken  = 64 << 10
+	storeMemory    = int64(128) << 30
+	storeDisk      = int64(2) << 40
+	linkRate       = 5e9
+	diskRate       = 1.5e9
+	crossRate      = 1e9
+	firstTokenTime = 30 * time.Millisecond
+	hopTime        = 2 * time.Millisecond
+)
+
+// lru is a bounded memory of how many tokens of each conversation are held.
+type lru struct {
+	capacity int64
+	used     int64
+	order    *list.List
+	held     map[int]*list.Element
+}
+
+type lruEntry struct {
+	conversation int
+	tokens       int
+}
+
+func newLRU(capacity int64) *lru {
+	return &lru{capacity: capacity, order: list.New(), held: map[int]*list.Element{}}
+}
+
+func (l *lru) tokens(conversation int) int {
+	if e := l.held[conversation]; e != nil {
+		return e.Value.(*lruEntry).tokens
+	}
+	return 0
+}
+
+// put holds tokens of a conversation, and drops the least recently used ones for them; it returns the dropped.
+func (l *lru) put(conversation, tokens int) []lruEntry {
+	if e := l.held[conversation]; e != nil {
+		entry := e.Value.(*lruEntry)
+		l.used += int64(tokens - entry.tokens)
+		entry.tokens = tokens
+		l.order.MoveToFront(e)
+	} else {
+		l.held[conversation] = l.order.PushFront(&lruEntry{conversation: conversation, tokens: tokens})
+		l.used += int64(tokens)
+	}
+	var dropped []lruEntry
+	for l.used > l.capacity && l.order.Len() > 0 {
+		oldest := l.order.Remove(l.order.Back()).(*lruEntry)
+		delete(l.held, oldest.conversation)
+		l.used -= int64(oldest.tokens)
+		dropped = append(dropped, *oldest)
+	}
+	return dropped
+}
+
+func (l *lru) drop() {
+	l.order.Init()
+	clear(l.held)
+	l.used = 0
+}
+
+// store is a model of a store instance: memory before a disk, behind one link.
+type store struct {
+	memory *lru
+	disk   *lru
+	link   link
+	dead   bool
+}
+
+func newStore() *store {
+	return &store{memory: newLRU(storeMemory / bytesPerToken), disk: newLRU(storeDisk / bytesPerToken), link: link{rate: linkRate}}
+}
+
+// holds is how many tokens of a conversation the store has, and at which rate they can be read.
+func (s *store) holds(conversation int) (int, float64) {
+	if s.dead {
+		return 0, 0
+	}
+	if tokens := s.memory.tokens(conversation); tokens > 0 {
+		return tokens, s.link.rate
+	}
+	return s.disk.tokens(conversation), min(diskRate, s.link.rate)
+}
+
+// put keeps tokens in memory; what memory drops goes to disk.
+func (s *store) put(conversation, tokens int) {
+	if s.dead {
+		return
+	}
+	for _, dropped := range s.memory.put(conversation, tokens) {
+		s.disk.put(dropped.conversation, dropped.tokens)
+	}
+}
+
+// link is a model of a link with two classes: what is urgent goes first, what can wait fills the rest.
+type link struct {
+	rate   float64
+	at     time.Duration
+	urgent float64
+	later  float64
+	// carried and busy are for the report.
+	carried float64
+	busy    time.Duration
+}
+
+// advance carries what is queued up to a time.
+func (l *link) advance(now time.Duration) {
+	room := (now - l.at).Seconds() * l.rate
+	l.at = now
+	urgent := min(l.urgent, room)
+	later := min(l.later, room-urgent)
+	l.urgent -= urgent
+	l.later -= later
+	l.carried += urgent + later
+	l.busy += seconds((urgent + later) / l.rate)
+}
+
+// wait is how long something urgent would wait before it is carried.
+func (l *link) wait(now time.Duration) time.Duration {
+	l.advance(now)
+	return seconds(l.urgent / l.rate)
+}
+
+// carry queues urgent bytes and returns when they have arrived, at a rate that may be below the link's.
+func (l *link) carry(now time.Duration, bytes, rate float64) time.Duration {
+	l.advance(now)
+	l.urgent += bytes * l.rate / rate
+	return now + seconds(l.urgent/l.rate)
+}
+
+// carryLater queues bytes that can wait.
+func (l *link) carryLater(now time.Duration, bytes float64) {
+	l.advance(now)
+	l.later += bytes
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/cmd/bench.go
@@ -0,0 +1,61 @@
+package cmd
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/rillreach/rillreach/bench/policy"
+	"github.com/rillreach/rillreach/settings"
+)
+
+const allDeployments = "all"
+
+func newBenchCommand() *cli.Command {
+	return &cli.Command{
+		Name:     "bench",
+		Usage:    "measure",
+		Commands: []*cli.Command{newBenchPolicy()},
+	}
+}
+
+func newBenchPolicy() *cli.Command {
+	return &cli.Command{
+		Name:  "policy",
+		Usage: "measure the placing of prompts and the keeping of their state against baselines, in virtual time",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "deployment", Value: allDeployments, Usage: "kigali, oja or all"},
+			&cli.UintFlag{Name: "seed", Value: 1, Usage: "seed of the workload"},
+			&cli.BoolFlag{Name: "calm", Usage: "only the scenario in which nothing goes wrong"},
+		},
+		Action: runBenchPolicy,
+	}
+}
+
+func runBenchPolicy(_ context.Context, c *cli.Command) error {
+	var faults settings.Faults
+	kigali, oja := policy.Kigali(), policy.Oja()
+	faults.OneOf("deployment", c.String("deployment"), kigali.Name, oja.Name, allDeployments)
+	if err := faults.Err(); err != nil {
+		return codedError{error: err, code: ExitUsage}
+	}
+	scenarios := policy.Scenarios()
+	if c.Bool("calm") {
+		scenarios = scenarios[:1]
+	}
+	for _, d := range []policy.Deployment{kigali, oja} {
+		if c.String("deployment") != allDeployments && c.String("deployment") != d.Name {
+			continue
+		}
+		experiment := policy.Experiment{
+			Deployment: d,
+			Seed:       uint64(c.Uint("seed")),
+			Scenarios:  scenarios,
+			Policies:   append(policy.Baselines(), policy.Own{}, policy.Perfect{}),
+		}
+		if err := policy.WriteTable(c.Root().Writer, d.Name, experiment.Run()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -45,6 +45,7 @@
 			newAgentCommand(),
 			newTableCommand(),
 			newStandinCommand(),
+			newBenchCommand(),
 		},
 	}
 }
--- a/route/choose.go
+++ b/route/choose.go
@@ -40,6 +40,10 @@
 	ImportTime time.Duration
 	// Home says that the runner is the conversation's first by rank.
 	Home bool
+	// Returning says that the prompt goes on from an earlier one, HitRate how often the runner's memory has lately held
+	// the state of such a prompt when it came home.
+	Returning bool
+	HitRate   float64
 	// Avoid says that the runner is suspected, leaving or has refused already.
 	Avoid bool
 }
@@ -137,10 +141,22 @@
 	return choice.Start.Seconds() + worth*share
 }
 
+// costOf is the expected cost of a candidate: at the home of a returning prompt, that of finding its state in memory or
+// not, by the runner's hit rate.
 func costOf(q Question, c *Candidate, choice Choice) float64 {
 	cost := score(q, choice)
-	if c.Home {
-		cost -= homeBonus
+	if !c.Home {
+		return cost
 	}
-	return cost
+	if c.Returning && c.Cached < c.Kept {
+		held := *c
+		held.Cached, held.Kept = c.Kept, 0
+		cost += c.HitRate * (score(q, Estimate(q, &held)) - cost)
+	}
+	return cost - homeBonus
+}
+
+// Better reports whether the first of two choices is the better one under the objective.
+func Better(q Question, a, b Choice) bool {
+	return score(q, a) < score(q, b)
 }
