--- a/agent/load.go
+++ b/agent/load.go
@@ -19,11 +19,15 @@
 
 // hint is what the agent tells entries of its load.
 func (a *Agent) hint() membership.Hint {
-	return membership.Hint{
+	hint := membership.Hint{
 		Wait:        a.slots.estimate(),
 		Backlog:     a.slots.backlog(),
 		PrefillRate: float64(a.load.prefill.Load()),
 	}
+	if a.keeper != nil {
+		hint.HitRate, hint.LinkRate, hint.StateBytes = a.keeper.Rates()
+	}
+	return hint
 }
 
 // loadWatcher reads the engine's report of its load.
--- /dev/null
+++ b/bench/capacity/state_test.go
@@ -0,0 +1,161 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/keep"
+	"github.com/rillreach/rillreach/limit"
+	"github.com/rillreach/rillreach/membership"
+	"github.com/rillreach/rillreach/once"
+	"github.com/rillreach/rillreach/replicate"
+	"github.com/rillreach/rillreach/table"
+)
+
+// heap is the memory in use after a collection.
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// perItem builds a state of some items and reports the memory and the time for each.
+func perItem(b *testing.B, sizes []int, build func(count int) any) {
+	b.Helper()
+	for _, count := range sizes {
+		b.Run(fmt.Sprintf("items=%d", count), func(b *testing.B) {
+			var bytes int64
+			for b.Loop() {
+				before := heap()
+				state := build(count)
+				bytes = heap() - before
+				runtime.KeepAlive(state)
+			}
+			b.ReportMetric(float64(bytes)/float64(count), "bytes/item")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(count), "ns/item")
+		})
+	}
+}
+
+func rowObject(i int) rillreach.Object {
+	_, credential, err := rillreach.NewKey(rillreach.AccountID(fmt.Sprint("account-", i/2)))
+	if err != nil {
+		panic(err)
+	}
+	row := rillreach.Row{
+		Format: rillreach.RowFormat, Account: rillreach.AccountID(fmt.Sprint("account-", i/2)),
+		Model: rillreach.ModelID(fmt.Sprint("model-", i%37)), Version: "v1",
+		Weights: rillreach.Weights{Old: 40, New: 60}, Objective: rillreach.ObjectiveFirstToken,
+		Limits:      rillreach.Limits{RequestsPerSecond: 10, TokensPerMinute: 100_000, Concurrent: 20},
+		Credentials: []rillreach.Credential{credential}, Edit: "018f3c2e-7b5a-7cc1-8a1e-3c5d7f9b1a2b",
+	}
+	value, err := json.Marshal(row)
+	if err != nil {
+		panic(err)
+	}
+	return rillreach.Object{Kind: rillreach.KindRow, Name: row.Name(), Version: uint64(i + 1), Changed: time.Now(), Value: value}
+}
+
+func instanceObject(i int) rillreach.Object {
+	instance := rillreach.Instance{
+		ID: rillreach.InstanceID(fmt.Sprintf("agent-%05d", i)), Role: rillreach.RoleAgent, Side: rillreach.SideOld,
+		Incarnation: "018f3c2e-7b5a-7cc1-8a1e-3c5d7f9b1a2b", Address: netip.MustParseAddrPort("10.11.12.13:7001"),
+		Zone: rillreach.ZoneID(fmt.Sprint("zone-", i%17)), Model: rillreach.ModelID(fmt.Sprint("model-", i%37)),
+		Versions: []rillreach.VersionID{"v1"},
+	}
+	value, err := json.Marshal(instance)
+	if err != nil {
+		panic(err)
+	}
+	return rillreach.Object{Kind: rillreach.KindInstance, Name: string(instance.ID), Version: uint64(i + 1), Changed: time.Now(), Value: value}
+}
+
+func snapshotOf(kind rillreach.Kind, objects []rillreach.Object) replicate.Delta {
+	return replicate.Delta{Snapshot: true, To: replicate.Mark{Kind: kind, Version: uint64(len(objects) + 1)}, Objects: objects}
+}
+
+// BenchmarkRows is the copy of the rows and the table made of it.
+func BenchmarkRows(b *testing.B) {
+	perItem(b, []int{1000, 4000, 16000}, func(count int) any {
+		t, c := &table.Table{}, replicate.NewCopy()
+		c.Follow(rillreach.KindRow, func(o rillreach.Object) { t.Apply(o) }, nil)
+		objects := make([]rillreach.Object, count)
+		for i := range objects {
+			objects[i] = rowObject(i)
+		}
+		c.Merge(snapshotOf(rillreach.KindRow, objects))
+		return []any{t, c}
+	})
+}
+
+// BenchmarkInstances is the copy of the list of instances and the members made of it.
+func BenchmarkInstances(b *testing.B) {
+	perItem(b, []int{500, 1500, 5030}, func(count int) any {
+		m, c := membership.New(), replicate.NewCopy()
+		c.Follow(rillreach.KindInstance, func(o rillreach.Object) { _ = m.Apply(o) }, nil)
+		objects := make([]rillreach.Object, count)
+		for i := range objects {
+			objects[i] = instanceObject(i)
+		}
+		c.Merge(snapshotOf(rillreach.KindInstance, objects))
+		return []any{m, c}
+	})
+}
+
+// BenchmarkShares is an entry's shares of rows in use.
+func BenchmarkShares(b *testing.B) {
+	perItem(b, []int{100, 1000, 10000}, func(count int) any {
+		shares := make([]*limit.Share, count)
+		for i := range shares {
+			shares[i] = &limit.Share{}
+			shares[i].Admit(time.Now(), 1)
+		}
+		return shares
+	})
+}
+
+// BenchmarkOutcomes is an agent's memory of requests that ran once, with answers of 200 bytes.
+func BenchmarkOutcomes(b *testing.B) {
+	perItem(b, []int{1000, 4000, 16000}, func(count int) any {
+		l, now := &once.Ledger{}, time.Now()
+		for i := range count {
+			name := fmt.Sprintf("key/account/service/018f3c2e-7b5a-7cc1-8a1e-%012d", i)
+			l.Claim(now, once.Claim{Name: name, Until: now.Add(time.Hour)})
+			l.Settle(name, once.Outcome{Status: 200, Body: make([]byte, 200)})
+		}
+		return l
+	})
+}
+
+// BenchmarkResident is what an agent believes its engine's memory to hold.
+func BenchmarkResident(b *testing.B) {
+	perItem(b, []int{500, 1000, 4000}, func(count int) any {
+		r := &keep.Resident{}
+		for i := range count {
+			r.Add(rillreach.BlockKey{byte(i), byte(i >> 8)}, "salt", 100)
+		}
+		return r
+	})
+}
+
+func TestRowObjectsAreRows(t *testing.T) {
+	_, err := rillreach.DecodeRow(rowObject(3).Value)
+	require.NoError(t, err)
+	_, err = rillreach.DecodeInstance(instanceObject(3).Value)
+	require.NoError(t, err)
+}
+
+// stacks is the memory in use for goroutines' stacks.
+func stacks() int64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.StackInuse)
+}
--- a/bench/policy/model.go
+++ b/bench/policy/model.go
@@ -66,12 +66,6 @@
 	return dropped
 }
 
-func (l *lru) drop() {
-	l.order.Init()
-	clear(l.held)
-	l.used = 0
-}
-
 // store is a model of a store instance: memory before a disk, behind one link.
 type store struct {
 	memory *lru
--- a/bench/policy/simulate.go
+++ b/bench/policy/simulate.go
@@ -40,12 +40,11 @@
 
 // job is one prompt on its way.
 type job struct {
-	id      uint64
-	prompt  prompt
-	entry   int
-	runner  *runner
-	reused  int
-	started time.Duration
+	id     uint64
+	prompt prompt
+	entry  int
+	runner *runner
+	reused int
 }
 
 // wait is how long a prompt that comes now would wait.
--- a/controller/lease/lease.go
+++ b/controller/lease/lease.go
@@ -22,6 +22,8 @@
 const (
 	shardCount = 16
 	askTimeout = 500 * time.Millisecond
+	// askGap is the least time between two askings out of turn for a row.
+	askGap = 500 * time.Millisecond
 )
 
 // Controller holds the shares of one entry and the books of what it owns.
@@ -50,8 +52,8 @@
 type rowShare struct {
 	limit.Share
 	row rillreach.Row
-	// first is closed once the owners have been asked for the first time.
-	first chan struct{}
+	// asked is when the owners were last asked out of turn.
+	asked time.Time
 }
 
 // Name is the controller's name.
@@ -78,16 +80,16 @@
 	}
 }
 
-// Admit decides on a request of a row, and returns what has to be called when the request has ended. The first request
-// of a row waits, briefly, for the owners' answer.
+// Admit decides on a request of a row, and returns what has to be called when the request has ended. A request that
+// there is no room for waits, briefly, for the owners to be asked again, unless that was done a moment ago.
 func (c *Controller) Admit(ctx context.Context, row rillreach.Row, tokens int) (limit.Verdict, func()) {
 	if _, set := limit.Of(row.Limits); set == [len(set)]bool{} {
 		return limit.Verdict{OK: true}, func() {}
 	}
 	name := row.Name()
-	v, s := c.tryAdmit(name, row, tokens)
-	if !v.OK && s != nil {
-		c.awaitFirst(ctx, name, s)
+	v, askAgain := c.tryAdmit(name, row, tokens)
+	if !v.OK && askAgain {
+		c.renew(ctx, []string{name})
 		v, _ = c.tryAdmit(name, row, tokens)
 	}
 	if !v.OK {
@@ -96,20 +98,20 @@
 	return v, func() { c.with(name, func(s *rowShare) { s.Done() }) }
 }
 
-// tryAdmit decides by what is held; it returns the share when its owners have not been asked yet.
-func (c *Controller) tryAdmit(name string, row rillreach.Row, tokens int) (limit.Verdict, *rowShare) {
+// tryAdmit decides by what is held, and says whether a refusal calls for asking the owners out of turn.
+func (c *Controller) tryAdmit(name string, row rillreach.Row, tokens int) (limit.Verdict, bool) {
 	shard := c.shardOf(name)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	s := shard.share(name)
 	c.setRow(s, row)
-	v := s.Admit(c.Clock.Now(), float64(tokens))
-	select {
-	case <-s.first:
-		return v, nil
-	default:
-		return v, s
+	now := c.Clock.Now()
+	v := s.Admit(now, float64(tokens))
+	if v.OK || now.Sub(s.asked) < askGap {
+		return v, false
 	}
+	s.asked = now
+	return v, true
 }
 
 // setRow takes in a row's limits, and the entry's part of what needs no owner.
@@ -124,18 +126,6 @@
 	s.Hold(c.Clock.Now(), limit.PartStatic, limit.Static(limit.Split(caps)[limit.PartStatic], rank, entries), time.Time{})
 }
 
-func (c *Controller) awaitFirst(ctx context.Context, name string, s *rowShare) {
-	c.renew(ctx, []string{name})
-	shard := c.shardOf(name)
-	shard.mu.Lock()
-	defer shard.mu.Unlock()
-	select {
-	case <-s.first:
-	default:
-		close(s.first)
-	}
-}
-
 func (c *Controller) shardOf(name string) *shareShard {
 	return &c.shares[hash.String(name)%shardCount]
 }
@@ -155,7 +145,7 @@
 	}
 	share := s.rows[name]
 	if share == nil {
-		share = &rowShare{first: make(chan struct{})}
+		share = &rowShare{}
 		s.rows[name] = share
 	}
 	return share
--- /dev/null
+++ b/controller/lease/lease_test.go
@@ -0,0 +1,133 @@
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/fleet"
+	"github.com/rillreach/rillreach/limit"
+	"github.com/rillreach/rillreach/membership"
+	"github.com/rillreach/rillreach/table"
+)
+
+var limited = rillreach.Row{
+	Format: rillreach.RowFormat, Account: "kigali", Model: "m", Version: "v", Weights: rillreach.Weights{Old: 100},
+	Objective: rillreach.ObjectiveFirstToken, Limits: rillreach.Limits{RequestsPerSecond: 100, Concurrent: 10},
+}
+
+func entryInstance(i int) rillreach.Instance {
+	return rillreach.Instance{
+		ID: rillreach.InstanceID(fmt.Sprintf("entry-%04d", i)), Role: rillreach.RoleEntry, Incarnation: "1",
+		Address: netip.MustParseAddrPort("127.0.0.1:1"),
+	}
+}
+
+// newController makes the controller of one of some entries, whose clock stands at a time that the test moves.
+func newController(tb testing.TB, self, entries int) (*Controller, *time.Time) {
+	tb.Helper()
+	now := time.Unix(1_700_000_000, 0)
+	members := membership.New()
+	for i := range entries {
+		members.Announce(entryInstance(i))
+	}
+	c := &Controller{
+		Self: entryInstance(self), Members: members, Table: &table.Table{}, Log: logr.Discard(),
+		Clock: rillreach.ClockFunc(func() time.Time { return now }),
+	}
+	value, err := json.Marshal(limited)
+	require.NoError(tb, err)
+	c.Table.Apply(rillreach.Object{Name: limited.Name(), Version: 1, Value: value})
+	c.tidy()
+	return c, &now
+}
+
+func ask(demand float64) fleet.Ask {
+	return fleet.Ask{Rows: []fleet.AskRow{{Row: limited.Name(), Part: limit.PartFirst, Demand: limit.Amounts{demand, 0, demand}}}}
+}
+
+func TestOwners(t *testing.T) {
+	t.Run("every entry names the same two owners", func(t *testing.T) {
+		first, _ := newController(t, 0, 10)
+		second, _ := newController(t, 7, 10)
+		assert.Equal(t, first.owners(limited.Name()), second.owners(limited.Name()))
+		assert.NotEqual(t, first.owners(limited.Name())[0], first.owners(limited.Name())[1])
+	})
+	t.Run("suspicion moves no owner, leaving does", func(t *testing.T) {
+		c, now := newController(t, 0, 10)
+		before := c.owners(limited.Name())
+		m := c.Members.Find(before[0])
+		m.Suspect(*now)
+		assert.Equal(t, before, c.owners(limited.Name()))
+		c.Members.Leave(m.ID, m.Incarnation)
+		assert.Equal(t, before[1], c.owners(limited.Name())[0])
+	})
+	t.Run("an entry leases nothing of what it does not own", func(t *testing.T) {
+		c, now := newController(t, 0, 1)
+		*now = now.Add(limit.TTL)
+		assert.NotZero(t, c.grantAll("entry-0000", ask(5)).Granted[0])
+		c.Members.Announce(entryInstance(1))
+		c.Members.Announce(entryInstance(2))
+		c.Members.Leave("entry-0000", "1")
+		assert.Zero(t, c.grantAll("entry-0000", ask(5)).Granted[0])
+	})
+	t.Run("an owner anew leases nothing until the leases of others have ended", func(t *testing.T) {
+		c, now := newController(t, 0, 1)
+		*now = now.Add(limit.TTL)
+		require.NotZero(t, c.grantAll("entry-0000", ask(5)).Granted[0])
+		c.Members.Announce(rillreach.Instance{
+			ID: "entry-0000", Role: rillreach.RoleEntry, Incarnation: "2", Address: netip.MustParseAddrPort("127.0.0.1:1"),
+		})
+		*now = now.Add(forgetting)
+		c.tidy()
+		assert.Zero(t, c.grantAll("entry-0000", ask(5)).Granted[0])
+		*now = now.Add(limit.TTL)
+		assert.NotZero(t, c.grantAll("entry-0000", ask(5)).Granted[0])
+	})
+	t.Run("a lowered limit is in force within the length of a lease", func(t *testing.T) {
+		c, now := newController(t, 0, 1)
+		*now = now.Add(limit.TTL)
+		before := c.grantAll("entry-0000", ask(50)).Granted[0][limit.Requests]
+		lower := limited
+		lower.Limits.RequestsPerSecond = 10
+		value, err := json.Marshal(lower)
+		require.NoError(t, err)
+		c.Table.Apply(rillreach.Object{Name: lower.Name(), Version: 2, Value: value})
+		after := c.grantAll("entry-0000", ask(50)).Granted[0][limit.Requests]
+		assert.Less(t, after, before/4)
+		assert.LessOrEqual(t, limit.TTL, 8*time.Second)
+	})
+}
+
+// forgetting is longer than an owner remembers an entry's demand.
+const forgetting = 3 * limit.TTL
+
+func TestAdmitWithoutLimits(t *testing.T) {
+	c, _ := newController(t, 0, 1)
+	free := limited
+	free.Limits = rillreach.Limits{}
+	verdict, done := c.Admit(context.Background(), free, 1000)
+	assert.True(t, verdict.OK)
+	done()
+}
+
+// BenchmarkOwners is what an entry computes for each row and renewal, by number of entries.
+func BenchmarkOwners(b *testing.B) {
+	for _, entries := range []int{10, 100, 830} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			c, _ := newController(b, 0, entries)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.owners(limited.Name())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/demo/fleet.go
@@ -0,0 +1,263 @@
+package demo
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/agent"
+	"github.com/rillreach/rillreach/backend"
+	"github.com/rillreach/rillreach/controller/register"
+	"github.com/rillreach/rillreach/edit"
+	"github.com/rillreach/rillreach/entry"
+	"github.com/rillreach/rillreach/internal/standin"
+	"github.com/rillreach/rillreach/internal/standin/engine"
+	standinplatform "github.com/rillreach/rillreach/internal/standin/platform"
+	"github.com/rillreach/rillreach/internal/standin/service"
+	"github.com/rillreach/rillreach/internal/standin/store"
+	"github.com/rillreach/rillreach/node"
+	"github.com/rillreach/rillreach/platform"
+)
+
+// The names that the demonstration's rows use.
+const (
+	Model   = rillreach.ModelID("demo-model")
+	Version = rillreach.VersionID("v1")
+	Service = rillreach.ServiceID("receipts")
+
+	secret      = "the demonstration's own secret"
+	readyWithin = 15 * time.Second
+	storeRoom   = 256 << 20
+	pollEvery   = 10 * time.Millisecond
+)
+
+// Fleet is a small fleet in one process; exported fields are set before Start.
+type Fleet struct {
+	// Entries is how many there are, Runners and Stores how many on each side.
+	Entries int
+	Runners int
+	Stores  int
+	// TokenTime is the engines' time between two tokens, PrefillRate how many tokens of a prompt they compute a second.
+	TokenTime   time.Duration
+	PrefillRate float64
+	// Slots is how many requests run at each engine at once; zero means the agents' default.
+	Slots int
+	// TLS makes the configuration of each process for its role; nil means plain TCP between peers.
+	TLS func(role rillreach.Role) (*tls.Config, error)
+	// Log takes the processes' logs.
+	Log logr.Logger
+
+	// URLs are the entries' addresses, EngineURLs those of the engines, once started.
+	URLs       []string
+	EngineURLs []string
+	// Services count the calls that were run.
+	Services []*service.Server
+	// StoresOn and EnginesOn are the stand-ins of each side.
+	StoresOn  map[rillreach.Side][]*store.Server
+	EnginesOn map[rillreach.Side][]*engine.Server
+	// Platform is the platform's stand-in, Editor writes its rows.
+	Platform *standinplatform.Server
+	Editor   *edit.Editor
+	// Nodes are the common parts of all processes.
+	Nodes []*node.Node
+
+	store rillreach.ObjectStore
+	group *pool.ContextPool
+	stop  context.CancelFunc
+}
+
+// Start starts the fleet; Stop has to follow, also after an error.
+func (f *Fleet) Start(ctx context.Context) error {
+	ctx, f.stop = context.WithCancel(ctx)
+	f.group = pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
+	f.StoresOn, f.EnginesOn = map[rillreach.Side][]*store.Server{}, map[rillreach.Side][]*engine.Server{}
+	f.Platform = standinplatform.New()
+	base, err := f.serve(f.Platform)
+	if err != nil {
+		return err
+	}
+	f.store = &platform.Client{Base: "http://" + base.Addr().String()}
+	f.Editor = &edit.Editor{Store: f.store}
+	for _, side := range []rillreach.Side{rillreach.SideOld, rillreach.SideNew} {
+		if err := f.startSide(side); err != nil {
+			return err
+		}
+	}
+	for i := range f.Entries {
+		if err := f.startEntry(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Stop ends the fleet without waiting for what still runs.
+func (f *Fleet) Stop() {
+	if f.stop != nil {
+		f.stop()
+		_ = f.group.Wait()
+	}
+}
+
+// Ready waits until every entry answers a request of a key for a model.
+func (f *Fleet) Ready(ctx context.Context, key string) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	for _, url := range f.URLs {
+		for !answered(ctx, url, key) {
+			if ctx.Err() != nil {
+				return errors.Newf("entry at %s does not answer", url)
+			}
+			time.Sleep(pollEvery)
+		}
+	}
+	return nil
+}
+
+func answered(ctx context.Context, url, key string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/v1/models", nil)
+	if err != nil {
+		return false
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (f *Fleet) serve(handler http.Handler) (net.Listener, error) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen on loopback")
+	}
+	f.group.Go(func(ctx context.Context) error { return standin.Serve(ctx, listener, handler) })
+	return listener, nil
+}
+
+func (f *Fleet) startSide(side rillreach.Side) error {
+	for i := range f.Stores {
+		if err := f.startStore(side, i); err != nil {
+			return err
+		}
+	}
+	for i := range f.Runners {
+		if err := f.startRunner(side, i); err != nil {
+			return err
+		}
+	}
+	return f.startService(side)
+}
+
+func (f *Fleet) startStore(side rillreach.Side, i int) error {
+	s := store.New(storeRoom, storeRoom)
+	listener, err := f.serve(s)
+	if err != nil {
+		return err
+	}
+	f.StoresOn[side] = append(f.StoresOn[side], s)
+	self, err := instance(rillreach.RoleStore, side, fmt.Sprintf("store-%s-%d", side, i), listener)
+	if err != nil {
+		return err
+	}
+	f.group.Go((&register.Controller{Self: self, Store: f.store, Log: f.Log}).Run)
+	return nil
+}
+
+func (f *Fleet) startRunner(side rillreach.Side, i int) error {
+	e := &engine.Server{Model: Model, Version: Version, TokenTime: f.TokenTime, PrefillRate: f.PrefillRate}
+	listener, err := f.serve(e.Handler())
+	if err != nil {
+		return err
+	}
+	f.EnginesOn[side] = append(f.EnginesOn[side], e)
+	base := "http://" + listener.Addr().String()
+	f.EngineURLs = append(f.EngineURLs, base)
+	n, err := f.node(rillreach.RoleAgent, side, fmt.Sprintf("runner-%s-%d", side, i))
+	if err != nil {
+		return err
+	}
+	n.Self.Model, n.Self.Versions = Model, []rillreach.VersionID{Version}
+	client := &backend.Engine{Client: backend.Client{Base: base, HTTP: backend.NewHTTP()}}
+	f.group.Go((&agent.Agent{Node: n, Backend: client, Engine: client, Secret: []byte(secret), Slots: f.Slots, Grace: time.Nanosecond}).Run)
+	return nil
+}
+
+func (f *Fleet) startService(side rillreach.Side) error {
+	s := &service.Server{}
+	listener, err := f.serve(s)
+	if err != nil {
+		return err
+	}
+	f.Services = append(f.Services, s)
+	n, err := f.node(rillreach.RoleAgent, side, fmt.Sprintf("service-%s", side))
+	if err != nil {
+		return err
+	}
+	n.Self.Service = Service
+	client := &backend.Client{Base: "http://" + listener.Addr().String(), HTTP: backend.NewHTTP()}
+	f.group.Go((&agent.Agent{Node: n, Backend: client, Secret: []byte(secret), Grace: time.Nanosecond}).Run)
+	return nil
+}
+
+func (f *Fleet) startEntry(i int) error {
+	n, err := f.node(rillreach.RoleEntry, "", fmt.Sprintf("entry-%d", i))
+	if err != nil {
+		return err
+	}
+	callers, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	f.URLs = append(f.URLs, "http://"+callers.Addr().String())
+	f.group.Go((&entry.Entry{Node: n, Listener: callers, Secret: []byte(secret), Grace: time.Nanosecond}).Run)
+	return nil
+}
+
+func (f *Fleet) node(role rillreach.Role, side rillreach.Side, name string) (*node.Node, error) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	self, err := instance(role, side, name, listener)
+	if err != nil {
+		return nil, err
+	}
+	n := &node.Node{
+		Self: self, Store: f.store, Listener: listener, Clock: node.SystemClock(), Log: f.Log.WithValues("instance", name),
+		DigestEvery: 200 * time.Millisecond, WatchWait: time.Second,
+	}
+	if f.TLS != nil {
+		if n.TLS, err = f.TLS(role); err != nil {
+			return nil, err
+		}
+	}
+	f.Nodes = append(f.Nodes, n)
+	return n, nil
+}
+
+func instance(role rillreach.Role, side rillreach.Side, name string, listener net.Listener) (rillreach.Instance, error) {
+	incarnation, err := uuid.NewV7()
+	if err != nil {
+		return rillreach.Instance{}, errors.Wrap(err, "make incarnation")
+	}
+	self := rillreach.Instance{
+		ID: rillreach.InstanceID(name), Role: role, Incarnation: rillreach.Incarnation(incarnation.String()),
+		Zone: rillreach.ZoneID("zone-" + string(side)), Side: side,
+	}
+	if tcp, ok := listener.Addr().(*net.TCPAddr); ok {
+		self.Address = tcp.AddrPort()
+	}
+	return self, nil
+}
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -18,18 +18,19 @@
 
 // testFleet is a fleet of separate processes.
 type testFleet struct {
-	t        *testing.T
+	t        testing.TB
 	platform string
+	digest   string
 }
 
 func newFleet(t *testing.T) *testFleet {
 	t.Helper()
 	p := start(t, "standin", "platform")
-	return &testFleet{t: t, platform: "http://" + p.address("standin")}
+	return &testFleet{t: t, platform: "http://" + p.address("standin"), digest: "200ms"}
 }
 
 func (f *testFleet) nodeArgs(more ...string) []string {
-	return append([]string{"--platform", f.platform, "--secret", secret, "--digest-every", "200ms"}, more...)
+	return append([]string{"--platform", f.platform, "--secret", secret, "--digest-every", f.digest}, more...)
 }
 
 func (f *testFleet) entry(more ...string) *process {
@@ -97,10 +98,10 @@
 }
 
 // send sends one request of a caller.
-func send(t *testing.T, method, url, key, body string, headers ...string) answer {
-	t.Helper()
+func send(tb testing.TB, method, url, key, body string, headers ...string) answer {
+	tb.Helper()
 	a, err := trySend(method, url, key, body, headers...)
-	require.NoError(t, err)
+	require.NoError(tb, err)
 	return a
 }
 
@@ -124,40 +125,40 @@
 }
 
 // eventually waits until a condition holds.
-func eventually(t *testing.T, condition func() bool, what string) {
-	t.Helper()
-	require.Eventually(t, condition, patience, 20*time.Millisecond, what)
+func eventually(tb testing.TB, condition func() bool, what string) {
+	tb.Helper()
+	require.Eventually(tb, condition, patience, 20*time.Millisecond, what)
 }
 
 // serves waits until an entry answers a request with a status.
-func serves(t *testing.T, status int, request func() (answer, error)) {
-	t.Helper()
+func serves(tb testing.TB, status int, request func() (answer, error)) {
+	tb.Helper()
 	var last string
-	eventually(t, func() bool {
+	eventually(tb, func() bool {
 		a, err := request()
 		last = fmt.Sprint(a, err)
 		return err == nil && a.status == status
 	}, "entry answers with the status; last: "+last)
 }
 
-func get(t *testing.T, url string, into any) {
-	t.Helper()
+func get(tb testing.TB, url string, into any) {
+	tb.Helper()
 	resp, err := http.Get(url)
-	require.NoError(t, err)
+	require.NoError(tb, err)
 	defer resp.Body.Close()
-	require.Equal(t, http.StatusOK, resp.StatusCode)
-	require.NoError(t, json.NewDecoder(resp.Body).Decode(into))
+	require.Equal(tb, http.StatusOK, resp.StatusCode)
+	require.NoError(tb, json.NewDecoder(resp.Body).Decode(into))
 }
 
 // open sends a prompt and returns as soon as its answer has begun.
-func open(t *testing.T, url, key, body string) *http.Response {
-	t.Helper()
+func open(tb testing.TB, url, key, body string) *http.Response {
+	tb.Helper()
 	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
-	require.NoError(t, err)
+	require.NoError(tb, err)
 	req.Header.Set("Authorization", "Bearer "+key)
 	resp, err := http.DefaultClient.Do(req)
-	require.NoError(t, err)
-	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.NoError(tb, err)
+	require.Equal(tb, http.StatusOK, resp.StatusCode)
 	return resp
 }
 
--- a/e2e/path_test.go
+++ b/e2e/path_test.go
@@ -50,11 +50,11 @@
 	}
 }
 
-func decodeChat(t *testing.T, a answer) chatAnswer {
-	t.Helper()
-	require.Equal(t, http.StatusOK, a.status, a.body)
+func decodeChat(tb testing.TB, a answer) chatAnswer {
+	tb.Helper()
+	require.Equal(tb, http.StatusOK, a.status, a.body)
 	var parsed chatAnswer
-	require.NoError(t, json.Unmarshal([]byte(a.body), &parsed), a.body)
+	require.NoError(tb, json.Unmarshal([]byte(a.body), &parsed), a.body)
 	return parsed
 }
 
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -42,7 +42,7 @@
 
 // process is one process that a test has started.
 type process struct {
-	t   *testing.T
+	t   testing.TB
 	cmd *exec.Cmd
 
 	mu        sync.Mutex
@@ -61,23 +61,23 @@
 }
 
 // start starts the binary; it is killed at the end of the test.
-func start(t *testing.T, args ...string) *process {
-	t.Helper()
+func start(tb testing.TB, args ...string) *process {
+	tb.Helper()
 	p := &process{
-		t:         t,
+		t:         tb,
 		cmd:       exec.Command(binary, args...),
 		addresses: map[string]string{},
 		changed:   make(chan struct{}, 1),
 		exited:    make(chan struct{}),
 	}
 	output, err := p.cmd.StderrPipe()
-	require.NoError(t, err)
-	require.NoError(t, p.cmd.Start())
+	require.NoError(tb, err)
+	require.NoError(tb, p.cmd.Start())
 	go p.read(output)
-	t.Cleanup(func() {
+	tb.Cleanup(func() {
 		p.kill()
-		if t.Failed() {
-			t.Logf("log of %v:\n%s", args, p.text())
+		if tb.Failed() {
+			tb.Logf("log of %v:\n%s", args, p.text())
 		}
 	})
 	return p
@@ -156,8 +156,8 @@
 }
 
 // runCommand runs the binary to its end and returns its output and its exit code.
-func runCommand(t *testing.T, input string, args ...string) (string, string, int) {
-	t.Helper()
+func runCommand(tb testing.TB, input string, args ...string) (string, string, int) {
+	tb.Helper()
 	cmd := exec.Command(binary, args...)
 	var out, errOut bytes.Buffer
 	cmd.Stdin, cmd.Stdout, cmd.Stderr = bytes.NewBufferString(input), &out, &errOut
--- a/filter/dispatch/choose.go
+++ b/filter/dispatch/choose.go
@@ -34,10 +34,11 @@
 func (f *Filter) chooseOn(req *rillreach.Request, side rillreach.Side, tried []rillreach.InstanceID) (*membership.Member, route.Choice, int) {
 	members := f.Node.Members.Group(groupOf(req, side))
 	ranked := route.Rank(req.Conversation, len(members), candidateCount+len(tried), func(i int) uint64 { return members[i].Place })
-	candidates := make([]route.Candidate, ranked.Len())
+	var room [route.MaxRanked]route.Candidate
+	candidates := room[:ranked.Len()]
 	for rank := range candidates {
 		m := members[ranked.At(rank)]
-		candidates[rank] = f.candidate(m)
+		candidates[rank] = f.candidate(req, m)
 		candidates[rank].Home = rank == 0
 		candidates[rank].Avoid = candidates[rank].Avoid || slices.Contains(tried, m.ID)
 	}
@@ -48,13 +49,21 @@
 	return members[ranked.At(choice.Index)], choice, len(candidates)
 }
 
-func (f *Filter) candidate(m *membership.Member) route.Candidate {
+// candidate is what is known of an agent: its last hint, aged by the time since.
+func (f *Filter) candidate(req *rillreach.Request, m *membership.Member) route.Candidate {
 	hint := m.Hint()
-	return route.Candidate{
-		Wait:        hint.Wait,
+	c := route.Candidate{
+		Wait:        max(hint.Wait-f.Node.Clock.Now().Sub(hint.At), 0),
 		PrefillRate: hint.PrefillRate,
+		HitRate:     hint.HitRate,
+		Returning:   len(req.Parts) > req.Opening,
 		Avoid:       m.IsLeaving() || m.Failing(),
 	}
+	if c.Returning && hint.LinkRate > 0 {
+		c.Kept = req.Tokens
+		c.ImportTime = time.Duration(float64(req.Tokens) * hint.StateBytes / hint.LinkRate * float64(time.Second))
+	}
+	return c
 }
 
 func groupOf(req *rillreach.Request, side rillreach.Side) membership.Group {
--- /dev/null
+++ b/filter/dispatch/choose_test.go
@@ -0,0 +1,87 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/membership"
+	"github.com/rillreach/rillreach/node"
+)
+
+// fleetFilter knows 4,200 agents before the engines of 37 models.
+func fleetFilter(tb testing.TB) *Filter {
+	tb.Helper()
+	members := membership.New()
+	for i := range 4200 {
+		value, err := json.Marshal(rillreach.Instance{
+			ID: rillreach.InstanceID(fmt.Sprintf("agent-%05d", i)), Role: rillreach.RoleAgent, Incarnation: "1",
+			Address: netip.MustParseAddrPort("127.0.0.1:1"), Side: rillreach.SideOld,
+			Model: rillreach.ModelID(fmt.Sprint("model-", i%37)), Versions: []rillreach.VersionID{"v1"},
+		})
+		require.NoError(tb, err)
+		require.NoError(tb, members.Apply(rillreach.Object{Name: fmt.Sprintf("agent-%05d", i), Version: uint64(i + 1), Value: value}))
+	}
+	return &Filter{Log: logr.Discard(), Node: &node.Node{Members: members, Clock: rillreach.ClockFunc(time.Now)}}
+}
+
+func promptFor(model string) *rillreach.Request {
+	return &rillreach.Request{
+		Row: rillreach.Row{Model: rillreach.ModelID(model), Version: "v1", Weights: rillreach.Weights{Old: 100}}, Tokens: 1000, Conversation: 42,
+	}
+}
+
+func TestChoosing(t *testing.T) {
+	f := fleetFilter(t)
+	t.Run("among 113 agents of 4,200 allocates nothing", func(t *testing.T) {
+		req := promptFor("model-3")
+		assert.Zero(t, testing.AllocsPerRun(100, func() { f.chooseOn(req, rillreach.SideOld, nil) }))
+	})
+	t.Run("a conversation goes to the same agent again", func(t *testing.T) {
+		first, _, _ := f.chooseOn(promptFor("model-3"), rillreach.SideOld, nil)
+		again, _, _ := f.chooseOn(promptFor("model-3"), rillreach.SideOld, nil)
+		assert.Equal(t, first.ID, again.ID)
+	})
+	t.Run("an agent that was tried is not chosen again", func(t *testing.T) {
+		first, _, _ := f.chooseOn(promptFor("model-3"), rillreach.SideOld, nil)
+		next, _, _ := f.chooseOn(promptFor("model-3"), rillreach.SideOld, []rillreach.InstanceID{first.ID})
+		assert.NotEqual(t, first.ID, next.ID)
+	})
+	t.Run("a leaving agent is not chosen", func(t *testing.T) {
+		first, _, _ := f.chooseOn(promptFor("model-5"), rillreach.SideOld, nil)
+		f.Node.Members.Leave(first.ID, first.Incarnation)
+		next, _, _ := f.chooseOn(promptFor("model-5"), rillreach.SideOld, nil)
+		assert.NotEqual(t, first.ID, next.ID)
+	})
+	t.Run("a loaded home is passed over for a free agent", func(t *testing.T) {
+		first, _, _ := f.chooseOn(promptFor("model-7"), rillreach.SideOld, nil)
+		first.SetHint(membership.Hint{Wait: 5 * time.Second, At: time.Now()})
+		next, _, _ := f.chooseOn(promptFor("model-7"), rillreach.SideOld, nil)
+		assert.NotEqual(t, first.ID, next.ID)
+	})
+	t.Run("a side without weight gets nothing, not even when its own has nobody", func(t *testing.T) {
+		x := &rillreach.Exchange{Request: *promptFor("model-3")}
+		x.Request.Row.Weights = rillreach.Weights{New: 100}
+		_, err := f.choose(x, nil, 1)
+		var refusal *rillreach.Refusal
+		require.ErrorAs(t, err, &refusal)
+		assert.Equal(t, rillreach.OutcomeNotRun, refusal.Outcome)
+		assert.Equal(t, rillreach.ReasonNoBackend, refusal.Reason)
+	})
+}
+
+func BenchmarkChoose(b *testing.B) {
+	f := fleetFilter(b)
+	req := promptFor("model-3")
+	b.ReportAllocs()
+	for b.Loop() {
+		f.chooseOn(req, rillreach.SideOld, nil)
+	}
+}
--- a/keep/resident.go
+++ b/keep/resident.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"math"
 	"sync"
 
 	"github.com/rillreach/rillreach"
@@ -34,12 +35,14 @@
 	next        uint64
 	order       *list.List
 	byKey       map[rillreach.BlockKey]*list.Element
+	salts       map[string]uint32
 }
 
+// resident is one prompt; its salt is held as a number, since many prompts have the same.
 type resident struct {
 	key    rillreach.BlockKey
-	salt   string
-	tokens int
+	salt   uint32
+	tokens int32
 }
 
 const defaultMostResident = 4096
@@ -55,7 +58,7 @@
 		r.order.MoveToFront(e)
 		return
 	}
-	r.byKey[key] = r.order.PushFront(resident{key: key, salt: salt, tokens: tokens})
+	r.byKey[key] = r.order.PushFront(resident{key: key, salt: r.numberOf(salt), tokens: int32(min(tokens, math.MaxInt32))})
 	most := r.Most
 	if most == 0 {
 		most = defaultMostResident
@@ -71,7 +74,7 @@
 	defer r.mu.Unlock()
 	for i := len(blocks) - 1; i >= 0; i-- {
 		if e := r.byKey[blocks[i]]; e != nil {
-			return i + 1, e.Value.(resident).tokens
+			return i + 1, int(e.Value.(resident).tokens)
 		}
 	}
 	return 0, 0
@@ -115,8 +118,12 @@
 	if r.order == nil {
 		return
 	}
+	number, known := r.salts[salt]
+	if !known {
+		return
+	}
 	for e := r.order.Back(); e != nil; e = e.Prev() {
-		if e.Value.(resident).salt == salt {
+		if e.Value.(resident).salt == number {
 			r.remove(e)
 			return
 		}
@@ -131,4 +138,14 @@
 func (r *Resident) reset() {
 	r.order = list.New()
 	r.byKey = map[rillreach.BlockKey]*list.Element{}
+	r.salts = map[string]uint32{}
+}
+
+func (r *Resident) numberOf(salt string) uint32 {
+	number, ok := r.salts[salt]
+	if !ok {
+		number = uint32(len(r.salts))
+		r.salts[salt] = number
+	}
+	return number
 }
--- a/kept/export.go
+++ b/kept/export.go
@@ -37,9 +37,13 @@
 	if len(stores) == 0 {
 		return "", errors.New("no store is there")
 	}
+	_, _, perToken := k.Rates()
+	if perToken == 0 {
+		perToken = bytesPerToken
+	}
 	question := keep.Export{
 		Tokens:   d.Tokens - last.to,
-		Bytes:    int64(d.Tokens-last.to) * bytesPerToken,
+		Bytes:    int64(float64(d.Tokens-last.to) * perToken),
 		Chance:   chance,
 		LinkRate: k.linkTo(stores[0].ID).Rate(),
 	}
@@ -60,6 +64,9 @@
 		return "", err
 	}
 	k.Stats.Exports.Add(1)
+	k.mu.Lock()
+	k.stateBytes = float64(len(state.Payload)) / float64(b.To-b.From)
+	k.mu.Unlock()
 	k.remember(d, []keep.Block{b})
 	return keep.VerdictExport, nil
 }
--- a/kept/import.go
+++ b/kept/import.go
@@ -26,6 +26,9 @@
 		return
 	}
 	parts, cached := k.resident.Longest(d.Blocks)
+	if len(d.Blocks) > 1 {
+		k.noteHit(parts > 0)
+	}
 	if parts == len(d.Blocks) {
 		return
 	}
--- a/kept/keeper.go
+++ b/kept/keeper.go
@@ -20,6 +20,7 @@
 	workTimeout   = 30 * time.Second
 	eventsEvery   = 500 * time.Millisecond
 	jobQueue      = 256
+	hitWeight     = 0.05
 	// minTokens is the shortest prompt whose state is looked for.
 	minTokens = 64
 	// retention is for how long a store is expected to hold a block.
@@ -59,6 +60,9 @@
 	mu     sync.Mutex
 	links  map[rillreach.InstanceID]*keep.Link
 	recent recent
+	// hits is how often the engine's memory has lately held a prompt that returned, stateBytes a token's state.
+	hits       float64
+	stateBytes float64
 }
 
 // Start readies the keeper; it must be called before any other method.
@@ -146,6 +150,30 @@
 	}
 }
 
+// Rates are how often the engine's memory has lately held the state of a prompt that returned, what the slowest link
+// to a store carries in bytes a second, and the size of a token's state in bytes.
+func (k *Keeper) Rates() (hits, link, stateBytes float64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, l := range k.links {
+		if rate := l.Rate(); link == 0 || rate < link {
+			link = rate
+		}
+	}
+	return k.hits, link, k.stateBytes
+}
+
+// noteHit notes whether the engine's memory held a prompt that returned.
+func (k *Keeper) noteHit(hit bool) {
+	seen := 0.0
+	if hit {
+		seen = 1
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.hits += hitWeight * (seen - k.hits)
+}
+
 func (k *Keeper) linkTo(id rillreach.InstanceID) *keep.Link {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -182,7 +182,7 @@
 				if doubled {
 					view = i % 2
 				}
-				if now.Sub(start)%time.Second == 0 {
+				if now.Sub(start)%RenewEvery == 0 {
 					demand := s.Demand(now)
 					for part := range OwnedParts {
 						if part == lost {
--- a/limit/owner.go
+++ b/limit/owner.go
@@ -8,9 +8,9 @@
 
 const (
 	// TTL is how long a lease lasts.
-	TTL = 3 * time.Second
+	TTL = 6 * time.Second
 	// RenewEvery is how often an entry asks for its leases anew.
-	RenewEvery = time.Second
+	RenewEvery = 2 * time.Second
 	// forgetAfter is how long an owner remembers an entry's demand.
 	forgetAfter = 2 * TTL
 )
--- a/membership/members.go
+++ b/membership/members.go
@@ -30,11 +30,14 @@
 	Wait        time.Duration `cbor:"1,keyasint,omitempty"`
 	PrefillRate float64       `cbor:"2,keyasint,omitempty"`
 	Backlog     float64       `cbor:"3,keyasint,omitempty"`
-	// Residency is how long the engine's memory has lately held a prompt's state.
-	Residency time.Duration `cbor:"4,keyasint,omitempty"`
+	// HitRate is how often the engine's memory has lately held the state of a prompt that returned.
+	HitRate float64 `cbor:"4,keyasint,omitempty"`
 	// LinkRate is what the link to the stores carries, in bytes a second.
-	LinkRate float64   `cbor:"5,keyasint,omitempty"`
-	At       time.Time `cbor:"-"`
+	LinkRate float64 `cbor:"5,keyasint,omitempty"`
+	// StateBytes is the size of a token's state as it was last seen.
+	StateBytes float64 `cbor:"6,keyasint,omitempty"`
+	// At is when the hint came.
+	At time.Time `cbor:"-"`
 }
 
 // Hint returns the last hint, or the zero hint.
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -15,10 +15,13 @@
 )
 
 const (
-	sendQueue      = 256
-	messageTarget  = 32 << 10
-	writeTimeout   = 10 * time.Second
+	sendQueue     = 256
+	messageTarget = 32 << 10
+	writeTimeout  = 10 * time.Second
+	// pingEvery is for connections with open streams; idlePings as many times are let pass on the others, of which an
+	// entry has hundreds.
 	pingEvery      = 3 * time.Second
+	idlePings      = 10
 	pingTimeout    = 6 * time.Second
 	streamWindow   = 64 << 10
 	maxOpenStreams = 4096
@@ -200,11 +203,14 @@
 func (c *Conn) pingAll(ctx context.Context) error {
 	ticker := time.NewTicker(pingEvery)
 	defer ticker.Stop()
-	for {
+	for turn := 0; ; turn++ {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
+			if turn%idlePings != 0 && !c.Busy() {
+				continue
+			}
 			if err := c.ping(ctx); err != nil {
 				return err
 			}
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -79,7 +79,7 @@
 )
 
 func mustEncoding() cbor.UserBufferEncMode {
-	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano, BinaryMarshaler: cbor.BinaryMarshalerByteString}.UserBufferEncMode()
+	mode, err := cbor.EncOptions{Time: cbor.TimeRFC3339Nano, BinaryMarshaler: cbor.BinaryMarshalerByteString, ShortestFloat: cbor.ShortestFloat16}.UserBufferEncMode()
 	if err != nil {
 		panic(errors.Wrap(err, "make CBOR encoding"))
 	}
