Do not run a marked call again after an attempt with an unknown outcome

Cause: an entry that minted a ticket for a call asked the ticket's owner again after an attempt whose outcome was unknown; when that second attempt was refused as not run, because the owner was out of reach by then, the entry took the call itself for not run and sent it to another agent with another ticket. One of 20,000 mixed requests under faults was doubled. Ruled out: the ledger (two incarnations never had the same ticket), the epochs of owners (the call had no key). Change: once an attempt at an owner has had an unknown outcome, only the owner's own word makes the call not run. Also, a leaving agent stays until no new key is its own, and has other agents run what it still owns; the lead of epochs is 30 s.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -19,7 +19,9 @@
 
 const (
 	// DefaultSlots is how many requests run at the backend server at once.
-	DefaultSlots = 64
+	DefaultSlots  = 64
+	releasePoll   = 50 * time.Millisecond
+	releaseLinger = time.Second
 	// DefaultMaxWaiting is how many requests wait at the most.
 	DefaultMaxWaiting = 256
 )
@@ -120,8 +122,24 @@
 	a.Node.Log.Info("leaving", "instance", a.Node.Self.ID)
 	a.slots.close()
 	a.Node.Leave(ctx)
-	if !a.running.Wait(a.Grace) {
+	end := time.Now().Add(a.Grace)
+	a.awaitRelease(end)
+	if !a.running.Wait(time.Until(end)) {
 		a.Node.Log.Info("grace is over, requests are cut", "requests", a.running.Count())
 	}
 	a.Node.Removed(ctx)
 }
+
+// awaitRelease stays, within the grace, until no key minted from now on is this agent's, and its outcomes could be
+// asked for a little longer. What it owns until then it has other agents run.
+func (a *Agent) awaitRelease(end time.Time) {
+	if a.Engine != nil {
+		return
+	}
+	for time.Now().Before(end) && !a.Node.Owners.Released(a.Node.Self.Service, a.Node.Self.Incarnation) {
+		time.Sleep(releasePoll)
+	}
+	if time.Now().Before(end) {
+		time.Sleep(min(releaseLinger, time.Until(end)))
+	}
+}
--- a/agent/once.go
+++ b/agent/once.go
@@ -114,7 +114,7 @@
 func (a *Agent) runOnce(ctx context.Context, d fleet.Dispatch) once.Outcome {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), onceTimeout)
 	defer cancel()
-	if len(d.Sides) > 0 && !slices.Contains(d.Sides, a.Node.Self.Side) {
+	if d.Key != "" && (a.Node.Leaving() || !slices.Contains(d.Sides, a.Node.Self.Side)) {
 		return a.delegate(ctx, d)
 	}
 	if err := a.admit(d); err != nil {
--- a/cmd/table.go
+++ b/cmd/table.go
@@ -14,6 +14,7 @@
 		Commands: []*cli.Command{
 			newTableApply(),
 			newTableGet(),
+			newTableSet(),
 			newTableKey(),
 		},
 	}
--- /dev/null
+++ b/e2e/mixed_test.go
@@ -0,0 +1,449 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/internal/standin/engine"
+)
+
+const (
+	mixedRequests = 20_000
+	mixedCallers  = 32
+	mixedSeed     = 7
+	// callerPatience is how long a caller goes on trying one request.
+	callerPatience = 60 * time.Second
+)
+
+// mixedReport counts what became of the requests, as their callers and the outside systems saw it.
+type mixedReport struct {
+	whole, lost, notRun, unknown, retried     atomic.Int64
+	wrongAnswer, crossed, wrongVersion        atomic.Int64
+	doubled, refusedButRun, answeredButNotRun int
+	causes                                    sync.Map
+}
+
+func (r *mixedReport) cause(a answer, err error) {
+	name := "connection"
+	if err == nil {
+		name = a.header.Get(rillreach.HeaderOutcome) + " " + a.header.Get(rillreach.HeaderReason)
+	}
+	count, _ := r.causes.LoadOrStore(name, &atomic.Int64{})
+	count.(*atomic.Int64).Add(1)
+}
+
+// slot is a place in the fleet whose process is killed, frozen and replaced.
+type slot struct {
+	mu      sync.Mutex
+	process *process
+	args    []string
+}
+
+func (s *slot) address(who string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.process.address(who)
+}
+
+// mixedFleet is a fleet with faults going on.
+type mixedFleet struct {
+	*testFleet
+	entries  []*slot
+	agents   []*slot
+	stores   []*slot
+	services []*process
+	keys     map[string]string
+}
+
+func newMixedFleet(t *testing.T) *mixedFleet {
+	t.Helper()
+	f := &mixedFleet{testFleet: newFleet(t), keys: map[string]string{}}
+	for i, side := range []rillreach.Side{rillreach.SideOld, rillreach.SideNew} {
+		f.stores = append(f.stores, f.slot("standin", "store", "--platform", f.platform, "--side", string(side)))
+		for j := range 2 {
+			e := start(t, "standin", "engine", "--engine-version", "v1", "--engine-token-time", "1ms")
+			name := fmt.Sprintf("runner-%d-%d", i, j)
+			f.agents = append(f.agents, f.slot(f.agentArgs(name, "http://"+e.address("standin"), side, "--model", "m", "--model-version", "v1")...))
+		}
+		e := start(t, "standin", "engine", "--engine-version", "v2", "--engine-token-time", "1ms")
+		f.agents = append(f.agents, f.slot(f.agentArgs(fmt.Sprintf("next-%d", i), "http://"+e.address("standin"), side, "--model", "m", "--model-version", "v2")...))
+		s := start(t, "standin", "service")
+		f.services = append(f.services, s)
+		f.agents = append(f.agents, f.slot(f.agentArgs(fmt.Sprintf("service-%d", i), "http://"+s.address("standin"), side, "--service", "receipts")...))
+	}
+	for i := range 2 {
+		args := append([]string{"entry", "--listen", "127.0.0.1:0", "--instance", fmt.Sprintf("entry-%d", i), "--ack-timeout", "500ms"}, f.nodeArgs(quick...)...)
+		f.entries = append(f.entries, f.slot(args...))
+	}
+	for _, account := range []string{"kigali", "oja", "small"} {
+		f.keys[account] = f.account(account, f.rows(account, 50)...)
+	}
+	return f
+}
+
+func (f *mixedFleet) rows(_ string, toNew int) []rillreach.Row {
+	w := rillreach.Weights{Old: 100 - toNew, New: toNew}
+	return []rillreach.Row{
+		{Model: "m", Version: "v1", Weights: w},
+		{Model: "m", Version: "v2", Weights: w},
+		{Model: "receipts", Version: "v1", Weights: w},
+	}
+}
+
+func (f *mixedFleet) agentArgs(name, backend string, side rillreach.Side, more ...string) []string {
+	args := append([]string{"agent", "--instance", name, "--backend", backend, "--side", string(side)}, more...)
+	return append(args, f.nodeArgs(quick...)...)
+}
+
+func (f *mixedFleet) slot(args ...string) *slot {
+	return &slot{process: start(f.t, args...), args: args}
+}
+
+// replace starts a new process in a slot, whose old one is dead.
+func (f *mixedFleet) replace(s *slot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.process = start(f.t, s.args...)
+}
+
+// fault is one thing that goes wrong, and is mended before the next of its list.
+type fault struct {
+	name string
+	do   func()
+}
+
+func pick(random *rand.Rand, slots []*slot) *slot { return slots[random.IntN(len(slots))] }
+
+// agentFaults are what happens to agents.
+func (f *mixedFleet) agentFaults(random *rand.Rand) []fault {
+	return []fault{
+		{"agent killed", func() { s := pick(random, f.agents); s.process.kill(); f.replace(s) }},
+		{"agent stopped", func() {
+			s := pick(random, f.agents)
+			s.process.signal(syscall.SIGTERM)
+			<-s.process.exited
+			f.replace(s)
+		}},
+		{"agent frozen", func() {
+			s := pick(random, f.agents)
+			s.process.signal(syscall.SIGSTOP)
+			time.Sleep(time.Second)
+			s.process.signal(syscall.SIGCONT)
+		}},
+	}
+}
+
+// otherFaults are what happens to everything else.
+func (f *mixedFleet) otherFaults(random *rand.Rand) []fault {
+	platform := func(faults string, lasting time.Duration) func() {
+		return func() { f.setFaults(faults); time.Sleep(lasting); f.setFaults(`{}`) }
+	}
+	return []fault{
+		{"entry killed", func() { s := pick(random, f.entries); s.process.kill(); f.replace(s) }},
+		{"store killed", func() { s := pick(random, f.stores); s.process.kill(); f.replace(s) }},
+		{"platform down", platform(`{"down":true}`, time.Second)},
+		{"platform slow", platform(`{"delay":300000000}`, time.Second)},
+		{"platform loses answers", platform(`{"loseAnswers":true}`, time.Second/2)},
+		{"weights shifted", func() { f.race(random) }},
+	}
+}
+
+// trouble brings about one fault after another until it is told to stop.
+func trouble(random *rand.Rand, faults []fault, stop <-chan struct{}) map[string]int {
+	done := map[string]int{}
+	for {
+		next := faults[random.IntN(len(faults))]
+		select {
+		case <-stop:
+			return done
+		case <-time.After(200 * time.Millisecond):
+			next.do()
+			done[next.name]++
+		}
+	}
+}
+
+// race has two operators edit the same rows at once; one of them may lose.
+func (f *mixedFleet) race(random *rand.Rand) {
+	var wg sync.WaitGroup
+	for range 2 {
+		toNew := 10 + random.IntN(81)
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			f.shiftAll(toNew)
+		}()
+	}
+	wg.Wait()
+}
+
+func (f *mixedFleet) shiftAll(toNew int) {
+	for account := range f.keys {
+		for _, model := range []string{"m", "receipts"} {
+			_, _, _ = runCommand(f.t, "", "table", "set", "--platform", f.platform, account+"/"+model+"/v1", "--new", fmt.Sprint(toNew))
+		}
+	}
+}
+
+// urlOf is the address of some entry that is up.
+func (f *mixedFleet) urlOf(i int) string {
+	return "http://" + f.entries[i%len(f.entries)].address("callers")
+}
+
+func TestMixedRequestsUnderFaults(t *testing.T) {
+	f := newMixedFleet(t)
+	for i := range f.entries {
+		serves(t, http.StatusOK, func() (answer, error) { return f.chat(i, "kigali", "m@v1", "warm up", false) })
+		serves(t, http.StatusOK, func() (answer, error) {
+			return trySend(http.MethodPost, f.urlOf(i)+"/services/receipts/x", f.keys["kigali"], "warm up", rillreach.HeaderKey, newKey(t))
+		})
+	}
+	var r mixedReport
+	stop, troubled := make(chan struct{}), make(chan map[string]int, 2)
+	for i, faults := range []func(*rand.Rand) []fault{f.agentFaults, f.otherFaults} {
+		random := rand.New(rand.NewPCG(mixedSeed, uint64(i)))
+		go func() { troubled <- trouble(random, faults(random), stop) }()
+	}
+	outcomes := f.sendAll(t, &r)
+	close(stop)
+	toAgents, toOthers := <-troubled, <-troubled
+	f.judge(t, &r, outcomes)
+	r.log(t, toAgents, toOthers)
+	assert.Zero(t, r.lost.Load(), "lost")
+	assert.Zero(t, r.doubled, "doubled")
+	assert.Zero(t, r.wrongAnswer.Load(), "answers that are not whole or another request's")
+	assert.Zero(t, r.crossed.Load(), "crossed accounts")
+	assert.Zero(t, r.wrongVersion.Load(), "wrong version")
+	assert.Zero(t, r.refusedButRun, "refused as not run, but run")
+	assert.Zero(t, r.answeredButNotRun, "answered, but not run")
+}
+
+// outcome is how a call that must not run twice ended for its caller.
+type outcome struct {
+	body   string
+	ok     bool
+	notRun bool
+}
+
+func (f *mixedFleet) sendAll(t *testing.T, r *mixedReport) []outcome {
+	t.Helper()
+	var mu sync.Mutex
+	var outcomes []outcome
+	var wg sync.WaitGroup
+	for caller := range mixedCallers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			random := rand.New(rand.NewPCG(mixedSeed, uint64(caller)+100))
+			for i := caller; i < mixedRequests; i += mixedCallers {
+				if o, once := f.sendOne(random, i, r); once {
+					mu.Lock()
+					outcomes = append(outcomes, o)
+					mu.Unlock()
+				}
+			}
+		}()
+	}
+	wg.Wait()
+	return outcomes
+}
+
+func (f *mixedFleet) sendOne(random *rand.Rand, i int, r *mixedReport) (outcome, bool) {
+	account := []string{"kigali", "oja", "small"}[random.IntN(3)]
+	switch kind := random.IntN(10); {
+	case kind < 7:
+		f.sendPrompt(random, i, account, r)
+		return outcome{}, false
+	case kind < 8:
+		f.sendService(i, account, r)
+		return outcome{}, false
+	default:
+		return f.sendOnce(random, i, account, r), true
+	}
+}
+
+// sendPrompt sends a prompt until it is answered, as a caller of a repeatable request would.
+func (f *mixedFleet) sendPrompt(random *rand.Rand, i int, account string, r *mixedReport) {
+	version := []string{"v1", "v2"}[random.IntN(2)]
+	text := fmt.Sprintf("%s asks %s %d", account, history("w"), random.IntN(500))
+	stream := random.IntN(2) == 0
+	deadline := time.Now().Add(callerPatience)
+	for try := i; ; try++ {
+		a, err := f.chat(try, account, "m@"+version, text, stream)
+		if err == nil && a.status == http.StatusOK && (!stream || strings.HasSuffix(a.body, "data: [DONE]\n\n")) {
+			r.whole.Add(1)
+			f.checkAnswer(a, text, version, stream, r)
+			return
+		}
+		if !r.again(a, err, deadline) {
+			return
+		}
+	}
+}
+
+// again counts an attempt that failed, and says whether the caller tries again.
+func (r *mixedReport) again(a answer, err error, deadline time.Time) bool {
+	r.cause(a, err)
+	if time.Now().After(deadline) {
+		r.lost.Add(1)
+		return false
+	}
+	r.retried.Add(1)
+	time.Sleep(50 * time.Millisecond)
+	return true
+}
+
+func (f *mixedFleet) chat(i int, account, model, text string, stream bool) (answer, error) {
+	body := strings.Replace(chatBody(text, stream), `"model":"m"`, fmt.Sprintf(`"model":%q`, model), 1)
+	return trySend(http.MethodPost, f.urlOf(i)+chatPath, f.keys[account], body)
+}
+
+func (f *mixedFleet) checkAnswer(a answer, text, version string, stream bool, r *mixedReport) {
+	got, err := answerText(a, stream)
+	want := func(v string) string {
+		return " " + strings.Join(engine.AnswerWords(v, userWord+` "`+text+`"`, wordCount), " ")
+	}
+	other := map[string]string{"v1": "v2", "v2": "v1"}[version]
+	switch {
+	case err == nil && got == want(version):
+	case got == want(other):
+		r.wrongVersion.Add(1)
+	default:
+		r.wrongAnswer.Add(1)
+	}
+}
+
+func answerText(a answer, stream bool) (string, error) {
+	if !stream {
+		var parsed chatAnswer
+		if err := json.Unmarshal([]byte(a.body), &parsed); err != nil {
+			return "", err
+		}
+		return parsed.Choices[0].Message.Content, nil
+	}
+	var text strings.Builder
+	for _, event := range strings.Split(strings.TrimSuffix(a.body, "data: [DONE]\n\n"), "\n\n") {
+		var parsed chatAnswer
+		if event == "" {
+			continue
+		}
+		if err := json.Unmarshal([]byte(strings.TrimPrefix(event, "data: ")), &parsed); err != nil {
+			return "", err
+		}
+		text.WriteString(parsed.Choices[0].Delta.Content)
+	}
+	return text.String(), nil
+}
+
+func (f *mixedFleet) sendService(i int, account string, r *mixedReport) {
+	deadline := time.Now().Add(callerPatience)
+	body := fmt.Sprintf("price %d", i)
+	for try := i; ; try++ {
+		a, err := trySend(http.MethodPost, f.urlOf(try)+"/services/receipts/price", f.keys[account], body)
+		if err == nil && a.status == http.StatusOK {
+			r.whole.Add(1)
+			if !strings.Contains(a.body, body+`"`) {
+				r.wrongAnswer.Add(1)
+			}
+			return
+		}
+		if !r.again(a, err, deadline) {
+			return
+		}
+	}
+}
+
+// sendOnce sends a call that must not run twice, with a key or a ticket, and goes on under the same identity until the
+// call is answered or its outcome is final.
+func (f *mixedFleet) sendOnce(random *rand.Rand, i int, account string, r *mixedReport) outcome {
+	o := outcome{body: fmt.Sprintf("once %d", i)}
+	header, identity := rillreach.HeaderTicket, ""
+	if random.IntN(2) == 0 {
+		header, identity = rillreach.HeaderKey, uuid.Must(uuid.NewV7()).String()
+	}
+	deadline := time.Now().Add(10 * time.Second)
+	for try := i; time.Now().Before(deadline); try++ {
+		headers := []string{rillreach.HeaderRepeat, rillreach.RepeatNever}
+		if identity != "" {
+			headers = append(headers, header, identity)
+		}
+		a, err := trySend(http.MethodPost, f.urlOf(try)+"/services/receipts/issue", f.keys[account], o.body, headers...)
+		if err == nil && a.status == http.StatusOK {
+			r.whole.Add(1)
+			o.ok = true
+			return o
+		}
+		r.cause(a, err)
+		if err == nil && identity == "" {
+			identity = a.header.Get(rillreach.HeaderTicket)
+		}
+		if isFinal(a, err, identity) {
+			break
+		}
+		o.notRun = err == nil && a.header.Get(rillreach.HeaderOutcome) == string(rillreach.OutcomeNotRun)
+		time.Sleep(50 * time.Millisecond)
+	}
+	if o.notRun {
+		r.notRun.Add(1)
+	} else {
+		r.unknown.Add(1)
+	}
+	return o
+}
+
+// isFinal reports an end after which asking again brings nothing: the caller has no identity to ask with, or its owner
+// is gone.
+func isFinal(a answer, err error, identity string) bool {
+	if err != nil {
+		return identity == ""
+	}
+	return a.header.Get(rillreach.HeaderReason) == string(rillreach.ReasonOwnerGone)
+}
+
+// judge holds what callers were told against what the services ran.
+func (f *mixedFleet) judge(t *testing.T, r *mixedReport, outcomes []outcome) {
+	t.Helper()
+	runs := map[string]int{}
+	for _, s := range f.services {
+		var ran map[string]int
+		get(t, "http://"+s.address("standin")+"/runs", &ran)
+		for body, count := range ran {
+			runs[body] += count
+		}
+	}
+	for _, o := range outcomes {
+		switch {
+		case runs[o.body] > 1:
+			r.doubled++
+		case o.notRun && runs[o.body] > 0:
+			r.refusedButRun++
+		case o.ok && runs[o.body] == 0:
+			r.answeredButNotRun++
+		}
+	}
+}
+
+func (r *mixedReport) log(t *testing.T, faults ...map[string]int) {
+	t.Helper()
+	t.Logf("requests %d: whole %d, lost %d, not run %d, unknown %d; attempts tried again %d", mixedRequests, r.whole.Load(),
+		r.lost.Load(), r.notRun.Load(), r.unknown.Load(), r.retried.Load())
+	t.Logf("wrong answers %d, crossed accounts %d, wrong version %d, doubled %d, refused but run %d, answered but not run %d",
+		r.wrongAnswer.Load(), r.crossed.Load(), r.wrongVersion.Load(), r.doubled, r.refusedButRun, r.answeredButNotRun)
+	t.Logf("faults: %v", faults)
+	r.causes.Range(func(name, count any) bool {
+		t.Logf("failed attempts: %v: %d", name, count.(*atomic.Int64).Load())
+		return true
+	})
+}
--- a/e2e/once_test.go
+++ b/e2e/once_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -195,6 +197,25 @@
 		assert.Equal(t, string(rillreach.OutcomeUnknown), again.header.Get(rillreach.HeaderOutcome), again.body)
 		assert.Equal(t, 1, f.runs("while"))
 	})
+	t.Run("killed while it runs a marked call that has no ticket", func(t *testing.T) {
+		f := newOnceFleet(t, "1s")
+		answers := make(chan answer, 1)
+		go func() {
+			a, _ := f.call(0, "marked", rillreach.HeaderRepeat, rillreach.RepeatNever)
+			answers <- a
+		}()
+		eventually(t, func() bool { return f.runs("marked") == 1 }, "service runs")
+		for i, s := range f.services {
+			var runs map[string]int
+			get(t, "http://"+s.address("standin")+"/runs", &runs)
+			if runs["marked"] > 0 {
+				f.agents[i].kill()
+			}
+		}
+		a := <-answers
+		assert.Equal(t, string(rillreach.OutcomeUnknown), a.header.Get(rillreach.HeaderOutcome), a.body)
+		assert.Equal(t, 1, f.runs("marked"))
+	})
 	t.Run("frozen past the deadline and thawed", func(t *testing.T) {
 		f := newOnceFleet(t, "0s")
 		ticket := f.ticket()
@@ -260,3 +281,52 @@
 		}
 	})
 }
+
+// TestPlannedStopLosesNoKeys has an agent that owns keys stop while calls with fresh keys come: every one of them is
+// answered, and run once.
+func TestPlannedStopLosesNoKeys(t *testing.T) {
+	f := newOnceFleet(t, "0s")
+	for i := range f.entries {
+		serves(t, http.StatusOK, func() (answer, error) { return f.call(i, "warm up", rillreach.HeaderKey, newKey(t)) })
+	}
+	awaitOwners(t, f, 2)
+	stopped := make(chan struct{})
+	f.agents[0].signal(syscall.SIGTERM)
+	go func() {
+		<-f.agents[0].exited
+		close(stopped)
+	}()
+	for calls := 0; ; calls++ {
+		body := "during the stop " + strconv.Itoa(calls)
+		a, err := f.call(calls%2, body, rillreach.HeaderKey, newKey(t))
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, a.status, a.body)
+		require.Equal(t, 1, f.runs(body))
+		select {
+		case <-stopped:
+			require.Greater(t, calls, 10)
+			return
+		default:
+		}
+	}
+}
+
+// awaitOwners waits until keys go to some number of agents.
+func awaitOwners(t *testing.T, f *onceFleet, count int) {
+	t.Helper()
+	eventually(t, func() bool {
+		owners := 0
+		for _, s := range f.services {
+			var runs map[string]int
+			get(t, "http://"+s.address("standin")+"/runs", &runs)
+			for body := range runs {
+				if strings.HasPrefix(body, "probe ") {
+					owners++
+					break
+				}
+			}
+		}
+		_, err := f.call(0, "probe "+newKey(t), rillreach.HeaderKey, newKey(t))
+		return err == nil && owners == count
+	}, "keys are spread over the agents")
+}
--- a/filter/dispatch/once.go
+++ b/filter/dispatch/once.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	return f.runAtOwner(ctx, x, m)
+	return f.runAtOwner(ctx, x, m, false)
 }
 
 // runFresh mints a ticket for a request without an identity and hands it to the caller with whatever the answer is. As
@@ -72,24 +72,37 @@
 	case refusal.Outcome == rillreach.OutcomeNotRun:
 		return refusal
 	default:
-		return f.runAtOwner(ctx, x, m)
+		return f.runAtOwner(ctx, x, m, true)
 	}
 }
 
 // runAtOwner asks the one agent that may run the request, more than once if need be: it runs the request just once,
-// and gives the outcome to everyone who asks.
-func (f *Filter) runAtOwner(ctx context.Context, x *rillreach.Exchange, m *membership.Member) error {
-	var refusal *rillreach.Refusal
+// and gives the outcome to everyone who asks. That a later attempt was not run says nothing of an earlier one whose
+// outcome is unknown, unless it is the owner's own word.
+func (f *Filter) runAtOwner(ctx context.Context, x *rillreach.Exchange, m *membership.Member, unknownBefore bool) error {
+	refusal, unknown := f.askOwner(ctx, x, m)
+	if refusal == nil {
+		return nil
+	}
+	if (unknown || unknownBefore) && !refusal.Owner {
+		return rillreach.Unknown(refusal.Reason, refusal.Message).After(refusal.RetryAfter)
+	}
+	return refusal
+}
+
+// askOwner makes the attempts, and reports whether any of them ended with an unknown outcome.
+func (f *Filter) askOwner(ctx context.Context, x *rillreach.Exchange, m *membership.Member) (refusal *rillreach.Refusal, unknown bool) {
 	for attempt := 1; attempt <= retry.MaxAttempts; attempt++ {
 		if refusal = f.tryOwner(ctx, x, m, attempt); refusal == nil {
-			return nil
+			return nil, false
 		}
+		unknown = unknown || refusal.Outcome == rillreach.OutcomeUnknown
 		if refusal.Owner || refusal.Reason != rillreach.ReasonCut || x.Began || ctx.Err() != nil || !f.Budget.Spend() {
-			return refusal
+			break
 		}
 		waitFor(ctx, sameOwnerPause)
 	}
-	return refusal
+	return refusal, unknown
 }
 
 func (f *Filter) tryOwner(ctx context.Context, x *rillreach.Exchange, m *membership.Member, attempt int) *rillreach.Refusal {
--- a/node/node.go
+++ b/node/node.go
@@ -27,7 +27,7 @@
 
 const (
 	// DefaultLead is how long after its recording an epoch of key owners comes into force.
-	DefaultLead = 2 * time.Minute
+	DefaultLead = 30 * time.Second
 	// DefaultGrace is how long a planned stop waits for running requests.
 	DefaultGrace = 5 * time.Minute
 
--- a/once/owners.go
+++ b/once/owners.go
@@ -157,6 +157,19 @@
 	return Owner{}, VerdictTooOld
 }
 
+// Released reports whether an incarnation owns no key that is minted from now on, by the platform's clock.
+func (o *Owners) Released(service rillreach.ServiceID, incarnation rillreach.Incarnation) bool {
+	o.mu.RLock()
+	defer o.mu.RUnlock()
+	s := o.services[service]
+	if s == nil || len(s.valid) == 0 {
+		return true
+	}
+	newest := s.valid[len(s.valid)-1]
+	owns := slices.ContainsFunc(newest.Owners, func(owner Owner) bool { return owner.Incarnation == incarnation })
+	return !owns && !newest.From.After(o.known)
+}
+
 // Superseded returns the epochs of a service that no key minted after a time can fall into.
 func (o *Owners) Superseded(service rillreach.ServiceID, after time.Time) []uint64 {
 	o.mu.RLock()
