Add the parts of a product: demo, table commands, certificates, metrics

Cause: an operator could apply and read rows and no more, peers were not authenticated, and a newcomer had nothing to run. Ruled out: names of hosts in peers' certificates (instances are known by IP numbers that change; a peer is known by the fleet's authority and its role). Change: table validate, status, wait and shift; certs; mutual TLS with files that are read again when they change; OpenTelemetry metrics for Prometheus; rillreach demo with two sides, two entries, a shift in five steps. Before: none of it. Tests: racing operators and lost answers, a row written around the tool, peers without a certificate or with the wrong role, settings, bad input, a caller that hangs up.

--- /dev/null
+++ b/certs/make.go
@@ -0,0 +1,100 @@
+package certs
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rillreach/rillreach"
+)
+
+const (
+	blockCertificate = "CERTIFICATE"
+	blockKey         = "EC PRIVATE KEY"
+	authorityName    = "rillreach fleet"
+	clockSlack       = time.Hour
+	serialBits       = 120
+)
+
+// Pair is a certificate and its key, as PEM.
+type Pair struct {
+	Certificate []byte
+	Key         []byte
+}
+
+// Authority signs the certificates of one fleet.
+type Authority struct {
+	Pair
+
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+// NewAuthority makes an authority that lasts for some time.
+func NewAuthority(lifetime time.Duration) (*Authority, error) {
+	template, err := newTemplate(pkix.Name{CommonName: authorityName}, lifetime)
+	if err != nil {
+		return nil, err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "make key of authority")
+	}
+	pair, err := sign(template, template, key, key)
+	if err != nil {
+		return nil, err
+	}
+	return &Authority{Pair: pair, certificate: template, key: key}, nil
+}
+
+// Issue makes a certificate for a role.
+func (a *Authority) Issue(role rillreach.Role, lifetime time.Duration) (Pair, error) {
+	name := pkix.Name{CommonName: string(role), OrganizationalUnit: []string{string(role)}}
+	template, err := newTemplate(name, lifetime)
+	if err != nil {
+		return Pair{}, err
+	}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "make key")
+	}
+	return sign(template, a.certificate, key, a.key)
+}
+
+func newTemplate(name pkix.Name, lifetime time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, errors.Wrap(err, "make serial number")
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial, Subject: name, NotBefore: now.Add(-clockSlack), NotAfter: now.Add(lifetime),
+	}, nil
+}
+
+func sign(template, parent *x509.Certificate, key, signer *ecdsa.PrivateKey) (Pair, error) {
+	certificate, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "sign certificate")
+	}
+	encoded, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return Pair{}, errors.Wrap(err, "encode key")
+	}
+	return Pair{
+		Certificate: pem.EncodeToMemory(&pem.Block{Type: blockCertificate, Bytes: certificate}),
+		Key:         pem.EncodeToMemory(&pem.Block{Type: blockKey, Bytes: encoded}),
+	}, nil
+}
--- a/cmd/node.go
+++ b/cmd/node.go
@@ -14,6 +14,7 @@
 	"github.com/rillreach/rillreach/node"
 	"github.com/rillreach/rillreach/platform"
 	"github.com/rillreach/rillreach/settings"
+	"github.com/rillreach/rillreach/telemetry"
 )
 
 const (
@@ -65,12 +66,17 @@
 	if self.ID = rillreach.InstanceID(c.String("instance")); self.ID == "" {
 		self.ID = rillreach.InstanceID(string(self.Role) + "-" + string(self.Incarnation))
 	}
+	metrics, err := telemetry.New()
+	if err != nil {
+		return nil, err
+	}
 	log := newLog(c).WithValues("instance", self.ID)
 	log.Info("listening", "for", "peers", "address", self.Address)
 	return &node.Node{
 		Self:        self,
 		Store:       &platform.Client{Base: s.platform},
 		TLS:         certificates,
+		Metrics:     metrics,
 		Listener:    listener,
 		Clock:       node.SystemClock(),
 		Log:         log,
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -45,6 +45,8 @@
 			newAgentCommand(),
 			newTableCommand(),
 			newStandinCommand(),
+			newCertsCommand(),
+			newDemoCommand(),
 			newBenchCommand(),
 		},
 	}
--- a/cmd/table.go
+++ b/cmd/table.go
@@ -16,6 +16,10 @@
 			newTableGet(),
 			newTableSet(),
 			newTableKey(),
+			newTableValidate(),
+			newTableStatus(),
+			newTableWait(),
+			newTableShift(),
 		},
 	}
 }
--- a/cmd/tls.go
+++ b/cmd/tls.go
@@ -5,6 +5,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/rillreach/rillreach/certs"
 	"github.com/rillreach/rillreach/settings"
 )
 
@@ -20,6 +21,11 @@
 	}
 }
 
-func newTLS(*cli.Command) (*tls.Config, error) {
-	return nil, nil
+// newTLS makes what authenticates peers, or nil where no certificate is set.
+func newTLS(c *cli.Command) (*tls.Config, error) {
+	if c.String("tls-cert") == "" {
+		return nil, nil
+	}
+	source := &certs.Source{Certificate: c.String("tls-cert"), Key: c.String("tls-key"), Authority: c.String("tls-ca")}
+	return source.Config()
 }
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -102,7 +102,8 @@
 		identify.Filter{Clock: e.Node.Clock},
 		resolve.Filter{Table: e.Node.Table, Namer: keep.NewNamer(e.Secret)},
 	}
-	e.chain = &filter.Chain{Log: e.Node.Log, Filters: append(understand[:len(understand):len(understand)], admit.Filter{Limiter: e.lease}, e.dispatch)}
+	observe := func(step string, took time.Duration, _ error) { e.Node.Metrics.Step(step, took) }
+	e.chain = &filter.Chain{Log: e.Node.Log, Observe: observe, Filters: append(understand[:len(understand):len(understand)], admit.Filter{Limiter: e.lease}, e.dispatch)}
 	e.mint = &filter.Chain{Log: e.Node.Log, Filters: append(understand[:len(understand):len(understand)], ticketStep{e.dispatch})}
 }
 
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -76,11 +76,27 @@
 		writeRefusal(w, filter.WithIdentity(x.Request, refusal))
 		return
 	}
-	if refusal := chain.Run(r.Context(), x); refusal != nil {
+	refusal := chain.Run(r.Context(), x)
+	e.observe(x, refusal)
+	if refusal != nil {
 		end(x, refusal)
 	}
 }
 
+// observe counts how a request ended.
+func (e *Entry) observe(x *rillreach.Exchange, refusal *rillreach.Refusal) {
+	if !x.First.IsZero() {
+		e.Node.Metrics.FirstToken(x.First.Sub(x.Arrived))
+	}
+	if refusal != nil {
+		e.Node.Metrics.Request(string(refusal.Outcome), string(refusal.Reason))
+		return
+	}
+	e.Node.Metrics.Request(answeredOutcome, "")
+}
+
+const answeredOutcome = "answered"
+
 // read takes the body in, if the entry takes requests at all.
 func (e *Entry) read(w http.ResponseWriter, r *http.Request, x *rillreach.Exchange) *rillreach.Refusal {
 	if e.Node.Leaving() {
--- a/filter/dispatch/answer.go
+++ b/filter/dispatch/answer.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -21,6 +22,7 @@
 	head   fleet.Head
 	headed bool
 	held   []byte
+	now    func() time.Time
 }
 
 // take takes the next part of the answer.
@@ -70,7 +72,7 @@
 	if w.x.Began {
 		return
 	}
-	w.x.Began = true
+	w.x.Began, w.x.First = true, w.now()
 	header := w.x.Writer.Header()
 	maps.Copy(header, w.head.Header)
 	w.x.Writer.WriteHeader(w.head.Status)
--- a/filter/dispatch/attempt.go
+++ b/filter/dispatch/attempt.go
@@ -81,7 +81,7 @@
 	if err := f.awaitAck(ctx, stream, conn, m); err != nil {
 		return err
 	}
-	return passOn(ctx, x, stream)
+	return f.passOn(ctx, x, stream)
 }
 
 // awaitAck waits for the agent to say that it has the request; one that stays silent is suspected.
@@ -124,8 +124,8 @@
 
 // passOn gives the answer to the caller: a streamed one as it comes, any other once it is whole, so that it can
 // still be tried again until then.
-func passOn(ctx context.Context, x *rillreach.Exchange, stream *peer.Stream) error {
-	w := answerWriter{x: x}
+func (f *Filter) passOn(ctx context.Context, x *rillreach.Exchange, stream *peer.Stream) error {
+	w := answerWriter{x: x, now: f.Node.Clock.Now}
 	for {
 		part, err := stream.Next(ctx)
 		if errors.Is(err, io.EOF) {
--- a/filter/dispatch/dispatch.go
+++ b/filter/dispatch/dispatch.go
@@ -90,6 +90,7 @@
 }
 
 func (f *Filter) logAttempt(x *rillreach.Exchange, m *membership.Member, attempt int, refusal *rillreach.Refusal, verdict retry.Verdict) {
+	f.Node.Metrics.Attempt(string(verdict))
 	f.Log.Info("attempt failed", "decision", verdict, "reason", refusal.Reason, "outcome", refusal.Outcome,
 		"request", x.Request.ID, "account", x.Request.Account, "chosen", m.ID, "attempt", attempt, "cause", refusal.Message)
 }
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -200,10 +200,15 @@
 	s.SetFaults(f)
 }
 
-func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+// Counts returns the calls and bytes since the start.
+func (s *Server) Counts() Counts {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	counts := s.counts
 	counts.Blocks = len(s.blocks)
-	s.mu.Unlock()
-	standin.WriteJSON(w, counts)
+	return counts
+}
+
+func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	standin.WriteJSON(w, s.Counts())
 }
--- a/node/node.go
+++ b/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/rillreach/rillreach/peer"
 	"github.com/rillreach/rillreach/replicate"
 	"github.com/rillreach/rillreach/table"
+	"github.com/rillreach/rillreach/telemetry"
 )
 
 const (
@@ -55,6 +56,8 @@
 	DigestEvery time.Duration
 	WatchWait   time.Duration
 
+	// Metrics are the process's instruments; nil means none.
+	Metrics *telemetry.Metrics
 	// RowChanged is told of each row that is applied; it may be nil.
 	RowChanged func(before, after rillreach.Row)
 
@@ -95,6 +98,9 @@
 // Run runs the node's controllers, and the given ones, until the context ends.
 func (n *Node) Run(ctx context.Context, more ...rillreach.Controller) error {
 	n.Pool.Start(ctx)
+	if err := n.addGauges(); err != nil {
+		return err
+	}
 	controllers := append([]rillreach.Controller{
 		n.Pool,
 		n.Spread,
@@ -105,6 +111,27 @@
 	return controller.Run(ctx, n.Log, controllers...)
 }
 
+// addGauges has the metrics show what the node knows and what its spreading has cost.
+func (n *Node) addGauges() error {
+	for name, gauge := range map[string]struct {
+		description string
+		read        func() float64
+	}{
+		"rillreach.members":        {"instances that are known", func() float64 { return float64(len(n.Members.All())) }},
+		"rillreach.rows.version":   {"version up to which the copy of the rows goes", func() float64 { return float64(n.Copy.Mark(rillreach.KindRow).Version) }},
+		"rillreach.platform.calls": {"calls of the platform for the copies of objects", func() float64 { return float64(n.Spread.Stats.PlatformCalls.Load()) }},
+		"rillreach.pushes":         {"changes handed on to peers", func() float64 { return float64(n.Spread.Stats.Pushes.Load()) }},
+		"rillreach.digests":        {"comparisons of marks with peers", func() float64 { return float64(n.Spread.Stats.Digests.Load()) }},
+		"rillreach.peer.bytes":     {"bytes sent to peers", func() float64 { return float64(n.Pool.Traffic.Bytes.Load()) }},
+		"rillreach.peer.conns":     {"connections to peers", func() float64 { return float64(len(n.Pool.Conns())) }},
+	} {
+		if err := n.Metrics.Gauge(name, gauge.description, gauge.read); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Ready reports whether the node knows the table.
 func (n *Node) Ready() bool {
 	return n.Copy.Mark(rillreach.KindRow).Version > 0 && !n.Leaving()
--- a/node/operators.go
+++ b/node/operators.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 
 	"github.com/julienschmidt/httprouter"
 
@@ -27,6 +28,10 @@
 	})
 	router.GET("/readyz", n.readyz)
 	router.GET("/status", n.status)
+	router.GET("/count/:version", n.count)
+	if n.Metrics != nil {
+		router.Handler(http.MethodGet, "/metrics", n.Metrics.Handler())
+	}
 	return router
 }
 
@@ -38,6 +43,21 @@
 	_, _ = w.Write([]byte("ready\n"))
 }
 
+// count says how many processes hold the rows up to a version.
+func (n *Node) count(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	version, err := strconv.ParseUint(p.ByName("version"), 10, 64)
+	if err != nil {
+		http.Error(w, "version is not a number", http.StatusBadRequest)
+		return
+	}
+	if n.Copy == nil {
+		http.Error(w, "not started", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(n.Spread.CountAll(r.Context(), rillreach.KindRow, version))
+}
+
 func (n *Node) status(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 	if n.Copy == nil {
 		http.Error(w, "not started", http.StatusServiceUnavailable)
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -152,6 +152,9 @@
 		return nil, errors.Wrapf(err, "connect to peer %s", address)
 	}
 	peer, err := decodeHello(resp.Header.Get(helloHeader))
+	if err == nil && p.TLS != nil {
+		err = checkRole(resp.TLS, peer)
+	}
 	if err != nil {
 		_ = socket.CloseNow()
 		return nil, errors.Wrapf(err, "connect to peer %s", address)
@@ -236,11 +239,15 @@
 	if p.TLS == nil {
 		return nil
 	}
-	if r.TLS == nil || len(r.TLS.VerifiedChains) == 0 {
+	return checkRole(r.TLS, peer)
+}
+
+// checkRole holds a peer's role against the certificate that the handshake has verified.
+func checkRole(state *tls.ConnectionState, peer rillreach.Instance) error {
+	if state == nil || len(state.PeerCertificates) == 0 {
 		return errors.New("peer has no certificate of this fleet")
 	}
-	role := RoleOf(r.TLS.PeerCertificates[0])
-	if role != peer.Role {
+	if role := RoleOf(state.PeerCertificates[0]); role != peer.Role {
 		return errors.Newf("peer says it is of role %q, its certificate says %q", peer.Role, role)
 	}
 	return nil
--- a/request.go
+++ b/request.go
@@ -72,6 +72,8 @@
 	Arrived time.Time
 	// Began is set once a byte of the answer has gone to the caller.
 	Began bool
+	// First is when that was.
+	First time.Time
 
 	done []func()
 }
--- /dev/null
+++ b/telemetry/telemetry.go
@@ -0,0 +1,107 @@
+// Package telemetry does the metrics of a process, by OpenTelemetry, for Prometheus to read.
+package telemetry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+const scope = "github.com/rillreach/rillreach"
+
+// Metrics are the instruments of one process.
+type Metrics struct {
+	meter    metric.Meter
+	registry *prometheus.Registry
+	requests metric.Int64Counter
+	attempts metric.Int64Counter
+	steps    metric.Float64Histogram
+	first    metric.Float64Histogram
+}
+
+// New makes the instruments of one process.
+func New() (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry))
+	if err != nil {
+		return nil, errors.Wrap(err, "make exporter of metrics")
+	}
+	m := &Metrics{registry: registry, meter: sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter(scope)}
+	return m, m.make()
+}
+
+func (m *Metrics) make() error {
+	var err error
+	if m.requests, err = m.meter.Int64Counter("rillreach.requests", metric.WithDescription("requests that have ended, by outcome and reason")); err != nil {
+		return errors.Wrap(err, "make counter of requests")
+	}
+	if m.attempts, err = m.meter.Int64Counter("rillreach.attempts", metric.WithDescription("attempts that failed, by what was decided")); err != nil {
+		return errors.Wrap(err, "make counter of attempts")
+	}
+	buckets := metric.WithExplicitBucketBoundaries(.0005, .001, .0025, .005, .01, .025, .05, .1, .25, .42, 1, 2.5, 5, 10, 30)
+	if m.steps, err = m.meter.Float64Histogram("rillreach.step.duration", metric.WithUnit("s"), metric.WithDescription("time in each step of the request chain"), buckets); err != nil {
+		return errors.Wrap(err, "make histogram of steps")
+	}
+	if m.first, err = m.meter.Float64Histogram("rillreach.first_token.duration", metric.WithUnit("s"), metric.WithDescription("time from a request's arrival to the first part of its answer"), buckets); err != nil {
+		return errors.Wrap(err, "make histogram of first tokens")
+	}
+	return nil
+}
+
+// Handler answers with all metrics in Prometheus's text form.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Request counts a request that has ended.
+func (m *Metrics) Request(outcome, reason string) {
+	if m == nil {
+		return
+	}
+	m.requests.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", outcome), attribute.String("reason", reason)))
+}
+
+// Attempt counts an attempt that failed.
+func (m *Metrics) Attempt(verdict string) {
+	if m == nil {
+		return
+	}
+	m.attempts.Add(context.Background(), 1, metric.WithAttributes(attribute.String("verdict", verdict)))
+}
+
+// Step records the time in a step of the request chain.
+func (m *Metrics) Step(name string, took time.Duration) {
+	if m == nil {
+		return
+	}
+	m.steps.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("step", name)))
+}
+
+// FirstToken records the time to the first part of an answer.
+func (m *Metrics) FirstToken(took time.Duration) {
+	if m == nil {
+		return
+	}
+	m.first.Record(context.Background(), took.Seconds())
+}
+
+// Gauge has a number read whenever the metrics are.
+func (m *Metrics) Gauge(name, description string, read func() float64) error {
+	if m == nil {
+		return nil
+	}
+	_, err := m.meter.Float64ObservableGauge(name, metric.WithDescription(description),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	return errors.Wrapf(err, "make gauge %s", name)
+}
