Spread kept state over two stores and read both at once

Change: a block is split into as many stripes as the side has stores for the conversation, two at the most; they are sealed one by one, read at once and joined only when they are of one writing.

--- a/bench/policy/policy.go
+++ b/bench/policy/policy.go
@@ -1,6 +1,8 @@
 package policy
 
 import (
+	"fmt"
+
 	"github.com/rillreach/rillreach/internal/hash"
 	"github.com/rillreach/rillreach/keep"
 	"github.com/rillreach/rillreach/route"
@@ -28,6 +30,8 @@
 	exporting(q keep.Export) bool
 	// patient says that writing waits for reading.
 	patient() bool
+	// stripes is over how many stores a conversation's state is spread.
+	stripes() int
 }
 
 // Naive is what a baseline does with state: nothing, or it keeps all and reads all, and lets reading and writing share
@@ -40,6 +44,7 @@
 func (n Naive) importing(q keep.Import) bool { return n.Keep && q.Kept > q.Cached }
 func (n Naive) exporting(keep.Export) bool   { return n.Keep }
 func (n Naive) patient() bool                { return false }
+func (n Naive) stripes() int                 { return 1 }
 
 func (n Naive) named(name string) string {
 	if n.Keep {
@@ -106,12 +111,30 @@
 }
 
 // Own is this project's policy: the real packages.
-type Own struct{}
+type Own struct {
+	// Stripes is over how many stores a conversation's state is spread; zero means two, as the agents do.
+	Stripes int
+}
 
 // Name names the policy.
-func (Own) Name() string { return "rillreach" }
+func (o Own) Name() string {
+	if o.Stripes > 0 {
+		return fmt.Sprintf("rillreach, %d stripe", o.Stripes)
+	}
+	return "rillreach"
+}
 
-const candidateCount = 4
+func (o Own) stripes() int {
+	if o.Stripes == 0 {
+		return defaultStripes
+	}
+	return o.Stripes
+}
+
+const (
+	candidateCount = 4
+	defaultStripes = 2
+)
 
 func (Own) place(s *simulation, v view, p prompt) *runner {
 	ranked := route.Rank(p.hash, len(v.order), candidateCount, func(i int) uint64 { return v.order[i].place })
--- a/bench/policy/scenario.go
+++ b/bench/policy/scenario.go
@@ -23,10 +23,21 @@
 // StoreDead loses one of the stores, and all it held, halfway.
 func StoreDead() Scenario {
 	return Scenario{Name: "store dead", schedule: func(s *simulation) {
-		s.after(s.deployment.Span/2, func() { s.stores[rillreach.SideOld][0].dead = true })
+		s.after(s.deployment.Span/2, func() { s.loseStore(s.stores[rillreach.SideOld]) })
 	}}
 }
 
+// loseStore loses the first of a side's stores, and with it all state that was spread over it and others.
+func (s *simulation) loseStore(stores []*store) {
+	stores[0].dead = true
+	if s.policy.stripes() == 1 {
+		return
+	}
+	for _, st := range stores[1:] {
+		st.memory, st.disk = newLRU(st.memory.capacity), newLRU(st.disk.capacity)
+	}
+}
+
 // SlowLink has the links to the stores carry a tenth from halfway on.
 func SlowLink() Scenario {
 	return Scenario{Name: "links at a tenth", schedule: func(s *simulation) {
@@ -89,7 +100,7 @@
 // copyAhead copies a conversation's state to the other side, behind everything that callers wait for; it counts as
 // there once the link between the sides has carried it.
 func (s *simulation) copyAhead(p prompt) {
-	kept, _ := s.storeOf(rillreach.SideOld, p).holds(p.conversation)
+	kept, _ := s.heldOn(rillreach.SideOld, p)
 	if kept == 0 {
 		return
 	}
@@ -97,10 +108,13 @@
 	s.cross.carryLater(s.now, bytes)
 	done := s.now + seconds((s.cross.urgent+s.cross.later)/s.cross.rate)
 	s.after(done, func() {
-		target := s.storeOf(rillreach.SideNew, p)
-		if held, _ := target.holds(p.conversation); held < kept {
-			target.link.carryLater(s.now, bytes)
-			target.put(p.conversation, kept)
+		if held, _ := s.heldOn(rillreach.SideNew, p); held >= kept {
+			return
+		}
+		targets := s.storesOf(rillreach.SideNew, p)
+		for _, target := range targets {
+			target.link.carryLater(s.now, bytes/float64(len(targets)))
+			target.put(p.conversation, kept/len(targets))
 		}
 	})
 }
--- a/blockstore/client.go
+++ b/blockstore/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 
@@ -50,16 +51,25 @@
 	Held []Held `json:"held"`
 }
 
-// Name is the name under which a block is kept.
-func Name(key rillreach.BlockKey) string { return hex.EncodeToString(key[:]) }
+// Stripe names one part of a block among all its parts.
+type Stripe struct {
+	Key   rillreach.BlockKey
+	Index int
+	Count int
+}
+
+// Name is the name under which the stripe is kept.
+func (s Stripe) Name() string {
+	return hex.EncodeToString(s.Key[:]) + "-" + strconv.Itoa(s.Index) + "-" + strconv.Itoa(s.Count)
+}
 
-// Lookup says for each key how many bytes the store has of it, zero for none.
-func (c *Client) Lookup(ctx context.Context, store netip.AddrPort, keys []rillreach.BlockKey) ([]int64, error) {
+// Lookup says for each stripe how many bytes the store has of it; those it does not have are left out.
+func (c *Client) Lookup(ctx context.Context, store netip.AddrPort, stripes []Stripe) (map[Stripe]int64, error) {
 	var ask LookupRequest
-	at := make(map[string]int, len(keys))
-	for i, key := range keys {
-		ask.Keys = append(ask.Keys, Name(key))
-		at[Name(key)] = i
+	named := make(map[string]Stripe, len(stripes))
+	for _, stripe := range stripes {
+		ask.Keys = append(ask.Keys, stripe.Name())
+		named[stripe.Name()] = stripe
 	}
 	body, err := json.Marshal(ask)
 	if err != nil {
@@ -73,23 +83,23 @@
 	if err := json.Unmarshal(data, &answer); err != nil {
 		return nil, errors.Wrap(err, "decode lookup")
 	}
-	sizes := make([]int64, len(keys))
+	sizes := make(map[Stripe]int64, len(answer.Held))
 	for _, held := range answer.Held {
-		if i, ok := at[held.Key]; ok {
-			sizes[i] = held.Bytes
+		if stripe, ok := named[held.Key]; ok {
+			sizes[stripe] = held.Bytes
 		}
 	}
 	return sizes, nil
 }
 
-// Read returns what a store has under a key; the caller has to check that it is whole.
-func (c *Client) Read(ctx context.Context, store netip.AddrPort, key rillreach.BlockKey) ([]byte, error) {
-	return c.call(ctx, http.MethodGet, store, PathBlocks+Name(key), nil)
+// Read returns what a store has of a stripe; the caller has to check that it is whole.
+func (c *Client) Read(ctx context.Context, store netip.AddrPort, stripe Stripe) ([]byte, error) {
+	return c.call(ctx, http.MethodGet, store, PathBlocks+stripe.Name(), nil)
 }
 
-// Write keeps sealed bytes under a key.
-func (c *Client) Write(ctx context.Context, store netip.AddrPort, key rillreach.BlockKey, sealed []byte) error {
-	_, err := c.call(ctx, http.MethodPut, store, PathBlocks+Name(key), sealed)
+// Write keeps the sealed bytes of a stripe.
+func (c *Client) Write(ctx context.Context, store netip.AddrPort, stripe Stripe, sealed []byte) error {
+	_, err := c.call(ctx, http.MethodPut, store, PathBlocks+stripe.Name(), sealed)
 	return err
 }
 
--- a/e2e/kept_test.go
+++ b/e2e/kept_test.go
@@ -225,3 +225,27 @@
 	assert.Zero(t, stats.Imports)
 	assert.Zero(t, stats.CachedTokens)
 }
+
+func TestStateIsSpreadOverTwoStores(t *testing.T) {
+	f := newKeptFleet(t, rillreach.SideOld)
+	second := start(t, "standin", "store", "--platform", f.platform, "--side", "old")
+	key := f.account("kigali", allOld("m"))
+	f.ready(key)
+	eventually(t, func() bool {
+		var status struct{ Members int }
+		get(t, "http://"+f.agents[rillreach.SideOld].address("operators")+"/status", &status)
+		return status.Members == 4
+	}, "agent knows both stores")
+	f.leave(key, history("orders"), rillreach.SideOld)
+	eventually(t, func() bool {
+		var counts store.Counts
+		get(t, "http://"+second.address("standin")+"/counts", &counts)
+		return counts.Writes > 0
+	}, "both stores have a stripe")
+	f.heard()
+	f.returnsWith(key, history("orders"), true)
+	f.forget(rillreach.SideOld)
+	f.heard()
+	second.kill()
+	f.returnsWith(key, history("orders"), false)
+}
--- a/e2e/operators_test.go
+++ b/e2e/operators_test.go
@@ -169,10 +169,10 @@
 		}
 	})
 	t.Run("an unknown variable is refused", func(t *testing.T) {
-		t.Setenv("RILLREACH_PLATFROM", "http://127.0.0.1:1")
+		t.Setenv("RILLREACH_PLATFORMS", "http://127.0.0.1:1")
 		_, errOut, code := runCommand(t, "", "table", "get")
 		assert.NotZero(t, code)
-		assert.Contains(t, errOut, "RILLREACH_PLATFROM")
+		assert.Contains(t, errOut, "RILLREACH_PLATFORMS")
 	})
 	t.Run("a variable sets what a flag would", func(t *testing.T) {
 		t.Setenv("RILLREACH_PLATFORM", "nowhere")
--- a/keep/envelope.go
+++ b/keep/envelope.go
@@ -20,8 +20,43 @@
 	// From and To are the tokens that the block covers.
 	From int `cbor:"4,keyasint"`
 	To   int `cbor:"5,keyasint"`
-	// Payload is the engine's.
+	// Payload is the engine's, or the part of it that a stripe holds.
 	Payload []byte `cbor:"6,keyasint"`
+	// Stripe and Stripes say which part of how many this is; a block that is in one piece is part 0 of 1.
+	Stripe  int `cbor:"7,keyasint"`
+	Stripes int `cbor:"8,keyasint"`
+}
+
+// Split divides a block into stripes, which are kept in as many stores and read at once.
+func (b Block) Split(count int) []Block {
+	stripes := make([]Block, count)
+	size := (len(b.Payload) + count - 1) / count
+	for i := range stripes {
+		stripes[i] = b
+		stripes[i].Stripe, stripes[i].Stripes = i, count
+		stripes[i].Payload = b.Payload[min(i*size, len(b.Payload)):min((i+1)*size, len(b.Payload))]
+	}
+	return stripes
+}
+
+// Join puts the stripes of one writing of a block together again.
+func Join(stripes []Block) (Block, error) {
+	if len(stripes) == 0 {
+		return Block{}, errors.Wrap(ErrNotWhole, "no stripes")
+	}
+	whole := stripes[0]
+	whole.Payload = nil
+	for i, s := range stripes {
+		if s.Stripe != i || s.Stripes != len(stripes) || !s.sameWriting(whole) {
+			return Block{}, errors.Wrap(ErrNotWhole, "stripes are not of one writing")
+		}
+		whole.Payload = append(whole.Payload, s.Payload...)
+	}
+	return whole, nil
+}
+
+func (b Block) sameWriting(other Block) bool {
+	return b.Key == other.Key && b.Parent == other.Parent && b.Generation == other.Generation && b.From == other.From && b.To == other.To
 }
 
 // ErrNotWhole says that what was read is not a block as it was sealed: cut short, overwritten, freed or another's.
--- a/keep/keep_test.go
+++ b/keep/keep_test.go
@@ -232,3 +232,26 @@
 	assert.Equal(t, VerdictSmall, small.Decide())
 	assert.Equal(t, VerdictNotWorth, unlikely.Decide())
 }
+
+// TestStripesJoin splits a block and puts it together again; stripes that are missing, out of order or of another
+// writing are refused.
+func TestStripesJoin(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		b := Block{Key: rillreach.BlockKey{1}, To: 5, Generation: "one", Payload: rapid.SliceOf(rapid.Byte()).Draw(rt, "payload")}
+		count := rapid.IntRange(1, 4).Draw(rt, "count")
+		stripes := b.Split(count)
+		whole, err := Join(stripes)
+		require.NoError(rt, err)
+		require.Equal(rt, string(b.Payload), string(whole.Payload))
+		if count == 1 {
+			return
+		}
+		at := rapid.IntRange(0, count-1).Draw(rt, "at")
+		_, err = Join(append(append([]Block{}, stripes[:at]...), stripes[at+1:]...))
+		require.ErrorIs(rt, err, ErrNotWhole)
+		other := append([]Block{}, stripes...)
+		other[at].Generation = "two"
+		_, err = Join(other)
+		require.ErrorIs(rt, err, ErrNotWhole)
+	})
+}
--- a/kept/ahead.go
+++ b/kept/ahead.go
@@ -28,33 +28,33 @@
 
 // copyTo copies a conversation's blocks from this side's stores to the other side's.
 func (k *Keeper) copyTo(ctx context.Context, to rillreach.Side, c conversation) {
-	from, target := k.storesOn(k.Self.Side, c.id), k.storesOn(to, c.id)
-	if len(from) == 0 || len(target) == 0 {
-		return
-	}
 	keys := make([]rillreach.BlockKey, len(c.chain))
 	for i, b := range c.chain {
 		keys[i] = b.key
 	}
-	there := k.lookup(ctx, target[0], keys)
-	for i, key := range keys {
-		if there.store != nil && there.sizes[i] > 0 {
+	here := k.findOn(ctx, k.storesOn(k.Self.Side, c.id), keys)
+	targets := k.storesOn(to, c.id)
+	if len(targets) == 0 || len(here.pieces) == 0 {
+		return
+	}
+	there := k.findOn(ctx, targets, keys)
+	for _, key := range keys {
+		if there.pieces[key] != nil || here.pieces[key] == nil {
 			continue
 		}
-		if err := k.copyBlock(ctx, from[0], target[0], key); err != nil {
-			k.Log.Info("state not copied ahead", "account", c.account, "chosen", target[0].ID, "cause", err.Error())
+		if err := k.copyBlock(ctx, here.pieces[key], targets); err != nil {
+			k.Log.Info("state not copied ahead", "account", c.account, "side", to, "cause", err.Error())
 			return
 		}
 		k.Stats.Copies.Add(1)
 	}
-	k.Log.Info("copy ahead", "decision", "copied", "account", c.account, "model", c.model, "side", to,
-		"chosen", target[0].ID, "blocks", len(keys))
+	k.Log.Info("copy ahead", "decision", "copied", "account", c.account, "model", c.model, "side", to, "blocks", len(keys))
 }
 
-func (k *Keeper) copyBlock(ctx context.Context, from, to *membership.Member, key rillreach.BlockKey) error {
-	b, err := k.read(ctx, from, key, int64(bytesPerToken))
+func (k *Keeper) copyBlock(ctx context.Context, from []piece, to []*membership.Member) error {
+	b, err := k.read(ctx, from)
 	if err != nil {
 		return err
 	}
-	return k.writeWhenFree(ctx, to, b)
+	return k.write(ctx, to, b)
 }
--- a/kept/export.go
+++ b/kept/export.go
@@ -45,7 +45,7 @@
 		Tokens:   d.Tokens - last.to,
 		Bytes:    int64(float64(d.Tokens-last.to) * perToken),
 		Chance:   chance,
-		LinkRate: k.linkTo(stores[0].ID).Rate(),
+		LinkRate: k.linkTo(stores[0].ID).Rate() * float64(len(stores)),
 	}
 	if verdict := question.Decide(); verdict != keep.VerdictExport {
 		return verdict, nil
@@ -60,7 +60,7 @@
 	b := keep.Block{
 		Key: key, Parent: last.key, Generation: uuid.NewString(), From: last.to, To: state.Tokens, Payload: state.Payload,
 	}
-	if err := k.writeWhenFree(ctx, stores[0], b); err != nil {
+	if err := k.write(ctx, stores, b); err != nil {
 		return "", err
 	}
 	k.Stats.Exports.Add(1)
--- a/kept/stores.go
+++ b/kept/stores.go
@@ -5,24 +5,26 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/blockstore"
 	"github.com/rillreach/rillreach/keep"
 	"github.com/rillreach/rillreach/membership"
 	"github.com/rillreach/rillreach/route"
 )
 
-// storesPerSide is how many stores of a side a conversation's state may be in: its home, and the next when the home
-// cannot be used.
-const storesPerSide = 2
-
-// busyRetry is the time between two tries to write over a link that reads are using.
-const busyRetry = 50 * time.Millisecond
+const (
+	// maxStripes is over how many stores of a side a conversation's state is spread: its home, and the next by rank.
+	maxStripes = 2
+	// busyRetry is the time between two tries to write over a link that reads are using.
+	busyRetry = 50 * time.Millisecond
+)
 
 // storesOn are the stores of a side for a conversation, the home first.
 func (k *Keeper) storesOn(side rillreach.Side, conversation uint64) []*membership.Member {
 	all := k.Members.Group(membership.Group{Role: rillreach.RoleStore, Side: side})
-	ranked := route.Rank(conversation, len(all), storesPerSide, func(i int) uint64 { return all[i].Place })
+	ranked := route.Rank(conversation, len(all), maxStripes, func(i int) uint64 { return all[i].Place })
 	stores := make([]*membership.Member, 0, ranked.Len())
 	for rank := range ranked.Len() {
 		m := all[ranked.At(rank)]
@@ -33,18 +35,42 @@
 	return stores
 }
 
-// read reads one block over a link, and checks that it is whole.
-func (k *Keeper) read(ctx context.Context, m *membership.Member, key rillreach.BlockKey, size int64) (keep.Block, error) {
-	link := k.linkTo(m.ID)
-	ctx, cancel := context.WithTimeout(ctx, link.Patience(size))
+// piece is a stripe and the store that has it.
+type piece struct {
+	stripe blockstore.Stripe
+	store  *membership.Member
+	bytes  int64
+}
+
+// read reads the pieces of one block at once, each over its own link, and puts them together.
+func (k *Keeper) read(ctx context.Context, pieces []piece) (keep.Block, error) {
+	stripes := make([]keep.Block, len(pieces))
+	group := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
+	for i, p := range pieces {
+		group.Go(func(ctx context.Context) error {
+			var err error
+			stripes[i], err = k.readPiece(ctx, p)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return keep.Block{}, err
+	}
+	return keep.Join(stripes)
+}
+
+// readPiece reads one stripe over a link, and checks that it is whole.
+func (k *Keeper) readPiece(ctx context.Context, p piece) (keep.Block, error) {
+	link := k.linkTo(p.store.ID)
+	ctx, cancel := context.WithTimeout(ctx, link.Patience(p.bytes))
 	defer cancel()
 	start := k.Clock.Now()
-	link.Begin(size)
-	data, err := k.Stores.Read(ctx, m.Address, key)
+	link.Begin(p.bytes)
+	data, err := k.Stores.Read(ctx, p.store.Address, p.stripe)
 	now := k.Clock.Now()
-	block, openErr := k.open(data, key, err)
+	block, openErr := k.open(data, p.stripe.Key, err)
 	healthy := openErr == nil || errors.Is(openErr, rillreach.ErrNotFound)
-	link.End(now, size, now.Sub(start), healthy)
+	link.End(now, p.bytes, now.Sub(start), healthy)
 	return block, openErr
 }
 
@@ -61,8 +87,33 @@
 	return block, err
 }
 
-// write writes one block over a link, if there is room for it beside the reads.
-func (k *Keeper) write(ctx context.Context, m *membership.Member, b keep.Block) error {
+// write writes a block over some stores, a stripe to each, as soon as their links have room beside the reads.
+func (k *Keeper) write(ctx context.Context, stores []*membership.Member, b keep.Block) error {
+	group := pool.New().WithContext(ctx).WithCancelOnError().WithFirstError()
+	for i, stripe := range b.Split(len(stores)) {
+		group.Go(func(ctx context.Context) error { return k.writeWhenFree(ctx, stores[i], stripe) })
+	}
+	return group.Wait()
+}
+
+// writeWhenFree writes a stripe as soon as its link has room.
+func (k *Keeper) writeWhenFree(ctx context.Context, to *membership.Member, b keep.Block) error {
+	for {
+		err := k.writePiece(ctx, to, b)
+		if !errors.Is(err, errLinkBusy) {
+			return err
+		}
+		timer := time.NewTimer(busyRetry)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C:
+		}
+	}
+}
+
+func (k *Keeper) writePiece(ctx context.Context, m *membership.Member, b keep.Block) error {
 	sealed, err := k.Sealer.Seal(b)
 	if err != nil {
 		return err
@@ -75,7 +126,7 @@
 	if !link.BeginLater(size) {
 		return errLinkBusy
 	}
-	err = k.Stores.Write(ctx, m.Address, b.Key, sealed)
+	err = k.Stores.Write(ctx, m.Address, blockstore.Stripe{Key: b.Key, Index: b.Stripe, Count: b.Stripes}, sealed)
 	now := k.Clock.Now()
 	link.EndLater(now, size, now.Sub(start), err == nil)
 	if err != nil {
@@ -91,23 +142,6 @@
 	errLinkDown = errors.New("link to the store is left alone after failures")
 )
 
-// writeWhenFree writes a block as soon as the link has room beside the reads.
-func (k *Keeper) writeWhenFree(ctx context.Context, to *membership.Member, b keep.Block) error {
-	for {
-		err := k.write(ctx, to, b)
-		if !errors.Is(err, errLinkBusy) {
-			return err
-		}
-		timer := time.NewTimer(busyRetry)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
-		case <-timer.C:
-		}
-	}
-}
-
 func otherSide(side rillreach.Side) rillreach.Side {
 	if side == rillreach.SideOld {
 		return rillreach.SideNew
