--- /dev/null
+++ b/bench/bounds_test.go
@@ -0,0 +1,231 @@
+package bench
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/bench/freshness"
+	"github.com/rillreach/rillreach/bench/policy"
+	"github.com/rillreach/rillreach/fleet"
+	"github.com/rillreach/rillreach/keep"
+	"github.com/rillreach/rillreach/limit"
+	"github.com/rillreach/rillreach/membership"
+	"github.com/rillreach/rillreach/peer"
+	"github.com/rillreach/rillreach/replicate"
+	"github.com/rillreach/rillreach/retry"
+	"github.com/rillreach/rillreach/route"
+	"github.com/rillreach/rillreach/table"
+)
+
+func TestBounds(t *testing.T) {
+	data, err := os.ReadFile("bounds.yaml")
+	require.NoError(t, err)
+	var bounds map[string]float64
+	require.NoError(t, yaml.Unmarshal(data, &bounds))
+	kigali, oja := results(policy.Kigali()), results(policy.Oja())
+	measured := map[string]float64{
+		"allocations_per_route":              routeAllocations(),
+		"bytes_per_resident_prompt":          bytesPer(2000, residentPrompts),
+		"bytes_per_row":                      bytesPer(2000, rows),
+		"bytes_per_instance":                 bytesPer(2000, instances),
+		"bytes_per_lease_renewal":            leaseBytes(t),
+		"pushes_per_node_and_change":         pushes(),
+		"watchers":                           watchers(),
+		"retries_per_failure_storm":          retries(),
+		"kigali_calm_p95_share_of_best":      kigali.shareOfBest("calm", true),
+		"kigali_calm_recomputed":             kigali.own("calm").Recomputed,
+		"oja_calm_recomputed":                oja.own("calm").Recomputed,
+		"oja_store_dead_recomputed":          oja.own("store dead").Recomputed,
+		"kigali_slow_link_p95_share_of_best": kigali.shareOfBest("links at a tenth", false),
+		"freshness_all_pushes_lost_seconds":  freshnessWithoutPushes(),
+	}
+	for name, bound := range bounds {
+		t.Run(name, func(t *testing.T) {
+			require.Contains(t, measured, name)
+			t.Logf("%g of %g", measured[name], bound)
+			assert.LessOrEqual(t, measured[name], bound)
+		})
+	}
+	assert.Len(t, measured, len(bounds))
+}
+
+// experiment is the results of the small workload of a deployment.
+type experiment []policy.Result
+
+func results(d policy.Deployment) experiment {
+	e := policy.Experiment{
+		Deployment: d.Small(), Seed: 1,
+		Scenarios: []policy.Scenario{policy.Calm(), policy.StoreDead(), policy.SlowLink()},
+		Policies:  append(policy.Baselines(), policy.Own{}),
+	}
+	return e.Run()
+}
+
+func (e experiment) own(scenario string) policy.Result {
+	for _, r := range e {
+		if r.Scenario == scenario && r.Policy == (policy.Own{}).Name() {
+			return r
+		}
+	}
+	return policy.Result{}
+}
+
+// shareOfBest is the own p95 as a share of the best baseline's, among those that keep state or those that do not.
+func (e experiment) shareOfBest(scenario string, keeping bool) float64 {
+	best := math.Inf(1)
+	for _, b := range policy.Baselines() {
+		for _, r := range e {
+			if r.Scenario == scenario && r.Policy == b.Name() && policy.Keeps(b) == keeping {
+				best = min(best, r.P95.Seconds())
+			}
+		}
+	}
+	return e.own(scenario).P95.Seconds() / best
+}
+
+func routeAllocations() float64 {
+	places := make([]uint64, 113)
+	for i := range places {
+		places[i] = uint64(i) * 0x9e3779b97f4a7c15
+	}
+	return testing.AllocsPerRun(100, func() {
+		ranked := route.Rank(42, len(places), 4, func(i int) uint64 { return places[i] })
+		var candidates [route.MaxRanked]route.Candidate
+		route.Choose(route.Question{Tokens: 1000}, candidates[:ranked.Len()])
+	})
+}
+
+func bytesPer(count int, build func(int) any) float64 {
+	before := inUse()
+	state := build(count)
+	after := inUse()
+	runtime.KeepAlive(state)
+	return float64(after-before) / float64(count)
+}
+
+func inUse() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+func residentPrompts(count int) any {
+	r := &keep.Resident{}
+	for i := range count {
+		r.Add(rillreach.BlockKey{byte(i), byte(i >> 8)}, "salt", 100)
+	}
+	return r
+}
+
+func rows(count int) any {
+	held := &table.Table{}
+	copied := replicate.NewCopy()
+	copied.Follow(rillreach.KindRow, func(o rillreach.Object) { held.Apply(o) }, nil)
+	delta := replicate.Delta{Snapshot: true, To: replicate.Mark{Kind: rillreach.KindRow, Version: uint64(count + 1)}}
+	for i := range count {
+		row := rillreach.Row{
+			Format: rillreach.RowFormat, Account: rillreach.AccountID(fmt.Sprint("account-", i/2)), Model: rillreach.ModelID(fmt.Sprint("m", i)),
+			Version: "v1", Weights: rillreach.Weights{Old: 100}, Objective: rillreach.ObjectiveRecompute,
+			Credentials: []rillreach.Credential{{Salt: make([]byte, 16), Hash: make([]byte, 32)}},
+		}
+		value, _ := json.Marshal(row)
+		delta.Objects = append(delta.Objects, rillreach.Object{Kind: rillreach.KindRow, Name: row.Name(), Version: uint64(i + 1), Value: value})
+	}
+	copied.Merge(delta)
+	return []any{held, copied}
+}
+
+func instances(count int) any {
+	members := membership.New()
+	for i := range count {
+		members.Announce(rillreach.Instance{
+			ID: rillreach.InstanceID(fmt.Sprintf("agent-%05d", i)), Role: rillreach.RoleAgent, Incarnation: "1", Side: rillreach.SideOld,
+			Address: netip.MustParseAddrPort("127.0.0.1:1"), Model: rillreach.ModelID(fmt.Sprint("m", i%37)), Versions: []rillreach.VersionID{"v1"},
+		})
+	}
+	return members
+}
+
+func leaseBytes(t *testing.T) float64 {
+	t.Helper()
+	const count = 20
+	var ask fleet.Ask
+	var leases fleet.Leases
+	for i := range count {
+		amounts := limit.Amounts{2.5, 1000, 3}
+		ask.Rows = append(ask.Rows, fleet.AskRow{Row: fmt.Sprintf("account-%d/model-%d/v1", i, i), Demand: amounts})
+		leases.Granted = append(leases.Granted, amounts)
+	}
+	asked, err := peer.Encode(ask)
+	require.NoError(t, err)
+	granted, err := peer.Encode(leases)
+	require.NoError(t, err)
+	return float64(len(asked)+len(granted)) / count
+}
+
+// nodes are a fleet of processes in 17 zones.
+func nodes(count int) []replicate.Node {
+	list := make([]replicate.Node, count)
+	for i := range list {
+		list[i] = replicate.Node{
+			ID: rillreach.InstanceID(fmt.Sprintf("n%05d", i)), Zone: rillreach.ZoneID(fmt.Sprint("z", i%17)), Entry: i%6 == 0, Usable: true,
+		}
+	}
+	return list
+}
+
+const planned = 1020
+
+func pushes() float64 {
+	total := 0
+	for _, plan := range replicate.MakePlans(nodes(planned), 1) {
+		total += len(plan.Children)
+	}
+	return float64(total) / planned
+}
+
+func watchers() float64 {
+	count := 0
+	for _, plan := range replicate.MakePlans(nodes(planned), 1) {
+		if plan.Watches {
+			count++
+		}
+	}
+	return float64(count)
+}
+
+// retries are those of 1,000 requests that all fail, after 200 that did not.
+func retries() float64 {
+	b := &retry.Budget{}
+	for range 200 {
+		b.Earn()
+	}
+	count := 0
+	failure := retry.Failure{Refusal: rillreach.NotRun(rillreach.ReasonOverload, ""), Attempt: 1}
+	for range 1000 {
+		if b.Decide(time.Time{}, failure) == retry.VerdictRetry {
+			count++
+		}
+	}
+	return float64(count)
+}
+
+func freshnessWithoutPushes() float64 {
+	r := freshness.Run(freshness.Setting{
+		Entries: 140, Agents: 700, Zones: 17, Lost: 1, Carried: true, RequestsPerSecond: 1200, DigestEvery: 2 * time.Second, Seed: 1,
+	})
+	return r.All.Seconds()
+}
--- a/bench/policy/policy.go
+++ b/bench/policy/policy.go
@@ -193,3 +193,6 @@
 	}
 	return list
 }
+
+// Keeps reports whether a baseline uses the stores.
+func Keeps(p Policy) bool { return p.exporting(keep.Export{}) }
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -48,6 +48,7 @@
 			newCertsCommand(),
 			newDemoCommand(),
 			newBenchCommand(),
+			newSettingsCommand(),
 		},
 	}
 }
--- a/replicate/tree.go
+++ b/replicate/tree.go
@@ -47,7 +47,24 @@
 	}
 	zone := nodes[at].Zone
 	near := inZone(nodes, zone)
-	watchers := chooseWatchers(zone, near)
+	return makePlan(self, nodes, zone, near, chooseWatchers(zone, near), turn)
+}
+
+// MakePlans computes the parts of all nodes.
+func MakePlans(nodes []Node, turn uint64) []Plan {
+	near, watchers := map[rillreach.ZoneID][]Node{}, map[rillreach.ZoneID][]rillreach.InstanceID{}
+	plans := make([]Plan, len(nodes))
+	for i, n := range nodes {
+		if near[n.Zone] == nil {
+			near[n.Zone] = inZone(nodes, n.Zone)
+			watchers[n.Zone] = chooseWatchers(n.Zone, near[n.Zone])
+		}
+		plans[i] = makePlan(n.ID, nodes, n.Zone, near[n.Zone], watchers[n.Zone], turn)
+	}
+	return plans
+}
+
+func makePlan(self rillreach.InstanceID, nodes []Node, zone rillreach.ZoneID, near []Node, watchers []rillreach.InstanceID, turn uint64) Plan {
 	return Plan{
 		Watches:  slices.Contains(watchers, self),
 		Children: children(self, near, watchers),
