--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -169,3 +169,11 @@
 	require.NoError(t, err)
 	return string(data)
 }
+
+// instances is how many instances the platform lists.
+func (f *testFleet) instances() int {
+	f.t.Helper()
+	var page rillreach.Page
+	get(f.t, f.platform+"/objects/instances", &page)
+	return len(page.Objects)
+}
