Replace watchers that are dead, and mend two tests

Cause: when both watchers of a zone died and the platform went on listing them, nobody watched for that zone, and a change reached it only by way of another zone, in a site of one zone never. Found through TestPeersNeedACertificate, whose third entry left the watching to two that had been killed; that test depended on the order in which Go ranges over a map. Ruled out: every stale process watching for itself, since in an outage all 5,030 would come to the platform at once. Change: a process whose copy nothing has confirmed for three watches' length asks its zone's watchers, and suspects those that do not answer, so that the next by rank take over. The entries of TestPeersNeedACertificate stop in order.

--- a/controller/spread/digest.go
+++ b/controller/spread/digest.go
@@ -25,6 +25,28 @@
 		if err := c.syncWith(ctx, id); err != nil {
 			c.Log.V(1).Info("marks not compared", "peer", id, "cause", err.Error())
 		}
+		if c.stale() {
+			c.lookAfterWatchers(ctx)
+		}
+	}
+}
+
+// stale reports whether nothing has confirmed the copy of the rows for longer than watchers that work would let pass.
+func (c *Controller) stale() bool {
+	return c.Clock.Now().UnixNano()-c.confirmed.Load() > int64(staleWatches*c.WatchWait)
+}
+
+// lookAfterWatchers suspects the zone's watchers that do not answer, so that others take their place. All processes of
+// the zone come to look when the watchers are gone; in an outage of the platform the watchers answer, and stay.
+func (c *Controller) lookAfterWatchers(ctx context.Context) {
+	for _, id := range c.currentPlan().Watchers {
+		if id == c.Self.ID || c.syncWith(ctx, id) == nil {
+			continue
+		}
+		if m := c.Members.Find(id); m != nil && ctx.Err() == nil {
+			m.Suspect(c.Clock.Now())
+			c.Log.Info("watcher out of reach", "peer", id)
+		}
 	}
 }
 
--- a/controller/spread/fleet_test.go
+++ b/controller/spread/fleet_test.go
@@ -127,6 +127,7 @@
 	platform *standin.Server
 	store    *platform.Client
 	network  *network
+	zones    int
 	nodes    []*node
 }
 
@@ -139,7 +140,12 @@
 
 func newFleet(tb testing.TB, count int) *testFleet {
 	tb.Helper()
-	f := &testFleet{t: tb, platform: standin.New(), network: newNetwork()}
+	return newFleetInZones(tb, count, zoneCount)
+}
+
+func newFleetInZones(tb testing.TB, count, zones int) *testFleet {
+	tb.Helper()
+	f := &testFleet{t: tb, platform: standin.New(), network: newNetwork(), zones: zones}
 	server := httptest.NewServer(f.platform)
 	tb.Cleanup(server.Close)
 	f.store = &platform.Client{Base: server.URL}
@@ -173,7 +179,7 @@
 		Side:        rillreach.SideOld,
 		Incarnation: rillreach.Incarnation(fmt.Sprintf("%03d", incarnation)),
 		Address:     listener.Addr().(*net.TCPAddr).AddrPort(),
-		Zone:        rillreach.ZoneID(fmt.Sprintf("z%d", i%zoneCount)),
+		Zone:        rillreach.ZoneID(fmt.Sprintf("z%d", i%f.zones)),
 		Model:       "m",
 	}
 }
--- a/controller/spread/spread.go
+++ b/controller/spread/spread.go
@@ -32,6 +32,8 @@
 	maxBackoff     = 5 * time.Second
 	redrawEvery    = 10 * time.Minute
 	planCheckEvery = 500 * time.Millisecond
+	// staleWatches is after how many watches' length without a confirmation the watchers are looked after.
+	staleWatches = 3
 )
 
 // Stats counts what the spreading has cost this process.
@@ -72,7 +74,9 @@
 	drawn   time.Time
 	turn    uint64
 	pushes  conc.WaitGroup
-	base    context.Context
+	// confirmed is when the copy of the rows was last confirmed to be all there is, by this process's clock.
+	confirmed atomic.Int64
+	base      context.Context
 }
 
 // Name is the controller's name.
@@ -91,6 +95,7 @@
 	c.setDefaults()
 	c.base = ctx
 	c.Members.Announce(c.Self)
+	c.confirmed.Store(c.Clock.Now().UnixNano())
 	c.bootstrap(ctx)
 	var wg conc.WaitGroup
 	for _, kind := range c.Copy.Kinds() {
@@ -181,6 +186,9 @@
 // merge takes a delta in and hands it on if it was new.
 func (c *Controller) merge(d replicate.Delta, from rillreach.InstanceID) replicate.Verdict {
 	verdict := c.Copy.Merge(d)
+	if d.To.Kind == rillreach.KindRow && (verdict == replicate.VerdictApplied || verdict == replicate.VerdictConfirmed) {
+		c.confirmed.Store(c.Clock.Now().UnixNano())
+	}
 	if verdict != replicate.VerdictApplied || d.Snapshot {
 		return verdict
 	}
--- a/controller/spread/spread_test.go
+++ b/controller/spread/spread_test.go
@@ -180,3 +180,21 @@
 		})
 	}
 }
+
+// TestDeadWatchersAreReplaced cuts off both watchers of the only zone, while the platform goes on listing them: another
+// process takes their place, and a change gets around.
+func TestDeadWatchersAreReplaced(t *testing.T) {
+	const count = 12
+	f := newFleetInZones(t, count, 1)
+	f.settled()
+	cut := 0
+	for _, n := range f.nodes {
+		if n.currentPlan().Watches {
+			f.network.cutOff(n.address.String())
+			n.gate.shut.Store(true)
+			cut++
+		}
+	}
+	assert.Equal(t, replicate.WatchersPerZone, cut)
+	f.awaitAll(f.write("row-1", "after the watchers' death"), count-cut)
+}
--- a/e2e/mixed_test.go
+++ b/e2e/mixed_test.go
@@ -235,6 +235,8 @@
 	body   string
 	ok     bool
 	notRun bool
+	// attempts are how the attempts ended.
+	attempts []string
 }
 
 func (f *mixedFleet) sendAll(t *testing.T, r *mixedReport) []outcome {
@@ -382,17 +384,18 @@
 		a, err := trySend(http.MethodPost, f.urlOf(try)+"/services/receipts/issue", f.keys[account], o.body, headers...)
 		if err == nil && a.status == http.StatusOK {
 			r.whole.Add(1)
-			o.ok = true
+			o.ok, o.notRun = true, false
 			return o
 		}
 		r.cause(a, err)
+		o.attempts = append(o.attempts, fmt.Sprint(a.body, err))
+		o.notRun = err == nil && a.header.Get(rillreach.HeaderOutcome) == string(rillreach.OutcomeNotRun)
 		if err == nil && identity == "" {
 			identity = a.header.Get(rillreach.HeaderTicket)
 		}
 		if isFinal(a, err, identity) {
 			break
 		}
-		o.notRun = err == nil && a.header.Get(rillreach.HeaderOutcome) == string(rillreach.OutcomeNotRun)
 		time.Sleep(50 * time.Millisecond)
 	}
 	if o.notRun {
@@ -429,6 +432,7 @@
 			r.doubled++
 		case o.notRun && runs[o.body] > 0:
 			r.refusedButRun++
+			t.Logf("refused as not run, but run: %s: %v", o.body, o.attempts)
 		case o.ok && runs[o.body] == 0:
 			r.answeredButNotRun++
 		}
--- a/e2e/operators_test.go
+++ b/e2e/operators_test.go
@@ -144,11 +144,14 @@
 		}
 	}
 	t.Run("an entry of the fleet is served", func(t *testing.T) {
-		serves(t, http.StatusOK, request(f.entry(tls("entry")...)))
+		entry := f.entry(tls("entry")...)
+		t.Cleanup(entry.stop)
+		serves(t, http.StatusOK, request(entry))
 	})
 	for name, more := range map[string][]string{"without a certificate": nil, "with an agent's certificate": tls("agent")} {
 		t.Run("an entry "+name+" is refused", func(t *testing.T) {
 			entry := f.entry(more...)
+			t.Cleanup(entry.stop) // else its record stays, and the next entry leaves the watching to it
 			var last answer
 			eventually(t, func() bool {
 				a, err := request(entry)()
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -25,6 +25,10 @@
 }
 
 func buildAndRun(m *testing.M) int {
+	// Without this a process built with the race detector waits a second before it exits.
+	if err := os.Setenv("GORACE", "atexit_sleep_ms=0"); err != nil {
+		return 1
+	}
 	dir, err := os.MkdirTemp("", "rillreach-e2e")
 	if err != nil {
 		return 1
@@ -155,6 +159,12 @@
 	<-p.exited
 }
 
+// stop asks the process to stop, and waits until it has.
+func (p *process) stop() {
+	p.signal(syscall.SIGTERM)
+	<-p.exited
+}
+
 // runCommand runs the binary to its end and returns its output and its exit code.
 func runCommand(tb testing.TB, input string, args ...string) (string, string, int) {
 	tb.Helper()
--- a/replicate/tree.go
+++ b/replicate/tree.go
@@ -31,8 +31,9 @@
 
 // Plan is one process's part in the spreading.
 type Plan struct {
-	// Watches says that the process watches the platform.
-	Watches bool
+	// Watches says that the process watches the platform, Watchers are all that do so in its zone.
+	Watches  bool
+	Watchers []rillreach.InstanceID
 	// Children are the processes to which it sends changes.
 	Children []rillreach.InstanceID
 	// Partners are the processes with which it compares marks.
@@ -67,6 +68,7 @@
 func makePlan(self rillreach.InstanceID, nodes []Node, zone rillreach.ZoneID, near []Node, watchers []rillreach.InstanceID, turn uint64) Plan {
 	return Plan{
 		Watches:  slices.Contains(watchers, self),
+		Watchers: watchers,
 		Children: children(self, near, watchers),
 		Partners: partners(self, nodes, zone, turn),
 	}
