Read as a newcomer would: one way to wait, one loop over agents, nothing unused

Cause: the same waiting stood in eight places and the loop over agents in two; methods, kinds and verdicts that nobody used promised what is not there; a comment named a thing wrongly.

--- a/agent/load.go
+++ b/agent/load.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rillreach/rillreach/internal/pause"
+
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/membership"
 	"github.com/rillreach/rillreach/node"
@@ -42,16 +44,9 @@
 
 // Run reads the report until the context ends.
 func (w *loadWatcher) Run(ctx context.Context) error {
-	ticker := time.NewTicker(loadEvery)
-	defer ticker.Stop()
-	for {
-		w.read(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+	w.read(ctx)
+	pause.Every(ctx, loadEvery, w.read)
+	return nil
 }
 
 func (w *loadWatcher) read(ctx context.Context) {
--- a/agent/slots.go
+++ b/agent/slots.go
@@ -27,7 +27,7 @@
 	turnLate
 )
 
-// ticket is one request's place in the queue.
+// place is one request's place in the queue.
 type place struct {
 	slots    *slots
 	id       uint64
--- a/cmd/bench.go
+++ b/cmd/bench.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"path/filepath"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 
@@ -27,6 +29,7 @@
 			&cli.StringFlag{Name: "deployment", Value: allDeployments, Usage: "kigali, oja or all"},
 			&cli.UintFlag{Name: "seed", Value: 1, Usage: "seed of the workload"},
 			&cli.BoolFlag{Name: "calm", Usage: "only the scenario in which nothing goes wrong"},
+			&cli.StringFlag{Name: "plot", Usage: "file for a plot of the calm scenario, one for each deployment: its name is put before the ending"},
 		},
 		Action: runBenchPolicy,
 	}
@@ -53,9 +56,22 @@
 			Scenarios:  scenarios,
 			Policies:   append(policy.Baselines(), policy.Own{Stripes: 1}, policy.Own{}, policy.Perfect{}),
 		}
-		if err := policy.WriteTable(c.Root().Writer, d.Name, experiment.Run()); err != nil {
+		results := experiment.Run()
+		if err := policy.WriteTable(c.Root().Writer, d.Name, results); err != nil {
+			return err
+		}
+		if err := writePlot(c.String("plot"), d.Name, results); err != nil {
 			return err
 		}
 	}
 	return nil
 }
+
+// writePlot draws the calm scenario where a file is asked for.
+func writePlot(path, deployment string, results []policy.Result) error {
+	if path == "" {
+		return nil
+	}
+	ending := filepath.Ext(path)
+	return policy.WritePlot(strings.TrimSuffix(path, ending)+"-"+deployment+ending, deployment, policy.Calm().Name, results)
+}
--- a/cmd/table_set.go
+++ b/cmd/table_set.go
@@ -32,15 +32,10 @@
 }
 
 func runTableSet(ctx context.Context, c *cli.Command) error {
-	client, err := tableClient(c)
+	editor, name, err := rowEditor(c)
 	if err != nil {
 		return err
 	}
-	name, err := rowNameOf(c)
-	if err != nil {
-		return codedError{error: err, code: ExitUsage}
-	}
-	editor := &edit.Editor{Store: client}
 	row, version, err := editor.Read(ctx, strings.Join(name, "/"))
 	if err != nil {
 		return err
@@ -57,6 +52,19 @@
 	return nil
 }
 
+// rowEditor makes the editor for the row that a command names.
+func rowEditor(c *cli.Command) (*edit.Editor, []string, error) {
+	client, err := tableClient(c)
+	if err != nil {
+		return nil, nil, err
+	}
+	name, err := rowNameOf(c)
+	if err != nil {
+		return nil, nil, codedError{error: err, code: ExitUsage}
+	}
+	return &edit.Editor{Store: client}, name, nil
+}
+
 const rowNameParts = 3
 
 func rowNameOf(c *cli.Command) ([]string, error) {
--- a/cmd/table_shift.go
+++ b/cmd/table_shift.go
@@ -33,18 +33,13 @@
 }
 
 func runTableShift(ctx context.Context, c *cli.Command) error {
-	client, err := tableClient(c)
+	editor, name, err := rowEditor(c)
 	if err != nil {
 		return err
 	}
-	name, err := rowNameOf(c)
-	if err != nil {
-		return codedError{error: err, code: ExitUsage}
-	}
 	if err := checkShift(c); err != nil {
 		return codedError{error: err, code: ExitUsage}
 	}
-	editor := &edit.Editor{Store: client}
 	for {
 		done, err := shiftOnce(ctx, c, editor, strings.Join(name, "/"))
 		if err != nil {
--- a/controller/epochs/epochs.go
+++ b/controller/epochs/epochs.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/rillreach/rillreach/internal/pause"
+
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
@@ -55,16 +57,8 @@
 	if c.Every == 0 {
 		c.Every = DefaultEvery
 	}
-	ticker := time.NewTicker(c.Every)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			c.round(ctx)
-		}
-	}
+	pause.Every(ctx, c.Every, c.round)
+	return nil
 }
 
 func (c *Controller) round(ctx context.Context) {
--- a/controller/lease/lease.go
+++ b/controller/lease/lease.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/rillreach/rillreach/internal/pause"
+
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
@@ -67,17 +69,11 @@
 // Run renews the leases until the context ends.
 func (c *Controller) Run(ctx context.Context) error {
 	c.tidy()
-	ticker := time.NewTicker(limit.RenewEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			c.renew(ctx, c.inUse())
-			c.tidy()
-		}
-	}
+	pause.Every(ctx, limit.RenewEvery, func(ctx context.Context) {
+		c.renew(ctx, c.inUse())
+		c.tidy()
+	})
+	return nil
 }
 
 // Admit decides on a request of a row, and returns what has to be called when the request has ended. A request that
--- a/controller/probe/probe.go
+++ b/controller/probe/probe.go
@@ -6,6 +6,8 @@
 	"context"
 	"time"
 
+	"github.com/rillreach/rillreach/internal/pause"
+
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
 
@@ -37,16 +39,8 @@
 
 // Run probes until the context ends.
 func (c *Controller) Run(ctx context.Context) error {
-	ticker := time.NewTicker(every)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			c.round(ctx)
-		}
-	}
+	pause.Every(ctx, every, c.round)
+	return nil
 }
 
 func (c *Controller) round(ctx context.Context) {
--- a/controller/register/register.go
+++ b/controller/register/register.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/rillreach/rillreach/internal/pause"
+
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
@@ -49,7 +51,7 @@
 			break
 		}
 		c.Log.V(1).Info("not registered yet", "cause", err.Error())
-		wait(ctx, retryEvery/2+rand.N(retryEvery))
+		pause.For(ctx, retryEvery/2+rand.N(retryEvery))
 	}
 	<-ctx.Done()
 	return nil
@@ -107,12 +109,3 @@
 	}
 	return object.Version, nil
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/controller/spread/digest.go
+++ b/controller/spread/digest.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 
+	"github.com/rillreach/rillreach/internal/pause"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/rillreach/rillreach"
@@ -16,7 +18,7 @@
 // digestAll compares marks with one partner after another.
 func (c *Controller) digestAll(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, jitter(c.DigestEvery))
+		pause.For(ctx, jitter(c.DigestEvery))
 		partners := c.currentPlan().Partners
 		if len(partners) == 0 || ctx.Err() != nil {
 			continue
--- a/controller/spread/spread.go
+++ b/controller/spread/spread.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rillreach/rillreach/internal/pause"
+
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
@@ -134,17 +136,17 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		if !c.currentPlan().Watches {
-			pause(ctx, planCheckEvery)
+			pause.For(ctx, planCheckEvery)
 			continue
 		}
 		if err := c.watch(ctx, kind); err != nil {
 			c.Log.V(1).Info("watch failed", "kind", kind, "cause", err.Error())
-			pause(ctx, jitter(backoff))
+			pause.For(ctx, jitter(backoff))
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
 		backoff = minBackoff
-		pause(ctx, watchGap)
+		pause.For(ctx, watchGap)
 	}
 }
 
@@ -240,15 +242,6 @@
 	return fleet.Noted{}, nil
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func jitter(wait time.Duration) time.Duration {
 	return wait/2 + rand.N(wait)
 }
--- a/edit/edit.go
+++ b/edit/edit.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/rillreach/rillreach/internal/pause"
+
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
@@ -118,10 +120,5 @@
 	if wait == 0 {
 		wait = readBackPause
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	pause.For(ctx, wait)
 }
--- a/filter/dispatch/attempt.go
+++ b/filter/dispatch/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -139,13 +138,3 @@
 		}
 	}
 }
-
-// waitFor is the time between two attempts at the same owner.
-func waitFor(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/filter/dispatch/dispatch.go
+++ b/filter/dispatch/dispatch.go
@@ -53,17 +53,26 @@
 	return time.Now().Add(x.Request.Deadline.Sub(f.Node.Clock.Now()))
 }
 
-// runRepeatable tries agents until one has answered or no further attempt is allowed.
+// runRepeatable has a request answered that may run more than once.
 func (f *Filter) runRepeatable(ctx context.Context, x *rillreach.Exchange) error {
+	return f.tryAgents(ctx, x, func(m *membership.Member, attempt int) error {
+		err := f.attempt(ctx, x, m, f.message(x, attempt))
+		if err == nil {
+			f.Budget.Earn()
+		}
+		return err
+	})
+}
+
+// tryAgents tries one agent after another until one has answered or no further attempt is allowed.
+func (f *Filter) tryAgents(ctx context.Context, x *rillreach.Exchange, try func(m *membership.Member, attempt int) error) error {
 	var tried []rillreach.InstanceID
 	for attempt := 1; ; attempt++ {
 		m, err := f.choose(x, tried, attempt)
 		if err != nil {
 			return err
 		}
-		err = f.attempt(ctx, x, m, f.message(x, attempt))
-		if err == nil {
-			f.Budget.Earn()
+		if err = try(m, attempt); err == nil {
 			return nil
 		}
 		tried = append(tried, m.ID)
--- a/filter/dispatch/once.go
+++ b/filter/dispatch/once.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rillreach/rillreach/internal/pause"
+
 	"github.com/google/uuid"
 
 	"github.com/rillreach/rillreach"
@@ -34,28 +36,13 @@
 // runFresh mints a ticket for a request without an identity and hands it to the caller with whatever the answer is. As
 // long as nobody has been sent the ticket's request, another ticket may take its place.
 func (f *Filter) runFresh(ctx context.Context, x *rillreach.Exchange) error {
-	var tried []rillreach.InstanceID
-	for attempt := 1; ; attempt++ {
-		m, err := f.choose(x, tried, attempt)
-		if err != nil {
-			return err
-		}
+	return f.tryAgents(ctx, x, func(m *membership.Member, _ int) error {
 		ticket, err := f.Mint(x.Request.Account, x.Request.Service, m)
 		if err != nil {
 			return err
 		}
-		err = f.runWithTicket(ctx, x, m, ticket)
-		if err == nil {
-			return nil
-		}
-		tried = append(tried, m.ID)
-		refusal := asRefusal(err)
-		verdict := f.decide(ctx, x, refusal, attempt)
-		f.logAttempt(x, m, attempt, refusal, verdict)
-		if verdict != retry.VerdictRetry {
-			return refusal
-		}
-	}
+		return f.runWithTicket(ctx, x, m, ticket)
+	})
 }
 
 // runWithTicket sends a request with a ticket that nobody else has been sent yet.
@@ -100,7 +87,7 @@
 		if refusal.Owner || refusal.Reason != rillreach.ReasonCut || x.Began || ctx.Err() != nil || !f.Budget.Spend() {
 			break
 		}
-		waitFor(ctx, sameOwnerPause)
+		pause.For(ctx, sameOwnerPause)
 	}
 	return refusal, unknown
 }
--- a/keep/worth.go
+++ b/keep/worth.go
@@ -29,16 +29,14 @@
 
 // The verdicts on kept state.
 const (
-	VerdictImport    Verdict = "import"
-	VerdictCached    Verdict = "cached"
-	VerdictNothing   Verdict = "nothing-kept"
-	VerdictFaster    Verdict = "recompute-is-faster"
-	VerdictExport    Verdict = "export"
-	VerdictSmall     Verdict = "too-small"
-	VerdictNotWorth  Verdict = "return-unlikely"
-	VerdictBusy      Verdict = "link-busy"
-	VerdictKeptLong  Verdict = "already-kept"
-	VerdictOverLimit Verdict = "over-limit"
+	VerdictImport   Verdict = "import"
+	VerdictCached   Verdict = "cached"
+	VerdictNothing  Verdict = "nothing-kept"
+	VerdictFaster   Verdict = "recompute-is-faster"
+	VerdictExport   Verdict = "export"
+	VerdictSmall    Verdict = "too-small"
+	VerdictNotWorth Verdict = "return-unlikely"
+	VerdictKeptLong Verdict = "already-kept"
 )
 
 const (
--- a/kept/keeper.go
+++ b/kept/keeper.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rillreach/rillreach/internal/pause"
+
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
 
@@ -130,23 +132,18 @@
 }
 
 func (k *Keeper) follow(ctx context.Context) {
-	ticker := time.NewTicker(eventsEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		page, err := k.Events.Events(ctx, k.resident.Next())
-		if err != nil {
-			k.Log.V(1).Info("cache events not read", "cause", err.Error())
-			continue
-		}
-		k.resident.Take(page)
-		if len(page.Events) > 0 {
-			k.Log.Info("cache events", "count", len(page.Events), "next", page.Next)
-		}
+	pause.Every(ctx, eventsEvery, k.readEvents)
+}
+
+func (k *Keeper) readEvents(ctx context.Context) {
+	page, err := k.Events.Events(ctx, k.resident.Next())
+	if err != nil {
+		k.Log.V(1).Info("cache events not read", "cause", err.Error())
+		return
+	}
+	k.resident.Take(page)
+	if len(page.Events) > 0 {
+		k.Log.Info("cache events", "count", len(page.Events), "next", page.Next)
 	}
 }
 
--- a/kept/stores.go
+++ b/kept/stores.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rillreach/rillreach/internal/pause"
+
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/pool"
 
@@ -103,12 +105,9 @@
 		if !errors.Is(err, errLinkBusy) {
 			return err
 		}
-		timer := time.NewTimer(busyRetry)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		pause.For(ctx, busyRetry)
+		if ctx.Err() != nil {
 			return ctx.Err()
-		case <-timer.C:
 		}
 	}
 }
--- a/object.go
+++ b/object.go
@@ -17,8 +17,6 @@
 	KindInstance Kind = "instances"
 	// KindOwners is the kind of the maps that say which agent owns a caller's key.
 	KindOwners Kind = "owners"
-	// KindFence is the kind of the leases that fence orders to backend servers.
-	KindFence Kind = "fences"
 )
 
 // Object is one versioned value; Version grows with every change in the whole store and is never used twice.
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -36,10 +36,8 @@
 	MethodSync
 	MethodLease
 	MethodNotice
-	MethodFind
 	MethodStatus
-	MethodResume
-	maxMethod = MethodResume
+	maxMethod = MethodStatus
 )
 
 // Frame is the unit of traffic on a connection.
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rillreach/rillreach/internal/pause"
+
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 	"github.com/go-logr/logr"
@@ -86,16 +88,8 @@
 
 // Run closes connections that have been idle for long, until the context ends.
 func (p *Pool) Run(ctx context.Context) error {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			p.sweep(now)
-		}
-	}
+	pause.Every(ctx, sweepEvery, func(context.Context) { p.sweep(time.Now()) })
+	return nil
 }
 
 // Get returns the connection to a peer and dials it when there is none.
--- a/route/choose.go
+++ b/route/choose.go
@@ -94,7 +94,7 @@
 func Estimate(q Question, c *Candidate) Choice {
 	plain := estimate(q, c, c.Cached, 0)
 	if c.Kept <= c.Cached {
-		plain.Reason = reasonWithoutImport(q, c)
+		plain.Reason = reasonWithoutImport(c)
 		return plain
 	}
 	imported := estimate(q, c, c.Kept, c.ImportTime)
@@ -103,7 +103,7 @@
 	if score(q, imported) < score(q, plain) {
 		return imported
 	}
-	plain.Reason = reasonWithoutImport(q, c)
+	plain.Reason = reasonWithoutImport(c)
 	return plain
 }
 
@@ -117,7 +117,7 @@
 	return Choice{Start: max(c.Wait, delay) + prefill, Recomputed: computed}
 }
 
-func reasonWithoutImport(_ Question, c *Candidate) Reason {
+func reasonWithoutImport(c *Candidate) Reason {
 	switch {
 	case c.Cached > 0:
 		return ReasonCached
