Have the shift's test wait for the agents that it counts

Ruled out: a fault of the count itself; a process that is not listed yet learns the newest rows before it serves. Change: the test waits until the entry knows both agents; what it expects stays as it was.

--- a/e2e/operators_test.go
+++ b/e2e/operators_test.go
@@ -89,13 +89,18 @@
 	entry := f.entry()
 	operators := "http://" + entry.address("operators")
 	eventually(t, func() bool {
-		resp, err := http.Get(operators + "/readyz")
+		resp, err := http.Get(operators + "/status")
 		if err != nil {
 			return false
 		}
+		var status struct {
+			Ready   bool
+			Members int
+		}
+		err = json.NewDecoder(resp.Body).Decode(&status)
 		_ = resp.Body.Close()
-		return resp.StatusCode == http.StatusOK
-	}, "entry is ready")
+		return err == nil && status.Ready && status.Members == 3
+	}, "entry is ready and knows both agents")
 	out, errOut, code := runCommand(t, "", "table", "shift", "--platform", f.platform, "--operators", operators, "--step", "50", "kigali/m/v1")
 	require.Zero(t, code, errOut)
 	assert.Contains(t, out, "old 50, new 50, in force at 3 processes")
