Take out what could never run, and put imports in their groups

Ruled out: merging the two short event queues of the benchmarks, and the constructors of two stand-ins, whose handlers differ. Before and after: go vet, lint and go test -count=1 ./... pass (the removal of the field and of Owners.Known after that run was followed by the packages concerned, and by four of the tests over separate processes under the race detector).

--- a/agent/load.go
+++ b/agent/load.go
@@ -5,9 +5,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rillreach/rillreach/internal/pause"
-
 	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/membership"
 	"github.com/rillreach/rillreach/node"
 )
--- a/controller/epochs/epochs.go
+++ b/controller/epochs/epochs.go
@@ -9,13 +9,12 @@
 	"strings"
 	"time"
 
-	"github.com/rillreach/rillreach/internal/pause"
-
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/internal/hash"
+	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/membership"
 	"github.com/rillreach/rillreach/once"
 )
--- a/controller/lease/lease.go
+++ b/controller/lease/lease.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/rillreach/rillreach/internal/pause"
-
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
@@ -15,6 +13,7 @@
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/fleet"
 	"github.com/rillreach/rillreach/internal/hash"
+	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/limit"
 	"github.com/rillreach/rillreach/membership"
 	"github.com/rillreach/rillreach/peer"
--- a/controller/probe/probe.go
+++ b/controller/probe/probe.go
@@ -6,13 +6,12 @@
 	"context"
 	"time"
 
-	"github.com/rillreach/rillreach/internal/pause"
-
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/fleet"
+	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/membership"
 	"github.com/rillreach/rillreach/peer"
 )
--- a/controller/register/register.go
+++ b/controller/register/register.go
@@ -7,12 +7,11 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/rillreach/rillreach/internal/pause"
-
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
 	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/internal/pause"
 )
 
 const (
--- a/controller/spread/digest.go
+++ b/controller/spread/digest.go
@@ -4,12 +4,11 @@
 	"context"
 	"math/rand/v2"
 
-	"github.com/rillreach/rillreach/internal/pause"
-
 	"github.com/cockroachdb/errors"
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/fleet"
+	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/membership"
 	"github.com/rillreach/rillreach/peer"
 	"github.com/rillreach/rillreach/replicate"
--- a/controller/spread/spread.go
+++ b/controller/spread/spread.go
@@ -7,14 +7,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rillreach/rillreach/internal/pause"
-
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/fleet"
+	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/membership"
 	"github.com/rillreach/rillreach/peer"
 	"github.com/rillreach/rillreach/replicate"
--- a/edit/edit.go
+++ b/edit/edit.go
@@ -6,12 +6,11 @@
 	"fmt"
 	"time"
 
-	"github.com/rillreach/rillreach/internal/pause"
-
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/internal/pause"
 )
 
 const (
--- a/filter/dispatch/attempt.go
+++ b/filter/dispatch/attempt.go
@@ -22,7 +22,6 @@
 		Attempt:      attempt,
 		Account:      req.Account,
 		Objective:    req.Row.Objective,
-		KeptBytes:    req.Row.Limits.KeptBytes,
 		Service:      req.Service,
 		Method:       req.Method,
 		Path:         req.Path,
--- a/filter/dispatch/once.go
+++ b/filter/dispatch/once.go
@@ -4,11 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/rillreach/rillreach/internal/pause"
-
 	"github.com/google/uuid"
 
 	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/membership"
 	"github.com/rillreach/rillreach/once"
 	"github.com/rillreach/rillreach/retry"
--- a/fleet/dispatch.go
+++ b/fleet/dispatch.go
@@ -17,7 +17,6 @@
 	Model        rillreach.ModelID    `cbor:"4,keyasint,omitempty"`
 	Version      rillreach.VersionID  `cbor:"5,keyasint,omitempty"`
 	Objective    rillreach.Objective  `cbor:"6,keyasint,omitempty"`
-	KeptBytes    int64                `cbor:"7,keyasint,omitempty"`
 	Service      rillreach.ServiceID  `cbor:"8,keyasint,omitempty"`
 	Method       string               `cbor:"9,keyasint"`
 	Path         string               `cbor:"10,keyasint"`
--- a/kept/keeper.go
+++ b/kept/keeper.go
@@ -5,14 +5,13 @@
 	"sync"
 	"time"
 
-	"github.com/rillreach/rillreach/internal/pause"
-
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/blockstore"
 	"github.com/rillreach/rillreach/fleet"
+	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/keep"
 	"github.com/rillreach/rillreach/membership"
 )
@@ -97,14 +96,9 @@
 	k.mu.Lock()
 	k.recent.answered(k.Clock.Now(), d)
 	k.mu.Unlock()
-	if d.KeptBytes != noKeeping {
-		k.later(func(ctx context.Context) { k.export(ctx, d) })
-	}
+	k.later(func(ctx context.Context) { k.export(ctx, d) })
 }
 
-// noKeeping is the limit of kept bytes under which nothing is kept.
-const noKeeping = -1
-
 // later has work done in the background, unless there is too much of it already.
 func (k *Keeper) later(job func(context.Context)) {
 	select {
--- a/kept/stores.go
+++ b/kept/stores.go
@@ -4,13 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/rillreach/rillreach/internal/pause"
-
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/blockstore"
+	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/keep"
 	"github.com/rillreach/rillreach/membership"
 	"github.com/rillreach/rillreach/route"
--- a/once/owners.go
+++ b/once/owners.go
@@ -106,13 +106,6 @@
 	}
 }
 
-// Known is the time up to which everything recorded has been applied.
-func (o *Owners) Known() time.Time {
-	o.mu.RLock()
-	defer o.mu.RUnlock()
-	return o.known
-}
-
 // Newest returns the highest number seen for a service, and the valid epoch with the latest time.
 func (o *Owners) Newest(service rillreach.ServiceID) (uint64, Epoch) {
 	o.mu.RLock()
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -10,14 +10,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rillreach/rillreach/internal/pause"
-
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/singleflight"
 
 	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/internal/pause"
 )
 
 const (
