--- a/cmd/node.go
+++ b/cmd/node.go
@@ -12,7 +12,7 @@
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/controller/spread"
 	"github.com/rillreach/rillreach/node"
-	"github.com/rillreach/rillreach/platform"
+	"github.com/rillreach/rillreach/objectstore"
 	"github.com/rillreach/rillreach/settings"
 	"github.com/rillreach/rillreach/telemetry"
 )
@@ -74,7 +74,7 @@
 	log.Info("listening", "for", "peers", "address", self.Address)
 	return &node.Node{
 		Self:        self,
-		Store:       &platform.Client{Base: s.platform},
+		Store:       &objectstore.Client{Base: s.platform},
 		TLS:         certificates,
 		Metrics:     metrics,
 		Listener:    listener,
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -49,6 +49,7 @@
 			newDemoCommand(),
 			newBenchCommand(),
 			newSettingsCommand(),
+			newPlatformCommand(),
 		},
 	}
 }
--- a/cmd/table.go
+++ b/cmd/table.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/urfave/cli/v3"
 
-	"github.com/rillreach/rillreach/platform"
+	"github.com/rillreach/rillreach/objectstore"
 	"github.com/rillreach/rillreach/settings"
 )
 
@@ -32,12 +32,12 @@
 }
 
 // tableClient makes the client that edits the table.
-func tableClient(c *cli.Command) (*platform.Client, error) {
+func tableClient(c *cli.Command) (*objectstore.Client, error) {
 	var faults settings.Faults
 	base := faults.URL("platform", c.String("platform"))
 	faults.OneOf("output", c.String("output"), outputTable, outputJSON, outputYAML)
 	if err := faults.Err(); err != nil {
 		return nil, codedError{error: err, code: ExitUsage}
 	}
-	return &platform.Client{Base: base}, nil
+	return &objectstore.Client{Base: base}, nil
 }
--- a/cmd/table_status.go
+++ b/cmd/table_status.go
@@ -14,7 +14,7 @@
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/fleet"
-	"github.com/rillreach/rillreach/platform"
+	"github.com/rillreach/rillreach/objectstore"
 )
 
 const (
@@ -102,7 +102,7 @@
 }
 
 // newestRow is the version of the row that was changed last.
-func newestRow(ctx context.Context, client *platform.Client) (uint64, error) {
+func newestRow(ctx context.Context, client *objectstore.Client) (uint64, error) {
 	page, err := client.List(ctx, rillreach.KindRow)
 	if err != nil {
 		return 0, err
--- /dev/null
+++ b/controller/follow/follow.go
@@ -0,0 +1,135 @@
+// Package follow keeps a local copy of one kind of objects in step with its source: it lists once, then watches, and lists
+// again when the history is gone.
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/rillreach/rillreach"
+)
+
+const (
+	// firstPause and mostPause bound the pause after a failed call; the store answers again within some tens of
+	// milliseconds of its return, and each call is paid for.
+	firstPause = 100 * time.Millisecond
+	mostPause  = 400 * time.Millisecond
+)
+
+// Controller follows one kind of objects; exported fields are set before Run.
+type Controller[T any] struct {
+	// Kind names the objects in logs.
+	Kind string
+	// Source gives the objects.
+	Source rillreach.Source[T]
+	// Wait is how long one watch waits for a change.
+	Wait time.Duration
+	// Gather is how long to pause between watches, so that changes in quick succession cost one call; zero means none.
+	Gather time.Duration
+	// Log takes the source's loss and return.
+	Log logr.Logger
+	// Listed takes all objects after each list; returned is when the source last came back, zero where it never was lost.
+	Listed func(all []rillreach.Update[T], returned time.Time)
+	// Changed takes one change; returned is as with Listed.
+	Changed func(change rillreach.Update[T], returned time.Time)
+	// Confirmed is called after each answer; it may be nil.
+	Confirmed func()
+
+	lostAt   time.Time
+	returned time.Time
+}
+
+// Name is the controller's name.
+func (c *Controller[T]) Name() string { return "follow-" + c.Kind }
+
+// Run follows the objects until the context ends.
+func (c *Controller[T]) Run(ctx context.Context) error {
+	pause := firstPause
+	var revision uint64
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if listed {
+			revision, err = c.watch(ctx, revision)
+		} else {
+			revision, err = c.list(ctx)
+		}
+		switch {
+		case err == nil:
+			listed = true
+			pause = firstPause
+			sleep(ctx, c.Gather)
+		case errors.Is(err, rillreach.ErrHistoryGone):
+			c.Log.Info("history is gone, listing again", "decision", "list-again", "kind", c.Kind, "revision", revision)
+			listed = false
+		default:
+			c.lost(ctx, err)
+			sleep(ctx, pause)
+			pause = min(2*pause, mostPause)
+		}
+	}
+	return nil
+}
+
+func (c *Controller[T]) list(ctx context.Context) (uint64, error) {
+	all, revision, err := c.Source.List(ctx)
+	if err != nil {
+		return 0, err
+	}
+	c.regain()
+	c.Listed(all, c.returned)
+	c.confirm()
+	return revision, nil
+}
+
+func (c *Controller[T]) watch(ctx context.Context, from uint64) (uint64, error) {
+	changes, revision, err := c.Source.Watch(ctx, from, c.Wait)
+	if err != nil {
+		return from, err
+	}
+	c.regain()
+	for _, change := range changes {
+		c.Changed(change, c.returned)
+	}
+	c.confirm()
+	return revision, nil
+}
+
+func (c *Controller[T]) confirm() {
+	if c.Confirmed != nil {
+		c.Confirmed()
+	}
+}
+
+func (c *Controller[T]) lost(ctx context.Context, err error) {
+	if !c.lostAt.IsZero() || ctx.Err() != nil {
+		return
+	}
+	c.lostAt = time.Now()
+	c.Log.Error(err, "dependency lost", "dependency", "object-store", "kind", c.Kind)
+}
+
+// regain ends the state of a lost source.
+func (c *Controller[T]) regain() {
+	if c.lostAt.IsZero() {
+		return
+	}
+	c.returned = time.Now()
+	c.Log.Info("dependency regained", "dependency", "object-store", "kind", c.Kind, "outage", c.returned.Sub(c.lostAt).String())
+	c.lostAt = time.Time{}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/controller/spread/fleet_test.go
+++ b/controller/spread/fleet_test.go
@@ -20,7 +20,7 @@
 	standin "github.com/rillreach/rillreach/internal/standin/platform"
 	"github.com/rillreach/rillreach/membership"
 	"github.com/rillreach/rillreach/peer"
-	"github.com/rillreach/rillreach/platform"
+	"github.com/rillreach/rillreach/objectstore"
 	"github.com/rillreach/rillreach/replicate"
 )
 
@@ -125,7 +125,7 @@
 type testFleet struct {
 	t        testing.TB
 	platform *standin.Server
-	store    *platform.Client
+	store    *objectstore.Client
 	network  *network
 	zones    int
 	nodes    []*node
@@ -148,7 +148,7 @@
 	f := &testFleet{t: tb, platform: standin.New(), network: newNetwork(), zones: zones}
 	server := httptest.NewServer(f.platform)
 	tb.Cleanup(server.Close)
-	f.store = &platform.Client{Base: server.URL}
+	f.store = &objectstore.Client{Base: server.URL}
 	f.write("row-0", "first")
 	listeners := make([]net.Listener, count)
 	for i := range listeners {
--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -25,7 +25,7 @@
 	"github.com/rillreach/rillreach/internal/standin/service"
 	"github.com/rillreach/rillreach/internal/standin/store"
 	"github.com/rillreach/rillreach/node"
-	"github.com/rillreach/rillreach/platform"
+	"github.com/rillreach/rillreach/objectstore"
 )
 
 // The names that the demonstration's rows use.
@@ -85,7 +85,7 @@
 	if err != nil {
 		return err
 	}
-	f.store = &platform.Client{Base: "http://" + base.Addr().String()}
+	f.store = &objectstore.Client{Base: "http://" + base.Addr().String()}
 	f.Editor = &edit.Editor{Store: f.store}
 	for _, side := range []rillreach.Side{rillreach.SideOld, rillreach.SideNew} {
 		if err := f.startSide(side); err != nil {
--- /dev/null
+++ b/deployment/config.go
@@ -0,0 +1,193 @@
+package deployment
+
+import (
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rillreach/rillreach"
+)
+
+// RouteKind says what may be done again with the requests of a route.
+type RouteKind int
+
+// The kinds of routes.
+const (
+	// Repeatable requests may run any number of times.
+	Repeatable RouteKind = iota + 1
+	// RunOnce requests run at most once.
+	RunOnce
+	// EventStream requests are answered by a series of events, and run at most once unless the route is resumable.
+	EventStream
+)
+
+// String names the kind for logs and metrics.
+func (k RouteKind) String() string {
+	switch k {
+	case Repeatable:
+		return "repeatable"
+	case RunOnce:
+		return "run-once"
+	case EventStream:
+		return "event-stream"
+	default:
+		return "unknown"
+	}
+}
+
+// Share is a service and its share of a route's requests, in parts of the sum of all shares.
+type Share struct {
+	Service rillreach.ServiceID
+	Weight  float64
+}
+
+// Route says which requests it takes, by host and path, and how they are treated.
+type Route struct {
+	Name       string
+	Host       string
+	PathPrefix string
+	Kind       RouteKind
+	// Timeout is how long a request may be held, from its arrival to the end of its answer.
+	Timeout time.Duration
+	// Target is the time to the answer, or to the first event of a stream, that callers expect.
+	Target time.Duration
+	// PauseTarget is the longest pause between events that callers expect; zero where the route does not stream.
+	PauseTarget time.Duration
+	// MaxRunners is how many runners one request may be sent to.
+	MaxRunners int
+	// Priority ranks requests; zero is the most urgent.
+	Priority int
+	// Shares are the services that take the route's requests.
+	Shares []Share
+	// Public says that requests need no key.
+	Public bool
+	// Resumable says that a stream may go on at another runner.
+	Resumable bool
+}
+
+// Once reports that a request of the route must not run twice.
+func (r *Route) Once() bool {
+	return r.Kind == RunOnce || r.Kind == EventStream && !r.Resumable
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	Slots          int
+	CapacityTokens int
+	TokenBytes     float64
+	// LinkBitsPerSecond is the rate at which a runner moves KV cache.
+	LinkBitsPerSecond float64
+	// Stride is how many tokens one event holds.
+	Stride int
+	// MaxFollowers is how many callers may wait for cache events at once.
+	MaxFollowers int
+	Models       []rillreach.ModelID
+}
+
+// CacheStore is a store of kept KV cache.
+type CacheStore struct {
+	Address           netip.AddrPort
+	Zone              rillreach.ZoneID
+	CapacityTokens    int
+	LinkBitsPerSecond float64
+	// FirstDelay passes before each move begins.
+	FirstDelay   time.Duration
+	MaxFollowers int
+	// Managed says that the store drops nothing by itself.
+	Managed bool
+}
+
+// Service is a group of runners, or a store.
+type Service struct {
+	Name       rillreach.ServiceID
+	HealthPath string
+	// MaxConns is how many connections a runner takes from all callers together.
+	MaxConns int
+	// Engine is set where the runners are model engines.
+	Engine *Engine
+	// Store is set where the service is a store of KV cache.
+	Store *CacheStore
+}
+
+// Account is a client account and its keys.
+type Account struct {
+	Name rillreach.AccountID
+	Keys []string
+	// Priority goes before the route's; nil leaves the route's.
+	Priority *int
+	// Isolated says that the account shares no KV cache with others.
+	Isolated bool
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	MaxHeader int
+	MaxBody   int64
+	// HeaderTimeout bounds the time that a caller takes for a request's head, IdleTimeout a connection's rest.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one version of the operators' configuration.
+type Config struct {
+	Version int64
+	// Revision is that of the object which holds the configuration; it only grows.
+	Revision uint64
+	Routes   []Route
+	Services map[rillreach.ServiceID]*Service
+	Accounts []Account
+	Limits   Limits
+
+	byHost map[string][]*Route
+	byKey  map[string]*Account
+}
+
+// Check reports what is wrong with the configuration, and prepares it for look-ups.
+func (c *Config) Check() error {
+	c.byHost = map[string][]*Route{}
+	c.byKey = map[string]*Account{}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if len(r.Shares) == 0 || r.Timeout <= 0 || r.MaxRunners < 1 || r.Kind == 0 || !strings.HasPrefix(r.PathPrefix, "/") {
+			return errors.Newf("route %q has no service, time-out, number of runners, kind or path", r.Name)
+		}
+		host := strings.ToLower(r.Host)
+		c.byHost[host] = append(c.byHost[host], r)
+	}
+	for i := range c.Accounts {
+		for _, key := range c.Accounts[i].Keys {
+			c.byKey[key] = &c.Accounts[i]
+		}
+	}
+	return nil
+}
+
+// Match returns the route with the longest prefix of the path, or nil.
+func (c *Config) Match(host, path string) *Route {
+	var best *Route
+	for _, r := range c.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.PathPrefix) && (best == nil || len(r.PathPrefix) > len(best.PathPrefix)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// Holder returns the account that holds the key, or nil.
+func (c *Config) Holder(key string) *Account { return c.byKey[key] }
+
+// NeedsKeys reports whether the configuration knows accounts at all.
+func (c *Config) NeedsKeys() bool { return len(c.Accounts) > 0 }
+
+// Stores returns the stores of kept KV cache.
+func (c *Config) Stores() []*CacheStore {
+	var stores []*CacheStore
+	for _, s := range c.Services {
+		if s.Store != nil {
+			stores = append(stores, s.Store)
+		}
+	}
+	return stores
+}
--- /dev/null
+++ b/deployment/prompt.go
@@ -0,0 +1,26 @@
+package deployment
+
+import "github.com/rillreach/rillreach"
+
+// Part is a piece of a prompt, shared with the other prompts that name it after the same parts.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Prompt is what a request says of its prompt without its text.
+type Prompt struct {
+	Model rillreach.ModelID
+	// Tokens is the prompt's length, MaxOut the longest answer.
+	Tokens int
+	MaxOut int
+	Parts  []Part
+}
+
+// Shared are the parts that may come again: all but the last, which is the request's own.
+func (p *Prompt) Shared() []Part {
+	if len(p.Parts) < 2 {
+		return nil
+	}
+	return p.Parts[:len(p.Parts)-1]
+}
--- /dev/null
+++ b/deployment/runner.go
@@ -0,0 +1,49 @@
+package deployment
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/rillreach/rillreach"
+)
+
+// WeightVersion numbers the weights of a model; it begins at one and rises.
+type WeightVersion uint64
+
+// Runner is one run of a backend server, as the platform lists it.
+type Runner struct {
+	// ID names this run; a restart takes a new one.
+	ID      rillreach.InstanceID
+	Service rillreach.ServiceID
+	Address netip.AddrPort
+	Zone    rillreach.ZoneID
+	Slots   int
+	// Leaving says that the runner is about to end and takes nothing new.
+	Leaving bool
+	// ColdFor is how much longer the runner is slow after its start.
+	ColdFor time.Duration
+	// Weights are the versions of the models that it has loaded.
+	Weights map[rillreach.ModelID]WeightVersion
+}
+
+// NamedWeights is the newest version of a model's weights that the operators want.
+type NamedWeights struct {
+	Model   rillreach.ModelID
+	Version WeightVersion
+	// Revision is that of the object which names the version; it only grows, and so serves as a fencing token.
+	Revision uint64
+}
+
+// Load is what a runner reports of itself.
+type Load struct {
+	Waiting  int
+	Running  int
+	Weights  map[rillreach.ModelID]WeightVersion
+	Busy     bool
+	Orders   uint64
+	Used     int
+	Capacity int
+	Leaving  bool
+	// Clock is the runners' common clock at the time of the report.
+	Clock time.Time
+}
--- /dev/null
+++ b/deployment/settings.go
@@ -0,0 +1,66 @@
+package deployment
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rillreach/rillreach"
+)
+
+// Bounds are the times and shares that the site promises its callers and its operators.
+type Bounds struct {
+	// RunnerStop is how long after the notice a leaving runner may still be sent requests.
+	RunnerStop time.Duration
+	// Grace is how long a process has from the signal to its end.
+	Grace time.Duration
+	// ConfigApply is how soon a configuration is in force.
+	ConfigApply time.Duration
+	// RetryRatio, RetryWindow and RetrySlack bound the sends beyond a request's first: over the window, not more than the
+	// ratio of the requests plus the slack, over all entries together.
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+	// Weights is how soon new weights are in use.
+	Weights time.Duration
+}
+
+// Settings are what the platform tells a process at its start.
+type Settings struct {
+	Name   string
+	Zone   rillreach.ZoneID
+	Host   netip.Addr
+	Bounds Bounds
+	// Store is the address of the platform's object store.
+	Store netip.AddrPort
+	// Callers and Readiness are the addresses of an entry for callers and for the balancer's question.
+	Callers   netip.AddrPort
+	Readiness netip.AddrPort
+	// Runner is the address of the runner on the same instance, Service its service; they are set for an agent.
+	Runner  netip.AddrPort
+	Service rillreach.ServiceID
+	// FirstPort and LastPort bound the ports for traffic between the system's processes; they are alike everywhere.
+	FirstPort uint16
+	LastPort  uint16
+	// MemoryMB bounds the process's memory, in units of 2^20 bytes.
+	MemoryMB int
+	// FirstStart says that the whole system starts for the first time.
+	FirstStart bool
+}
+
+// Check reports all that is wrong with the settings.
+func (s *Settings) Check() error {
+	var faults error
+	add := func(bad bool, what string) {
+		if bad {
+			faults = errors.CombineErrors(faults, errors.New(what))
+		}
+	}
+	add(s.Name == "", "name of the instance is missing")
+	add(!s.Host.IsValid(), "address of the instance is missing")
+	add(!s.Store.IsValid(), "address of the object store is missing")
+	add(s.FirstPort == 0 || s.LastPort < s.FirstPort, "range of ports between processes is missing")
+	add(s.Bounds.Grace <= 0, "grace period is missing")
+	return faults
+}
--- a/e2e/operators_test.go
+++ b/e2e/operators_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rillreach/rillreach"
-	"github.com/rillreach/rillreach/platform"
+	"github.com/rillreach/rillreach/objectstore"
 )
 
 func TestOperatorsTable(t *testing.T) {
@@ -119,7 +119,7 @@
 	url := "http://" + entry.address("callers") + chatPath
 	request := func() (answer, error) { return trySend(http.MethodPost, url, key, chatBody("x", false)) }
 	serves(t, http.StatusOK, request)
-	client := &platform.Client{Base: f.platform}
+	client := &objectstore.Client{Base: f.platform}
 	name := rillreach.RowName("kigali", "m", "v1")
 	object, err := client.Get(t.Context(), rillreach.KindRow, name)
 	require.NoError(t, err)
--- /dev/null
+++ b/forward/answer.go
@@ -0,0 +1,69 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Answer is a runner's answer, with its body still to be read.
+type Answer struct {
+	// Response is the head; its body is read by Read.
+	Response *http.Response
+	// Rest is how long the runner keeps the connection, zero where it does not say; it is set before the body is read.
+	Rest time.Duration
+
+	pool    *Pool
+	conn    *conn
+	to      netip.AddrPort
+	stop    func() bool
+	writing <-chan error
+	tainted bool
+	ended   bool
+	closed  bool
+}
+
+// Read reads the body; io.EOF says that it is whole, any other error that it is not.
+func (a *Answer) Read(buf []byte) (int, error) {
+	n, err := a.Response.Body.Read(buf)
+	if errors.Is(err, io.EOF) {
+		a.ended = true
+	}
+	return n, err
+}
+
+// Close gives the connection back where it is certainly clean, and closes it otherwise.
+func (a *Answer) Close() error {
+	if a.closed {
+		return nil
+	}
+	a.closed = true
+	undisturbed := a.stop()
+	if a.ended && undisturbed && a.written() && !a.tainted && a.framed() && a.conn.reader.Buffered() == 0 {
+		a.pool.park(a.to, a.conn, a.Rest)
+		return nil
+	}
+	a.pool.drop(a.to, a.conn)
+	return nil
+}
+
+// framed reports that the answer ended by its own length and not with the connection.
+func (a *Answer) framed() bool {
+	return !a.Response.Close && (a.Response.ContentLength >= 0 || len(a.Response.TransferEncoding) > 0)
+}
+
+// written reports that the whole request has been written.
+func (a *Answer) written() bool {
+	if a.writing == nil {
+		return true
+	}
+	select {
+	case err := <-a.writing:
+		return err == nil
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/controller"
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/forward"
+	"github.com/rillreach/rillreach/localstate"
+	"github.com/rillreach/rillreach/node"
+	"github.com/rillreach/rillreach/retry"
+	"github.com/rillreach/rillreach/telemetry"
+)
+
+const (
+	// watchWait is how long one watch of the store waits: under the bound on leaving runners together with watchSlack, so
+	// that a watch that hangs is noticed in time.
+	watchWait = 2500 * time.Millisecond
+	// weightsWait is the same for the names of weights, whose bound is some ten seconds.
+	weightsWait = 4 * time.Second
+	// gatherRunners is a pause between watches of the runners, since their records change in quick succession.
+	gatherRunners = 50 * time.Millisecond
+	// defaultHeaderTimeout and defaultIdle serve until the configuration is known.
+	defaultHeaderTimeout = 3 * time.Second
+	defaultIdle          = 15 * time.Second
+	defaultMaxHeader     = 16 << 10
+	// idleSlack is how much longer than promised a connection is kept.
+	idleSlack = time.Second
+	// lameFor is how long after a stop's signal new connections are still taken: the balancer asks every second and takes an
+	// entry out after two misses.
+	lameFor = 3200 * time.Millisecond
+	// endMargin is kept from the grace for the process's own end.
+	endMargin = 400 * time.Millisecond
+	// callerTimeout is how long bytes to a caller may stay without acknowledgement.
+	callerTimeout = 5 * time.Second
+	sweepEvery    = time.Second
+)
+
+// Gateway is one entry; exported fields are set before Run.
+type Gateway struct {
+	// Settings are the platform's.
+	Settings *deployment.Settings
+	// Configs, Runners and Weights are what the platform's store holds.
+	Configs rillreach.Source[*deployment.Config]
+	Runners rillreach.Source[*deployment.Runner]
+	Weights rillreach.Source[deployment.NamedWeights]
+	// Callers and Readiness are the listeners for callers and for the balancer's question.
+	Callers   net.Listener
+	Readiness net.Listener
+	// Log takes decisions; Metrics count them.
+	Log     logr.Logger
+	Metrics *telemetry.Metrics
+
+	state   localstate.State
+	pool    forward.Pool
+	budgets retry.Shares
+	running node.Inflight
+	leaving atomic.Bool
+	seq     atomic.Uint64
+	server  *http.Server
+}
+
+// Run serves until the context ends, then stops in order within the grace.
+func (g *Gateway) Run(ctx context.Context) error {
+	g.state.Log = g.Log
+	g.budgets = retry.Shares{Ratio: g.Settings.Bounds.RetryRatio, Window: g.Settings.Bounds.RetryWindow, Slack: g.Settings.Bounds.RetrySlack}
+	g.server = g.newServer()
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	stop := context.AfterFunc(ctx, func() {
+		g.stop(time.Now())
+		end()
+	})
+	defer stop()
+	return controller.Run(life, g.Log,
+		g.state.ConfigFollower(g.Configs, watchWait),
+		g.state.RunnersFollower(g.Runners, watchWait, gatherRunners),
+		g.state.WeightsFollower(g.Weights, weightsWait),
+		g.state.Expirer(),
+		&serverController{name: "callers", server: g.server, listener: g.Callers},
+		&serverController{name: "readiness", server: &http.Server{Handler: http.HandlerFunc(g.ready), ReadHeaderTimeout: defaultHeaderTimeout}, listener: g.Readiness},
+		&sweeper{pool: &g.pool},
+	)
+}
+
+func (g *Gateway) newServer() *http.Server {
+	return &http.Server{
+		Handler:           http.HandlerFunc(g.handle),
+		ReadHeaderTimeout: defaultHeaderTimeout,
+		IdleTimeout:       defaultIdle + idleSlack,
+		MaxHeaderBytes:    defaultMaxHeader,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			if err := forward.SetUserTimeout(c, callerTimeout); err != nil {
+				g.Log.Error(err, "caller's connection has no user time-out")
+			}
+			return ctx
+		},
+	}
+}
+
+// ready answers the balancer: 200 while the entry knows enough to serve and is not about to end.
+func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
+	if g.leaving.Load() || !g.state.Complete() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// stop ends the entry's work without cutting any of it: it says that it is not ready, goes on taking what still comes until
+// the balancer has noticed, and waits for what runs.
+func (g *Gateway) stop(signalled time.Time) {
+	g.leaving.Store(true)
+	g.Log.Info("stopping", "decision", "stop", "running", g.running.Count())
+	time.Sleep(lameFor)
+	ctx, cancel := context.WithDeadline(context.Background(), signalled.Add(g.Settings.Bounds.Grace-endMargin))
+	defer cancel()
+	if err := g.server.Shutdown(ctx); err != nil {
+		g.Log.Error(err, "grace is over, requests are cut", "running", g.running.Count())
+	}
+	g.Log.Info("stopped", "decision", "stop")
+}
+
+// serverController runs one HTTP server.
+type serverController struct {
+	name     string
+	server   *http.Server
+	listener net.Listener
+}
+
+// Name is the controller's name.
+func (s *serverController) Name() string { return s.name }
+
+// Run accepts connections until the context ends.
+func (s *serverController) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
+	defer stop()
+	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serve %s", s.name)
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// sweeper closes connections to runners that have rested too long.
+type sweeper struct{ pool *forward.Pool }
+
+// Name is the controller's name.
+func (s *sweeper) Name() string { return "sweep-connections" }
+
+// Run sweeps until the context ends.
+func (s *sweeper) Run(ctx context.Context) error {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			s.pool.Sweep()
+		}
+	}
+}
--- /dev/null
+++ b/gateway/handle.go
@@ -0,0 +1,228 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"math"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/forward"
+	"github.com/rillreach/rillreach/platform"
+)
+
+// handle takes one request of a caller.
+func (g *Gateway) handle(w http.ResponseWriter, r *http.Request) {
+	g.running.Add()
+	defer g.running.Done()
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	x := &exchange{writer: w, request: r, wire: platform.DecodeRequest(r.Header), arrived: time.Now()}
+	if refusal := g.admit(x); refusal != nil {
+		g.refuse(x, refusal)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.ends)
+	defer cancel()
+	g.serve(ctx, x)
+}
+
+// admit finds out what the request is and whether it may run, and reads its body.
+func (g *Gateway) admit(x *exchange) *refusal {
+	x.config = g.state.Config()
+	if x.config == nil || !g.state.Complete() {
+		return notYet
+	}
+	path, _, _ := strings.Cut(x.request.RequestURI, "?")
+	if !strings.HasPrefix(path, "/") {
+		path = x.request.URL.EscapedPath()
+	}
+	if x.route = x.config.Match(x.request.Host, path); x.route == nil {
+		return unknownRoute
+	}
+	if refusal := x.authenticate(); refusal != nil {
+		return refusal
+	}
+	x.ends = x.arrived.Add(x.route.Timeout)
+	if x.wire.Patience > 0 && x.wire.Patience < x.route.Timeout {
+		x.ends = x.arrived.Add(x.wire.Patience)
+	}
+	x.service = x.config.Services[g.share(x)]
+	if x.service == nil {
+		return unknownService
+	}
+	g.budgets.Request(x.arrived, x.service.Name)
+	return x.read()
+}
+
+func (x *exchange) authenticate() *refusal {
+	if !x.config.NeedsKeys() {
+		return nil
+	}
+	x.account = x.config.Holder(x.wire.Key)
+	if x.account == nil && !x.route.Public {
+		return unknownKey
+	}
+	return nil
+}
+
+// share picks one of the route's services by their weights; requests of one conversation stay together.
+func (g *Gateway) share(x *exchange) rillreach.ServiceID {
+	shares := x.route.Shares
+	if len(shares) == 1 {
+		return shares[0].Service
+	}
+	sum := 0.0
+	for _, s := range shares {
+		sum += s.Weight
+	}
+	at := float64(xxhash.Sum64String(conversation(x))) / math.MaxUint64 * sum
+	for _, s := range shares {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return shares[len(shares)-1].Service
+}
+
+// conversation names what the request has in common with those that come back: the last shared part of its prompt.
+func conversation(x *exchange) string {
+	if x.wire.Prompt != nil {
+		if shared := x.wire.Prompt.Shared(); len(shared) > 0 {
+			return shared[len(shared)-1].ID
+		}
+	}
+	return string(x.wire.ID)
+}
+
+// read takes the body in and makes the call that goes to the runner.
+func (x *exchange) read() *refusal {
+	r := x.request
+	x.call = forward.Call{
+		Method: r.Method, Target: r.RequestURI, Host: r.Host,
+		HasBody: r.ContentLength != 0 || len(r.Header["Content-Length"]) > 0,
+	}
+	if !x.call.HasBody {
+		return nil
+	}
+	control := http.NewResponseController(x.writer)
+	if err := control.SetReadDeadline(x.ends); err != nil {
+		return unreadable
+	}
+	body, err := readBody(http.MaxBytesReader(x.writer, r.Body, x.config.Limits.MaxBody), r.ContentLength)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return bodyTooLarge
+	case err != nil:
+		return unreadable
+	}
+	x.call.Body = body
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return unreadable
+	}
+	return nil
+}
+
+// readBody reads a body whose length may be known.
+func readBody(from io.Reader, length int64) ([]byte, error) {
+	if length <= 0 || length > maxPrepared {
+		return io.ReadAll(from)
+	}
+	body := make([]byte, length)
+	_, err := io.ReadFull(from, body)
+	return body, err
+}
+
+// maxPrepared is the largest body for which memory is taken before it has come, in bytes.
+const maxPrepared = 256 << 10
+
+// serve tries runners until the request has its answer or none can give it.
+func (g *Gateway) serve(ctx context.Context, x *exchange) {
+	for {
+		done := g.attempt(ctx, x)
+		if done {
+			return
+		}
+		if verdict := g.again(ctx, x); verdict != "" {
+			g.giveUp(ctx, x, verdict)
+			return
+		}
+	}
+}
+
+// again decides whether another attempt may follow; it returns why not, or nothing.
+func (g *Gateway) again(ctx context.Context, x *exchange) string {
+	now := time.Now()
+	switch {
+	case x.request.Context().Err() != nil:
+		return "caller-left"
+	case ctx.Err() != nil:
+		return "timed-out"
+	case x.maybeRan && (x.route.Once() || x.began && !x.route.Resumable):
+		return "may-have-run"
+	case x.exhausted:
+		return "no-runner"
+	case x.ends.Sub(now) < leastTime:
+		return "no-time-left"
+	case x.sends == 0:
+		if now.Sub(x.arrived) > connectFor || len(x.tried) >= maxTried {
+			return "no-connection"
+		}
+		return ""
+	case !x.mayMove():
+		return "runners-used"
+	case !g.budgets.Spend(now, x.service.Name):
+		return "budget-spent"
+	default:
+		return ""
+	}
+}
+
+const (
+	// leastTime is the time under which another attempt cannot succeed.
+	leastTime = 10 * time.Millisecond
+	// connectFor bounds the search for a runner that takes a connection.
+	connectFor = 600 * time.Millisecond
+	// maxTried bounds how many runners are asked for a connection.
+	maxTried = 6
+)
+
+// mayMove reports whether the route allows the request one more runner.
+func (x *exchange) mayMove() bool { return len(x.runners) < x.route.MaxRunners }
+
+// noteRunner records that the request went to the runner.
+func (x *exchange) noteRunner(id rillreach.InstanceID) {
+	x.sends++
+	if !slices.Contains(x.runners, id) {
+		x.runners = append(x.runners, id)
+	}
+}
+
+// directions are what goes to the runner beside the caller's own header.
+func (x *exchange) directions(t *target) *platform.Directions {
+	d := &platform.Directions{
+		Runner:    t.view.ID,
+		Account:   x.accountName(),
+		Remaining: time.Until(x.ends),
+		DropKey:   !x.route.Public || x.account != nil,
+		LastEvent: x.lastEvent,
+	}
+	if x.service.Engine != nil {
+		d.Priority = x.priority()
+	}
+	t.directEngine(x, d)
+	return d
+}
+
+// isolated reports whether the account's KV cache is kept apart.
+func isolated(a *deployment.Account) bool { return a != nil && a.Isolated }
--- /dev/null
+++ b/gateway/refuse.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rillreach/rillreach/platform"
+)
+
+// refusal is an answer of the entry's own to a request that it doesn't send to a runner.
+type refusal struct {
+	status int
+	reason string
+	// after is when the caller should come back, zero where that makes no sense.
+	after time.Duration
+}
+
+// The refusals of requests that were never sent.
+var (
+	notYet         = &refusal{http.StatusServiceUnavailable, "no-configuration", time.Second}
+	unknownRoute   = &refusal{http.StatusNotFound, "no-route", 0}
+	unknownKey     = &refusal{http.StatusUnauthorized, "unknown-key", 0}
+	unknownService = &refusal{http.StatusServiceUnavailable, "unknown-service", time.Second}
+	bodyTooLarge   = &refusal{http.StatusRequestEntityTooLarge, "body-too-large", 0}
+	unreadable     = &refusal{http.StatusBadRequest, "body-unreadable", 0}
+)
+
+// refuse answers a request that was never sent.
+func (g *Gateway) refuse(x *exchange, r *refusal) {
+	routeName := ""
+	if x.route != nil {
+		routeName = x.route.Name
+	}
+	var version int64
+	if x.config != nil {
+		version = x.config.Version
+	}
+	g.Log.Error(nil, "request refused", "decision", "refuse", "request", x.wire.ID, "reason", r.reason, "status", r.status,
+		"host", x.request.Host, "route", routeName, "config", version)
+	g.Metrics.Request("not-run", r.reason)
+	g.answer(x, r.status, r.reason, r.after)
+}
+
+// giveUp ends a request whose attempts have failed: at once, and saying that it has not run only where that is certain.
+func (g *Gateway) giveUp(ctx context.Context, x *exchange, verdict string) {
+	status, outcome, after := http.StatusServiceUnavailable, "not-run", comeBack(x)
+	switch {
+	case x.maybeRan && verdict == "timed-out":
+		status, outcome, after = http.StatusGatewayTimeout, "unknown", 0
+	case x.maybeRan:
+		status, outcome, after = http.StatusBadGateway, "unknown", 0
+	}
+	if x.request.Context().Err() != nil {
+		verdict = "caller-left"
+	}
+	g.Log.Error(ctx.Err(), "request given up", "decision", verdict, "request", x.wire.ID, "account", x.accountName(), "route", x.route.Name,
+		"reason", x.reason, "outcome", outcome, "status", status, "began", x.began, "sends", x.sends, "runners", x.runners,
+		"config", x.config.Version, "listAge", time.Since(g.state.Roster.Updated()).String(), "after", time.Since(x.arrived).String())
+	g.Metrics.Request(outcome, verdict)
+	if x.began {
+		panic(http.ErrAbortHandler) // the connection is cut, so that the answer cannot be taken for a whole one
+	}
+	if verdict == "caller-left" {
+		return
+	}
+	g.answer(x, status, verdict, after)
+}
+
+// comeBack is when a request that has not run should be sent again: soon, and within the caller's time.
+func comeBack(x *exchange) time.Duration {
+	return min(comeBackSoon, x.route.Target/8)
+}
+
+const comeBackSoon = 50 * time.Millisecond
+
+// answer writes an answer of the entry's own.
+func (g *Gateway) answer(x *exchange, status int, reason string, after time.Duration) {
+	h := x.writer.Header()
+	platform.OwnAnswer(h, x.wire.ID)
+	if after > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 3, 64))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("Content-Length", strconv.Itoa(len(reason)+1))
+	x.writer.WriteHeader(status)
+	if _, err := x.writer.Write([]byte(reason + "\n")); err != nil {
+		g.Log.Info("answer not taken", "decision", "drop", "request", x.wire.ID, "cause", err.Error())
+	}
+}
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -15,7 +15,7 @@
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/internal/standin"
-	client "github.com/rillreach/rillreach/platform"
+	client "github.com/rillreach/rillreach/objectstore"
 )
 
 // Faults are what the platform is made to do wrong.
--- a/platform/client.go
+++ b/objectstore/client.go
@@ -1,4 +1,4 @@
-package platform
+package objectstore
 
 import (
 	"bytes"
--- /dev/null
+++ b/place/choose.go
@@ -0,0 +1,137 @@
+package place
+
+import "time"
+
+// Candidate is a runner that may take a request.
+type Candidate struct {
+	// Running is how many requests run there, Slots how many may.
+	Running int
+	Slots   int
+	// Reading is how many tokens the requests there still read before their first event.
+	Reading int
+	// Held is how many tokens of memory they take, of Capacity; a capacity of zero means that memory doesn't count.
+	Held     int
+	Capacity int
+	// Missing is how many tokens of the request's prompt the runner would have to read, Fetched how many it would take from
+	// elsewhere, over links of its own zone or of others.
+	Missing      int
+	Fetched      int
+	FetchedAfar  int
+	FetchTime    time.Duration
+	OtherZone    bool
+	Old          bool
+	Avoid        bool
+	Tried        bool
+	FailureShare float64
+}
+
+// Question is what a request needs.
+type Question struct {
+	// Tokens is the length of the prompt and of the longest answer; zero where the service is no engine.
+	Tokens int
+	// Bytes is what the request would send to another zone.
+	Bytes int
+	// Target is the time to the first event that the caller expects.
+	Target time.Duration
+}
+
+// Weights of the costs, in shares of the worth of one request of the long kind. They come from the users' prices: reading
+// 1,000 tokens again 0.35, moving a gigabyte 0.35, a gigabyte between zones 7,400, each over a worth of 2.6.
+const (
+	costPerMissingToken = 0.35e-3 / 2.6
+	costPerFetchedToken = 0.35 * 18.4e-6 / 2.6
+	costPerByteAfar     = 7400e-9 / 2.6
+	costLate            = 0.8
+	costOld             = 0.2
+	// costFailure is for a runner that fails every request.
+	costFailure = 1.0
+	// costTie keeps the runner that does the least ahead where nothing else tells runners apart.
+	costTie = 1e-3
+	// costAvoid is more than anything else, so that a runner under suspicion is chosen only where there is no other.
+	costAvoid = 100
+)
+
+// Speeds of an engine, as the users' sheet gives them.
+const (
+	readPerSecond = 56900
+	// firstStep is the time from the end of reading to the first event.
+	firstStep = 16 * time.Millisecond
+	// stepShare is what each request that runs adds to the first event's time.
+	stepShare = 1500 * time.Microsecond
+)
+
+// Estimate is the expected time to the first event at a candidate.
+func Estimate(q Question, c Candidate) time.Duration {
+	reading := time.Duration(float64(c.Reading+c.Missing) / readPerSecond * float64(time.Second))
+	wait := reading + c.FetchTime + firstStep + time.Duration(c.Running)*stepShare
+	if over := c.Held + q.Tokens - c.Capacity; c.Capacity > 0 && over > 0 {
+		wait += time.Duration(float64(over) / float64(c.Capacity) * float64(memoryWait))
+	}
+	return wait
+}
+
+// memoryWait is how long a request waits for a runner's whole memory to be given back: some four long prompts in a row.
+const memoryWait = 600 * time.Millisecond
+
+// Cost is what a candidate costs; the least is chosen.
+func Cost(q Question, c Candidate) float64 {
+	cost := costTie * float64(c.Running)
+	if q.Tokens > 0 {
+		cost += costPerMissingToken*float64(c.Missing) + costPerFetchedToken*float64(c.Fetched+2*c.FetchedAfar)
+		cost += costLate * lateness(Estimate(q, c), q.Target)
+	} else if c.Slots > 0 {
+		full := float64(c.Running+1) / float64(c.Slots)
+		cost += costLate * full * full / 2
+	}
+	if c.OtherZone {
+		cost += costPerByteAfar * float64(q.Bytes)
+	}
+	if c.Old {
+		cost += costOld
+	}
+	cost += costFailure * c.FailureShare
+	if c.Avoid {
+		cost += costAvoid
+	}
+	if c.Tried {
+		cost += 2 * costAvoid
+	}
+	return cost
+}
+
+// lateness is how likely an answer is late: nothing up to a third of the target, certain at half more than the target.
+func lateness(estimate, target time.Duration) float64 {
+	if target <= 0 {
+		return 0
+	}
+	x := (float64(estimate)/float64(target) - lateFrom) / (lateSure - lateFrom)
+	if x <= 0 {
+		return 0
+	}
+	return x
+}
+
+const (
+	lateFrom = 0.2
+	lateSure = 1.5
+)
+
+// Choice is a decision: the index of the runner, its cost and its estimate.
+type Choice struct {
+	Index    int
+	Cost     float64
+	Estimate time.Duration
+}
+
+// Choose returns the candidate of the least cost, an index of -1 where there is none. Ties go to the one that comes first
+// from the given offset, so that several entries do not all take the same.
+func Choose(q Question, candidates []Candidate, offset int) Choice {
+	best := Choice{Index: -1}
+	for k := range candidates {
+		i := (k + offset) % len(candidates)
+		if cost := Cost(q, candidates[i]); best.Index < 0 || cost < best.Cost {
+			best = Choice{Index: i, Cost: cost, Estimate: Estimate(q, candidates[i])}
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/retry/shares.go
@@ -0,0 +1,107 @@
+package retry
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rillreach/rillreach"
+)
+
+const (
+	// slots is into how many spans the window is cut for counting.
+	slots = 10
+	// DefaultEntries is how many entries share the slack while nobody has said how many there are.
+	DefaultEntries = 8
+	// shareOf is the part of ratio and slack that is used; the rest covers requests counted late.
+	shareOf = 0.85
+)
+
+// Shares bounds the sends beyond a request's first to each service, over a sliding window and over all entries together:
+// each entry uses the ratio of its own requests and an equal part of the slack, and asks nobody. Its fields are set before use.
+type Shares struct {
+	// Ratio, Window and Slack are the site's bounds.
+	Ratio  float64
+	Window time.Duration
+	Slack  float64
+
+	mu       sync.Mutex
+	entries  int
+	began    time.Time
+	services map[rillreach.ServiceID]*window
+}
+
+// window counts requests and repeats of one service by spans of time.
+type window struct {
+	requests [slots]int
+	repeats  [slots]int
+	last     int64
+}
+
+// SetEntries says how many entries share the slack.
+func (s *Shares) SetEntries(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries = n
+}
+
+// Request counts a caller's request for the service.
+func (s *Shares) Request(now time.Time, service rillreach.ServiceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, i := s.window(now, service)
+	w.requests[i]++
+}
+
+// Allows reports whether one more repeat fits.
+func (s *Shares) Allows(now time.Time, service rillreach.ServiceID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, _ := s.window(now, service)
+	return s.fits(w)
+}
+
+// Spend counts one repeat, or reports that the window holds as many as it may.
+func (s *Shares) Spend(now time.Time, service rillreach.ServiceID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w, i := s.window(now, service)
+	if !s.fits(w) {
+		return false
+	}
+	w.repeats[i]++
+	return true
+}
+
+// fits reports whether one more repeat stays within this entry's share.
+func (s *Shares) fits(w *window) bool {
+	requests, repeats := 0, 0
+	for k := range slots {
+		requests += w.requests[k]
+		repeats += w.repeats[k]
+	}
+	entries := s.entries
+	if entries == 0 {
+		entries = DefaultEntries
+	}
+	return float64(repeats+1) <= shareOf*(s.Ratio*float64(requests)+s.Slack/float64(entries))
+}
+
+// window gives the counts of a service and the index of the current span, with those that are over emptied.
+func (s *Shares) window(now time.Time, service rillreach.ServiceID) (*window, int) {
+	if s.services == nil {
+		s.services = map[rillreach.ServiceID]*window{}
+		s.began = now
+	}
+	w := s.services[service]
+	current := int64(now.Sub(s.began) / max(s.Window/slots, 1)) // the steady clock counts, not the time of day
+	if w == nil {
+		w = &window{last: current}
+		s.services[service] = w
+	}
+	for range min(max(current-w.last, 0), slots) {
+		w.last++
+		w.requests[w.last%slots], w.repeats[w.last%slots] = 0, 0
+	}
+	w.last = max(w.last, current)
+	return w, int(w.last % slots)
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,185 @@
+package roster
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/deployment"
+)
+
+// Roster is the list of runners; its zero value is empty and ready.
+type Roster struct {
+	mu        sync.RWMutex
+	byID      map[rillreach.InstanceID]*Runner
+	byService map[rillreach.ServiceID][]*Runner
+	updated   time.Time
+}
+
+// Replace sets the whole list; a runner that is no longer listed stays until the given moment, and is removed at once
+// where that is zero. It returns what changed.
+func (r *Roster) Replace(now time.Time, list []deployment.Runner, doubtful time.Time) []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	listed := make(map[rillreach.InstanceID]bool, len(list))
+	var changes []Change
+	for i := range list {
+		listed[list[i].ID] = true
+		changes = r.put(changes, list[i])
+	}
+	for id, runner := range r.byID {
+		if listed[id] {
+			continue
+		}
+		changes = append(changes, r.lapse(id, runner, now, doubtful))
+	}
+	r.updated = now
+	return changes
+}
+
+// Put sets one runner.
+func (r *Roster) Put(now time.Time, info deployment.Runner) []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.updated = now
+	return r.put(nil, info)
+}
+
+// Remove takes a runner off the list, at the given moment or at once where that is zero.
+func (r *Roster) Remove(now time.Time, id rillreach.InstanceID, doubtful time.Time) []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.updated = now
+	runner := r.byID[id]
+	if runner == nil {
+		return nil
+	}
+	return []Change{r.lapse(id, runner, now, doubtful)}
+}
+
+// Confirm records that the list is known to be complete at this moment.
+func (r *Roster) Confirm(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.updated = now
+}
+
+// Expire removes the runners whose doubtful time is over.
+func (r *Roster) Expire(now time.Time) []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var changes []Change
+	for id, runner := range r.byID {
+		runner.mu.Lock()
+		over := !runner.gone.IsZero() && now.After(runner.gone)
+		runner.mu.Unlock()
+		if over {
+			changes = append(changes, r.lapse(id, runner, now, time.Time{}))
+		}
+	}
+	return changes
+}
+
+// Event says what happened to a listed runner.
+type Event string
+
+// The events of a runner.
+const (
+	EventAdded    Event = "added"
+	EventChanged  Event = "changed"
+	EventDoubtful Event = "doubtful"
+	EventRemoved  Event = "removed"
+)
+
+// Change is an event of one runner.
+type Change struct {
+	Event  Event
+	Runner deployment.Runner
+}
+
+func (r *Roster) put(changes []Change, info deployment.Runner) []Change {
+	if r.byID == nil {
+		r.byID, r.byService = map[rillreach.InstanceID]*Runner{}, map[rillreach.ServiceID][]*Runner{}
+	}
+	if runner := r.byID[info.ID]; runner != nil {
+		runner.mu.Lock()
+		runner.info, runner.gone = info, time.Time{}
+		runner.mu.Unlock()
+		return append(changes, Change{Event: EventChanged, Runner: info})
+	}
+	runner := &Runner{info: info}
+	r.byID[info.ID] = runner
+	group := append(slices.Clone(r.byService[info.Service]), runner)
+	slices.SortFunc(group, func(a, b *Runner) int { return strings.Compare(string(a.info.ID), string(b.info.ID)) })
+	r.byService[info.Service] = group
+	return append(changes, Change{Event: EventAdded, Runner: info})
+}
+
+// lapse removes a runner, or marks when it is to be removed.
+func (r *Roster) lapse(id rillreach.InstanceID, runner *Runner, now, doubtful time.Time) Change {
+	runner.mu.Lock()
+	info := runner.info
+	if now.Before(doubtful) {
+		runner.gone = doubtful
+	}
+	runner.mu.Unlock()
+	if now.Before(doubtful) {
+		return Change{Event: EventDoubtful, Runner: info}
+	}
+	delete(r.byID, id)
+	group := slices.DeleteFunc(slices.Clone(r.byService[info.Service]), func(other *Runner) bool { return other == runner })
+	r.byService[info.Service] = group
+	return Change{Event: EventRemoved, Runner: info}
+}
+
+// Group returns the runners of a service in the order of their identifiers; the slice must not be changed.
+func (r *Roster) Group(service rillreach.ServiceID) []*Runner {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.byService[service]
+}
+
+// Find returns the runner with the identifier, or nil.
+func (r *Roster) Find(id rillreach.InstanceID) *Runner {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.byID[id]
+}
+
+// At returns the runner listed at the address, or nil.
+func (r *Roster) At(address netip.AddrPort) *Runner {
+	for _, runner := range r.All() {
+		if runner.Info().Address == address {
+			return runner
+		}
+	}
+	return nil
+}
+
+// All returns all listed runners.
+func (r *Roster) All() []*Runner {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	all := make([]*Runner, 0, len(r.byID))
+	for _, runner := range r.byID {
+		all = append(all, runner)
+	}
+	return all
+}
+
+// Len is how many runners are listed.
+func (r *Roster) Len() int {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return len(r.byID)
+}
+
+// Updated is when the list was last known to be complete.
+func (r *Roster) Updated() time.Time {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.updated
+}
--- /dev/null
+++ b/roster/runner.go
@@ -0,0 +1,185 @@
+package roster
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/deployment"
+)
+
+const (
+	// avoidFirst is how long a runner is left alone after a failure that speaks against it, doubled with each further one
+	// up to avoidMost; the list drops a dead runner after some four seconds.
+	avoidFirst = 300 * time.Millisecond
+	avoidMost  = 2400 * time.Millisecond
+	// failureMemory is how many of the last answers are looked at, as the weight of the newest in a moving average.
+	failureMemory = 0.15
+	// reportAge is how old a runner's own report may be and still count.
+	reportAge = 2 * time.Second
+)
+
+// Report is what a runner's agent says of it.
+type Report struct {
+	Load deployment.Load
+	// At is when the report arrived, by this process's clock.
+	At time.Time
+}
+
+// Runner is one listed runner and what is known of it.
+type Runner struct {
+	mu     sync.Mutex
+	info   deployment.Runner
+	gone   time.Time
+	report Report
+	// running are this process's requests there, reading their tokens without a first event, held all their tokens.
+	running int
+	reading int
+	held    int
+	heard   time.Time
+	avoid   time.Time
+	strikes int
+	// failures is the moving share of requests that the runner failed though it took them.
+	failures float64
+	// weights were told by the runner's own answers; they go before the list where they are newer.
+	weights map[rillreach.ModelID]deployment.WeightVersion
+	leaving bool
+}
+
+// View is a copy of what is known of a runner at one moment.
+type View struct {
+	deployment.Runner
+	// Running, Reading and Held are this process's requests there, the tokens that they still read, and all their tokens.
+	Running int
+	Reading int
+	Held    int
+	// Avoid says that the runner's answers, or their lack, speak against it.
+	Avoid bool
+	// Failures is the share of requests that it lately failed.
+	Failures float64
+	// Load is the runner's own report, and Reported says that it is recent.
+	Load     deployment.Load
+	Reported bool
+	Heard    time.Time
+}
+
+// View copies what is known.
+func (r *Runner) View(now time.Time) View {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v := View{
+		Runner: r.info, Running: r.running, Reading: r.reading, Held: r.held, Avoid: now.Before(r.avoid), Failures: r.failures,
+		Load: r.report.Load, Reported: !r.report.At.IsZero() && now.Sub(r.report.At) < reportAge, Heard: r.heard,
+	}
+	v.Leaving = v.Leaving || r.leaving || v.Reported && r.report.Load.Leaving
+	if len(r.weights) > 0 || v.Reported {
+		v.Weights = maps.Clone(v.Weights)
+		newest(v.Weights, r.weights)
+		if v.Reported {
+			newest(v.Weights, r.report.Load.Weights)
+		}
+	}
+	return v
+}
+
+func newest(into, from map[rillreach.ModelID]deployment.WeightVersion) {
+	for model, version := range from {
+		into[model] = max(into[model], version)
+	}
+}
+
+// Begin counts a request that is sent to the runner, with the tokens that it has to read and those that it holds.
+func (r *Runner) Begin(reading, held int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running++
+	r.reading += reading
+	r.held += held
+}
+
+// First records that the request has its first event.
+func (r *Runner) First(now time.Time, reading int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reading -= reading
+	r.heard = now
+}
+
+// Drop records that the request will not have a first event.
+func (r *Runner) Drop(reading int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reading -= reading
+}
+
+// End counts a request that has left the runner.
+func (r *Runner) End(held int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running--
+	r.held -= held
+}
+
+// Well records an answer that speaks for the runner.
+func (r *Runner) Well(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.heard = now
+	r.strikes = 0
+	r.avoid = time.Time{}
+	r.failures *= 1 - failureMemory
+}
+
+// Failed records an answer that says that the runner failed a request.
+func (r *Runner) Failed(now time.Time) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.heard = now
+	r.failures += (1 - r.failures) * failureMemory
+	return r.failures
+}
+
+// Strike records a failure that speaks against the runner, and returns for how long it is left alone.
+func (r *Runner) Strike(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Before(r.avoid) {
+		return r.avoid.Sub(now)
+	}
+	pause := min(avoidFirst<<min(r.strikes, 8), avoidMost)
+	r.strikes++
+	r.avoid = now.Add(pause)
+	return pause
+}
+
+// Leaves records that the runner itself says that it ends.
+func (r *Runner) Leaves() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+}
+
+// SetWeights records the weights that the runner itself says it has.
+func (r *Runner) SetWeights(model rillreach.ModelID, version deployment.WeightVersion) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.weights == nil {
+		r.weights = map[rillreach.ModelID]deployment.WeightVersion{}
+	}
+	r.weights[model] = max(r.weights[model], version)
+}
+
+// SetReport records what the runner's agent says of it.
+func (r *Runner) SetReport(report Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report = report
+}
+
+// Info is the runner as the platform lists it.
+func (r *Runner) Info() deployment.Runner {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.info
+}
--- /dev/null
+++ b/sidecar/loader.go
@@ -0,0 +1,119 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/platform"
+	"github.com/rillreach/rillreach/roster"
+	"github.com/rillreach/rillreach/weights"
+)
+
+// lookEvery is how often the runner is asked how it is; on the same instance that costs nothing but processor time.
+const lookEvery = 100 * time.Millisecond
+
+// loader brings the runner to the newest weights.
+type loader struct {
+	sidecar *Sidecar
+
+	// given is the last order, for the runner's run that it was meant for.
+	given   platform.Order
+	givenAt time.Time
+	said    weights.Action
+	silent  bool
+}
+
+// Name is the controller's name.
+func (l *loader) Name() string { return "load-weights" }
+
+// Run looks at the runner until the context ends.
+func (l *loader) Run(ctx context.Context) error {
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			l.look(ctx)
+		}
+	}
+}
+
+// look compares what the runner has with what is wanted, and acts on the difference.
+func (l *loader) look(ctx context.Context) {
+	s := l.sidecar
+	self := s.state.Roster.At(s.Settings.Runner)
+	if self == nil {
+		return
+	}
+	info := self.Info()
+	load, err := s.Runner.Report(ctx)
+	l.note(ctx, err)
+	if err != nil {
+		return
+	}
+	for model, loaded := range load.Weights {
+		named, since := s.state.Weights(model)
+		l.decide(ctx, info, load, named, loaded, time.Since(since))
+	}
+}
+
+// note logs the loss and the return of the runner.
+func (l *loader) note(ctx context.Context, err error) {
+	if silent := err != nil; silent != l.silent && ctx.Err() == nil {
+		l.silent = silent
+		if silent {
+			l.sidecar.Log.Error(err, "dependency lost", "dependency", "runner", "address", l.sidecar.Settings.Runner)
+			return
+		}
+		l.sidecar.Log.Info("dependency regained", "dependency", "runner", "address", l.sidecar.Settings.Runner)
+	}
+}
+
+func (l *loader) decide(ctx context.Context, self deployment.Runner, load deployment.Load, named deployment.NamedWeights, loaded deployment.WeightVersion, since time.Duration) {
+	rank, total := rankOf(l.sidecar.state.Roster.Group(self.Service), self.ID)
+	situation := weights.Situation{
+		Named: named.Version, Loaded: loaded, Since: since, FixedRank: rank, Total: total,
+		Busy: load.Busy, Leaving: self.Leaving || load.Leaving,
+	}
+	if l.given.Runner == self.ID && l.given.Weights == named.Version {
+		situation.Ordered = time.Since(l.givenAt)
+	}
+	action := weights.Decide(situation)
+	if action != l.said {
+		l.said = action
+		l.sidecar.Log.Info("weights", "decision", action, "model", named.Model, "named", named.Version, "loaded", loaded,
+			"rank", rank, "total", total, "since", since.String(), "busy", load.Busy)
+	}
+	if action == weights.Order {
+		l.order(ctx, self, load, named)
+	}
+}
+
+func (l *loader) order(ctx context.Context, self deployment.Runner, load deployment.Load, named deployment.NamedWeights) {
+	l.given = platform.Order{
+		Runner: self.ID, Model: named.Model, Weights: named.Version,
+		Holder: l.sidecar.Settings.Name, Fence: named.Revision, After: load.Orders,
+	}
+	l.givenAt = time.Now()
+	verdict, err := l.sidecar.Runner.Order(ctx, l.given)
+	if err != nil {
+		l.sidecar.Log.Error(err, "order without answer", "decision", "wait", "runner", self.ID, "weights", named.Version, "after", load.Orders)
+		return
+	}
+	l.sidecar.Log.Info("order given", "decision", verdict, "runner", self.ID, "model", named.Model, "weights", named.Version,
+		"fence", named.Revision, "after", load.Orders)
+}
+
+// rankOf is the place of a runner among those of its service, and their number.
+func rankOf(group []*roster.Runner, id rillreach.InstanceID) (rank, total int) {
+	for i, r := range group {
+		if r.Info().ID == id {
+			rank = i
+		}
+	}
+	return rank, len(group)
+}
--- /dev/null
+++ b/source.go
@@ -0,0 +1,32 @@
+package rillreach
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrHistoryGone says that a watch cannot go on from where it stood, so that everything has to be listed again.
+var ErrHistoryGone = errors.New("history of the objects is gone")
+
+// Update is one object as a source gives it.
+type Update[T any] struct {
+	Name  string
+	Value T
+	// Revision is that of the object's last change.
+	Revision uint64
+	// Gone says that the object no longer exists.
+	Gone bool
+	// Err says why the object cannot be understood; Value is then empty.
+	Err error
+}
+
+// Source gives the objects of one kind and their changes.
+type Source[T any] interface {
+	// List returns all objects and the revision from which a watch misses nothing.
+	List(ctx context.Context) ([]Update[T], uint64, error)
+	// Watch waits for changes after a revision, at the longest for wait, and returns the revision to go on from; it gives
+	// ErrHistoryGone where the revision is too old.
+	Watch(ctx context.Context, revision uint64, wait time.Duration) ([]Update[T], uint64, error)
+}
