Keep parts of prompts in stores, and have agents tell entries of load, weights and held parts

Ruled out: looking up holders by asking them (probes), one list of everything in the store (calls). Change: each agent follows its runner's events and, by rank, stores; entries follow the agents, name a holder for each part, and save what no store has. Parts of replaced weights are freed once every fetch that was allowed has ended.

--- /dev/null
+++ b/bulletin/bulletin.go
@@ -0,0 +1,91 @@
+// Package bulletin holds the messages in which an agent tells the entries of its runner, and of the cache stores that it
+// looks after.
+package bulletin
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/holdings"
+)
+
+// Grant is how long after a bulletin, on the runners' clock, a fetch from a store that it calls alive may last: the store's
+// agent frees nothing earlier than that after it has stopped calling the parts alive.
+const Grant = 1500 * time.Millisecond
+
+// Follow asks an agent for its bulletins.
+type Follow struct {
+	// Entry names the process that asks.
+	Entry rillreach.InstanceID `cbor:"1,keyasint"`
+}
+
+// Check reports what is wrong with the message.
+func (f Follow) Check() error {
+	if f.Entry == "" {
+		return errors.New("follower has no name")
+	}
+	return nil
+}
+
+// Bulletin is one message of an agent.
+type Bulletin struct {
+	// Runner is the run that the agent stands beside.
+	Runner rillreach.InstanceID `cbor:"1,keyasint"`
+	// Clock is the runners' clock when the bulletin was made, in milliseconds.
+	Clock int64 `cbor:"2,keyasint"`
+	// Load is the runner's own report.
+	Load Load `cbor:"3,keyasint"`
+	// Holders are what the runner and the stores hold.
+	Holders []Holder `cbor:"4,keyasint,omitempty"`
+	// Named are the newest weights that the agent knows of.
+	Named []deployment.NamedWeights `cbor:"5,keyasint,omitempty"`
+	// Followers is how many entries follow the agent.
+	Followers int `cbor:"6,keyasint"`
+}
+
+// Load is how a runner is.
+type Load struct {
+	Running int `cbor:"1,keyasint"`
+	Waiting int `cbor:"2,keyasint"`
+	Used    int `cbor:"3,keyasint"`
+	// Loading says that the runner loads weights or is about to, and takes nothing.
+	Loading bool `cbor:"4,keyasint"`
+	Leaving bool `cbor:"5,keyasint"`
+	// Weights are what the runner has loaded.
+	Weights map[rillreach.ModelID]deployment.WeightVersion `cbor:"6,keyasint"`
+}
+
+// Holder says what one runner or store holds.
+type Holder struct {
+	Place netip.AddrPort `cbor:"1,keyasint"`
+	// Store says that the place is a store, Down that it does not answer.
+	Store bool `cbor:"2,keyasint"`
+	Down  bool `cbor:"3,keyasint"`
+	// Whole says that the changes are everything that is held.
+	Whole   bool              `cbor:"4,keyasint"`
+	Changes []holdings.Change `cbor:"5,keyasint,omitempty"`
+	// Dying are the salts whose parts are about to be freed.
+	Dying []string `cbor:"6,keyasint,omitempty"`
+}
+
+// Check reports what is wrong with the message.
+func (b Bulletin) Check() error {
+	if b.Runner == "" {
+		return errors.New("bulletin names no runner")
+	}
+	for _, h := range b.Holders {
+		if !h.Place.IsValid() {
+			return errors.New("bulletin names a holder without an address")
+		}
+		for _, c := range h.Changes {
+			if err := c.Check(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -176,8 +176,12 @@
 	if !p.settings.Runner.IsValid() {
 		return codedError{error: errors.New("settings name no runner beside the agent"), code: ExitUsage}
 	}
+	listener, err := listen(netip.AddrPortFrom(p.settings.Host, p.settings.FirstPort))
+	if err != nil {
+		return err
+	}
 	agent := &sidecar.Sidecar{
-		Settings: p.settings, Runners: platform.Runners(p.store), Weights: platform.Weights(p.store),
+		Settings: p.settings, Listener: listener, Configs: platform.Configs(p.store), Runners: platform.Runners(p.store), Weights: platform.Weights(p.store),
 		Runner: platform.NewRunner(p.settings.Runner), Log: p.log, Metrics: p.metrics,
 	}
 	return agent.Run(ctx)
--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/internal/pause"
 )
 
 const (
@@ -47,7 +48,7 @@
 
 // Run follows the objects until the context ends.
 func (c *Controller[T]) Run(ctx context.Context) error {
-	pause := firstPause
+	wait := firstPause
 	var revision uint64
 	listed := false
 	for ctx.Err() == nil {
@@ -60,15 +61,15 @@
 		switch {
 		case err == nil:
 			listed = true
-			pause = firstPause
-			sleep(ctx, c.Gather)
+			wait = firstPause
+			pause.For(ctx, c.Gather)
 		case errors.Is(err, rillreach.ErrHistoryGone):
 			c.Log.Info("history is gone, listing again", "decision", "list-again", "kind", c.Kind, "revision", revision)
 			listed = false
 		default:
 			c.lost(ctx, err)
-			sleep(ctx, pause)
-			pause = min(2*pause, mostPause)
+			pause.For(ctx, wait)
+			wait = min(2*wait, mostPause)
 		}
 	}
 	return nil
@@ -121,15 +122,3 @@
 	c.Log.Info("dependency regained", "dependency", "object-store", "kind", c.Kind, "outage", c.returned.Sub(c.lostAt).String())
 	c.lostAt = time.Time{}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/deployment/runner.go
+++ b/deployment/runner.go
@@ -28,19 +28,22 @@
 
 // NamedWeights is the newest version of a model's weights that the operators want.
 type NamedWeights struct {
-	Model   rillreach.ModelID
-	Version WeightVersion
+	Model   rillreach.ModelID `cbor:"1,keyasint"`
+	Version WeightVersion     `cbor:"2,keyasint"`
 	// Revision is that of the object which names the version; it only grows, and so serves as a fencing token.
-	Revision uint64
+	Revision uint64 `cbor:"3,keyasint"`
 }
 
 // Load is what a runner reports of itself.
 type Load struct {
-	Waiting  int
-	Running  int
-	Weights  map[rillreach.ModelID]WeightVersion
-	Busy     bool
-	Orders   uint64
+	Waiting int
+	Running int
+	Weights map[rillreach.ModelID]WeightVersion
+	// Busy says that the runner carries out an order, or is about to.
+	Busy bool
+	// Orders is how many orders the runner has taken since its start.
+	Orders uint64
+	// Used is how much of its memory, in tokens, cannot give way, of Capacity.
 	Used     int
 	Capacity int
 	Leaving  bool
--- /dev/null
+++ b/fleet/self.go
@@ -0,0 +1,27 @@
+package fleet
+
+import (
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/deployment"
+)
+
+// Self is what a process on the users' platform says of itself to its peers; the port is the same on all instances.
+func Self(role rillreach.Role, s *deployment.Settings) (rillreach.Instance, error) {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return rillreach.Instance{}, errors.Wrap(err, "make incarnation")
+	}
+	return rillreach.Instance{
+		ID:          rillreach.InstanceID(s.Name),
+		Role:        role,
+		Incarnation: rillreach.Incarnation(id.String()),
+		Address:     netip.AddrPortFrom(s.Host, s.FirstPort),
+		Zone:        s.Zone,
+		Side:        rillreach.SideNew,
+	}, nil
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -36,7 +36,7 @@
 		inTime()
 		begun.first()
 	}
-	x.call.Header = x.directions(t).Header(x.request.Header)
+	x.call.Header = g.directions(x, t).Header(x.request.Header)
 	var head platform.Answer
 	answer, err := g.pool.Do(waiting, t.view.Address, g.maxConns(x), &x.call, func(resp *http.Response) bool {
 		head = platform.DecodeAnswer(resp.StatusCode, resp.Header)
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -1,11 +1,12 @@
 package gateway
 
 import (
+	"net/netip"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/fetch"
 	"github.com/rillreach/rillreach/place"
 	"github.com/rillreach/rillreach/platform"
 	"github.com/rillreach/rillreach/roster"
@@ -20,7 +21,9 @@
 	reading int
 	held    int
 	weights deployment.WeightVersion
-	salt    string
+	// kept and plan say which parts of the prompt are where, and how the runner comes to them.
+	kept *promptState
+	plan fetch.Plan
 }
 
 // choose decides on the runner for the next attempt, or returns nil where there is none.
@@ -41,19 +44,26 @@
 	}
 	question := g.question(x)
 	candidates := make([]place.Candidate, len(views))
+	plans := make([]fetch.Plan, len(views))
+	states := map[deployment.WeightVersion]*promptState{}
 	for i := range views {
 		candidates[i] = g.candidate(x, &views[i])
+		if question.Tokens > 0 {
+			plans[i] = g.planAt(x, &views[i], views, states, now).plan(&views[i])
+			addPlan(&candidates[i], x.wire.Prompt, &plans[i])
+		}
 	}
 	choice := place.Choose(question, candidates, int(g.seq.Add(1)%uint64(len(views))))
-	t := &target{runner: runners[choice.Index], view: views[choice.Index], choice: choice, held: question.Tokens}
+	t := &target{runner: runners[choice.Index], view: views[choice.Index], choice: choice, held: question.Tokens, plan: plans[choice.Index]}
 	t.reading = candidates[choice.Index].Missing
-	if x.wire.Prompt != nil {
+	if question.Tokens > 0 {
 		t.weights = t.view.Weights[x.wire.Prompt.Model]
-		t.salt = salt(x, t.weights)
+		t.kept = states[t.weights]
+		g.bookMoves(t, now)
 	}
 	g.Log.Info("runner chosen", "decision", "send", "request", x.wire.ID, "account", x.accountName(), "route", x.route.Name,
 		"chosen", t.view.ID, "candidates", len(candidates), "cost", choice.Cost, "estimate", choice.Estimate.String(),
-		"attempt", x.sends+1, "weights", t.weights, "avoided", t.view.Avoid, "listAge", now.Sub(g.state.Roster.Updated()).String())
+		"attempt", x.sends+1, "weights", t.weights, "missing", t.reading, "fetched", t.plan.Fetched, "avoided", t.view.Avoid, "listAge", now.Sub(g.state.Roster.Updated()).String())
 	return t
 }
 
@@ -78,7 +88,11 @@
 	}
 	if p := x.wire.Prompt; p != nil && x.service.Engine != nil {
 		c.Capacity = x.service.Engine.CapacityTokens
-		c.Missing = p.Tokens
+		if v.Reported {
+			c.Running = max(c.Running, v.Load.Running+v.Load.Waiting)
+			c.Held = max(c.Held, v.Load.Used)
+			c.Avoid = c.Avoid || v.Load.Busy
+		}
 		named, since := g.state.Weights(p.Model)
 		c.Old = v.Weights[p.Model] < named.Version && time.Since(since) > oldFrom
 	}
@@ -88,30 +102,62 @@
 // oldFrom is how long after the naming of new weights answers on the old ones are as good as others.
 const oldFrom = 1200 * time.Millisecond
 
-// salt keeps KV cache apart by model, weights and, for an isolated account, the account: what was made under another
-// version, or behind the account's wall, cannot be found.
+// salt keeps KV cache apart by model, weights and, for an isolated account, the account.
 func salt(x *exchange, weights deployment.WeightVersion) string {
-	if weights == 0 {
-		return ""
+	s := deployment.Salt{Model: x.wire.Prompt.Model, Weights: weights}
+	if x.account != nil && x.account.Isolated {
+		s.Account = x.account.Name
+	}
+	return s.String()
+}
+
+// planAt gives what is known of the prompt's parts under the weights of a runner.
+func (g *Gateway) planAt(x *exchange, v *roster.View, views []roster.View, states map[deployment.WeightVersion]*promptState, now time.Time) *promptState {
+	weights := v.Weights[x.wire.Prompt.Model]
+	if states[weights] == nil {
+		states[weights] = g.promptStateOf(x, weights, views, now)
+	}
+	return states[weights]
+}
+
+// addPlan adds to a candidate what it would read and fetch.
+func addPlan(c *place.Candidate, p *deployment.Prompt, plan *fetch.Plan) {
+	own := p.Tokens
+	for _, part := range p.Shared() {
+		own -= part.Tokens
 	}
-	text := string(x.wire.Prompt.Model) + "/" + strconv.FormatUint(uint64(weights), 10)
-	if isolated(x.account) {
-		text += "/" + string(x.account.Name)
+	c.Missing = max(0, own) + plan.Missing
+	c.Again = plan.Missing
+	c.Fetched = plan.Fetched - plan.Afar
+	c.FetchedAfar = plan.Afar
+	c.FetchTime = plan.Time
+}
+
+// bookMoves records which links the chosen runner's fetches take.
+func (g *Gateway) bookMoves(t *target, now time.Time) {
+	for _, m := range t.plan.Moves {
+		g.stores.book(m.From, m.Took, now)
 	}
-	return text
 }
 
 // directEngine adds what an engine is told.
-func (t *target) directEngine(x *exchange, d *platform.Directions) {
-	if x.wire.Prompt == nil {
+func (g *Gateway) directEngine(x *exchange, t *target, d *platform.Directions) {
+	if t.kept == nil {
 		return
 	}
 	d.Weights = t.weights
-	d.Salt = t.salt
+	d.Salt = t.kept.salt
 	if d.Salt == "" {
 		// Without a known version nothing kept may be met: a salt of its own keeps the request to itself.
 		d.Salt = "request/" + string(x.wire.ID)
+		return
+	}
+	if len(t.plan.From) > 0 && !t.kept.until.IsZero() {
+		d.Fetch = make([]netip.AddrPort, len(x.wire.Prompt.Parts))
+		copy(d.Fetch, t.plan.From)
+		d.FetchUntil = t.kept.until
 	}
+	d.Save = g.saves(x, t.kept, &t.view, time.Now())
 }
 
 // work is a request that counts as running at its runner.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,9 +13,11 @@
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/controller"
 	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/fleet"
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/localstate"
 	"github.com/rillreach/rillreach/node"
+	"github.com/rillreach/rillreach/peer"
 	"github.com/rillreach/rillreach/retry"
 	"github.com/rillreach/rillreach/telemetry"
 )
@@ -60,6 +62,7 @@
 	Metrics *telemetry.Metrics
 
 	state   localstate.State
+	stores  storeBook
 	pool    forward.Pool
 	budgets retry.Shares
 	running node.Inflight
@@ -75,6 +78,12 @@
 	g.server = g.newServer()
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
+	self, err := fleet.Self(rillreach.RoleEntry, g.Settings)
+	if err != nil {
+		return err
+	}
+	peers := &peer.Pool{Self: self, Mux: &peer.Mux{Log: g.Log}, Log: g.Log}
+	peers.Start(life)
 	stop := context.AfterFunc(ctx, func() {
 		g.stop(time.Now())
 		end()
@@ -88,6 +97,8 @@
 		&serverController{name: "callers", server: g.server, listener: g.Callers},
 		&serverController{name: "readiness", server: &http.Server{Handler: http.HandlerFunc(g.ready), ReadHeaderTimeout: defaultHeaderTimeout}, listener: g.Readiness},
 		&sweeper{pool: &g.pool},
+		peers,
+		&agents{gateway: g, pool: peers},
 	)
 }
 
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -13,7 +13,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rillreach/rillreach"
-	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/platform"
 )
@@ -209,7 +208,7 @@
 }
 
 // directions are what goes to the runner beside the caller's own header.
-func (x *exchange) directions(t *target) *platform.Directions {
+func (g *Gateway) directions(x *exchange, t *target) *platform.Directions {
 	d := &platform.Directions{
 		Runner:    t.view.ID,
 		Account:   x.accountName(),
@@ -220,9 +219,6 @@
 	if x.service.Engine != nil {
 		d.Priority = x.priority()
 	}
-	t.directEngine(x, d)
+	g.directEngine(x, t, d)
 	return d
 }
-
-// isolated reports whether the account's KV cache is kept apart.
-func isolated(a *deployment.Account) bool { return a != nil && a.Isolated }
--- /dev/null
+++ b/gateway/kept.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/fetch"
+	"github.com/rillreach/rillreach/holdings"
+	"github.com/rillreach/rillreach/roster"
+)
+
+const (
+	// fetchShare is the part of the target that a fetch may take, leastFetch and mostFetch bound it.
+	fetchShare = 0.4
+	leastFetch = 60 * time.Millisecond
+	mostFetch  = 400 * time.Millisecond
+)
+
+// promptState is what is known of the kept parts of one prompt, under the salt of one version of weights.
+type promptState struct {
+	salt   string
+	shared []deployment.Part
+	// holders are those of each part that may be asked, local what each runner holds itself.
+	holders []map[netip.AddrPort]int
+	engine  fetch.Engine
+	budget  time.Duration
+	// until bounds the fetch on the runners' clock; zero means that nothing may be fetched from a store.
+	until time.Time
+	// places are the zones and rates of the holders.
+	places map[netip.AddrPort]placeInfo
+}
+
+type placeInfo struct {
+	zone          rillreach.ZoneID
+	store         bool
+	bitsPerSecond float64
+	first         time.Duration
+	busy          time.Duration
+}
+
+// promptStateOf looks up who holds the shared parts of the request's prompt.
+func (g *Gateway) promptStateOf(x *exchange, weights deployment.WeightVersion, views []roster.View, now time.Time) *promptState {
+	p := &promptState{salt: salt(x, weights), shared: x.wire.Prompt.Shared(), places: map[netip.AddrPort]placeInfo{}}
+	if p.salt == "" {
+		return p
+	}
+	engine := x.service.Engine
+	p.engine = fetch.Engine{TokenBytes: engine.TokenBytes, BitsPerSecond: engine.LinkBitsPerSecond}
+	p.budget = min(max(time.Duration(fetchShare*float64(x.route.Target)), leastFetch), mostFetch)
+	for i := range views {
+		if v := &views[i]; !v.Avoid {
+			p.places[v.Address] = placeInfo{zone: v.Zone}
+		}
+	}
+	g.addStores(x, p, now)
+	for _, part := range p.shared {
+		holders := g.stores.index.Holders(holdings.Key{Salt: p.salt, Part: part.ID})
+		p.holders = append(p.holders, holders)
+	}
+	return p
+}
+
+// addStores adds the stores that may be asked, and bounds the fetch.
+func (g *Gateway) addStores(x *exchange, p *promptState, now time.Time) {
+	clock, known := g.stores.clock.read(now)
+	if !known {
+		return
+	}
+	p.until = clock.Add(p.budget)
+	for _, s := range x.config.Stores() {
+		until, busy, ok := g.stores.usable(s.Address, p.salt, now)
+		if !ok || until.Before(clock.Add(leastFetch)) {
+			continue
+		}
+		if until.Before(p.until) {
+			p.until = until
+		}
+		p.places[s.Address] = placeInfo{zone: s.Zone, store: true, bitsPerSecond: s.LinkBitsPerSecond, first: s.FirstDelay, busy: busy}
+	}
+}
+
+// plan says how the runner would come to the shared parts.
+func (p *promptState) plan(v *roster.View) fetch.Plan {
+	parts := make([]fetch.Part, len(p.holders))
+	for i, holders := range p.holders {
+		parts[i] = fetch.Part{Tokens: p.shared[i].Tokens, Local: holders[v.Address]}
+		for place, tokens := range holders {
+			info, ok := p.places[place]
+			if !ok || place == v.Address {
+				continue
+			}
+			parts[i].Holders = append(parts[i].Holders, fetch.Holder{
+				Place: place, Store: info.store, Tokens: tokens, BitsPerSecond: info.bitsPerSecond, First: info.first, Busy: info.busy,
+				OtherZone: info.zone != v.Zone,
+			})
+		}
+	}
+	plan := fetch.Make(p.engine, parts, p.budget)
+	if len(p.holders) == 0 {
+		for _, part := range p.shared {
+			plan.Missing += part.Tokens
+		}
+	}
+	return plan
+}
+
+// saves says where the shared parts go once the runner has them.
+func (g *Gateway) saves(x *exchange, p *promptState, v *roster.View, now time.Time) []netip.AddrPort {
+	if p.until.IsZero() {
+		return nil
+	}
+	to := make([]netip.AddrPort, len(x.wire.Prompt.Parts))
+	for i, part := range p.shared {
+		key := holdings.Key{Salt: p.salt, Part: part.ID}
+		stores := g.saveStores(x, p, v, key, now)
+		to[i] = fetch.SaveTo(p.engine, part.Tokens, i == 0, stores)
+		if to[i].IsValid() {
+			g.stores.save(key, to[i], now)
+		}
+	}
+	return to
+}
+
+// saveStores are the stores that may take a part.
+func (g *Gateway) saveStores(x *exchange, p *promptState, v *roster.View, key holdings.Key, now time.Time) []fetch.Store {
+	var stores []fetch.Store
+	holders := g.stores.index.Holders(key)
+	for _, s := range x.config.Stores() {
+		info, ok := p.places[s.Address]
+		if !ok || !info.store {
+			continue
+		}
+		_, holds := holders[s.Address]
+		stores = append(stores, fetch.Store{
+			Place: s.Address, Capacity: s.CapacityTokens, Total: g.stores.index.Total(s.Address), BitsPerSecond: s.LinkBitsPerSecond,
+			First: s.FirstDelay, Busy: info.busy, OtherZone: s.Zone != v.Zone, Holds: holds || g.stores.isSaving(key, s.Address, now),
+		})
+	}
+	return stores
+}
--- /dev/null
+++ b/gateway/news.go
@@ -0,0 +1,195 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/bulletin"
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/internal/pause"
+	"github.com/rillreach/rillreach/peer"
+	"github.com/rillreach/rillreach/roster"
+)
+
+const (
+	// followEvery is how often it is looked at whether each runner's agent is followed.
+	followEvery = 200 * time.Millisecond
+	// followPause is a pause after an agent could not be followed.
+	followPause = 400 * time.Millisecond
+	// silentMost is how long an agent may be silent before the connection is given up.
+	silentMost = 2 * time.Second
+	// clockDrift is by how much per second the estimate of the runners' clock falls back, so that one message that came
+	// early by mistake does not spoil it for long.
+	clockDrift = 0.001
+)
+
+// agents follows the agents of all listed runners of engines.
+type agents struct {
+	gateway *Gateway
+	pool    *peer.Pool
+
+	wg        conc.WaitGroup
+	mu        sync.Mutex
+	following map[netip.AddrPort]context.CancelFunc
+}
+
+// Name is the controller's name.
+func (a *agents) Name() string { return "follow-agents" }
+
+// Run follows the agents until the context ends.
+func (a *agents) Run(ctx context.Context) error {
+	a.following = map[netip.AddrPort]context.CancelFunc{}
+	pause.Every(ctx, followEvery, a.look)
+	a.wg.Wait()
+	return nil
+}
+
+// look begins to follow the agents of new runners, and ends with those of runners that are gone.
+func (a *agents) look(ctx context.Context) {
+	wanted := a.wanted()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for address, stop := range a.following {
+		if !wanted[address] {
+			stop()
+			delete(a.following, address)
+		}
+	}
+	for address := range wanted {
+		if a.following[address] != nil {
+			continue
+		}
+		one, stop := context.WithCancel(ctx)
+		a.following[address] = stop
+		a.wg.Go(func() { a.follow(one, address) })
+	}
+}
+
+// wanted are the addresses of the agents beside listed runners of engines.
+func (a *agents) wanted() map[netip.AddrPort]bool {
+	wanted := map[netip.AddrPort]bool{}
+	config := a.gateway.state.Config()
+	if config == nil {
+		return wanted
+	}
+	for name, service := range config.Services {
+		if service.Engine == nil {
+			continue
+		}
+		for _, r := range a.gateway.state.Roster.Group(name) {
+			wanted[netip.AddrPortFrom(r.Info().Address.Addr(), a.gateway.Settings.FirstPort)] = true
+		}
+	}
+	return wanted
+}
+
+// follow takes the bulletins of one agent until the context ends.
+func (a *agents) follow(ctx context.Context, address netip.AddrPort) {
+	lost := false
+	for ctx.Err() == nil {
+		err := a.read(ctx, address, func() {
+			if lost {
+				a.gateway.Log.Info("dependency regained", "dependency", "agent", "agent", address)
+			}
+			lost = false
+		})
+		if ctx.Err() == nil && !lost {
+			lost = true
+			a.gateway.Log.Error(err, "dependency lost", "dependency", "agent", "agent", address)
+		}
+		pause.For(ctx, followPause)
+	}
+}
+
+// read takes bulletins from one connection until it fails.
+func (a *agents) read(ctx context.Context, address netip.AddrPort, began func()) error {
+	dialling, cancel := context.WithTimeout(ctx, silentMost)
+	defer cancel()
+	conn, err := a.pool.Get(dialling, address)
+	if err != nil {
+		return err
+	}
+	body, err := peer.Encode(bulletin.Follow{Entry: rillreach.InstanceID(a.gateway.Settings.Name)})
+	if err != nil {
+		return err
+	}
+	stream, err := conn.Open(ctx, peer.MethodFollow, body)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for {
+		part, err := nextInTime(ctx, stream)
+		if err != nil {
+			conn.Close()
+			return err
+		}
+		b, err := peer.Decode[bulletin.Bulletin](part)
+		if err != nil {
+			return err
+		}
+		began()
+		a.gateway.learn(&b, time.Now())
+	}
+}
+
+func nextInTime(ctx context.Context, stream *peer.Stream) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, silentMost)
+	defer cancel()
+	return stream.Next(ctx)
+}
+
+// learn takes a bulletin over.
+func (g *Gateway) learn(b *bulletin.Bulletin, now time.Time) {
+	if r := g.state.Roster.Find(b.Runner); r != nil {
+		r.SetReport(roster.Report{At: now, Load: deployment.Load{
+			Running: b.Load.Running, Waiting: b.Load.Waiting, Used: b.Load.Used, Busy: b.Load.Loading, Leaving: b.Load.Leaving, Weights: b.Load.Weights,
+		}})
+	}
+	for _, w := range b.Named {
+		g.state.SetWeights(w)
+	}
+	g.budgets.SetEntries(b.Followers)
+	g.stores.clock.hear(b.Clock, now)
+	for i := range b.Holders {
+		g.stores.learn(b.Runner, b.Clock, &b.Holders[i], now)
+	}
+}
+
+// runnersClock estimates the runners' clock from the bulletins, which come late by some milliseconds: the greatest of the
+// differences is the truest.
+type runnersClock struct {
+	mu     sync.Mutex
+	known  bool
+	offset time.Duration
+	at     time.Time
+	start  time.Time
+}
+
+func (c *runnersClock) hear(clock int64, now time.Time) {
+	if clock == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.known {
+		c.known, c.start, c.at = true, now, now
+		c.offset = time.Duration(clock) * time.Millisecond
+		return
+	}
+	c.offset -= time.Duration(float64(now.Sub(c.at)) * clockDrift)
+	c.at = now
+	c.offset = max(c.offset, time.Duration(clock)*time.Millisecond-now.Sub(c.start))
+}
+
+// read is the runners' clock at a moment of ours; it reports whether that is known.
+func (c *runnersClock) read(now time.Time) (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.UnixMilli((c.offset + now.Sub(c.start)).Milliseconds()), c.known
+}
--- /dev/null
+++ b/holdings/index.go
@@ -0,0 +1,93 @@
+package holdings
+
+import (
+	"net/netip"
+	"sync"
+)
+
+// Index is what an entry knows of all holders; its zero value is empty.
+type Index struct {
+	mu      sync.RWMutex
+	byKey   map[Key]map[netip.AddrPort]int
+	byPlace map[netip.AddrPort]map[Key]int
+	total   map[netip.AddrPort]int
+}
+
+// Replace sets everything that the holder at the address holds.
+func (x *Index) Replace(place netip.AddrPort, all []Change) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.forget(place)
+	x.apply(place, all)
+}
+
+// Apply takes changes of one holder over.
+func (x *Index) Apply(place netip.AddrPort, changes []Change) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.apply(place, changes)
+}
+
+// Forget drops all that is known of a holder.
+func (x *Index) Forget(place netip.AddrPort) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.forget(place)
+}
+
+// Holders returns how many tokens of a part each holder has.
+func (x *Index) Holders(key Key) map[netip.AddrPort]int {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	holders := make(map[netip.AddrPort]int, len(x.byKey[key]))
+	for place, tokens := range x.byKey[key] {
+		holders[place] = tokens
+	}
+	return holders
+}
+
+// Total is how many tokens a holder has altogether.
+func (x *Index) Total(place netip.AddrPort) int {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	return x.total[place]
+}
+
+func (x *Index) apply(place netip.AddrPort, changes []Change) {
+	if x.byKey == nil {
+		x.byKey, x.byPlace, x.total = map[Key]map[netip.AddrPort]int{}, map[netip.AddrPort]map[Key]int{}, map[netip.AddrPort]int{}
+	}
+	held := x.byPlace[place]
+	if held == nil {
+		held = map[Key]int{}
+		x.byPlace[place] = held
+	}
+	for _, c := range changes {
+		x.total[place] += c.Tokens - held[c.Key]
+		if c.Tokens == 0 {
+			delete(held, c.Key)
+			x.drop(place, c.Key)
+			continue
+		}
+		held[c.Key] = c.Tokens
+		if x.byKey[c.Key] == nil {
+			x.byKey[c.Key] = map[netip.AddrPort]int{}
+		}
+		x.byKey[c.Key][place] = c.Tokens
+	}
+}
+
+func (x *Index) forget(place netip.AddrPort) {
+	for key := range x.byPlace[place] {
+		x.drop(place, key)
+	}
+	delete(x.byPlace, place)
+	delete(x.total, place)
+}
+
+func (x *Index) drop(place netip.AddrPort, key Key) {
+	delete(x.byKey[key], place)
+	if len(x.byKey[key]) == 0 {
+		delete(x.byKey, key)
+	}
+}
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -58,6 +58,17 @@
 	return s.weights[model], s.named[model]
 }
 
+// AllWeights are the newest named versions of all models.
+func (s *State) AllWeights() []deployment.NamedWeights {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]deployment.NamedWeights, 0, len(s.weights))
+	for _, w := range s.weights {
+		all = append(all, w)
+	}
+	return all
+}
+
 // SetConfig takes a configuration over, unless it is older than the one in force.
 func (s *State) SetConfig(c *deployment.Config) {
 	s.mu.Lock()
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -37,7 +37,8 @@
 	MethodLease
 	MethodNotice
 	MethodStatus
-	maxMethod = MethodStatus
+	MethodFollow
+	maxMethod = MethodFollow
 )
 
 // Frame is the unit of traffic on a connection.
--- a/place/choose.go
+++ b/place/choose.go
@@ -14,7 +14,9 @@
 	Capacity int
 	// Missing is how many tokens of the request's prompt the runner would have to read, Fetched how many it would take from
 	// elsewhere, over links of its own zone or of others.
-	Missing      int
+	Missing int
+	// Again is how many of the missing tokens are of shared parts, which may have been read before.
+	Again        int
 	Fetched      int
 	FetchedAfar  int
 	FetchTime    time.Duration
@@ -77,7 +79,7 @@
 func Cost(q Question, c Candidate) float64 {
 	cost := costTie * float64(c.Running)
 	if q.Tokens > 0 {
-		cost += costPerMissingToken*float64(c.Missing) + costPerFetchedToken*float64(c.Fetched+2*c.FetchedAfar)
+		cost += costPerMissingToken*float64(c.Again) + costPerFetchedToken*float64(c.Fetched+2*c.FetchedAfar)
 		cost += costLate * lateness(Estimate(q, c), q.Target)
 	} else if c.Slots > 0 {
 		full := float64(c.Running+1) / float64(c.Slots)
--- /dev/null
+++ b/sidecar/caretaker.go
@@ -0,0 +1,219 @@
+package sidecar
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/bulletin"
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/holdings"
+	"github.com/rillreach/rillreach/internal/hash"
+	"github.com/rillreach/rillreach/internal/pause"
+	"github.com/rillreach/rillreach/platform"
+)
+
+const (
+	// careEvery is how often it is looked at who follows which store, and what can be freed.
+	careEvery = 200 * time.Millisecond
+	// freeMargin is added to the longest fetch before parts are freed.
+	freeMargin = 300 * time.Millisecond
+	// freeBatch is how many parts one call frees.
+	freeBatch = 250
+	// oldMost is how long parts of replaced weights are kept, where runners do not change sooner.
+	oldMost = 4 * time.Second
+)
+
+// caretaker follows the stores that are this agent's to look after, and frees what was made by weights that are replaced.
+// Each store has one such agent, by rank among the listed runners; an agent that takes a store over frees nothing before
+// every fetch that another may have allowed has ended.
+type caretaker struct {
+	sidecar *Sidecar
+	wg      conc.WaitGroup
+
+	mu     sync.Mutex
+	stores map[netip.AddrPort]*kept
+}
+
+// kept is one store that this agent looks after.
+type kept struct {
+	*holder
+	stop context.CancelFunc
+	// dying are the salts that are about to be freed, and since when entries are told so.
+	dying map[string]time.Time
+}
+
+// Name is the controller's name.
+func (c *caretaker) Name() string { return "look-after-stores" }
+
+// Run looks after stores until the context ends.
+func (c *caretaker) Run(ctx context.Context) error {
+	pause.Every(ctx, careEvery, c.look)
+	c.wg.Wait()
+	return nil
+}
+
+func (c *caretaker) look(ctx context.Context) {
+	mine := c.mine()
+	c.mu.Lock()
+	if c.stores == nil {
+		c.stores = map[netip.AddrPort]*kept{}
+	}
+	for place, k := range c.stores {
+		if !mine[place] {
+			k.stop()
+			delete(c.stores, place)
+			c.sidecar.Log.Info("store left to another agent", "decision", "leave", "store", place)
+		}
+	}
+	for place := range mine {
+		if c.stores[place] == nil {
+			c.stores[place] = c.begin(ctx, place)
+		}
+	}
+	c.mu.Unlock()
+	for _, k := range c.all() {
+		c.free(ctx, k)
+	}
+}
+
+func (c *caretaker) begin(ctx context.Context, place netip.AddrPort) *kept {
+	c.sidecar.Log.Info("store is this agent's", "decision", "follow", "store", place)
+	ctx, stop := context.WithCancel(ctx)
+	k := &kept{
+		holder: &holder{place: place, store: true, client: platform.NewRunner(place), log: c.sidecar.Log},
+		stop:   stop, dying: map[string]time.Time{},
+	}
+	c.wg.Go(func() { k.run(ctx) })
+	return k
+}
+
+// all are the stores that this agent looks after.
+func (c *caretaker) all() []*kept {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := make([]*kept, 0, len(c.stores))
+	for _, k := range c.stores {
+		all = append(all, k)
+	}
+	return all
+}
+
+// mine are the addresses of the stores whose first rank this agent's runner has.
+func (c *caretaker) mine() map[netip.AddrPort]bool {
+	s := c.sidecar
+	config, self := s.state.Config(), s.state.Roster.At(s.Settings.Runner)
+	mine := map[netip.AddrPort]bool{}
+	if config == nil || self == nil {
+		return mine
+	}
+	info := self.Info()
+	for _, store := range config.Stores() {
+		if store.Managed && c.first(store.Address, info.Service) == info.Address {
+			mine[store.Address] = true
+		}
+	}
+	return mine
+}
+
+// first is the runner of the service whose agent looks after the store.
+func (c *caretaker) first(store netip.AddrPort, service rillreach.ServiceID) netip.AddrPort {
+	var best netip.AddrPort
+	var most uint64
+	for _, r := range c.sidecar.state.Roster.Group(service) {
+		info := r.Info()
+		if info.Leaving {
+			continue
+		}
+		if rank := hash.Mix(hash.String(store.String()), hash.String(string(info.ID))); !best.IsValid() || rank > most {
+			best, most = info.Address, rank
+		}
+	}
+	return best
+}
+
+// free frees the salts of replaced weights, once entries have been told long enough that they are dying.
+func (c *caretaker) free(ctx context.Context, k *kept) {
+	now := time.Now()
+	for salt := range k.tracker.Salts() {
+		if !c.replaced(salt, now) {
+			continue
+		}
+		since, told := c.dies(k, salt, now)
+		if !told || now.Sub(since) < bulletin.Grant+freeMargin {
+			continue
+		}
+		parts := k.tracker.Under(salt)
+		for len(parts) > 0 {
+			n := min(len(parts), freeBatch)
+			if err := k.free(ctx, parts[:n]); err != nil {
+				c.sidecar.Log.Error(err, "parts not freed", "decision", "retry", "store", k.place, "salt", salt)
+				return
+			}
+			c.forget(k, parts[:n])
+			parts = parts[n:]
+		}
+		c.sidecar.Log.Info("parts freed", "decision", "free", "store", k.place, "salt", salt, "told", now.Sub(since).String())
+	}
+}
+
+// forget takes freed parts off at once, so that they are not freed again before the store tells of them.
+func (c *caretaker) forget(k *kept, parts []holdings.Key) {
+	changes := make([]holdings.Change, len(parts))
+	for i, p := range parts {
+		changes[i] = holdings.Change{Key: p}
+	}
+	k.tracker.Apply(changes)
+}
+
+// dies is since when entries are told that the salt dies; told is false where that begins now.
+func (c *caretaker) dies(k *kept, salt string, now time.Time) (since time.Time, told bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	since, told = k.dying[salt]
+	if !told {
+		k.dying[salt] = now
+		c.sidecar.Log.Info("parts of replaced weights", "decision", "announce", "store", k.place, "salt", salt)
+	}
+	return since, told
+}
+
+// replaced reports that the weights of a salt are no longer worth keeping parts for: newer ones are named, and half of the
+// runners have them, or enough time has passed.
+func (c *caretaker) replaced(text string, now time.Time) bool {
+	salt, ok := deployment.ParseSalt(text)
+	if !ok {
+		return false
+	}
+	named, since := c.sidecar.state.Weights(salt.Model)
+	if salt.Weights >= named.Version {
+		return false
+	}
+	old, all := 0, 0
+	for _, r := range c.sidecar.state.Roster.All() {
+		loaded, runs := r.Info().Weights[salt.Model]
+		if !runs {
+			continue
+		}
+		all++
+		if loaded <= salt.Weights {
+			old++
+		}
+	}
+	return 2*old <= all || now.Sub(since) > oldMost
+}
+
+// dyingOf are the salts that are about to be freed.
+func (c *caretaker) dyingOf(k *kept) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var salts []string
+	for salt := range k.dying {
+		salts = append(salts, salt)
+	}
+	return salts
+}
--- a/sidecar/loader.go
+++ b/sidecar/loader.go
@@ -55,10 +55,14 @@
 	if err != nil {
 		return
 	}
+	loading := load.Busy
 	for model, loaded := range load.Weights {
 		named, since := s.state.Weights(model)
-		l.decide(ctx, info, load, named, loaded, time.Since(since))
+		if l.decide(ctx, info, load, named, loaded, time.Since(since)) {
+			loading = true
+		}
 	}
+	s.news.set(load, loading)
 }
 
 // note logs the loss and the return of the runner.
@@ -73,7 +77,8 @@
 	}
 }
 
-func (l *loader) decide(ctx context.Context, self deployment.Runner, load deployment.Load, named deployment.NamedWeights, loaded deployment.WeightVersion, since time.Duration) {
+// decide acts on one model's weights, and reports whether entries should send nothing here now.
+func (l *loader) decide(ctx context.Context, self deployment.Runner, load deployment.Load, named deployment.NamedWeights, loaded deployment.WeightVersion, since time.Duration) bool {
 	rank, total := rankOf(l.sidecar.state.Roster.Group(self.Service), self.ID)
 	situation := weights.Situation{
 		Named: named.Version, Loaded: loaded, Since: since, FixedRank: rank, Total: total,
@@ -91,6 +96,7 @@
 	if action == weights.Order {
 		l.order(ctx, self, load, named)
 	}
+	return weights.Announce(situation)
 }
 
 func (l *loader) order(ctx context.Context, self deployment.Runner, load deployment.Load, named deployment.NamedWeights) {
--- /dev/null
+++ b/sidecar/news.go
@@ -0,0 +1,145 @@
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"net/netip"
+
+	"github.com/rillreach/rillreach/bulletin"
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/peer"
+)
+
+const (
+	// newsEvery is how often followers are told what has changed, and quietMost how long they hear nothing at the most.
+	newsEvery = 100 * time.Millisecond
+	quietMost = 400 * time.Millisecond
+)
+
+// news tells the entries how the runner is and what the stores hold.
+type news struct {
+	sidecar   *Sidecar
+	followers atomic.Int64
+
+	mu      sync.Mutex
+	load    deployment.Load
+	loadAt  time.Time
+	loading bool
+}
+
+// set takes the runner's newest report.
+func (n *news) set(load deployment.Load, loading bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.load, n.loadAt, n.loading = load, time.Now(), loading
+}
+
+func (n *news) get() (load deployment.Load, at time.Time, loading bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.load, n.loadAt, n.loading
+}
+
+// serve sends bulletins to one follower until it leaves.
+func (n *news) serve(ctx context.Context, call *peer.Call) error {
+	follow, err := peer.Decode[bulletin.Follow](call.Body)
+	if err != nil {
+		return err
+	}
+	count := n.followers.Add(1)
+	n.sidecar.Log.Info("follower came", "decision", "send", "entry", follow.Entry, "followers", count)
+	defer func() {
+		n.sidecar.Log.Info("follower left", "decision", "end", "entry", follow.Entry, "followers", n.followers.Add(-1))
+	}()
+	ticker := time.NewTicker(newsEvery)
+	defer ticker.Stop()
+	f := follower{news: n, positions: map[netip.AddrPort]uint64{}}
+	for {
+		if b, worth := f.next(); worth {
+			body, err := peer.Encode(b)
+			if err != nil {
+				return err
+			}
+			if err := call.Send(ctx, body); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// follower is what one entry has been told.
+type follower struct {
+	news      *news
+	positions map[netip.AddrPort]uint64
+	told      bulletin.Bulletin
+	toldAt    time.Time
+}
+
+// next makes the next bulletin; worth says that it tells something new, or that the follower has heard nothing for long.
+func (f *follower) next() (b bulletin.Bulletin, worth bool) {
+	s := f.news.sidecar
+	self := s.state.Roster.At(s.Settings.Runner)
+	load, at, loading := f.news.get()
+	if self == nil || at.IsZero() {
+		return b, false
+	}
+	b = bulletin.Bulletin{
+		Runner: self.Info().ID, Named: s.state.AllWeights(), Followers: int(f.news.followers.Load()),
+		Load: bulletin.Load{
+			Running: load.Running, Waiting: load.Waiting, Used: load.Used, Loading: loading, Leaving: load.Leaving, Weights: load.Weights,
+		},
+	}
+	if !load.Clock.IsZero() {
+		b.Clock = load.Clock.Add(time.Since(at)).UnixMilli()
+	}
+	changed := f.addHolders(&b)
+	if !changed && f.sameLoad(&b) && time.Since(f.toldAt) < quietMost {
+		return b, false
+	}
+	f.told, f.toldAt = b, time.Now()
+	return b, true
+}
+
+// sameLoad reports that the runner is as the follower was told.
+func (f *follower) sameLoad(b *bulletin.Bulletin) bool {
+	was, is := f.told.Load, b.Load
+	return f.told.Runner == b.Runner && was.Running == is.Running && was.Waiting == is.Waiting && was.Loading == is.Loading &&
+		was.Leaving == is.Leaving && len(f.told.Named) == len(b.Named) && f.told.Followers == b.Followers
+}
+
+func (f *follower) addHolders(b *bulletin.Bulletin) (changed bool) {
+	s := f.news.sidecar
+	if f.addHolder(b, s.own, nil) {
+		changed = true
+	}
+	for _, k := range s.stores.all() {
+		if f.addHolder(b, k.holder, s.stores.dyingOf(k)) {
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (f *follower) addHolder(b *bulletin.Bulletin, h *holder, dying []string) bool {
+	if !h.listed.Load() {
+		return false
+	}
+	before, known := f.positions[h.place]
+	if !known {
+		before = ^uint64(0) // a position that no tracker has reached, so that everything is told
+	}
+	changes, next, whole := h.tracker.Since(before)
+	f.positions[h.place] = next
+	b.Holders = append(b.Holders, bulletin.Holder{
+		Place: h.place, Store: h.store, Down: h.down.Load(), Whole: whole, Changes: changes, Dying: dying,
+	})
+	return len(changes) > 0 || whole
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -9,7 +11,10 @@
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/controller"
 	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/fleet"
 	"github.com/rillreach/rillreach/localstate"
+	"github.com/rillreach/rillreach/node"
+	"github.com/rillreach/rillreach/peer"
 	"github.com/rillreach/rillreach/platform"
 	"github.com/rillreach/rillreach/telemetry"
 )
@@ -27,22 +32,71 @@
 	// Runners and Weights are what the platform's store holds.
 	Runners rillreach.Source[*deployment.Runner]
 	Weights rillreach.Source[deployment.NamedWeights]
+	// Configs is what the platform's store holds of the configuration.
+	Configs rillreach.Source[*deployment.Config]
 	// Runner is the runner beside the agent.
 	Runner *platform.Runner
+	// Listener takes the connections of entries.
+	Listener net.Listener
 	// Log takes decisions; Metrics count them.
 	Log     logr.Logger
 	Metrics *telemetry.Metrics
 
-	state localstate.State
+	state  localstate.State
+	news   *news
+	own    *holder
+	stores *caretaker
+	pool   *peer.Pool
 }
 
 // Run works until the context ends.
 func (s *Sidecar) Run(ctx context.Context) error {
 	s.state.Log = s.Log
+	s.news = &news{sidecar: s}
+	s.own = &holder{place: s.Settings.Runner, client: s.Runner, log: s.Log}
+	s.stores = &caretaker{sidecar: s}
+	mux := &peer.Mux{Log: s.Log}
+	mux.Handle(peer.MethodFollow, s.news.serve)
+	self, err := fleet.Self(rillreach.RoleAgent, s.Settings)
+	if err != nil {
+		return err
+	}
+	s.pool = &peer.Pool{Self: self, Mux: mux, Log: s.Log}
+	s.pool.Start(ctx)
 	return controller.Run(ctx, s.Log,
+		s.state.ConfigFollower(s.Configs, watchWait),
 		s.state.RunnersFollower(s.Runners, watchWait, gatherRunners),
 		s.state.WeightsFollower(s.Weights, watchWait),
 		s.state.Expirer(),
 		&loader{sidecar: s},
+		s.stores,
+		s.pool,
+		&ownHolder{s.own},
+		&peerServer{s},
 	)
 }
+
+// ownHolder follows what the runner beside the agent holds.
+type ownHolder struct{ holder *holder }
+
+// Name is the controller's name.
+func (o *ownHolder) Name() string { return "follow-runner" }
+
+// Run follows until the context ends.
+func (o *ownHolder) Run(ctx context.Context) error {
+	o.holder.run(ctx)
+	return nil
+}
+
+// peerServer takes the connections of entries.
+type peerServer struct{ sidecar *Sidecar }
+
+// Name is the controller's name.
+func (p *peerServer) Name() string { return "peers" }
+
+// Run accepts connections until the context ends.
+func (p *peerServer) Run(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, p.sidecar.pool)
+	return node.ServeHTTP(ctx, p.sidecar.Listener, mux)
+}
--- a/weights/decide.go
+++ b/weights/decide.go
@@ -74,3 +74,14 @@
 func Turn(rank, total int) time.Duration {
 	return time.Duration(rank/AtOnce(total)) * period
 }
+
+// announceBefore is how long before its turn a runner stops taking requests, so that fewer have to end before the load.
+const announceBefore = 150 * time.Millisecond
+
+// Announce reports whether the runner should be sent nothing: it loads, or is about to.
+func Announce(s Situation) bool {
+	if s.Named == 0 || s.Loaded >= s.Named {
+		return s.Busy
+	}
+	return s.Since >= Turn(s.FixedRank, s.Total)-announceBefore
+}
