Load weights in lanes, each runner after the one ahead of it, and report unread requests

Cause: turns by the clock had up to 11 runners load at once, since requests that run end first; each load then took 1.5 to 4.5 s. Ruled out: turns by the platform's list (its records are 1.2 s old), a coordinator. Change: an agent follows the agent ahead in its lane while there is something to load; bulletins tell unread requests every 40 ms; a request moves on only where its runner is not known to live.

--- a/bulletin/bulletin.go
+++ b/bulletin/bulletin.go
@@ -19,13 +19,15 @@
 
 // Follow asks an agent for its bulletins.
 type Follow struct {
-	// Entry names the process that asks.
-	Entry rillreach.InstanceID `cbor:"1,keyasint"`
+	// Name is that of the process that asks.
+	Name rillreach.InstanceID `cbor:"1,keyasint"`
+	// Agent says that an agent asks, which wants to know of the runner alone.
+	Agent bool `cbor:"2,keyasint"`
 }
 
 // Check reports what is wrong with the message.
 func (f Follow) Check() error {
-	if f.Entry == "" {
+	if f.Name == "" {
 		return errors.New("follower has no name")
 	}
 	return nil
@@ -55,6 +57,10 @@
 	// Loading says that the runner loads weights or is about to, and takes nothing.
 	Loading bool `cbor:"4,keyasint"`
 	Leaving bool `cbor:"5,keyasint"`
+	// Unread are the running requests that have no event yet.
+	Unread int `cbor:"7,keyasint"`
+	// Silent says that the runner does not answer its agent.
+	Silent bool `cbor:"8,keyasint"`
 	// Weights are what the runner has loaded.
 	Weights map[rillreach.ModelID]deployment.WeightVersion `cbor:"6,keyasint"`
 }
--- a/deployment/runner.go
+++ b/deployment/runner.go
@@ -36,8 +36,10 @@
 
 // Load is what a runner reports of itself.
 type Load struct {
+	// Waiting requests have not begun, Running ones have, Unread ones of these have no event yet.
 	Waiting int
 	Running int
+	Unread  int
 	Weights map[rillreach.ModelID]WeightVersion
 	// Busy says that the runner carries out an order, or is about to.
 	Busy bool
@@ -47,6 +49,8 @@
 	Used     int
 	Capacity int
 	Leaving  bool
+	// Silent says that the runner does not answer its agent.
+	Silent bool
 	// Clock is the runners' common clock at the time of the report.
 	Clock time.Time
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rillreach/rillreach/forward"
+	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/platform"
 )
 
@@ -16,6 +17,9 @@
 	hedgeAfter = 2
 	// leastHedge keeps a short target from moving requests that are merely a little late.
 	leastHedge = 300 * time.Millisecond
+	// askEvery is how often it is asked then whether the runner is known to live, since a runner that lives and is slow has
+	// the request's work behind it that another would begin anew.
+	askEvery = 50 * time.Millisecond
 )
 
 // attempt sends the request to one runner; it reports whether the request is done with.
@@ -29,7 +33,7 @@
 	x.tried = append(x.tried, t.view.ID)
 	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
-	inTime := g.boundFirst(x, cancel)
+	inTime := g.boundFirst(x, t, cancel)
 	begun := t.begin()
 	defer begun.end()
 	first := func() {
@@ -57,12 +61,22 @@
 
 // boundFirst ends the attempt where the first of an answer does not come in time and the request may move on to another
 // runner; the function that it returns lifts the bound.
-func (g *Gateway) boundFirst(x *exchange, end func()) (lift func()) {
+func (g *Gateway) boundFirst(x *exchange, t *target, end func()) (lift func()) {
 	if x.route.Once() || len(x.runners)+1 >= x.route.MaxRunners {
 		return func() {}
 	}
-	timer := time.AfterFunc(max(hedgeAfter*x.route.Target, leastHedge), end)
-	return func() { timer.Stop() }
+	ctx, cancel := context.WithCancel(context.Background())
+	timer := time.AfterFunc(max(hedgeAfter*x.route.Target, leastHedge), func() {
+		pause.Every(ctx, askEvery, func(context.Context) {
+			if v := t.runner.View(time.Now()); !v.Reported || v.Load.Silent {
+				end() // the runner is dead, or nobody knows that it is not
+			}
+		})
+	})
+	return func() {
+		timer.Stop()
+		cancel()
+	}
 }
 
 // maxConns is how many connections this entry may have to one runner.
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -60,6 +60,7 @@
 		t.weights = t.view.Weights[x.wire.Prompt.Model]
 		t.kept = states[t.weights]
 		g.bookMoves(t, now)
+		g.reads.add(t.reading)
 	}
 	g.Log.Info("runner chosen", "decision", "send", "request", x.wire.ID, "account", x.accountName(), "route", x.route.Name,
 		"chosen", t.view.ID, "candidates", len(candidates), "cost", choice.Cost, "estimate", choice.Estimate.String(),
@@ -90,8 +91,9 @@
 		c.Capacity = x.service.Engine.CapacityTokens
 		if v.Reported {
 			c.Running = max(c.Running, v.Load.Running+v.Load.Waiting)
+			c.Reading = max(c.Reading, (v.Load.Unread+v.Load.Waiting)*g.reads.mean())
 			c.Held = max(c.Held, v.Load.Used)
-			c.Avoid = c.Avoid || v.Load.Busy
+			c.Avoid = c.Avoid || v.Load.Busy || v.Load.Silent
 		}
 		named, since := g.state.Weights(p.Model)
 		c.Old = v.Weights[p.Model] < named.Version && time.Since(since) > oldFrom
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,6 +63,7 @@
 
 	state   localstate.State
 	stores  storeBook
+	reads   movingMean
 	pool    forward.Pool
 	budgets retry.Shares
 	running node.Inflight
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -10,6 +10,7 @@
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/bulletin"
+	"github.com/rillreach/rillreach/controller/subscribe"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/peer"
@@ -19,10 +20,6 @@
 const (
 	// followEvery is how often it is looked at whether each runner's agent is followed.
 	followEvery = 200 * time.Millisecond
-	// followPause is a pause after an agent could not be followed.
-	followPause = 400 * time.Millisecond
-	// silentMost is how long an agent may be silent before the connection is given up.
-	silentMost = 2 * time.Second
 	// clockDrift is by how much per second the estimate of the runners' clock falls back, so that one message that came
 	// early by mistake does not spoil it for long.
 	clockDrift = 0.001
@@ -66,7 +63,11 @@
 		}
 		one, stop := context.WithCancel(ctx)
 		a.following[address] = stop
-		a.wg.Go(func() { a.follow(one, address) })
+		s := &subscribe.Subscription{
+			Pool: a.pool, Agent: address, Log: a.gateway.Log, Take: a.gateway.learn,
+			Ask: bulletin.Follow{Name: rillreach.InstanceID(a.gateway.Settings.Name)},
+		}
+		a.wg.Go(func() { s.Run(one) })
 	}
 }
 
@@ -88,67 +89,12 @@
 	return wanted
 }
 
-// follow takes the bulletins of one agent until the context ends.
-func (a *agents) follow(ctx context.Context, address netip.AddrPort) {
-	lost := false
-	for ctx.Err() == nil {
-		err := a.read(ctx, address, func() {
-			if lost {
-				a.gateway.Log.Info("dependency regained", "dependency", "agent", "agent", address)
-			}
-			lost = false
-		})
-		if ctx.Err() == nil && !lost {
-			lost = true
-			a.gateway.Log.Error(err, "dependency lost", "dependency", "agent", "agent", address)
-		}
-		pause.For(ctx, followPause)
-	}
-}
-
-// read takes bulletins from one connection until it fails.
-func (a *agents) read(ctx context.Context, address netip.AddrPort, began func()) error {
-	dialling, cancel := context.WithTimeout(ctx, silentMost)
-	defer cancel()
-	conn, err := a.pool.Get(dialling, address)
-	if err != nil {
-		return err
-	}
-	body, err := peer.Encode(bulletin.Follow{Entry: rillreach.InstanceID(a.gateway.Settings.Name)})
-	if err != nil {
-		return err
-	}
-	stream, err := conn.Open(ctx, peer.MethodFollow, body)
-	if err != nil {
-		return err
-	}
-	defer stream.Close()
-	for {
-		part, err := nextInTime(ctx, stream)
-		if err != nil {
-			conn.Close()
-			return err
-		}
-		b, err := peer.Decode[bulletin.Bulletin](part)
-		if err != nil {
-			return err
-		}
-		began()
-		a.gateway.learn(&b, time.Now())
-	}
-}
-
-func nextInTime(ctx context.Context, stream *peer.Stream) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, silentMost)
-	defer cancel()
-	return stream.Next(ctx)
-}
-
 // learn takes a bulletin over.
 func (g *Gateway) learn(b *bulletin.Bulletin, now time.Time) {
 	if r := g.state.Roster.Find(b.Runner); r != nil {
 		r.SetReport(roster.Report{At: now, Load: deployment.Load{
-			Running: b.Load.Running, Waiting: b.Load.Waiting, Used: b.Load.Used, Busy: b.Load.Loading, Leaving: b.Load.Leaving, Weights: b.Load.Weights,
+			Running: b.Load.Running, Waiting: b.Load.Waiting, Used: b.Load.Used,
+			Unread: b.Load.Unread, Silent: b.Load.Silent, Busy: b.Load.Loading, Leaving: b.Load.Leaving, Weights: b.Load.Weights,
 		}})
 	}
 	for _, w := range b.Named {
--- a/sidecar/loader.go
+++ b/sidecar/loader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/rillreach/rillreach"
@@ -12,11 +13,12 @@
 )
 
 // lookEvery is how often the runner is asked how it is; on the same instance that costs nothing but processor time.
-const lookEvery = 100 * time.Millisecond
+const lookEvery = 40 * time.Millisecond
 
 // loader brings the runner to the newest weights.
 type loader struct {
 	sidecar *Sidecar
+	lane    *lane
 
 	// given is the last order, for the runner's run that it was meant for.
 	given   platform.Order
@@ -53,6 +55,7 @@
 	load, err := s.Runner.Report(ctx)
 	l.note(ctx, err)
 	if err != nil {
+		s.news.silence()
 		return
 	}
 	loading := load.Busy
@@ -79,11 +82,12 @@
 
 // decide acts on one model's weights, and reports whether entries should send nothing here now.
 func (l *loader) decide(ctx context.Context, self deployment.Runner, load deployment.Load, named deployment.NamedWeights, loaded deployment.WeightVersion, since time.Duration) bool {
-	rank, total := rankOf(l.sidecar.state.Roster.Group(self.Service), self.ID)
+	group := l.sidecar.state.Roster.Group(self.Service)
 	situation := weights.Situation{
-		Named: named.Version, Loaded: loaded, Since: since, FixedRank: rank, Total: total,
+		Named: named.Version, Loaded: loaded, Since: since, Rank: rankOf(group, self.ID), Total: len(group),
 		Busy: load.Busy, Leaving: self.Leaving || load.Leaving,
 	}
+	situation.Ahead = l.ahead(ctx, group, named, situation)
 	if l.given.Runner == self.ID && l.given.Weights == named.Version {
 		situation.Ordered = time.Since(l.givenAt)
 	}
@@ -91,12 +95,23 @@
 	if action != l.said {
 		l.said = action
 		l.sidecar.Log.Info("weights", "decision", action, "model", named.Model, "named", named.Version, "loaded", loaded,
-			"rank", rank, "total", total, "since", since.String(), "busy", load.Busy)
+			"rank", situation.Rank, "total", situation.Total, "since", since.String(), "busy", load.Busy, "ahead", situation.Ahead)
 	}
 	if action == weights.Order {
 		l.order(ctx, self, load, named)
 	}
-	return weights.Announce(situation)
+	return action == weights.Order || action == weights.Empty
+}
+
+// ahead says how far the runner ahead in the lane is, and has it followed while there is something to load.
+func (l *loader) ahead(ctx context.Context, group []*roster.Runner, named deployment.NamedWeights, s weights.Situation) weights.Progress {
+	rank, ok := weights.AheadOf(s.Rank, s.Total)
+	if s.Loaded >= s.Named || !ok || rank >= len(group) {
+		l.lane.follow(ctx, netip.AddrPort{})
+		return weights.ProgressDone
+	}
+	l.lane.follow(ctx, group[rank].Info().Address)
+	return l.lane.ahead(named.Model, named.Version)
 }
 
 func (l *loader) order(ctx context.Context, self deployment.Runner, load deployment.Load, named deployment.NamedWeights) {
@@ -114,12 +129,12 @@
 		"fence", named.Revision, "after", load.Orders)
 }
 
-// rankOf is the place of a runner among those of its service, and their number.
-func rankOf(group []*roster.Runner, id rillreach.InstanceID) (rank, total int) {
+// rankOf is the place of a runner among those of its service.
+func rankOf(group []*roster.Runner, id rillreach.InstanceID) int {
 	for i, r := range group {
 		if r.Info().ID == id {
-			rank = i
+			return i
 		}
 	}
-	return rank, len(group)
+	return 0
 }
--- a/sidecar/news.go
+++ b/sidecar/news.go
@@ -15,8 +15,10 @@
 
 const (
 	// newsEvery is how often followers are told what has changed, and quietMost how long they hear nothing at the most.
-	newsEvery = 100 * time.Millisecond
+	newsEvery = 40 * time.Millisecond
 	quietMost = 400 * time.Millisecond
+	// fullPace is up to how many followers are told that often.
+	fullPace = 6
 )
 
 // news tells the entries how the runner is and what the stores hold.
@@ -37,6 +39,13 @@
 	n.load, n.loadAt, n.loading = load, time.Now(), loading
 }
 
+// silence records that the runner does not answer.
+func (n *news) silence() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.load.Silent = true
+}
+
 func (n *news) get() (load deployment.Load, at time.Time, loading bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -49,14 +58,15 @@
 	if err != nil {
 		return err
 	}
-	count := n.followers.Add(1)
-	n.sidecar.Log.Info("follower came", "decision", "send", "entry", follow.Entry, "followers", count)
+	entries := int64(1)
+	if follow.Agent {
+		entries = 0
+	}
+	n.sidecar.Log.Info("follower came", "decision", "send", "follower", follow.Name, "followers", n.followers.Add(entries))
 	defer func() {
-		n.sidecar.Log.Info("follower left", "decision", "end", "entry", follow.Entry, "followers", n.followers.Add(-1))
+		n.sidecar.Log.Info("follower left", "decision", "end", "follower", follow.Name, "followers", n.followers.Add(-entries))
 	}()
-	ticker := time.NewTicker(newsEvery)
-	defer ticker.Stop()
-	f := follower{news: n, positions: map[netip.AddrPort]uint64{}}
+	f := follower{news: n, brief: follow.Agent, positions: map[netip.AddrPort]uint64{}}
 	for {
 		if b, worth := f.next(); worth {
 			body, err := peer.Encode(b)
@@ -70,14 +80,22 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-time.After(n.pace()):
 		}
 	}
 }
 
+// pace is how often each follower is told: the more there are, the seldomer, so that an entry's work does not grow with the
+// product of agents and entries.
+func (n *news) pace() time.Duration {
+	return newsEvery * time.Duration(max(1, n.followers.Load()/fullPace))
+}
+
 // follower is what one entry has been told.
 type follower struct {
-	news      *news
+	news *news
+	// brief leaves out what is held.
+	brief     bool
 	positions map[netip.AddrPort]uint64
 	told      bulletin.Bulletin
 	toldAt    time.Time
@@ -94,7 +112,8 @@
 	b = bulletin.Bulletin{
 		Runner: self.Info().ID, Named: s.state.AllWeights(), Followers: int(f.news.followers.Load()),
 		Load: bulletin.Load{
-			Running: load.Running, Waiting: load.Waiting, Used: load.Used, Loading: loading, Leaving: load.Leaving, Weights: load.Weights,
+			Running: load.Running, Waiting: load.Waiting, Used: load.Used, Unread: load.Unread, Silent: load.Silent,
+			Loading: loading, Leaving: load.Leaving, Weights: load.Weights,
 		},
 	}
 	if !load.Clock.IsZero() {
@@ -112,10 +131,14 @@
 func (f *follower) sameLoad(b *bulletin.Bulletin) bool {
 	was, is := f.told.Load, b.Load
 	return f.told.Runner == b.Runner && was.Running == is.Running && was.Waiting == is.Waiting && was.Loading == is.Loading &&
+		was.Unread == is.Unread && was.Silent == is.Silent &&
 		was.Leaving == is.Leaving && len(f.told.Named) == len(b.Named) && f.told.Followers == b.Followers
 }
 
 func (f *follower) addHolders(b *bulletin.Bulletin) (changed bool) {
+	if f.brief {
+		return false
+	}
 	s := f.news.sidecar
 	if f.addHolder(b, s.own, nil) {
 		changed = true
