Send nothing to runners whose weights were replaced too long ago

Ruled out: loading faster, since a frozen agent loads nothing at all. Change: an entry leaves such a runner out from 1.5 s before the bound.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -33,7 +33,7 @@
 	var runners []*roster.Runner
 	for _, r := range g.state.Roster.Group(x.service.Name) {
 		v := r.View(now)
-		if v.Leaving {
+		if v.Leaving || g.expired(x, &v, now) {
 			continue
 		}
 		views = append(views, v)
@@ -95,12 +95,26 @@
 			c.Held = max(c.Held, v.Load.Used)
 			c.Avoid = c.Avoid || v.Load.Busy || v.Load.Silent
 		}
-		named, since := g.state.Weights(p.Model)
-		c.Old = v.Weights[p.Model] < named.Version && time.Since(since) > oldFrom
+		replaced := g.state.Replaced(p.Model, v.Weights[p.Model])
+		c.Old = !replaced.IsZero() && time.Since(replaced) > oldFrom
 	}
 	return c
 }
 
+// expired reports that the runner's weights were replaced so long ago that the request, which may wait there for a while,
+// would begin on them too late.
+func (g *Gateway) expired(x *exchange, v *roster.View, now time.Time) bool {
+	bound := g.Settings.Bounds.Weights
+	if x.wire.Prompt == nil || x.service.Engine == nil || bound <= 0 {
+		return false
+	}
+	replaced := g.state.Replaced(x.wire.Prompt.Model, v.Weights[x.wire.Prompt.Model])
+	return !replaced.IsZero() && now.Sub(replaced) > bound-beginMargin
+}
+
+// beginMargin is kept from the bound on old weights for the time that a request waits at its runner.
+const beginMargin = 1500 * time.Millisecond
+
 // oldFrom is how long after the naming of new weights answers on the old ones are as good as others.
 const oldFrom = 1200 * time.Millisecond
 
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -39,9 +39,18 @@
 
 	mu      sync.Mutex
 	weights map[rillreach.ModelID]deployment.NamedWeights
-	named   map[rillreach.ModelID]time.Time
+	named   map[rillreach.ModelID][]naming
 }
 
+// naming is when this process learned of a version.
+type naming struct {
+	version deployment.WeightVersion
+	at      time.Time
+}
+
+// maxNamings is how many versions of a model are remembered.
+const maxNamings = 16
+
 // Config is the newest configuration, or nil before the first.
 func (s *State) Config() *deployment.Config { return s.config.Load() }
 
@@ -55,7 +64,23 @@
 func (s *State) Weights(model rillreach.ModelID) (deployment.NamedWeights, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.weights[model], s.named[model]
+	namings := s.named[model]
+	if len(namings) == 0 {
+		return deployment.NamedWeights{}, time.Time{}
+	}
+	return s.weights[model], namings[len(namings)-1].at
+}
+
+// Replaced is when this process learned of the first version that is newer than the given one, zero where there is none.
+func (s *State) Replaced(model rillreach.ModelID, version deployment.WeightVersion) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range s.named[model] {
+		if n.version > version {
+			return n.at
+		}
+	}
+	return time.Time{}
 }
 
 // AllWeights are the newest named versions of all models.
@@ -93,10 +118,11 @@
 		return
 	}
 	if s.weights == nil {
-		s.weights, s.named = map[rillreach.ModelID]deployment.NamedWeights{}, map[rillreach.ModelID]time.Time{}
+		s.weights, s.named = map[rillreach.ModelID]deployment.NamedWeights{}, map[rillreach.ModelID][]naming{}
 	}
 	s.weights[w.Model] = w
-	s.named[w.Model] = time.Now()
+	namings := append(s.named[w.Model], naming{version: w.Version, at: time.Now()})
+	s.named[w.Model] = namings[max(0, len(namings)-maxNamings):]
 	s.Log.Info("weights named", "decision", "apply", "model", w.Model, "weights", w.Version, "revision", w.Revision)
 	if s.WeightsChanged != nil {
 		s.WeightsChanged(w)
