Pace loads of weights over the whole bound, oldest first; streams leave a runner that empties

Change: six groups at even times up to the bound less margins, runners with the oldest weights first, in the order frozen at the naming; lanes taken out again. Streams that may be resumed leave a runner that is about to load.

--- a/bulletin/bulletin.go
+++ b/bulletin/bulletin.go
@@ -21,8 +21,6 @@
 type Follow struct {
 	// Name is that of the process that asks.
 	Name rillreach.InstanceID `cbor:"1,keyasint"`
-	// Agent says that an agent asks, which wants to know of the runner alone.
-	Agent bool `cbor:"2,keyasint"`
 }
 
 // Check reports what is wrong with the message.
--- a/controller/spread/fleet_test.go
+++ b/controller/spread/fleet_test.go
@@ -19,8 +19,8 @@
 	"github.com/rillreach/rillreach"
 	standin "github.com/rillreach/rillreach/internal/standin/platform"
 	"github.com/rillreach/rillreach/membership"
-	"github.com/rillreach/rillreach/peer"
 	"github.com/rillreach/rillreach/objectstore"
+	"github.com/rillreach/rillreach/peer"
 	"github.com/rillreach/rillreach/replicate"
 )
 
--- a/fetch/plan.go
+++ b/fetch/plan.go
@@ -46,8 +46,9 @@
 	Fetched int
 	Afar    int
 	Time    time.Duration
-	// Missing is how many tokens of the parts have to be read.
+	// Missing is how many tokens of the parts have to be read, Again how many of these somebody has read before.
 	Missing int
+	Again   int
 	// Moves are the fetches by part, for the books of who uses which link.
 	Moves []Move
 }
@@ -65,7 +66,7 @@
 	for i, part := range parts {
 		switch {
 		case broken:
-			p.Missing += part.Tokens
+			p.miss(part.Tokens, part)
 		case part.Tokens-part.Local < blockTokens:
 			p.standBy(e, i, part)
 		default:
@@ -80,7 +81,7 @@
 	need := part.Tokens - part.Local
 	best, took := e.nearest(need, part)
 	if best < 0 || p.Time+took > budget {
-		p.Missing += need
+		p.miss(need, part)
 		return false
 	}
 	h := part.Holders[best]
@@ -94,6 +95,14 @@
 	return true
 }
 
+// miss counts tokens that have to be read.
+func (p *Plan) miss(tokens int, part Part) {
+	p.Missing += tokens
+	if part.Local > 0 || len(part.Holders) > 0 {
+		p.Again += tokens
+	}
+}
+
 // standBy names a holder for a part that the runner has itself, in case that gives way before the request begins; while the
 // runner has it, nothing is moved.
 func (p *Plan) standBy(e Engine, i int, part Part) {
--- a/fetch/save.go
+++ b/fetch/save.go
@@ -29,20 +29,14 @@
 // fast store of the runner's own zone, a small part to any fast one, the rest to where there is room. An invalid address
 // means that the part is kept well enough, or that nobody has room.
 func SaveTo(e Engine, tokens int, opening bool, stores []Store) netip.AddrPort {
+	if keptWell(opening, stores) {
+		return netip.AddrPort{}
+	}
 	var best *Store
 	var cost time.Duration
 	for i := range stores {
 		s := &stores[i]
-		if s.Holds && !(opening && s.OtherZone) {
-			return netip.AddrPort{}
-		}
-		if s.Holds || float64(s.Total+tokens) > fullFrom*float64(s.Capacity) {
-			continue
-		}
-		if opening && s.OtherZone && held(stores) {
-			continue
-		}
-		if !opening && tokens > s.Capacity/smallOf && !largeForAll(stores, tokens) {
+		if !s.suits(tokens, opening, stores) {
 			continue
 		}
 		h := Holder{BitsPerSecond: s.BitsPerSecond, First: s.First, Busy: s.Busy, OtherZone: s.OtherZone}
@@ -56,6 +50,28 @@
 	return best.Place
 }
 
+// keptWell reports that the part needs no further store: an opening is wanted in the runner's own zone, any other anywhere.
+func keptWell(opening bool, stores []Store) bool {
+	for i := range stores {
+		if stores[i].Holds && (!opening || !stores[i].OtherZone) {
+			return true
+		}
+	}
+	return false
+}
+
+// suits reports that the store may take the part.
+func (s *Store) suits(tokens int, opening bool, stores []Store) bool {
+	switch {
+	case s.Holds, float64(s.Total+tokens) > fullFrom*float64(s.Capacity):
+		return false
+	case opening:
+		return !s.OtherZone || !held(stores)
+	default:
+		return tokens <= s.Capacity/smallOf || largeForAll(stores, tokens)
+	}
+}
+
 // held reports whether any store holds the part.
 func held(stores []Store) bool {
 	for i := range stores {
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -36,18 +36,17 @@
 }
 
 // Close gives the connection back where it is certainly clean, and closes it otherwise.
-func (a *Answer) Close() error {
+func (a *Answer) Close() {
 	if a.closed {
-		return nil
+		return
 	}
 	a.closed = true
 	undisturbed := a.stop()
 	if a.ended && undisturbed && a.written() && !a.tainted && a.framed() && a.conn.reader.Buffered() == 0 {
 		a.pool.park(a.to, a.conn, a.Rest)
-		return nil
+		return
 	}
 	a.pool.drop(a.to, a.conn)
-	return nil
 }
 
 // framed reports that the answer ended by its own length and not with the connection.
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -28,7 +28,6 @@
 	// parked is when the connection was last put aside, rest how long the runner keeps it so.
 	parked time.Time
 	rest   time.Duration
-	used   bool
 }
 
 func newConn(c net.Conn) *conn {
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -58,7 +58,7 @@
 		p.drop(to, c)
 		return nil, errors.Wrap(err, "write request")
 	}
-	resp, strays, err := c.readAnswer(call.Method, mine)
+	resp, strays, err := c.readAnswer(call.Method, mine) //nolint:bodyclose // the body is part of the answer, and its reader closes it
 	if err != nil {
 		stop()
 		p.drop(to, c)
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -143,7 +143,7 @@
 		own -= part.Tokens
 	}
 	c.Missing = max(0, own) + plan.Missing
-	c.Again = plan.Missing
+	c.Again = plan.Again
 	c.Fetched = plan.Fetched - plan.Afar
 	c.FetchedAfar = plan.Afar
 	c.FetchTime = plan.Time
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -37,7 +37,7 @@
 	}
 	r.held = append(r.held, r.buf[:n]...)
 	end := bytes.LastIndex(r.held, eventEnd)
-	if err == io.EOF { //nolint:errorlint // the reader returns the bare value, and the rest of a whole stream goes out
+	if errors.Is(err, io.EOF) { // the stream is whole, and so its rest goes out
 		part := r.held
 		r.held = nil
 		r.note(part)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,7 +63,7 @@
 
 	state   localstate.State
 	stores  storeBook
-	reads   movingMean
+	reads   sizeMean
 	pool    forward.Pool
 	budgets retry.Shares
 	running node.Inflight
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -173,10 +173,17 @@
 		return "no-runner"
 	case x.ends.Sub(now) < leastTime:
 		return "no-time-left"
+	default:
+		return g.allowed(x, now)
+	}
+}
+
+// allowed decides whether route and budget leave room for another attempt; it returns why not, or nothing.
+func (g *Gateway) allowed(x *exchange, now time.Time) string {
+	switch {
+	case x.sends == 0 && (now.Sub(x.arrived) > connectFor || len(x.tried) >= maxTried):
+		return "no-connection"
 	case x.sends == 0:
-		if now.Sub(x.arrived) > connectFor || len(x.tried) >= maxTried {
-			return "no-connection"
-		}
 		return ""
 	case !x.mayMove():
 		return "runners-used"
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -135,6 +135,9 @@
 				x.lastEvent = events.last
 			}
 		}
+		if err == nil && g.movesOn(x, t) {
+			return false
+		}
 		if errors.Is(err, io.EOF) {
 			g.answered(x, t, answer.Response.StatusCode)
 			return true
@@ -145,6 +148,21 @@
 	}
 }
 
+// movesOn decides whether a stream that may go on elsewhere leaves its runner, which is about to load weights and waits for
+// its requests to end.
+func (g *Gateway) movesOn(x *exchange, t *target) bool {
+	now := time.Now()
+	if !x.route.Resumable || x.lastEvent == "" || !x.mayMove() || x.ends.Sub(now) < x.route.Target {
+		return false
+	}
+	if v := t.runner.View(now); !v.Reported || !v.Load.Busy || !g.budgets.Allows(now, x.service.Name) {
+		return false
+	}
+	x.maybeRan, x.reason = true, "runner-empties"
+	g.Log.Info("stream moves on", "decision", "move", "request", x.wire.ID, "runner", t.view.ID, "lastEvent", x.lastEvent)
+	return true
+}
+
 func (x *exchange) write(part []byte) error {
 	if _, err := x.writer.Write(part); err != nil {
 		return err
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -3,6 +3,7 @@
 package localstate
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -121,7 +122,8 @@
 		s.weights, s.named = map[rillreach.ModelID]deployment.NamedWeights{}, map[rillreach.ModelID][]naming{}
 	}
 	s.weights[w.Model] = w
-	namings := append(s.named[w.Model], naming{version: w.Version, at: time.Now()})
+	namings := slices.Clone(s.named[w.Model])
+	namings = append(namings, naming{version: w.Version, at: time.Now()})
 	s.named[w.Model] = namings[max(0, len(namings)-maxNamings):]
 	s.Log.Info("weights named", "decision", "apply", "model", w.Model, "weights", w.Version, "revision", w.Revision)
 	if s.WeightsChanged != nil {
--- a/place/choose.go
+++ b/place/choose.go
@@ -55,7 +55,8 @@
 
 // Speeds of an engine, as the users' sheet gives them.
 const (
-	readPerSecond = 56900
+	// readPerSecond is below the sheet's 56,900 by the steps for other requests' tokens between the pieces of 1,024.
+	readPerSecond = 45000
 	// firstStep is the time from the end of reading to the first event.
 	firstStep = 16 * time.Millisecond
 	// stepShare is what each request that runs adds to the first event's time.
--- a/sidecar/caretaker.go
+++ b/sidecar/caretaker.go
@@ -25,7 +25,7 @@
 	// freeBatch is how many parts one call frees.
 	freeBatch = 250
 	// oldMost is how long parts of replaced weights are kept, where runners do not change sooner.
-	oldMost = 4 * time.Second
+	oldMost = 6 * time.Second
 )
 
 // caretaker follows the stores that are this agent's to look after, and frees what was made by weights that are replaced.
@@ -182,8 +182,8 @@
 	return since, told
 }
 
-// replaced reports that the weights of a salt are no longer worth keeping parts for: newer ones are named, and half of the
-// runners have them, or enough time has passed.
+// replaced reports that the weights of a salt are no longer worth keeping parts for: newer ones are named, and two thirds of
+// the runners have them, or enough time has passed.
 func (c *caretaker) replaced(text string, now time.Time) bool {
 	salt, ok := deployment.ParseSalt(text)
 	if !ok {
@@ -204,7 +204,7 @@
 			old++
 		}
 	}
-	return 2*old <= all || now.Sub(since) > oldMost
+	return 3*old <= all || now.Sub(since) > oldMost
 }
 
 // dyingOf are the salts that are about to be freed.
--- a/sidecar/loader.go
+++ b/sidecar/loader.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
-	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/platform"
-	"github.com/rillreach/rillreach/roster"
 	"github.com/rillreach/rillreach/weights"
 )
 
@@ -18,7 +15,7 @@
 // loader brings the runner to the newest weights.
 type loader struct {
 	sidecar *Sidecar
-	lane    *lane
+	turns   turns
 
 	// given is the last order, for the runner's run that it was meant for.
 	given   platform.Order
@@ -82,12 +79,11 @@
 
 // decide acts on one model's weights, and reports whether entries should send nothing here now.
 func (l *loader) decide(ctx context.Context, self deployment.Runner, load deployment.Load, named deployment.NamedWeights, loaded deployment.WeightVersion, since time.Duration) bool {
-	group := l.sidecar.state.Roster.Group(self.Service)
+	rank, total := l.turns.rank(l.sidecar.state.Roster.Group(self.Service), named, self.ID)
 	situation := weights.Situation{
-		Named: named.Version, Loaded: loaded, Since: since, Rank: rankOf(group, self.ID), Total: len(group),
+		Named: named.Version, Loaded: loaded, Since: since, Bound: l.sidecar.Settings.Bounds.Weights, Rank: rank, Total: total,
 		Busy: load.Busy, Leaving: self.Leaving || load.Leaving,
 	}
-	situation.Ahead = l.ahead(ctx, group, named, situation)
 	if l.given.Runner == self.ID && l.given.Weights == named.Version {
 		situation.Ordered = time.Since(l.givenAt)
 	}
@@ -95,7 +91,7 @@
 	if action != l.said {
 		l.said = action
 		l.sidecar.Log.Info("weights", "decision", action, "model", named.Model, "named", named.Version, "loaded", loaded,
-			"rank", situation.Rank, "total", situation.Total, "since", since.String(), "busy", load.Busy, "ahead", situation.Ahead)
+			"rank", rank, "total", total, "since", since.String(), "busy", load.Busy)
 	}
 	if action == weights.Order {
 		l.order(ctx, self, load, named)
@@ -103,17 +99,6 @@
 	return action == weights.Order || action == weights.Empty
 }
 
-// ahead says how far the runner ahead in the lane is, and has it followed while there is something to load.
-func (l *loader) ahead(ctx context.Context, group []*roster.Runner, named deployment.NamedWeights, s weights.Situation) weights.Progress {
-	rank, ok := weights.AheadOf(s.Rank, s.Total)
-	if s.Loaded >= s.Named || !ok || rank >= len(group) {
-		l.lane.follow(ctx, netip.AddrPort{})
-		return weights.ProgressDone
-	}
-	l.lane.follow(ctx, group[rank].Info().Address)
-	return l.lane.ahead(named.Model, named.Version)
-}
-
 func (l *loader) order(ctx context.Context, self deployment.Runner, load deployment.Load, named deployment.NamedWeights) {
 	l.given = platform.Order{
 		Runner: self.ID, Model: named.Model, Weights: named.Version,
@@ -128,13 +113,3 @@
 	l.sidecar.Log.Info("order given", "decision", verdict, "runner", self.ID, "model", named.Model, "weights", named.Version,
 		"fence", named.Revision, "after", load.Orders)
 }
-
-// rankOf is the place of a runner among those of its service.
-func rankOf(group []*roster.Runner, id rillreach.InstanceID) int {
-	for i, r := range group {
-		if r.Info().ID == id {
-			return i
-		}
-	}
-	return 0
-}
--- a/sidecar/news.go
+++ b/sidecar/news.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"net/netip"
-
 	"github.com/rillreach/rillreach/bulletin"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/peer"
@@ -58,15 +57,11 @@
 	if err != nil {
 		return err
 	}
-	entries := int64(1)
-	if follow.Agent {
-		entries = 0
-	}
-	n.sidecar.Log.Info("follower came", "decision", "send", "follower", follow.Name, "followers", n.followers.Add(entries))
+	n.sidecar.Log.Info("follower came", "decision", "send", "follower", follow.Name, "followers", n.followers.Add(1))
 	defer func() {
-		n.sidecar.Log.Info("follower left", "decision", "end", "follower", follow.Name, "followers", n.followers.Add(-entries))
+		n.sidecar.Log.Info("follower left", "decision", "end", "follower", follow.Name, "followers", n.followers.Add(-1))
 	}()
-	f := follower{news: n, brief: follow.Agent, positions: map[netip.AddrPort]uint64{}}
+	f := follower{news: n, positions: map[netip.AddrPort]uint64{}}
 	for {
 		if b, worth := f.next(); worth {
 			body, err := peer.Encode(b)
@@ -93,9 +88,7 @@
 
 // follower is what one entry has been told.
 type follower struct {
-	news *news
-	// brief leaves out what is held.
-	brief     bool
+	news      *news
 	positions map[netip.AddrPort]uint64
 	told      bulletin.Bulletin
 	toldAt    time.Time
@@ -136,9 +129,6 @@
 }
 
 func (f *follower) addHolders(b *bulletin.Bulletin) (changed bool) {
-	if f.brief {
-		return false
-	}
 	s := f.news.sidecar
 	if f.addHolder(b, s.own, nil) {
 		changed = true
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -68,7 +68,7 @@
 		s.state.RunnersFollower(s.Runners, watchWait, gatherRunners),
 		s.state.WeightsFollower(s.Weights, watchWait),
 		s.state.Expirer(),
-		&loader{sidecar: s, lane: &lane{sidecar: s}},
+		&loader{sidecar: s},
 		s.stores,
 		s.pool,
 		&ownHolder{s.own},
--- a/weights/decide.go
+++ b/weights/decide.go
@@ -1,6 +1,6 @@
 // Package weights decides when a runner is told to load newer weights, so that the runners of a service come to the newest
-// version soon and never too many at once. The runners form as many lanes as may load at once; in each, a runner follows
-// the one ahead of it. It is without I/O and without a clock.
+// version in time, never too many at once, and no faster than they need: a runner that has just loaded holds nothing of any
+// prompt, and those that have not carry the others meanwhile. It is without I/O and without a clock.
 package weights
 
 import (
@@ -10,44 +10,31 @@
 )
 
 const (
-	// waves is how many runners a lane has: the users' runners load at full speed while a sixth of them does so.
-	waves = 6
-	// period is the longest time from one runner of a lane to the next, where the one ahead does not get done: the sixth
-	// then still comes to its weights within the ten seconds that the users allow.
-	period = 1500 * time.Millisecond
-	// unknownPeriod is the same where nothing is known of the one ahead: a load takes 0.76 s, and requests that run end first.
-	unknownPeriod = 1200 * time.Millisecond
+	// Waves is in how many groups the runners of a service load: the users' runners load at full speed while a sixth of
+	// them does so.
+	Waves = 6
+	// lastMargin is how long before the bound on old weights the last group begins: its requests end, it loads for 0.76 s,
+	// and requests that came before the bound may have waited.
+	lastMargin = 2900 * time.Millisecond
+	// leastPace is the shortest time from one group to the next, however short the bound.
+	leastPace = 900 * time.Millisecond
+	// emptyBefore is how long before its turn a runner is sent nothing more, so that fewer requests have to end.
+	emptyBefore = 300 * time.Millisecond
 	// resend is how long an order may stay without effect before it is given again.
 	resend = 600 * time.Millisecond
 )
 
-// Progress is how far the runner ahead in the lane is.
-type Progress int
-
-// The progress of the runner ahead.
-const (
-	// ProgressUnknown says that nothing is heard of it.
-	ProgressUnknown Progress = iota
-	// ProgressBefore says that it still serves, or waits for requests to end.
-	ProgressBefore
-	// ProgressLoads says that it loads.
-	ProgressLoads
-	// ProgressDone says that it has the weights, or that there is none ahead.
-	ProgressDone
-)
-
 // Situation is what is known when a decision is made.
 type Situation struct {
 	// Named is the newest version, Loaded the runner's.
 	Named  deployment.WeightVersion
 	Loaded deployment.WeightVersion
-	// Since is how long ago this process learned of the newest version.
+	// Since is how long ago this process learned of the newest version, Bound how long old weights may be used.
 	Since time.Duration
-	// Rank is the runner's place among the Total of its service.
+	Bound time.Duration
+	// Rank is the runner's place among the Total of its service, those with the oldest weights first.
 	Rank  int
 	Total int
-	// Ahead is how far the runner ahead is.
-	Ahead Progress
 	// Busy says that the runner carries out an order.
 	Busy bool
 	// Ordered is how long ago the last order for this version was given, zero where none was.
@@ -73,40 +60,28 @@
 
 // Decide says what to do with the runner now.
 func Decide(s Situation) Action {
+	turn := Turn(s.Rank, s.Total, s.Bound)
 	switch {
 	case s.Named == 0 || s.Loaded >= s.Named || s.Leaving:
 		return Nothing
 	case s.Busy, s.Ordered > 0 && s.Ordered < resend:
 		return Empty
-	case s.turn():
+	case s.Since >= turn:
 		return Order
-	case s.Ahead == ProgressLoads:
+	case s.Since >= turn-emptyBefore:
 		return Empty
 	default:
 		return Wait
 	}
 }
 
-// turn reports that it is the runner's turn.
-func (s Situation) turn() bool {
-	wave := time.Duration(s.Rank / AtOnce(s.Total))
-	switch {
-	case wave == 0, s.Ahead == ProgressDone:
-		return true
-	case s.Ahead == ProgressUnknown:
-		return s.Since >= wave*unknownPeriod
-	default:
-		return s.Since >= wave*period
-	}
-}
-
 // AtOnce is how many runners of a service load at the same time.
 func AtOnce(total int) int {
-	return max(1, (total+waves-1)/waves)
+	return max(1, (total+Waves-1)/Waves)
 }
 
-// AheadOf is the rank of the runner ahead in the lane; it reports whether there is one.
-func AheadOf(rank, total int) (int, bool) {
-	ahead := rank - AtOnce(total)
-	return ahead, ahead >= 0
+// Turn is how long after the naming of a version the runner with the rank loads it.
+func Turn(rank, total int, bound time.Duration) time.Duration {
+	pace := max((bound-lastMargin)/(Waves-1), leastPace)
+	return time.Duration(rank/AtOnce(total)) * pace
 }
