Let a fetch that was decided take its time, and have agents gather changes of runners

Change: the bound on the runners' clock is 1.2 s; planning keeps its 200 ms. Agents gather for 1.5 s.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -64,7 +64,7 @@
 	}
 	g.Log.Info("runner chosen", "decision", "send", "request", x.wire.ID, "account", x.accountName(), "route", x.route.Name,
 		"chosen", t.view.ID, "candidates", len(candidates), "cost", choice.Cost, "estimate", choice.Estimate.String(),
-		"attempt", x.sends+1, "weights", t.weights, "missing", t.reading, "fetched", t.plan.Fetched, "avoided", t.view.Avoid, "listAge", now.Sub(g.state.Roster.Updated()).String())
+		"attempt", x.sends+1, "weights", t.weights, "missing", t.reading, "again", t.plan.Again, "fetched", t.plan.Fetched, "avoided", t.view.Avoid, "listAge", now.Sub(g.state.Roster.Updated()).String())
 	return t
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -29,7 +29,7 @@
 	// weightsWait is the same for the names of weights, whose bound is some ten seconds.
 	weightsWait = 4 * time.Second
 	// gatherRunners is a pause between watches of the runners, since their records change in quick succession.
-	gatherRunners = 50 * time.Millisecond
+	gatherRunners = 150 * time.Millisecond
 	// defaultHeaderTimeout and defaultIdle serve until the configuration is known.
 	defaultHeaderTimeout = 3 * time.Second
 	defaultIdle          = 15 * time.Second
--- a/gateway/kept.go
+++ b/gateway/kept.go
@@ -16,6 +16,9 @@
 	fetchShare = 0.4
 	leastFetch = 60 * time.Millisecond
 	mostFetch  = 400 * time.Millisecond
+	// fetchWithin bounds a fetch once it is decided: a late one still spares the runner the reading, and the stores' agents
+	// wait for longer than that before they free anything.
+	fetchWithin = 1200 * time.Millisecond
 )
 
 // promptState is what is known of the kept parts of one prompt, under the salt of one version of weights.
@@ -68,7 +71,7 @@
 	if !known {
 		return
 	}
-	p.until = clock.Add(p.budget)
+	p.until = clock.Add(fetchWithin)
 	for _, s := range x.config.Stores() {
 		until, busy, ok := g.stores.usable(s.Address, p.salt, now)
 		if !ok || until.Before(clock.Add(leastFetch)) {
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -20,9 +20,12 @@
 )
 
 const (
-	// watchWait is how long one watch of the store waits; an agent's knowledge is bound by seconds.
-	watchWait     = 4 * time.Second
-	gatherRunners = 200 * time.Millisecond
+	// watchWait is how long one watch of the store waits, weightsWait that for the names of weights, whose bound is some ten
+	// seconds; a watch that hangs is noticed after that time.
+	watchWait   = 10 * time.Second
+	weightsWait = 5 * time.Second
+	// gatherRunners is a pause between watches of the runners, of which an agent needs no more than ranks.
+	gatherRunners = 1500 * time.Millisecond
 )
 
 // Sidecar is one agent; exported fields are set before Run.
@@ -66,7 +69,7 @@
 	return controller.Run(ctx, s.Log,
 		s.state.ConfigFollower(s.Configs, watchWait),
 		s.state.RunnersFollower(s.Runners, watchWait, gatherRunners),
-		s.state.WeightsFollower(s.Weights, watchWait),
+		s.state.WeightsFollower(s.Weights, weightsWait),
 		s.state.Expirer(),
 		&loader{sidecar: s},
 		s.stores,
