--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -148,7 +148,7 @@
 	var faults error
 	for name, address := range map[string]netip.AddrPort{"callers": p.settings.Callers, "readiness": p.settings.Readiness} {
 		if !address.IsValid() {
-			faults = errors.CombineErrors(faults, errors.Newf("settings name no address for %s", name))
+			faults = errors.Join(faults, errors.Newf("settings name no address for %s", name))
 		}
 	}
 	if faults != nil {
--- a/deployment/settings.go
+++ b/deployment/settings.go
@@ -54,7 +54,7 @@
 	var faults error
 	add := func(bad bool, what string) {
 		if bad {
-			faults = errors.CombineErrors(faults, errors.New(what))
+			faults = errors.Join(faults, errors.New(what))
 		}
 	}
 	add(s.Name == "", "name of the instance is missing")
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -47,6 +47,9 @@
 		return head.Request == x.wire.ID || head.Request == "" && x.wire.ID == ""
 	})
 	if err != nil {
+		if !errors.Is(err, forward.ErrNotSent) {
+			x.noteRunner(t.view.ID)
+		}
 		return g.failed(ctx, x, t, err)
 	}
 	defer answer.Close()
@@ -99,7 +102,6 @@
 	now := time.Now()
 	notSent := errors.Is(err, forward.ErrNotSent)
 	if !notSent {
-		x.noteRunner(t.view.ID)
 		x.maybeRan = true
 	}
 	x.reason = err.Error()
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,372 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr/testr"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/internal/standin/site"
+	"github.com/rillreach/rillreach/platform"
+	"github.com/rillreach/rillreach/telemetry"
+)
+
+const (
+	host = "shop.example"
+	key  = "key-of-shop"
+	wait = 10 * time.Second
+)
+
+// world is a site with one entry.
+type world struct {
+	store   *site.Store
+	gateway *Gateway
+	callers string
+	ready   string
+	stop    context.CancelFunc
+	ended   chan error
+}
+
+type jsonMap = map[string]any
+
+func routeOf(name, kind, service string, more jsonMap) jsonMap {
+	r := jsonMap{
+		"name": name, "host": host, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 5000, "target_latency_ms": 300,
+		"service": service, "max_attempts": 2, "gap_aim_ms": 300,
+	}
+	for k, v := range more {
+		r[k] = v
+	}
+	return r
+}
+
+func configOf(version int, routes ...jsonMap) jsonMap {
+	return jsonMap{
+		"version": version, "routes": routes,
+		"services": []jsonMap{{"name": "plain", "max_connections": 100}},
+		"limits":   jsonMap{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants":  []jsonMap{{"name": "shop", "api_keys": []string{key}}},
+	}
+}
+
+func defaultConfig() jsonMap {
+	return configOf(
+		1,
+		routeOf("repeat", "idempotent", "plain", nil),
+		routeOf("once", "non_idempotent", "plain", nil),
+		routeOf("short", "idempotent", "plain", jsonMap{"timeout_ms": 300, "max_attempts": 1}),
+		routeOf("stream", "streaming", "plain", jsonMap{"resumable": true}),
+		routeOf("flow", "streaming", "plain", nil),
+	)
+}
+
+func record(r *site.Runner, state string) jsonMap {
+	return jsonMap{"service": "plain", "address": r.Address().String(), "zone": "z1", "slots": 6, "state": state}
+}
+
+// begin starts an entry before the runners.
+func begin(t *testing.T, config jsonMap, runners ...*site.Runner) *world {
+	t.Helper()
+	w := &world{store: site.NewStore(), ended: make(chan error, 1)}
+	server := httptest.NewServer(w.store)
+	t.Cleanup(server.Close)
+	if config != nil {
+		w.store.Put("config", "main", config)
+	}
+	for _, r := range runners {
+		r.Start()
+		t.Cleanup(r.Stop)
+		w.store.Put("servers", r.ID, record(r, "ready"))
+	}
+	metrics, err := telemetry.New()
+	require.NoError(t, err)
+	callers, readiness := listener(t), listener(t)
+	store := platform.NewStore(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	w.gateway = &Gateway{
+		Settings: &deployment.Settings{
+			Name: "entry-1", Zone: "z1", Host: netip.MustParseAddr("127.0.0.1"), FirstPort: 1, LastPort: 1,
+			Bounds: deployment.Bounds{Grace: 8 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100, Weights: 10 * time.Second},
+		},
+		Configs: platform.Configs(store), Runners: platform.Runners(store), Weights: platform.Weights(store),
+		Callers: callers, Readiness: readiness, Log: testr.New(t), Metrics: metrics,
+	}
+	w.callers, w.ready = callers.Addr().String(), readiness.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	w.stop = cancel
+	go func() { w.ended <- w.gateway.Run(ctx) }()
+	if config != nil {
+		w.eventually(t, func() bool { return w.readiness(t) == http.StatusOK })
+	}
+	return w
+}
+
+func listener(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+func (w *world) eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	require.Eventually(t, holds, wait, 5*time.Millisecond)
+}
+
+func (w *world) readiness(t *testing.T) int {
+	t.Helper()
+	resp, err := http.Get("http://" + w.ready + "/ready")
+	if err != nil {
+		return 0
+	}
+	require.NoError(t, resp.Body.Close())
+	return resp.StatusCode
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// call sends one request on a connection of its own.
+func (w *world) call(t *testing.T, method, target string, body string, header ...string) answer {
+	t.Helper()
+	conn, err := net.Dial("tcp", w.callers)
+	require.NoError(t, err)
+	defer conn.Close()
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Rillreach-Attempt-Id: a1\r\nAuthorization: Bearer %s\r\n", method, target, host, key)
+	if body != "" {
+		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	}
+	text += strings.Join(append(header, ""), "\r\n") + "\r\n" + body
+	_, err = io.WriteString(conn, text)
+	require.NoError(t, err)
+	return read(t, conn, method)
+}
+
+func read(t *testing.T, conn net.Conn, method string) answer {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
+	if err != nil {
+		return answer{err: err}
+	}
+	data, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
+}
+
+func assertOwn(t *testing.T, got answer, status int) {
+	t.Helper()
+	require.NoError(t, got.err)
+	assert.Equal(t, status, got.status)
+	assert.Empty(t, got.header.Get("X-Rillreach-Response-Seal"))
+}
+
+func TestPassingOn(t *testing.T) {
+	runner := &site.Runner{ID: "r1"}
+	w := begin(t, defaultConfig(), runner)
+	defer w.stop()
+
+	t.Run("method, target and body arrive as they were sent", func(t *testing.T) {
+		got := w.call(t, "POST", "/once/a%2Fb//c?q=%20x&&y", "hello")
+		require.NoError(t, got.err)
+		assert.Equal(t, http.StatusOK, got.status)
+		assert.Equal(t, "sealed", got.header.Get("X-Rillreach-Response-Seal"))
+		run := runner.Runs()[0]
+		assert.Equal(t, "/once/a%2Fb//c?q=%20x&&y", run.Target)
+		assert.Equal(t, "POST", run.Method)
+		assert.Equal(t, host, run.Host)
+		assert.Equal(t, "hello", run.Body)
+		assert.Equal(t, "shop", run.Header.Get("X-Rillreach-Tenant"))
+		assert.Empty(t, run.Header.Get("Authorization"))
+		assert.Empty(t, run.Header.Get("Accept-Encoding"))
+		assert.Empty(t, run.Header.Get("User-Agent"))
+	})
+	t.Run("what is the system's to set is not taken from callers", func(t *testing.T) {
+		w.call(t, "GET", "/repeat/x", "", "X-Rillreach-Tenant: other", "Hold: 7", "Kv-From: 1.2.3.4:1/2", "Pin-Ms: 5", "Kv-Backup: 1.2.3.4:1",
+			"Cache-Salt: s", "Connection: X-Rillreach-Model", "X-Rillreach-Model: m", "X-Plain: kept")
+		runs := runner.Runs()
+		run := runs[len(runs)-1]
+		assert.Equal(t, "shop", run.Header.Get("X-Rillreach-Tenant"))
+		assert.Equal(t, "m", run.Header.Get("X-Rillreach-Model"))
+		assert.Equal(t, "kept", run.Header.Get("X-Plain"))
+		for _, name := range []string{"Hold", "Kv-From", "Pin-Ms", "Kv-Backup", "Cache-Salt"} {
+			assert.Empty(t, run.Header.Get(name), name)
+		}
+	})
+	t.Run("the runner is told what is left of the time", func(t *testing.T) {
+		w.call(t, "GET", "/repeat/x", "", "X-Rillreach-Deadline-Ms: 90000")
+		runs := runner.Runs()
+		var left int
+		_, err := fmt.Sscan(runs[len(runs)-1].Header.Get("X-Rillreach-Deadline-Ms"), &left)
+		require.NoError(t, err)
+		assert.LessOrEqual(t, left, 5000)
+		assert.Positive(t, left)
+	})
+	t.Run("a body in chunks arrives whole", func(t *testing.T) {
+		got := w.call(t, "POST", "/once/c", "", "Transfer-Encoding: chunked", "", "5", "hello", "0", "")
+		assert.Equal(t, http.StatusOK, got.status)
+		runs := runner.Runs()
+		assert.Equal(t, "hello", runs[len(runs)-1].Body)
+	})
+	t.Run("a request inside another is not run", func(t *testing.T) {
+		before := len(runner.Runs())
+		w.call(t, "POST", "/once/s", "GET /once/smuggled HTTP/1.1\r\nHost: x\r\n\r\n")
+		runs := runner.Runs()
+		require.Len(t, runs, before+1)
+		assert.Equal(t, "/once/s", runs[before].Target)
+	})
+}
+
+func TestOwnAnswers(t *testing.T) {
+	runner := &site.Runner{ID: "r1"}
+	w := begin(t, defaultConfig(), runner)
+	defer w.stop()
+
+	t.Run("no route is 404", func(t *testing.T) { assertOwn(t, w.call(t, "GET", "/nowhere/", ""), http.StatusNotFound) })
+	t.Run("an unknown key is 401", func(t *testing.T) { assertOwn(t, w.callWithKey(t, "other"), http.StatusUnauthorized) })
+	t.Run("a body over the limit is 413", func(t *testing.T) {
+		assertOwn(t, w.call(t, "POST", "/once/", strings.Repeat("x", 70000)), http.StatusRequestEntityTooLarge)
+	})
+	t.Run("a key that is taken away is refused", func(t *testing.T) {
+		config := defaultConfig()
+		config["version"] = 2
+		config["tenants"] = []jsonMap{{"name": "shop", "api_keys": []string{"another"}}}
+		w.store.Put("config", "main", config)
+		w.eventually(t, func() bool { return w.call(t, "GET", "/repeat/", "").status == http.StatusUnauthorized })
+	})
+	t.Run("a configuration that cannot be understood leaves the last one", func(t *testing.T) {
+		calls := w.store.Calls()
+		w.store.Put("config", "main", jsonMap{"version": 3, "routes": []jsonMap{{"name": "broken"}}})
+		w.eventually(t, func() bool { return w.store.Calls() > calls+1 })
+		assert.Equal(t, int64(2), w.gateway.state.Config().Version)
+	})
+}
+
+func (w *world) callWithKey(t *testing.T, other string) answer {
+	t.Helper()
+	conn, err := net.Dial("tcp", w.callers)
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "GET /repeat/ HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n\r\n", host, other)
+	require.NoError(t, err)
+	return read(t, conn, "GET")
+}
+
+func TestReadiness(t *testing.T) {
+	w := begin(t, nil)
+	defer w.stop()
+	w.eventually(t, func() bool { return w.readiness(t) == http.StatusServiceUnavailable })
+	got := w.call(t, "GET", "/repeat/", "")
+	assertOwn(t, got, http.StatusServiceUnavailable)
+	assert.NotEmpty(t, got.header.Get("Retry-After"))
+	w.store.Put("config", "main", defaultConfig())
+	w.eventually(t, func() bool { return w.readiness(t) == http.StatusOK })
+}
+
+func TestRunnersInTrouble(t *testing.T) {
+	t.Run("a runner that refuses is replaced", func(t *testing.T) {
+		good, full := &site.Runner{ID: "good"}, &site.Runner{ID: "full", Handle: site.Refuse}
+		w := begin(t, defaultConfig(), good, full)
+		defer w.stop()
+		for range 8 {
+			got := w.call(t, "POST", "/once/x", "body")
+			assert.Equal(t, http.StatusOK, got.status)
+		}
+		assert.Len(t, good.Runs(), 8)
+	})
+	t.Run("a request that may have run once is not run again, and no promise is made", func(t *testing.T) {
+		cut := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+		a, b := &site.Runner{ID: "a", Handle: cut}, &site.Runner{ID: "b", Handle: cut}
+		w := begin(t, defaultConfig(), a, b)
+		defer w.stop()
+		assertOwn(t, w.call(t, "POST", "/once/x", "body"), http.StatusBadGateway)
+		assert.Equal(t, 1, len(a.Runs())+len(b.Runs()))
+	})
+	t.Run("a repeatable request moves on once, within the route's number of runners", func(t *testing.T) {
+		cut := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+		a, b, c := &site.Runner{ID: "a", Handle: cut}, &site.Runner{ID: "b", Handle: cut}, &site.Runner{ID: "c", Handle: cut}
+		w := begin(t, defaultConfig(), a, b, c)
+		defer w.stop()
+		assertOwn(t, w.call(t, "GET", "/repeat/x", ""), http.StatusBadGateway)
+		assert.Equal(t, 2, len(a.Runs())+len(b.Runs())+len(c.Runs()))
+	})
+	t.Run("nobody there is told at once as not run", func(t *testing.T) {
+		w := begin(t, defaultConfig())
+		defer w.stop()
+		got := w.call(t, "POST", "/once/x", "body")
+		assertOwn(t, got, http.StatusServiceUnavailable)
+		assert.NotEmpty(t, got.header.Get("Retry-After"))
+	})
+	t.Run("a leaving runner gets nothing new", func(t *testing.T) {
+		stays, leaves := &site.Runner{ID: "stays"}, &site.Runner{ID: "leaves"}
+		w := begin(t, defaultConfig(), stays, leaves)
+		defer w.stop()
+		w.store.Put("servers", "leaves", record(leaves, "draining"))
+		w.eventually(t, func() bool { return w.gateway.state.Roster.Find("leaves").Info().Leaving })
+		before := len(leaves.Runs())
+		for range 6 {
+			w.call(t, "GET", "/repeat/x", "")
+		}
+		assert.Len(t, leaves.Runs(), before)
+	})
+	t.Run("another runner at the address does not run the request", func(t *testing.T) {
+		real := &site.Runner{ID: "new"}
+		w := begin(t, defaultConfig())
+		defer w.stop()
+		real.Start()
+		t.Cleanup(real.Stop)
+		w.store.Put("servers", "old", record(real, "ready"))
+		w.eventually(t, func() bool { return w.gateway.state.Roster.Len() == 1 })
+		assertOwn(t, w.call(t, "POST", "/once/x", "body"), http.StatusServiceUnavailable)
+		assert.Empty(t, real.Runs())
+	})
+}
+
+func TestTimeOut(t *testing.T) {
+	release := make(chan struct{})
+	hang := &site.Runner{ID: "hang", Handle: func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case <-release:
+		case <-r.Context().Done():
+		}
+	}}
+	w := begin(t, defaultConfig(), hang)
+	defer w.stop()
+	defer close(release)
+	assertOwn(t, w.call(t, "GET", "/short/x", ""), http.StatusGatewayTimeout)
+}
+
+func TestCallerLeaves(t *testing.T) {
+	left := make(chan struct{})
+	runner := &site.Runner{ID: "r", Handle: func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(left)
+	}}
+	w := begin(t, defaultConfig(), runner)
+	defer w.stop()
+	conn, err := net.Dial("tcp", w.callers)
+	require.NoError(t, err)
+	_, err = fmt.Fprintf(conn, "GET /repeat/ HTTP/1.1\r\nHost: %s\r\nX-Rillreach-Attempt-Id: a\r\nAuthorization: Bearer %s\r\n\r\n", host, key)
+	require.NoError(t, err)
+	w.eventually(t, func() bool { return len(runner.Runs()) == 1 })
+	require.NoError(t, conn.Close())
+	select {
+	case <-left:
+	case <-time.After(wait):
+		t.Fatal("the runner still works for a caller that has left")
+	}
+}
--- /dev/null
+++ b/localstate/state_test.go
@@ -0,0 +1,77 @@
+package localstate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/deployment"
+)
+
+func state() *State { return &State{Log: logr.Discard()} }
+
+func TestNothingGoesBack(t *testing.T) {
+	t.Run("a configuration of an older revision is left out", func(t *testing.T) {
+		s := state()
+		s.SetConfig(&deployment.Config{Version: 7, Revision: 10})
+		s.SetConfig(&deployment.Config{Version: 5, Revision: 9})
+		s.SetConfig(&deployment.Config{Version: 5, Revision: 10})
+		assert.Equal(t, int64(7), s.Config().Version)
+	})
+	t.Run("weights of an older revision are left out", func(t *testing.T) {
+		s := state()
+		s.SetWeights(deployment.NamedWeights{Model: "m", Version: 3, Revision: 10})
+		s.SetWeights(deployment.NamedWeights{Model: "m", Version: 2, Revision: 9})
+		named, since := s.Weights("m")
+		assert.Equal(t, deployment.WeightVersion(3), named.Version)
+		assert.False(t, since.IsZero())
+	})
+}
+
+func TestReplaced(t *testing.T) {
+	s := state()
+	s.SetWeights(deployment.NamedWeights{Model: "m", Version: 1, Revision: 1})
+	assert.True(t, s.Replaced("m", 1).IsZero(), "the newest is not replaced")
+	s.SetWeights(deployment.NamedWeights{Model: "m", Version: 2, Revision: 2})
+	first := s.Replaced("m", 1)
+	assert.False(t, first.IsZero())
+	s.SetWeights(deployment.NamedWeights{Model: "m", Version: 3, Revision: 3})
+	assert.Equal(t, first, s.Replaced("m", 1), "each version is judged by its own successor")
+	assert.False(t, s.Replaced("m", 2).IsZero())
+}
+
+func update(id string) rillreach.Update[*deployment.Runner] {
+	return rillreach.Update[*deployment.Runner]{Name: id, Value: &deployment.Runner{ID: rillreach.InstanceID(id), Service: "s"}}
+}
+
+func TestRunners(t *testing.T) {
+	gone := rillreach.Update[*deployment.Runner]{Name: "a", Gone: true}
+	t.Run("a record that cannot be understood leaves the last good one", func(t *testing.T) {
+		s := state()
+		s.listRunners([]rillreach.Update[*deployment.Runner]{update("a")}, time.Time{})
+		s.changeRunner(rillreach.Update[*deployment.Runner]{Name: "a", Err: errors.New("broken")}, time.Time{})
+		assert.NotNil(t, s.Roster.Find("a"))
+	})
+	t.Run("one that goes while the store is there is gone at once", func(t *testing.T) {
+		s := state()
+		s.changeRunner(update("a"), time.Time{})
+		s.changeRunner(gone, time.Time{})
+		assert.Nil(t, s.Roster.Find("a"))
+	})
+	t.Run("one that is found gone right after the store's return is only doubtful", func(t *testing.T) {
+		s := state()
+		s.changeRunner(update("a"), time.Time{})
+		s.changeRunner(gone, time.Now())
+		assert.NotNil(t, s.Roster.Find("a"))
+	})
+	t.Run("and long after the return it is gone at once again", func(t *testing.T) {
+		s := state()
+		s.changeRunner(update("a"), time.Time{})
+		s.changeRunner(gone, time.Now().Add(-returnTime))
+		assert.Nil(t, s.Roster.Find("a"))
+	})
+}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,123 @@
+package roster
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/deployment"
+)
+
+var start = time.Unix(1000, 0)
+
+func info(id string) deployment.Runner {
+	return deployment.Runner{
+		ID: rillreach.InstanceID(id), Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"),
+		Weights: map[rillreach.ModelID]deployment.WeightVersion{"m": 1},
+	}
+}
+
+func ids(r *Roster) []string {
+	var all []string
+	for _, runner := range r.Group("s") {
+		all = append(all, string(runner.Info().ID))
+	}
+	return all
+}
+
+func TestRoster(t *testing.T) {
+	t.Run("a group is in the order of its identifiers", func(t *testing.T) {
+		var r Roster
+		r.Replace(start, []deployment.Runner{info("c"), info("a"), info("b")}, time.Time{})
+		assert.Equal(t, []string{"a", "b", "c"}, ids(&r))
+	})
+	t.Run("one that is no longer listed goes at once", func(t *testing.T) {
+		var r Roster
+		r.Replace(start, []deployment.Runner{info("a"), info("b")}, time.Time{})
+		changes := r.Replace(start, []deployment.Runner{info("a")}, time.Time{})
+		assert.Equal(t, []string{"a"}, ids(&r))
+		assert.Equal(t, EventRemoved, changes[len(changes)-1].Event)
+	})
+	t.Run("one that lapsed while the store was away stays until it is to be back", func(t *testing.T) {
+		var r Roster
+		back := start.Add(2 * time.Second)
+		r.Replace(start, []deployment.Runner{info("a"), info("b")}, time.Time{})
+		r.Remove(start, "a", back)
+		r.Replace(start, []deployment.Runner{info("b")}, back)
+		assert.Empty(t, r.Expire(back))
+		assert.Equal(t, []string{"a", "b"}, ids(&r))
+		r.Put(start, info("a"))
+		assert.Empty(t, r.Expire(back.Add(time.Second)), "it came back")
+		r.Remove(start, "a", back)
+		r.Expire(back.Add(time.Millisecond))
+		assert.Equal(t, []string{"b"}, ids(&r))
+	})
+}
+
+func TestRunner(t *testing.T) {
+	one := func() *Runner {
+		var r Roster
+		r.Put(start, info("a"))
+		return r.Find("a")
+	}
+	t.Run("failures in a row keep it away for longer and longer, up to a bound", func(t *testing.T) {
+		r, now, last := one(), start, time.Duration(0)
+		for range 8 {
+			pause := r.Strike(now)
+			assert.GreaterOrEqual(t, pause, last)
+			assert.LessOrEqual(t, pause, avoidMost)
+			assert.True(t, r.View(now).Avoid)
+			now, last = now.Add(pause), pause
+			assert.False(t, r.View(now).Avoid)
+		}
+	})
+	t.Run("failures of requests that were under way together count once", func(t *testing.T) {
+		r := one()
+		first := r.Strike(start)
+		assert.Less(t, r.Strike(start.Add(time.Millisecond)), first)
+	})
+	t.Run("a good answer ends that", func(t *testing.T) {
+		r := one()
+		r.Strike(start)
+		r.Well(start)
+		assert.False(t, r.View(start).Avoid)
+	})
+	t.Run("the share of failures follows the answers", func(t *testing.T) {
+		r := one()
+		for range 20 {
+			r.Failed(start)
+		}
+		assert.Greater(t, r.View(start).Failures, 0.9)
+		for range 20 {
+			r.Well(start)
+		}
+		assert.Less(t, r.View(start).Failures, 0.1)
+	})
+	t.Run("the newest weights that anybody tells of count, and the list is left as it is", func(t *testing.T) {
+		r := one()
+		r.SetWeights("m", 3)
+		r.SetReport(Report{At: start, Load: deployment.Load{Weights: map[rillreach.ModelID]deployment.WeightVersion{"m": 2}}})
+		assert.Equal(t, deployment.WeightVersion(3), r.View(start).Weights["m"])
+		assert.Equal(t, deployment.WeightVersion(1), r.Info().Weights["m"])
+	})
+	t.Run("an old report counts no more", func(t *testing.T) {
+		r := one()
+		r.SetReport(Report{At: start, Load: deployment.Load{Leaving: true}})
+		assert.True(t, r.View(start).Leaving)
+		assert.False(t, r.View(start.Add(reportAge)).Leaving)
+	})
+	t.Run("what begins and ends leaves nothing behind", func(t *testing.T) {
+		r := one()
+		r.Begin(100, 200)
+		r.First(start, 100)
+		r.End(200)
+		r.Begin(100, 200)
+		r.Drop(100)
+		r.End(200)
+		v := r.View(start)
+		assert.Zero(t, v.Running+v.Reading+v.Held)
+	})
+}
--- a/sidecar/caretaker.go
+++ b/sidecar/caretaker.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,9 +43,8 @@
 // kept is one store that this agent looks after.
 type kept struct {
 	*holder
-	stop context.CancelFunc
-	// dying are the salts that are about to be freed, and since when entries are told so.
-	dying map[string]time.Time
+	stop  context.CancelFunc
+	dying holdings.Dying
 }
 
 // Name is the controller's name.
@@ -86,7 +86,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	k := &kept{
 		holder: &holder{place: place, store: true, client: platform.NewRunner(place), log: c.sidecar.Log},
-		stop:   stop, dying: map[string]time.Time{},
+		stop:   stop,
 	}
 	c.wg.Go(func() { k.run(ctx) })
 	return k
@@ -140,25 +140,25 @@
 func (c *caretaker) free(ctx context.Context, k *kept) {
 	now := time.Now()
 	for salt := range k.tracker.Salts() {
-		if !c.replaced(salt, now) {
+		if !c.replaced(salt, now) || !k.dying.Free(salt, now, bulletin.Grant+freeMargin) {
 			continue
 		}
-		since, told := c.dies(k, salt, now)
-		if !told || now.Sub(since) < bulletin.Grant+freeMargin {
+		if err := c.freeAll(ctx, k, k.tracker.Under(salt)); err != nil {
+			c.sidecar.Log.Error(err, "parts not freed", "decision", "retry", "store", k.place, "salt", salt)
 			continue
 		}
-		parts := k.tracker.Under(salt)
-		for len(parts) > 0 {
-			n := min(len(parts), freeBatch)
-			if err := k.free(ctx, parts[:n]); err != nil {
-				c.sidecar.Log.Error(err, "parts not freed", "decision", "retry", "store", k.place, "salt", salt)
-				return
-			}
-			c.forget(k, parts[:n])
-			parts = parts[n:]
+		c.sidecar.Log.Info("parts freed", "decision", "free", "store", k.place, "salt", salt)
+	}
+}
+
+func (c *caretaker) freeAll(ctx context.Context, k *kept, parts []holdings.Key) error {
+	for batch := range slices.Chunk(parts, freeBatch) {
+		if err := k.free(ctx, batch); err != nil {
+			return err
 		}
-		c.sidecar.Log.Info("parts freed", "decision", "free", "store", k.place, "salt", salt, "told", now.Sub(since).String())
+		c.forget(k, batch)
 	}
+	return nil
 }
 
 // forget takes freed parts off at once, so that they are not freed again before the store tells of them.
@@ -170,18 +170,6 @@
 	k.tracker.Apply(changes)
 }
 
-// dies is since when entries are told that the salt dies; told is false where that begins now.
-func (c *caretaker) dies(k *kept, salt string, now time.Time) (since time.Time, told bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	since, told = k.dying[salt]
-	if !told {
-		k.dying[salt] = now
-		c.sidecar.Log.Info("parts of replaced weights", "decision", "announce", "store", k.place, "salt", salt)
-	}
-	return since, told
-}
-
 // replaced reports that the weights of a salt are no longer worth keeping parts for: newer ones are named, and two thirds of
 // the runners have them, or enough time has passed.
 func (c *caretaker) replaced(text string, now time.Time) bool {
@@ -206,14 +194,3 @@
 	}
 	return 3*old <= all || now.Sub(since) > oldMost
 }
-
-// dyingOf are the salts that are about to be freed.
-func (c *caretaker) dyingOf(k *kept) []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var salts []string
-	for salt := range k.dying {
-		salts = append(salts, salt)
-	}
-	return salts
-}
--- a/sidecar/news.go
+++ b/sidecar/news.go
@@ -134,7 +134,7 @@
 		changed = true
 	}
 	for _, k := range s.stores.all() {
-		if f.addHolder(b, k.holder, s.stores.dyingOf(k)) {
+		if f.addHolder(b, k.holder, k.dying.Salts()) {
 			changed = true
 		}
 	}
--- /dev/null
+++ b/weights/decide_test.go
@@ -0,0 +1,74 @@
+package weights
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+const bound = 10 * time.Second
+
+func TestDecide(t *testing.T) {
+	at := func(change func(*Situation)) Action {
+		s := Situation{Named: 2, Loaded: 1, Bound: bound, Rank: 4, Total: 18, Since: time.Hour}
+		change(&s)
+		return Decide(s)
+	}
+	cases := []struct {
+		name   string
+		change func(*Situation)
+		want   Action
+	}{
+		{"it is the runner's turn", func(*Situation) {}, Order},
+		{"nothing is named", func(s *Situation) { s.Named = 0 }, Nothing},
+		{"the runner has the version", func(s *Situation) { s.Loaded = 2 }, Nothing},
+		{"the runner has a newer one", func(s *Situation) { s.Loaded = 3 }, Nothing},
+		{"the runner ends soon", func(s *Situation) { s.Leaving = true }, Nothing},
+		{"an order is under way", func(s *Situation) { s.Busy = true }, Empty},
+		{"an order was given just now", func(s *Situation) { s.Ordered = resend - 1 }, Empty},
+		{"an order had no effect", func(s *Situation) { s.Ordered = resend }, Order},
+		{"the turn is far", func(s *Situation) { s.Since = 0 }, Wait},
+		{"the turn is near", func(s *Situation) { s.Since = Turn(4, 18, bound) - emptyBefore }, Empty},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { assert.Equal(t, c.want, at(c.change)) })
+	}
+}
+
+// TestAllLoadInTime plays a whole service in virtual time: every runner has the version before old weights expire, and no
+// more load at once than may.
+func TestAllLoadInTime(t *testing.T) {
+	const load = 760 * time.Millisecond
+	const step = 40 * time.Millisecond
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.IntRange(1, 200).Draw(t, "runners")
+		bound := time.Duration(rapid.IntRange(10000, 14000).Draw(t, "bound")) * time.Millisecond
+		ordered := make([]time.Duration, total)
+		for now := step; now < bound; now += step {
+			loading := 0
+			for rank := range total {
+				s := Situation{Named: 2, Loaded: 1, Bound: bound, Rank: rank, Total: total, Since: now}
+				if ordered[rank] > 0 {
+					s.Ordered = now - ordered[rank]
+					s.Busy = s.Ordered < load
+					if s.Ordered >= load {
+						s.Loaded = 2
+					}
+				}
+				if s.Loaded == 1 && (s.Busy || Decide(s) == Order) {
+					loading++
+				}
+				if Decide(s) == Order {
+					ordered[rank] = now
+				}
+			}
+			assert.LessOrEqual(t, loading, AtOnce(total))
+		}
+		for rank := range total {
+			assert.Positive(t, ordered[rank], "rank %d", rank)
+			assert.Less(t, ordered[rank]+load, bound-time.Second, "rank %d", rank)
+		}
+	})
+}
