Leave a runner alone for good once another run has its address

Ruled out: sending to the next run by the name that it tells, since its service is not known. Change: such an answer marks the run as over, whatever the list says.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -52,7 +52,7 @@
 }
 
 func (s *server) talk(c net.Conn, script func(n int, c net.Conn, id string)) {
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(r)
@@ -211,7 +211,7 @@
 func TestEarlyAnswer(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	defer l.Close()
+	defer func() { _ = l.Close() }()
 	go func() {
 		c, err := l.Accept()
 		if err != nil {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -124,7 +124,7 @@
 		"status", answer.Response.StatusCode, "otherRunner", head.OtherRunner, "instance", head.Instance, "weights", head.Weights)
 	switch {
 	case head.OtherRunner && head.Instance != "" && head.Instance != t.view.ID:
-		t.runner.Strike(time.Now())
+		t.runner.Leaves() // another run has its address, so that this one is over, whatever the list says
 	case head.OtherRunner && x.wire.Prompt != nil:
 		g.learnWeights(x, t, head)
 	default:
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -147,7 +147,7 @@
 	t.Helper()
 	conn, err := net.Dial("tcp", w.callers)
 	require.NoError(t, err)
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Rillreach-Attempt-Id: a1\r\nAuthorization: Bearer %s\r\n", method, target, host, key)
 	if body != "" {
 		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
@@ -260,7 +260,7 @@
 	t.Helper()
 	conn, err := net.Dial("tcp", w.callers)
 	require.NoError(t, err)
-	defer conn.Close()
+	defer func() { _ = conn.Close() }()
 	_, err = fmt.Fprintf(conn, "GET /repeat/ HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n\r\n", host, other)
 	require.NoError(t, err)
 	return read(t, conn, "GET")
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -62,7 +62,7 @@
 		w := begin(t, defaultConfig(), a, b)
 		defer w.stop()
 		got := w.call(t, "POST", "/flow/x", "prompt")
-		assert.ErrorIs(t, got.err, io.ErrUnexpectedEOF)
+		require.ErrorIs(t, got.err, io.ErrUnexpectedEOF)
 		assert.Equal(t, 1, len(a.Runs())+len(b.Runs()))
 	})
 	t.Run("a stream that breaks at every runner reaches the caller cut", func(t *testing.T) {
@@ -77,7 +77,7 @@
 		w := begin(t, defaultConfig(), a, b)
 		defer w.stop()
 		got := w.call(t, "POST", "/stream/x", "prompt")
-		assert.ErrorIs(t, got.err, io.ErrUnexpectedEOF)
+		require.ErrorIs(t, got.err, io.ErrUnexpectedEOF)
 		assert.Equal(t, pieces(4), got.body)
 	})
 }
@@ -90,7 +90,7 @@
 			part, err := r.next()
 			all.Write(part)
 			if err != nil {
-				assert.ErrorIs(t, err, io.EOF)
+				require.ErrorIs(t, err, io.EOF)
 				return all.String(), r.last
 			}
 		}
