Of two records with one address, count the one that was written last

Cause: after a restart the list holds the record of the run before, too; 421 answers, and an agent that spoke for the old run. Ruled out: waiting for the old record to lapse (some four seconds). Change: the roster knows who has an address; the older record's run is over.

--- a/deployment/runner.go
+++ b/deployment/runner.go
@@ -18,6 +18,8 @@
 	Address netip.AddrPort
 	Zone    rillreach.ZoneID
 	Slots   int
+	// Revision is that of the record's last change.
+	Revision uint64
 	// Leaving says that the runner is about to end and takes nothing new.
 	Leaving bool
 	// ColdFor is how much longer the runner is slow after its start.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -16,6 +16,7 @@
 	mu        sync.RWMutex
 	byID      map[rillreach.InstanceID]*Runner
 	byService map[rillreach.ServiceID][]*Runner
+	byAddress map[netip.AddrPort]*Runner
 	updated   time.Time
 }
 
@@ -103,21 +104,40 @@
 func (r *Roster) put(changes []Change, info deployment.Runner) []Change {
 	if r.byID == nil {
 		r.byID, r.byService = map[rillreach.InstanceID]*Runner{}, map[rillreach.ServiceID][]*Runner{}
+		r.byAddress = map[netip.AddrPort]*Runner{}
 	}
 	if runner := r.byID[info.ID]; runner != nil {
 		runner.mu.Lock()
 		runner.info, runner.gone = info, time.Time{}
 		runner.mu.Unlock()
+		r.settle(runner, info)
 		return append(changes, Change{Event: EventChanged, Runner: info})
 	}
 	runner := &Runner{info: info}
 	r.byID[info.ID] = runner
+	r.settle(runner, info)
 	group := append(slices.Clone(r.byService[info.Service]), runner)
 	slices.SortFunc(group, func(a, b *Runner) int { return strings.Compare(string(a.info.ID), string(b.info.ID)) })
 	r.byService[info.Service] = group
 	return append(changes, Change{Event: EventAdded, Runner: info})
 }
 
+// settle decides which run has the address: of two records the one that was written last; the other's run is over, and its
+// record is left over.
+func (r *Roster) settle(runner *Runner, info deployment.Runner) {
+	other := r.byAddress[info.Address]
+	if other == nil || other == runner {
+		r.byAddress[info.Address] = runner
+		return
+	}
+	if other.Info().Revision > info.Revision {
+		runner.Leaves()
+		return
+	}
+	other.Leaves()
+	r.byAddress[info.Address] = runner
+}
+
 // lapse removes a runner, or marks when it is to be removed.
 func (r *Roster) lapse(id rillreach.InstanceID, runner *Runner, now, doubtful time.Time) Change {
 	runner.mu.Lock()
@@ -130,6 +150,9 @@
 		return Change{Event: EventDoubtful, Runner: info}
 	}
 	delete(r.byID, id)
+	if r.byAddress[info.Address] == runner {
+		delete(r.byAddress, info.Address)
+	}
 	group := slices.DeleteFunc(slices.Clone(r.byService[info.Service]), func(other *Runner) bool { return other == runner })
 	r.byService[info.Service] = group
 	return Change{Event: EventRemoved, Runner: info}
@@ -149,14 +172,11 @@
 	return r.byID[id]
 }
 
-// At returns the runner listed at the address, or nil.
+// At returns the runner that has the address, or nil.
 func (r *Roster) At(address netip.AddrPort) *Runner {
-	for _, runner := range r.All() {
-		if runner.Info().Address == address {
-			return runner
-		}
-	}
-	return nil
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.byAddress[address]
 }
 
 // All returns all listed runners.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -57,6 +57,22 @@
 	})
 }
 
+func TestLeftOverRecords(t *testing.T) {
+	old, fresh := info("old"), info("fresh")
+	old.Revision, fresh.Revision = 5, 9
+	for name, order := range map[string][]deployment.Runner{"the old one first": {old, fresh}, "the fresh one first": {fresh, old}} {
+		t.Run("of two records with one address the one written last counts, "+name, func(t *testing.T) {
+			var r Roster
+			r.Replace(start, order, time.Time{})
+			assert.Equal(t, fresh.ID, r.At(fresh.Address).Info().ID)
+			assert.True(t, r.Find("old").View(start).Leaving)
+			assert.False(t, r.Find("fresh").View(start).Leaving)
+			r.Remove(start, "old", time.Time{})
+			assert.Equal(t, fresh.ID, r.At(fresh.Address).Info().ID)
+		})
+	}
+}
+
 func TestRunner(t *testing.T) {
 	one := func() *Runner {
 		var r Roster
