Cut the connection of a caller that has left; explain a request from logs; tell entries more often

Cause: a caller that closes its sending side alone got an empty 200, since the handler returned without an answer (found by reading; the test failed first). On the grown site entries chose by reports 120 ms old.

--- /dev/null
+++ b/cmd/explain.go
@@ -0,0 +1,84 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/rillreach/rillreach/explain"
+)
+
+func newExplainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "tell the story of one request from the logs of several processes",
+		ArgsUsage: "REQUEST [FILE...], or standard input where no file is named",
+		Flags:     []cli.Flag{&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: "text", Usage: "text or json"}},
+		Action:    runExplain,
+	}
+}
+
+func runExplain(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() == 0 {
+		return codedError{error: errors.New("explain: name the request"), code: ExitUsage}
+	}
+	lines, err := readLogs(c.Args().Tail())
+	if err != nil {
+		return err
+	}
+	story := explain.Tell(lines, c.Args().First())
+	if len(story.Lines) == 0 {
+		return errors.Newf("explain: no line of the logs names request %q", story.Request)
+	}
+	if c.String("output") == "json" {
+		return errors.Wrap(json.NewEncoder(c.Root().Writer).Encode(story), "write story")
+	}
+	writeStory(c.Root().Writer, story)
+	return nil
+}
+
+func readLogs(files []string) ([]explain.Line, error) {
+	if len(files) == 0 {
+		return explain.Read(os.Stdin)
+	}
+	var all []explain.Line
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "open log")
+		}
+		lines, err := explain.Read(file)
+		_ = file.Close()
+		if err != nil {
+			return nil, errors.Wrapf(err, "log %s", name)
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
+func writeStory(w io.Writer, story explain.Story) {
+	_, _ = fmt.Fprintf(w, "request %s\n\nwhat was believed before:\n", story.Request)
+	for _, line := range story.Beliefs {
+		writeLine(w, line)
+	}
+	_, _ = fmt.Fprintln(w, "\nwhat was decided:")
+	for _, line := range story.Lines {
+		writeLine(w, line)
+	}
+}
+
+func writeLine(w io.Writer, line explain.Line) {
+	_, _ = fmt.Fprintf(w, "  %s  %-20s %s", line.Time.Format("15:04:05.000"), line.Instance, line.Message)
+	for _, name := range slices.Sorted(maps.Keys(line.Fields)) {
+		_, _ = fmt.Fprintf(w, " %s=%v", name, line.Fields[name])
+	}
+	_, _ = fmt.Fprintln(w)
+}
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -50,6 +50,7 @@
 			newBenchCommand(),
 			newSettingsCommand(),
 			newPlatformCommand(),
+			newExplainCommand(),
 		},
 	}
 }
--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -30,6 +30,8 @@
 	Wait time.Duration
 	// Gather is how long to pause between watches, so that changes in quick succession cost one call; zero means none.
 	Gather time.Duration
+	// Kick ends such a pause early; it may be nil.
+	Kick <-chan struct{}
 	// Log takes the source's loss and return.
 	Log logr.Logger
 	// Listed takes all objects after each list; returned is when the source last came back, zero where it never was lost.
@@ -62,7 +64,7 @@
 		case err == nil:
 			listed = true
 			wait = firstPause
-			pause.For(ctx, c.Gather)
+			c.gather(ctx)
 		case errors.Is(err, rillreach.ErrHistoryGone):
 			c.Log.Info("history is gone, listing again", "decision", "list-again", "kind", c.Kind, "revision", revision)
 			listed = false
@@ -75,6 +77,20 @@
 	return nil
 }
 
+// gather pauses between watches, unless somebody needs what is new.
+func (c *Controller[T]) gather(ctx context.Context) {
+	if c.Gather <= 0 {
+		return
+	}
+	timer := time.NewTimer(c.Gather)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-c.Kick:
+	}
+}
+
 func (c *Controller[T]) list(ctx context.Context) (uint64, error) {
 	all, revision, err := c.Source.List(ctx)
 	if err != nil {
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -67,16 +67,6 @@
 	return &Answer{Response: resp, pool: p, conn: c, to: to, stop: stop, writing: writing, tainted: strays > 0}, nil
 }
 
-// Probe reports whether a new connection to the address comes up.
-func (p *Pool) Probe(ctx context.Context, to netip.AddrPort) bool {
-	c, err := p.dial(ctx, to)
-	if err != nil {
-		return false
-	}
-	p.park(to, newConn(c), 0)
-	return true
-}
-
 func (p *Pool) take(ctx context.Context, to netip.AddrPort, maxConns int) (*conn, error) {
 	for {
 		c, full := p.pop(to, maxConns)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,10 +26,10 @@
 	// watchWait is how long one watch of the store waits: under the bound on leaving runners together with watchSlack, so
 	// that a watch that hangs is noticed in time.
 	watchWait = 2500 * time.Millisecond
-	// weightsWait is the same for the names of weights, whose bound is some ten seconds.
-	weightsWait = 4 * time.Second
+	// weightsWait is the same for the names of weights, of which the agents tell, too.
+	weightsWait = 20 * time.Second
 	// gatherRunners is a pause between watches of the runners, since their records change in quick succession.
-	gatherRunners = 150 * time.Millisecond
+	gatherRunners = 250 * time.Millisecond
 	// defaultHeaderTimeout and defaultIdle serve until the configuration is known.
 	defaultHeaderTimeout = 3 * time.Second
 	defaultIdle          = 15 * time.Second
@@ -83,6 +83,9 @@
 	if err != nil {
 		return err
 	}
+	if err := g.addGauges(); err != nil {
+		return err
+	}
 	peers := &peer.Pool{Self: self, Mux: &peer.Mux{Log: g.Log}, Log: g.Log}
 	peers.Start(life)
 	stop := context.AfterFunc(ctx, func() {
@@ -92,7 +95,7 @@
 	defer stop()
 	return controller.Run(life, g.Log,
 		g.state.ConfigFollower(g.Configs, watchWait),
-		g.state.RunnersFollower(g.Runners, watchWait, gatherRunners),
+		g.state.RunnersFollower(g.Runners, watchWait, gatherRunners, nil),
 		g.state.WeightsFollower(g.Weights, weightsWait),
 		g.state.Expirer(),
 		&serverController{name: "callers", server: g.server, listener: g.Callers},
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -363,10 +363,11 @@
 	_, err = fmt.Fprintf(conn, "GET /repeat/ HTTP/1.1\r\nHost: %s\r\nX-Rillreach-Attempt-Id: a\r\nAuthorization: Bearer %s\r\n\r\n", host, key)
 	require.NoError(t, err)
 	w.eventually(t, func() bool { return len(runner.Runs()) == 1 })
-	require.NoError(t, conn.Close())
+	require.NoError(t, conn.(*net.TCPConn).CloseWrite())
 	select {
 	case <-left:
 	case <-time.After(wait):
 		t.Fatal("the runner still works for a caller that has left")
 	}
+	assert.Error(t, read(t, conn, "GET").err, "nothing that looks like an answer goes out")
 }
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -59,11 +59,8 @@
 		"reason", x.reason, "outcome", outcome, "status", status, "began", x.began, "sends", x.sends, "runners", x.runners,
 		"config", x.config.Version, "listAge", time.Since(g.state.Roster.Updated()).String(), "after", time.Since(x.arrived).String())
 	g.Metrics.Request(outcome, verdict)
-	if x.began {
-		panic(http.ErrAbortHandler) // the connection is cut, so that the answer cannot be taken for a whole one
-	}
-	if verdict == "caller-left" {
-		return
+	if x.began || verdict == "caller-left" {
+		panic(http.ErrAbortHandler) // the connection is cut, so that nothing on it can be taken for a whole answer
 	}
 	g.answer(x, status, verdict, after)
 }
--- a/gateway/stores.go
+++ b/gateway/stores.go
@@ -96,6 +96,19 @@
 	return time.UnixMilli(s.saidAt).Add(bulletin.Grant), max(0, s.busyUntil.Sub(now)), true
 }
 
+// count is how many stores may be asked now.
+func (b *storeBook) count(now time.Time) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, s := range b.stores {
+		if !s.down && now.Sub(s.heardAt) <= aliveFor {
+			n++
+		}
+	}
+	return n
+}
+
 // book records that a move takes the link of a store.
 func (b *storeBook) book(place netip.AddrPort, took time.Duration, now time.Time) {
 	b.mu.Lock()
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -173,9 +173,9 @@
 }
 
 // RunnersFollower keeps the list of runners in step with its source.
-func (s *State) RunnersFollower(source rillreach.Source[*deployment.Runner], wait, gather time.Duration) rillreach.Controller {
+func (s *State) RunnersFollower(source rillreach.Source[*deployment.Runner], wait, gather time.Duration, kick <-chan struct{}) rillreach.Controller {
 	return &follow.Controller[*deployment.Runner]{
-		Kind: "runners", Source: source, Wait: wait, Gather: gather, Log: s.Log,
+		Kind: "runners", Kick: kick, Source: source, Wait: wait, Gather: gather, Log: s.Log,
 		Listed: s.listRunners, Changed: s.changeRunner,
 		Confirmed: func() { s.Roster.Confirm(time.Now()) },
 	}
--- a/sidecar/loader.go
+++ b/sidecar/loader.go
@@ -65,6 +65,21 @@
 	s.news.set(load, loading)
 }
 
+// kick has the list of runners asked for at once, and again a little later, since a new run is listed only then.
+func (l *loader) kick() {
+	for _, after := range []time.Duration{0, relistAfter, 2 * relistAfter} {
+		time.AfterFunc(after, func() {
+			select {
+			case l.sidecar.restarted <- struct{}{}:
+			default:
+			}
+		})
+	}
+}
+
+// relistAfter is how long a new run takes to be listed: about a heartbeat.
+const relistAfter = 1200 * time.Millisecond
+
 // note logs the loss and the return of the runner.
 func (l *loader) note(ctx context.Context, err error) {
 	if silent := err != nil; silent != l.silent && ctx.Err() == nil {
@@ -74,6 +89,7 @@
 			return
 		}
 		l.sidecar.Log.Info("dependency regained", "dependency", "runner", "address", l.sidecar.Settings.Runner)
+		l.kick()
 	}
 }
 
--- a/sidecar/news.go
+++ b/sidecar/news.go
@@ -17,7 +17,7 @@
 	newsEvery = 40 * time.Millisecond
 	quietMost = 400 * time.Millisecond
 	// fullPace is up to how many followers are told that often.
-	fullPace = 6
+	fullPace = 32
 )
 
 // news tells the entries how the runner is and what the stores hold.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -24,8 +24,9 @@
 	// seconds; a watch that hangs is noticed after that time.
 	watchWait   = 10 * time.Second
 	weightsWait = 5 * time.Second
-	// gatherRunners is a pause between watches of the runners, of which an agent needs no more than ranks.
-	gatherRunners = 1500 * time.Millisecond
+	// gatherRunners is a pause between watches of the runners, of which an agent needs ranks, and its own runner's name: it
+	// does not wait for that once its runner has been started anew.
+	gatherRunners = 5 * time.Second
 )
 
 // Sidecar is one agent; exported fields are set before Run.
@@ -50,11 +51,14 @@
 	own    *holder
 	stores *caretaker
 	pool   *peer.Pool
+	// restarted is told when the runner beside the agent may be another run.
+	restarted chan struct{}
 }
 
 // Run works until the context ends.
 func (s *Sidecar) Run(ctx context.Context) error {
 	s.state.Log = s.Log
+	s.restarted = make(chan struct{}, 1)
 	s.news = &news{sidecar: s}
 	s.own = &holder{place: s.Settings.Runner, client: s.Runner, log: s.Log}
 	s.stores = &caretaker{sidecar: s}
@@ -68,7 +72,7 @@
 	s.pool.Start(ctx)
 	return controller.Run(ctx, s.Log,
 		s.state.ConfigFollower(s.Configs, watchWait),
-		s.state.RunnersFollower(s.Runners, watchWait, gatherRunners),
+		s.state.RunnersFollower(s.Runners, watchWait, gatherRunners, s.restarted),
 		s.state.WeightsFollower(s.Weights, weightsWait),
 		s.state.Expirer(),
 		&loader{sidecar: s},
