Check a settings file of the platform; name who answered in the log under a key of its own

A bad settings file could be tried only by starting a daemon. Ruled out: nothing else; both were seen in use. Change: the key is answeredBy; rillreach platform check FILE.

--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"net"
 	"net/netip"
 	"os"
@@ -42,6 +44,28 @@
 		Commands: []*cli.Command{
 			platformDaemon("entry", "take callers' requests and send them to runners", runPlatformEntry),
 			platformDaemon("agent", "stand beside one model runner", runPlatformAgent),
+			newPlatformCheckCommand(),
+		},
+	}
+}
+
+// newPlatformCheckCommand checks a settings file of the platform without starting anything.
+func newPlatformCheckCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "check a settings file of the platform, and print what is read from it",
+		ArgsUsage: "FILE",
+		Action: func(_ context.Context, c *cli.Command) error {
+			s, err := platform.ReadSettings(c.Args().First())
+			if err != nil {
+				return codedError{error: err, code: ExitUsage}
+			}
+			data, err := json.MarshalIndent(s, "", "  ")
+			if err != nil {
+				return errors.Wrap(err, "encode settings")
+			}
+			_, err = fmt.Fprintln(c.Root().Writer, string(data))
+			return errors.Wrap(err, "write settings")
 		},
 	}
 }
--- a/cmd/settings.go
+++ b/cmd/settings.go
@@ -75,7 +75,8 @@
 func writeSettingsPage(w io.Writer) error {
 	_, _ = fmt.Fprint(w, "# Settings\n\nEach setting is a flag and an environment variable; the flag goes first. `rillreach settings entry` and\n"+
 		"`rillreach settings agent` print what is in force. This page is what `rillreach settings doc` prints.\n")
-	for _, daemon := range []*cli.Command{newEntryCommand(), newAgentCommand()} {
+	onPlatform := &cli.Command{Name: "platform entry, rillreach platform agent", Flags: platformFlags()}
+	for _, daemon := range []*cli.Command{newEntryCommand(), newAgentCommand(), onPlatform} {
 		_, _ = fmt.Fprintf(w, "\n## rillreach %s\n\n| flag | variable | default | meaning |\n|---|---|---|---|\n", daemon.Name)
 		for _, flag := range daemon.Flags {
 			documented, ok := flag.(cli.DocGenerationFlag)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -121,7 +121,7 @@
 func (g *Gateway) notRun(x *exchange, t *target, answer *forward.Answer, head platform.Answer) {
 	x.reason = "runner-refused"
 	g.Log.Info("runner refused", "decision", "judge", "request", x.wire.ID, "runner", t.view.ID,
-		"status", answer.Response.StatusCode, "otherRunner", head.OtherRunner, "instance", head.Instance, "weights", head.Weights)
+		"status", answer.Response.StatusCode, "otherRunner", head.OtherRunner, "answeredBy", head.Instance, "weights", head.Weights)
 	switch {
 	case head.OtherRunner && head.Instance != "" && head.Instance != t.view.ID:
 		t.runner.Leaves() // another run has its address, so that this one is over, whatever the list says
