--- /dev/null
+++ b/e2e/platform_test.go
@@ -0,0 +1,187 @@
+package e2e
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach/internal/standin/site"
+)
+
+// platformEntry is an entry on the users' platform, as a process of its own.
+type platformEntry struct {
+	*process
+	callers  string
+	ready    string
+	metrics  string
+	settings string
+	good     string
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { require.NoError(t, l.Close()) }()
+	return l.Addr().String()
+}
+
+func startPlatformEntry(t *testing.T, store string) *platformEntry {
+	t.Helper()
+	e := &platformEntry{callers: freeAddress(t), ready: freeAddress(t), metrics: freeAddress(t), settings: filepath.Join(t.TempDir(), "boot.toml")}
+	e.good = fmt.Sprintf(`
+node_name = "entry-1"
+ip = "127.0.0.1"
+zone = "z"
+internal_port_range = [7580,7595]
+[listen]
+frontend = %q
+readiness = %q
+[limits]
+memory_mb = 284
+[bounds]
+grace_period_s = 8
+retry_budget_ratio = 0.2
+retry_window_s = 10
+budget_slack = 54
+[platform]
+address = %q
+`, e.callers, e.ready, store)
+	e.write(t, e.good)
+	_, port, err := net.SplitHostPort(e.metrics)
+	require.NoError(t, err)
+	e.process = startReading(t, (*exec.Cmd).StdoutPipe, "platform", "entry", "--settings-file", e.settings, "--metrics-port", port)
+	require.Eventually(t, func() bool { return status("http://"+e.ready+"/ready") == http.StatusOK }, patience, 10*time.Millisecond)
+	return e
+}
+
+func (e *platformEntry) write(t *testing.T, text string) {
+	t.Helper()
+	require.NoError(t, os.WriteFile(e.settings, []byte(text), 0o600))
+}
+
+// status is the status of an answer, zero where there is none.
+func status(url string) int {
+	resp, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// call sends one request on a connection of its own; closes says that the entry wants no more on it.
+func (e *platformEntry) call(t *testing.T) (got int, closes bool) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, "http://"+e.callers+"/r/x", http.NoBody)
+	require.NoError(t, err)
+	req.Header.Set("X-Rillreach-Attempt-Id", "a1")
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	resp, err := (&http.Client{Transport: transport}).Do(req)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	return resp.StatusCode, resp.Close
+}
+
+func TestPlatformEntry(t *testing.T) {
+	store, runner := site.NewStore(), &site.Runner{ID: "r1"}
+	runner.Start()
+	t.Cleanup(runner.Stop)
+	store.Put("config", "main", map[string]any{
+		"version": 1,
+		"routes": []map[string]any{{
+			"name": "r", "host": "127.0.0.1", "path_prefix": "/r/", "kind": "idempotent", "timeout_ms": 5000, "service": "s", "max_attempts": 1,
+		}},
+		"services": []map[string]any{{"name": "s"}},
+		"limits":   map[string]any{"max_body_bytes": 1000},
+	})
+	store.Put("servers", "r1", map[string]any{"service": "s", "address": runner.Address().String(), "zone": "z", "state": "ready"})
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	e := startPlatformEntry(t, strings.TrimPrefix(server.URL, "http://"))
+	// The host of a request carries its port here, so that the route is named by it.
+	store.Put("config", "main", map[string]any{
+		"version": 2,
+		"routes": []map[string]any{{
+			"name": "r", "host": e.callers, "path_prefix": "/r/", "kind": "idempotent", "timeout_ms": 5000, "service": "s", "max_attempts": 1,
+		}},
+		"services": []map[string]any{{"name": "s"}},
+		"limits":   map[string]any{"max_body_bytes": 1000},
+	})
+	require.Eventually(t, func() bool { got, _ := e.call(t); return got == http.StatusOK }, patience, 10*time.Millisecond)
+
+	t.Run("a settings file that is broken leaves the last good one", func(t *testing.T) {
+		e.write(t, "= =")
+		e.signal(syscall.SIGHUP)
+		require.Eventually(t, func() bool { return strings.Contains(e.text(), "settings refused") }, patience, 10*time.Millisecond)
+		got, closes := e.call(t)
+		assert.Equal(t, http.StatusOK, got)
+		assert.False(t, closes)
+		e.write(t, e.good)
+		e.signal(syscall.SIGHUP)
+		require.Eventually(t, func() bool { return strings.Contains(e.text(), "settings read again") }, patience, 10*time.Millisecond)
+	})
+	t.Run("the store's outage leaves what is known in force", func(t *testing.T) {
+		store.Fail(http.StatusServiceUnavailable)
+		require.Eventually(t, func() bool { return strings.Contains(e.text(), "dependency lost") }, patience, 10*time.Millisecond)
+		got, _ := e.call(t)
+		assert.Equal(t, http.StatusOK, got)
+		store.Fail(0)
+		require.Eventually(t, func() bool { return strings.Contains(e.text(), "dependency regained") }, patience, 10*time.Millisecond)
+	})
+	t.Run("figures are served", func(t *testing.T) {
+		resp, err := http.Get("http://" + e.metrics + "/metrics")
+		require.NoError(t, err)
+		text, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		for _, name := range []string{"rillreach_requests_total", "rillreach_config_version", "rillreach_runners", "rillreach_step_duration"} {
+			assert.Contains(t, string(text), name)
+		}
+	})
+	t.Run("a stop says so at once, and answers what still comes", func(t *testing.T) {
+		e.signal(syscall.SIGTERM)
+		require.Eventually(t, func() bool { return status("http://"+e.ready+"/ready") == http.StatusServiceUnavailable }, patience, 5*time.Millisecond)
+		got, closes := e.call(t)
+		assert.Equal(t, http.StatusOK, got)
+		assert.True(t, closes)
+		<-e.exited
+		assert.Zero(t, e.cmd.ProcessState.ExitCode())
+	})
+	t.Run("each line of the log is JSON, and start and stop are told", func(t *testing.T) {
+		for line := range strings.Lines(e.text()) {
+			assert.True(t, json.Valid([]byte(line)), line)
+		}
+		for _, message := range []string{`"msg":"starting"`, `"msg":"stopping"`, `"msg":"stopped"`, `"msg":"answered"`} {
+			assert.Contains(t, e.text(), message)
+		}
+	})
+}
+
+func TestPlatformSettingsAreCheckedFirst(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "boot.toml")
+	require.NoError(t, os.WriteFile(file, []byte("ip = \"nowhere\"\n[platform]\naddress = \"bad\"\n"), 0o600))
+	for _, args := range [][]string{{"platform", "entry", "--settings-file", file}, {"platform", "agent", "--settings-file", file}, {"platform", "check", file}} {
+		_, errOut, code := runCommand(t, "", args...)
+		assert.Equal(t, 2, code, args)
+		assert.Contains(t, errOut, `"nowhere" is not an IP address`)
+		assert.Contains(t, errOut, `"bad" is not an IP address with a port`)
+	}
+}
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -64,8 +64,14 @@
 	Address string `json:"address"`
 }
 
-// start starts the binary; it is killed at the end of the test.
+// start starts the binary, whose log is on standard error; it is killed at the end of the test.
 func start(tb testing.TB, args ...string) *process {
+	tb.Helper()
+	return startReading(tb, (*exec.Cmd).StderrPipe, args...)
+}
+
+// startReading starts the binary and reads its log from one of its outputs.
+func startReading(tb testing.TB, pipe func(*exec.Cmd) (io.ReadCloser, error), args ...string) *process {
 	tb.Helper()
 	p := &process{
 		t:         tb,
@@ -74,7 +80,7 @@
 		changed:   make(chan struct{}, 1),
 		exited:    make(chan struct{}),
 	}
-	output, err := p.cmd.StderrPipe()
+	output, err := pipe(p.cmd)
 	require.NoError(tb, err)
 	require.NoError(tb, p.cmd.Start())
 	go p.read(output)
