Tell entries much in pieces, and everything of a store that an agent takes back

A bulletin over 16 KB is split on its way, its reader cannot decode the piece, connects anew and gets the same one. And an agent that had looked after a store before, while it was empty, told only what changed since, so that entries went on trusting the agent in between. Ruled out: the runners' clock, salts and weights after a restart (a trial that printed what entries knew). Change: a bulletin holds 12 KB of changes, the rest follows; what a follower has been told is kept by holder, not by address.

--- a/sidecar/news.go
+++ b/sidecar/news.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rillreach/rillreach/bulletin"
 	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/holdings"
 	"github.com/rillreach/rillreach/peer"
 )
 
@@ -61,7 +61,7 @@
 	defer func() {
 		n.sidecar.Log.Info("follower left", "decision", "end", "follower", follow.Name, "followers", n.followers.Add(-1))
 	}()
-	f := follower{news: n, positions: map[netip.AddrPort]uint64{}}
+	f := newFollower(n)
 	for {
 		if b, worth := f.next(); worth {
 			body, err := peer.Encode(b)
@@ -86,12 +86,19 @@
 	return newsEvery * time.Duration(max(1, n.followers.Load()/fullPace))
 }
 
+func newFollower(n *news) *follower {
+	return &follower{news: n, positions: map[*holder]uint64{}, untold: map[*holder]backlog{}}
+}
+
 // follower is what one entry has been told.
 type follower struct {
-	news      *news
-	positions map[netip.AddrPort]uint64
-	told      bulletin.Bulletin
-	toldAt    time.Time
+	news *news
+	// positions are how far it has been told of each holder; one that is followed anew is told of from its beginning.
+	positions map[*holder]uint64
+	// untold is what did not fit the last messages.
+	untold map[*holder]backlog
+	told   bulletin.Bulletin
+	toldAt time.Time
 }
 
 // next makes the next bulletin; worth says that it tells something new, or that the follower has heard nothing for long.
@@ -141,18 +148,71 @@
 	return changed
 }
 
+// backlog is what a follower is still to be told of a holder.
+type backlog struct {
+	whole   bool
+	changes []holdings.Change
+}
+
+const (
+	// room is how many bytes of changes one bulletin takes: a message over 16 KB would be split on its way.
+	room = 12 << 10
+	// changeSize is what a change takes beside its two names, in bytes.
+	changeSize = 16
+)
+
+// addHolder adds what is new of a holder, as far as there is room; it reports whether there is anything new.
 func (f *follower) addHolder(b *bulletin.Bulletin, h *holder, dying []string) bool {
 	if !h.listed.Load() {
 		return false
 	}
-	before, known := f.positions[h.place]
+	told := bulletin.Holder{Place: h.place, Store: h.store, Down: h.down.Load(), Dying: dying}
+	rest := f.unheard(h)
+	news := rest.whole || len(rest.changes) > 0
+	if left := room - sizeOf(b); left > 0 {
+		n := fitting(rest.changes, left)
+		told.Whole, told.Changes = rest.whole, rest.changes[:n]
+		rest = backlog{changes: rest.changes[n:]}
+	}
+	f.untold[h] = rest
+	b.Holders = append(b.Holders, told)
+	return news
+}
+
+// unheard is what the follower has not been told of a holder.
+func (f *follower) unheard(h *holder) backlog {
+	before, known := f.positions[h]
 	if !known {
 		before = ^uint64(0) // a position that no tracker has reached, so that everything is told
 	}
 	changes, next, whole := h.tracker.Since(before)
-	f.positions[h.place] = next
-	b.Holders = append(b.Holders, bulletin.Holder{
-		Place: h.place, Store: h.store, Down: h.down.Load(), Whole: whole, Changes: changes, Dying: dying,
-	})
-	return len(changes) > 0 || whole
+	f.positions[h] = next
+	if whole {
+		return backlog{whole: true, changes: changes}
+	}
+	rest := f.untold[h]
+	rest.changes = append(rest.changes, changes...)
+	return rest
+}
+
+// fitting is how many of the changes fit.
+func fitting(changes []holdings.Change, room int) int {
+	for n := range changes {
+		room -= changeSize + len(changes[n].Key.Salt) + len(changes[n].Key.Part)
+		if room < 0 {
+			return n
+		}
+	}
+	return len(changes)
+}
+
+// sizeOf is how many bytes the changes in a bulletin take.
+func sizeOf(b *bulletin.Bulletin) int {
+	size := 0
+	for _, h := range b.Holders {
+		for _, c := range h.Changes {
+			size += changeSize + len(c.Key.Salt) + len(c.Key.Part)
+		}
+	}
+	return size
 }
--- /dev/null
+++ b/sidecar/news_test.go
@@ -0,0 +1,66 @@
+package sidecar
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach/bulletin"
+	"github.com/rillreach/rillreach/holdings"
+	"github.com/rillreach/rillreach/peer"
+)
+
+// TestStoreTakenBack has an agent look after a store, leave it and get it back: what it tells then must be everything, or
+// entries would go on trusting the agent in between.
+func TestStoreTakenBack(t *testing.T) {
+	place := netip.MustParseAddrPort("10.0.0.1:1")
+	follower := newFollower(nil)
+	first := &holder{place: place, store: true}
+	tell := func(h *holder) bulletin.Holder {
+		h.listed.Store(true)
+		var b bulletin.Bulletin
+		follower.addHolder(&b, h, nil)
+		return b.Holders[0]
+	}
+	first.tracker.Replace(nil)
+	assert.True(t, tell(first).Whole, "a new follower is told everything")
+	assert.False(t, tell(first).Whole)
+	again := &holder{place: place, store: true}
+	again.tracker.Replace([]holdings.Change{{Key: holdings.Key{Salt: "1/m", Part: "p"}, Tokens: 5}})
+	told := tell(again)
+	assert.True(t, told.Whole)
+	assert.Len(t, told.Changes, 1)
+}
+
+// TestMuchIsToldInPieces has a store with more parts than fit one message: a message that the connection splits cannot be
+// decoded, and its reader would come back for the same one for ever.
+func TestMuchIsToldInPieces(t *testing.T) {
+	const parts = 3000
+	h := &holder{place: netip.MustParseAddrPort("10.0.0.1:1"), store: true}
+	h.listed.Store(true)
+	var all []holdings.Change
+	for i := range parts {
+		all = append(all, holdings.Change{Key: holdings.Key{Salt: "1/a-model-with-a-name/an-account", Part: fmt.Sprintf("%016x", i)}, Tokens: i + 1})
+	}
+	h.tracker.Replace(all)
+	follower := newFollower(nil)
+	var index holdings.Index
+	for messages := 0; index.Total(h.place) != parts*(parts+1)/2; messages++ {
+		require.Less(t, messages, parts, "everything is told in the end")
+		b := bulletin.Bulletin{Runner: "r"}
+		assert.True(t, follower.addHolder(&b, h, nil))
+		body, err := peer.Encode(b)
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(body), 16<<10)
+		told := b.Holders[0]
+		assert.Equal(t, messages == 0, told.Whole, "only the first replaces what was known")
+		if told.Whole {
+			index.Replace(told.Place, told.Changes)
+			continue
+		}
+		index.Apply(told.Place, told.Changes)
+	}
+}
