Soak real entries under seeded faults

Ruled out: faults inside the program; a sleep in the program for the sake of the soak. Change: soak/ runs entries as processes, delays, resets, silences and cuts connections by a small proxy, pauses, stops, kills and restarts by signals, has the store refuse, fall silent and forget, has runners crash and leave, takes keys away; it judges by what callers and runners saw. Before: none.

--- /dev/null
+++ b/soak/judge.go
@@ -0,0 +1,189 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// kind is a kind of request.
+type kind string
+
+// The kinds of requests.
+const (
+	kindRepeat kind = "repeat"
+	kindOnce   kind = "once"
+	kindStream kind = "stream"
+	kindFlow   kind = "flow"
+)
+
+// once reports that a request of the kind must not run twice.
+func (k kind) once() bool { return k == kindOnce || k == kindFlow }
+
+// call is what a caller saw of one request.
+type call struct {
+	ID     string
+	Kind   kind
+	Key    string
+	Entry  int
+	Sent   time.Time
+	Ended  time.Time
+	Status int
+	Body   string
+	// Cut says that the answer did not end as it should, or never came.
+	Cut bool
+}
+
+// run is what a runner saw of one request.
+type run struct {
+	ID     string
+	Runner string
+	At     time.Time
+}
+
+// span is a time in which something was disturbed.
+type span struct{ From, To time.Time }
+
+// record is all that was seen.
+type record struct {
+	Calls []call
+	Runs  []run
+	// Disturbed are the times in which an entry was under a fault of its own, by entry.
+	Disturbed map[int][]span
+	// Left is when each runner's leaving was acknowledged, Removed when each key was taken away.
+	Left    map[string]time.Time
+	Removed map[string]time.Time
+	// Quiet is when the last fault was over.
+	Quiet time.Time
+}
+
+const (
+	statusOK = http.StatusOK
+	pieces   = 6
+	// answerWithin is the routes' time-out with the slack that the users allow.
+	answerWithin = 3500 * time.Millisecond
+	// leaveWithin and keyWithin are how soon a leaving runner gets nothing more and a key is refused.
+	leaveWithin = 2 * time.Second
+	keyWithin   = 2 * time.Second
+	// contact is how long an entry must have been undisturbed for a bound in time to count, backWithin how soon after the
+	// last fault requests are served again.
+	contact    = 3 * time.Second
+	backWithin = 4 * time.Second
+	backShare  = 0.95
+)
+
+// expected is the whole answer to a request.
+func expected(id string, k kind) string {
+	if k == kindRepeat || k == kindOnce {
+		return "answer to " + id
+	}
+	var b strings.Builder
+	for i := 1; i <= pieces; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s %d\n\n", i, id, i)
+	}
+	return b.String()
+}
+
+// judge lists the promises that were broken; without timed, those that are bound in time are left out, so that the verdict
+// does not depend on the machine.
+func judge(r *record, timed bool) []string {
+	var broken []string
+	add := func(format string, args ...any) { broken = append(broken, fmt.Sprintf(format, args...)) }
+	runs := map[string]int{}
+	for _, one := range r.Runs {
+		runs[one.ID]++
+	}
+	for i := range r.Calls {
+		c := &r.Calls[i]
+		judgeRuns(c, runs[c.ID], add)
+		judgeAnswer(c, add)
+		if timed {
+			r.judgeTime(c, add)
+			r.judgeKey(c, add)
+		}
+	}
+	if timed {
+		r.judgeLeaving(add)
+		r.judgeReturn(add)
+	}
+	return broken
+}
+
+func (r *record) judgeKey(c *call, add func(string, ...any)) {
+	removed, ok := r.Removed[c.Key]
+	if ok && c.Sent.After(removed.Add(keyWithin)) && c.Status == statusOK && !r.disturbed(c) {
+		add("request %s: its key was taken away %s before", c.ID, c.Sent.Sub(removed))
+	}
+}
+
+func judgeRuns(c *call, runs int, add func(string, ...any)) {
+	if c.Kind.once() && runs > 1 {
+		add("request %s of kind %s ran %d times", c.ID, c.Kind, runs)
+	}
+	if c.Kind.once() && runs > 0 && !c.Cut && (c.Status == http.StatusServiceUnavailable || c.Status == http.StatusTooManyRequests) {
+		add("request %s: refused with %d, and it ran", c.ID, c.Status)
+	}
+}
+
+func judgeAnswer(c *call, add func(string, ...any)) {
+	if c.Status != statusOK {
+		return
+	}
+	want := expected(c.ID, c.Kind)
+	if !c.Cut && c.Body != want {
+		add("request %s: answer looks whole and is %q", c.ID, c.Body)
+	}
+	if c.Cut && !strings.HasPrefix(want, c.Body) {
+		add("request %s: what came before the cut is %q", c.ID, c.Body)
+	}
+}
+
+func (r *record) judgeTime(c *call, add func(string, ...any)) {
+	if took := c.Ended.Sub(c.Sent); took > answerWithin && !r.disturbed(c) {
+		add("request %s of kind %s: no final answer for %s", c.ID, c.Kind, took)
+	}
+}
+
+// disturbed reports that the call's entry was under a fault of its own from shortly before the request to its end.
+func (r *record) disturbed(c *call) bool {
+	for _, s := range r.Disturbed[c.Entry] {
+		if s.From.Before(c.Ended) && s.To.Add(contact).After(c.Sent) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *record) judgeLeaving(add func(string, ...any)) {
+	byID := map[string]*call{}
+	for i := range r.Calls {
+		byID[r.Calls[i].ID] = &r.Calls[i]
+	}
+	for _, one := range r.Runs {
+		left, ok := r.Left[one.Runner]
+		if !ok || !one.At.After(left.Add(leaveWithin)) {
+			continue
+		}
+		if c := byID[one.ID]; c != nil && !r.disturbed(c) {
+			add("request %s reached runner %s %s after its leaving", one.ID, one.Runner, one.At.Sub(left))
+		}
+	}
+}
+
+func (r *record) judgeReturn(add func(string, ...any)) {
+	asked, served := 0, 0
+	for i := range r.Calls {
+		c := &r.Calls[i]
+		if _, gone := r.Removed[c.Key]; gone || c.Sent.Before(r.Quiet.Add(backWithin)) {
+			continue
+		}
+		asked++
+		if c.Status == statusOK && !c.Cut {
+			served++
+		}
+	}
+	if asked == 0 || float64(served) < backShare*float64(asked) {
+		add("after the last fault %d of %d requests were served", served, asked)
+	}
+}
--- /dev/null
+++ b/soak/main.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	defaultLength  = 20 * time.Second
+	defaultEntries = 3
+	defaultRunners = 4
+	// mostShown is how many broken promises are printed.
+	mostShown = 20
+)
+
+func main() {
+	command := &cli.Command{
+		Name:  "soak",
+		Usage: "run real entries under faults, and check what callers and runners see",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "what the schedule of faults follows from"},
+			&cli.DurationFlag{Name: "for", Value: defaultLength, Usage: "how long faults and callers go on"},
+			&cli.IntFlag{Name: "processes", Value: defaultEntries, Usage: "how many entries"},
+			&cli.IntFlag{Name: "runners", Value: defaultRunners, Usage: "how many runners"},
+			&cli.StringFlag{Name: "binary", Usage: "the program; built from the sources where it is not set"},
+			&cli.StringFlag{Name: "keep", Usage: "folder for logs of a seed that failed"},
+		},
+		Action: runSoak,
+	}
+	if err := command.Run(context.Background(), os.Args); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+}
+
+func runSoak(ctx context.Context, c *cli.Command) error {
+	dir, err := os.MkdirTemp("", "rillreach-soak")
+	if err != nil {
+		return errors.Wrap(err, "make folder")
+	}
+	binary := c.String("binary")
+	if binary == "" {
+		binary = filepath.Join(dir, "rillreach")
+		if out, err := exec.CommandContext(ctx, "go", "build", "-o", binary, "./cmd/rillreach").CombinedOutput(); err != nil {
+			return errors.Wrapf(err, "build: %s", out)
+		}
+	}
+	broken, err := playSeed(binary, dir, c.Uint64("seed"), c.Duration("for"), c.Int("processes"), c.Int("runners"), printf)
+	if err != nil {
+		return err
+	}
+	if len(broken) == 0 {
+		return errors.Wrap(os.RemoveAll(dir), "remove folder")
+	}
+	for _, one := range broken[:min(len(broken), mostShown)] {
+		printf("BROKEN: %s", one)
+	}
+	if keep := c.String("keep"); keep != "" {
+		if err := os.CopyFS(filepath.Join(keep, fmt.Sprintf("seed-%d", c.Uint64("seed"))), os.DirFS(dir)); err != nil {
+			return errors.Wrap(err, "keep logs")
+		}
+	}
+	return errors.Newf("seed %d: %d promises broken; logs in %s", c.Uint64("seed"), len(broken), dir)
+}
+
+func printf(format string, args ...any) { _, _ = fmt.Printf(format+"\n", args...) }
+
+// playSeed plays one schedule and returns the promises that were broken.
+func playSeed(binary, dir string, seed uint64, length time.Duration, entries, runners int, report func(string, ...any)) ([]string, error) {
+	w, err := newWorld(binary, dir, entries, runners, report)
+	if err != nil {
+		return nil, err
+	}
+	defer w.close()
+	r := w.play(schedule(seed, length), length)
+	served := 0
+	for i := range r.Calls {
+		if r.Calls[i].Status == 200 && !r.Calls[i].Cut {
+			served++
+		}
+	}
+	report("seed %d: %d requests, %d served, %d runs", seed, len(r.Calls), served, len(r.Runs))
+	return judge(r, true), nil
+}
--- /dev/null
+++ b/soak/proxy.go
@@ -0,0 +1,140 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// proxy stands between two processes on loopback and spoils what passes.
+type proxy struct {
+	listener net.Listener
+
+	mu      sync.Mutex
+	to      netip.AddrPort
+	conns   map[net.Conn]bool
+	delay   time.Duration
+	silent  bool
+	oneWay  bool
+	changed chan struct{}
+}
+
+func newProxy(to netip.AddrPort) (*proxy, error) {
+	l, err := listen()
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: l, to: to, conns: map[net.Conn]bool{}, changed: make(chan struct{})}
+	go p.accept()
+	return p, nil
+}
+
+// listen listens on a free port of loopback.
+func listen() (net.Listener, error) {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	return l, errors.Wrap(err, "listen on loopback")
+}
+
+func (p *proxy) address() netip.AddrPort { return netip.MustParseAddrPort(p.listener.Addr().String()) }
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.join(c)
+	}
+}
+
+func (p *proxy) join(near net.Conn) {
+	defer p.close(near)
+	p.mu.Lock()
+	to := p.to
+	p.mu.Unlock()
+	if !to.IsValid() {
+		_ = near.(*net.TCPConn).SetLinger(0)
+		return
+	}
+	far, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", to.String())
+	if err != nil {
+		_ = near.(*net.TCPConn).SetLinger(0)
+		return
+	}
+	defer p.close(far)
+	p.mu.Lock()
+	p.conns[near], p.conns[far] = true, true
+	p.mu.Unlock()
+	var wg sync.WaitGroup
+	wg.Go(func() { p.copy(far, near, false) })
+	wg.Go(func() { p.copy(near, far, true) })
+	wg.Wait()
+}
+
+// copy passes bytes on in one direction, as the faults of the moment allow.
+func (p *proxy) copy(to, from net.Conn, answers bool) {
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		p.hold(answers)
+		if n > 0 {
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				err = werr
+			}
+		}
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				_ = to.(*net.TCPConn).CloseWrite()
+			} else {
+				_ = to.(*net.TCPConn).SetLinger(0)
+				_ = to.Close()
+			}
+			return
+		}
+	}
+}
+
+// hold waits while nothing may pass.
+func (p *proxy) hold(answers bool) {
+	for {
+		p.mu.Lock()
+		held, delay, changed := p.silent || p.oneWay && answers, p.delay, p.changed
+		p.mu.Unlock()
+		if !held {
+			time.Sleep(delay)
+			return
+		}
+		<-changed
+	}
+}
+
+// set changes the faults.
+func (p *proxy) set(change func(p *proxy)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(p)
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// reset breaks every connection.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+func (p *proxy) close(c net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+	_ = c.Close()
+}
--- /dev/null
+++ b/soak/world.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rillreach/rillreach/internal/standin/site"
+)
+
+const (
+	host    = "shop.example"
+	keptKey = "key-that-stays"
+	// restartAfter is how long after its end a process or runner is started again.
+	restartAfter = 300 * time.Millisecond
+	// gracePause is how long a leaving runner goes on.
+	gracePause = 3 * time.Second
+	keyCount   = 6
+)
+
+// world is a site: a store, runners behind proxies, entries as processes, callers.
+type world struct {
+	store   *site.Store
+	server  *httptest.Server
+	places  []*place
+	entries []*entry
+	callers []*callers
+	ledger  ledger
+	report  func(format string, args ...any)
+
+	mu        sync.Mutex
+	version   int
+	removed   map[string]time.Time
+	left      map[string]time.Time
+	disturbed map[int][]span
+	last      time.Time
+	work      sync.WaitGroup
+}
+
+func newWorld(binary, dir string, entries, runners int, report func(string, ...any)) (*world, error) {
+	w := &world{
+		store: site.NewStore(), report: report, removed: map[string]time.Time{}, left: map[string]time.Time{}, disturbed: map[int][]span{},
+	}
+	w.server = httptest.NewServer(w.store)
+	for i := range runners {
+		p, err := newProxy(netip.AddrPort{})
+		if err != nil {
+			return nil, err
+		}
+		w.places = append(w.places, &place{proxy: p, ledger: &w.ledger, number: i})
+		w.list(w.places[i], w.places[i].start(), "ready")
+	}
+	w.configure()
+	var next atomic.Int64
+	for i := range entries {
+		e, err := newEntry(i, binary, dir, netip.MustParseAddrPort(strings.TrimPrefix(w.server.URL, "http://")))
+		if err != nil {
+			return nil, err
+		}
+		if err := e.start(); err != nil {
+			return nil, err
+		}
+		w.entries = append(w.entries, e)
+		w.callers = append(w.callers, &callers{entry: e, host: host, keys: w.keys(), next: &next})
+	}
+	return w, w.awaitReady()
+}
+
+const (
+	readyTries = 200
+	readyPause = 50 * time.Millisecond
+)
+
+// awaitReady waits until every entry calls itself ready.
+func (w *world) awaitReady() error {
+	for _, e := range w.entries {
+		tries := 0
+		for !isReady(e) {
+			if tries++; tries > readyTries {
+				return errors.Newf("entry %d does not become ready", e.number)
+			}
+			time.Sleep(readyPause)
+		}
+	}
+	return nil
+}
+
+func isReady(e *entry) bool {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+e.ready+"/ready", http.NoBody)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (w *world) keys() []string {
+	keys := []string{keptKey}
+	for i := range keyCount {
+		keys = append(keys, fmt.Sprintf("key-%d", i))
+	}
+	return keys
+}
+
+func (w *world) list(p *place, id, state string) {
+	w.store.Put("servers", id, map[string]any{"service": "s", "address": p.proxy.address().String(), "zone": "z", "slots": 64, "state": state})
+}
+
+// configure writes the next version, without the keys that are taken away.
+func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version += 3
+	route := func(k kind, name string, attempts int, resumable bool) map[string]any {
+		return map[string]any{
+			"name": string(k), "host": host, "path_prefix": "/" + string(k) + "/", "kind": name, "timeout_ms": 3000, "target_latency_ms": 300,
+			"service": "s", "max_attempts": attempts, "resumable": resumable,
+		}
+	}
+	var keys []string
+	for _, key := range w.keys() {
+		if _, gone := w.removed[key]; !gone {
+			keys = append(keys, key)
+		}
+	}
+	w.store.Put("config", "main", map[string]any{
+		"version": w.version,
+		"routes": []any{
+			route(kindRepeat, "idempotent", 2, false), route(kindOnce, "non_idempotent", 2, false),
+			route(kindStream, "streaming", 3, true), route(kindFlow, "streaming", 1, false),
+		},
+		"services": []any{map[string]any{"name": "s", "max_connections": 300}},
+		"limits":   map[string]any{"max_body_bytes": 65536, "max_header_bytes": 16384, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants":  []any{map[string]any{"name": "shop", "api_keys": keys}},
+	})
+}
+
+// disturb notes that an entry is under a fault of its own for a time.
+func (w *world) disturb(e *entry, d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.disturbed[e.number] = append(w.disturbed[e.number], span{From: now, To: now.Add(d)})
+}
+
+// later does something after a time, and keeps the end of the soak waiting for it.
+func (w *world) later(d time.Duration, do func()) {
+	w.work.Go(func() {
+		time.Sleep(d)
+		do()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.last = time.Now()
+	})
+}
+
+// play runs the schedule and returns what was seen.
+func (w *world) play(actions []action, length time.Duration) *record {
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for _, c := range w.callers {
+		callers.Go(func() { c.run(stop) })
+	}
+	begun := time.Now()
+	for _, a := range actions {
+		time.Sleep(time.Until(begun.Add(a.At)))
+		w.report("%7.3f s  %s, number %d, for %s", time.Since(begun).Seconds(), a.Fault, a.Which, a.For)
+		w.strike(a)
+	}
+	w.work.Wait()
+	time.Sleep(max(time.Until(begun.Add(length)), time.Until(w.last.Add(quietAfter))))
+	close(stop)
+	callers.Wait()
+	return w.record()
+}
+
+func (w *world) record() *record {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ledger.mu.Lock()
+	defer w.ledger.mu.Unlock()
+	r := &record{Runs: slices.Clone(w.ledger.runs), Disturbed: w.disturbed, Left: maps.Clone(w.left), Removed: w.removed, Quiet: w.last}
+	for _, c := range w.callers {
+		c.mu.Lock()
+		r.Calls = append(r.Calls, c.calls...)
+		c.mu.Unlock()
+	}
+	return r
+}
+
+// close ends everything that the soak has started.
+func (w *world) close() {
+	for _, e := range w.entries {
+		e.end(syscall.SIGKILL)
+	}
+	w.server.CloseClientConnections()
+	w.server.Close()
+}
