--- a/soak/callers.go
+++ b/soak/callers.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/rillreach/rillreach/internal/standin/site"
 )
 
 // callers send requests to one entry over connections that they keep, until they are told to end.
@@ -65,7 +67,7 @@
 		return
 	}
 	req.Host = c.host
-	req.Header.Set("X-Rillreach-Attempt-Id", seen.ID)
+	site.SetRequestID(req, seen.ID)
 	req.Header.Set("Authorization", "Bearer "+seen.Key)
 	resp, err := client.Do(req)
 	if err != nil {
--- a/soak/entry.go
+++ b/soak/entry.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/rillreach/rillreach/internal/standin/site"
 )
 
 // entry is one entry, a process that is started again whenever it ends.
@@ -56,24 +58,7 @@
 }
 
 func (e *entry) good() string {
-	return fmt.Sprintf(`
-node_name = "entry-%d"
-ip = "127.0.0.1"
-zone = "z"
-internal_port_range = [7580,7595]
-[listen]
-frontend = %q
-readiness = %q
-[limits]
-memory_mb = 284
-[bounds]
-grace_period_s = 8
-retry_budget_ratio = 0.2
-retry_window_s = 10
-budget_slack = 54
-[platform]
-address = %q
-`, e.number, e.callers, e.ready, e.store.address())
+	return site.SettingsOf(fmt.Sprintf("entry-%d", e.number), e.callers, e.ready, e.store.address())
 }
 
 func (e *entry) write(text string) error { return os.WriteFile(e.settings, []byte(text), 0o600) }
--- a/soak/runner.go
+++ b/soak/runner.go
@@ -71,7 +71,7 @@
 }
 
 func (p *place) handle(id string, w http.ResponseWriter, r *http.Request) {
-	request := r.Header.Get("X-Rillreach-Attempt-Id")
+	request := site.RequestID(r)
 	p.ledger.add(run{ID: request, Runner: id, At: time.Now()})
 	select {
 	case <-time.After(workTime):
--- a/soak/world.go
+++ b/soak/world.go
@@ -118,7 +118,7 @@
 }
 
 func (w *world) list(p *place, id, state string) {
-	w.store.Put("servers", id, map[string]any{"service": "s", "address": p.proxy.address().String(), "zone": "z", "slots": 64, "state": state})
+	w.store.Put("servers", id, site.RecordOf(p.proxy.address(), state))
 }
 
 // configure writes the next version, without the keys that are taken away.
@@ -126,28 +126,19 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version += 3
-	route := func(k kind, name string, attempts int, resumable bool) map[string]any {
-		return map[string]any{
-			"name": string(k), "host": host, "path_prefix": "/" + string(k) + "/", "kind": name, "timeout_ms": 3000, "target_latency_ms": 300,
-			"service": "s", "max_attempts": attempts, "resumable": resumable,
-		}
-	}
 	var keys []string
 	for _, key := range w.keys() {
 		if _, gone := w.removed[key]; !gone {
 			keys = append(keys, key)
 		}
 	}
-	w.store.Put("config", "main", map[string]any{
-		"version": w.version,
-		"routes": []any{
-			route(kindRepeat, "idempotent", 2, false), route(kindOnce, "non_idempotent", 2, false),
-			route(kindStream, "streaming", 3, true), route(kindFlow, "streaming", 1, false),
-		},
-		"services": []any{map[string]any{"name": "s", "max_connections": 300}},
-		"limits":   map[string]any{"max_body_bytes": 65536, "max_header_bytes": 16384, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []any{map[string]any{"name": "shop", "api_keys": keys}},
-	})
+	w.store.Put("config", "main", site.ConfigOf(
+		w.version, keys,
+		site.Route{Name: string(kindRepeat), Host: host, Kind: "idempotent", Attempts: 2},
+		site.Route{Name: string(kindOnce), Host: host, Kind: "non_idempotent", Attempts: 2},
+		site.Route{Name: string(kindStream), Host: host, Kind: "streaming", Attempts: 3, Resumable: true},
+		site.Route{Name: string(kindFlow), Host: host, Kind: "streaming", Attempts: 1},
+	))
 }
 
 // disturb notes that an entry is under a fault of its own for a time.
