--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -2,11 +2,11 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -42,24 +42,7 @@
 func startPlatformEntry(t *testing.T, store string) *platformEntry {
 	t.Helper()
 	e := &platformEntry{callers: freeAddress(t), ready: freeAddress(t), metrics: freeAddress(t), settings: filepath.Join(t.TempDir(), "boot.toml")}
-	e.good = fmt.Sprintf(`
-node_name = "entry-1"
-ip = "127.0.0.1"
-zone = "z"
-internal_port_range = [7580,7595]
-[listen]
-frontend = %q
-readiness = %q
-[limits]
-memory_mb = 284
-[bounds]
-grace_period_s = 8
-retry_budget_ratio = 0.2
-retry_window_s = 10
-budget_slack = 54
-[platform]
-address = %q
-`, e.callers, e.ready, store)
+	e.good = site.SettingsOf("entry-1", e.callers, e.ready, netip.MustParseAddrPort(store))
 	e.write(t, e.good)
 	_, port, err := net.SplitHostPort(e.metrics)
 	require.NoError(t, err)
