Apply the configuration's limits for callers, and use one ticker loop

Cause: idle time, header time and header size of the configuration were decoded and not applied: the entry closed resting connections after 16 s and refused heads over 20 KB, whatever a deployment allows. Ruled out: the server's own time-outs, which are fixed before any configuration is known; a connection type of our own. Change: a timer for each resting connection, by the configuration in force; heads are measured against it; the server's own limits are outer bounds. sweeper, expirer and loader use pause.Every; replaceFailure loses a parameter that it did not use. Before: TestLimitsOfTheConfiguration failed in its first three parts. After: it passes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/fleet"
 	"github.com/rillreach/rillreach/forward"
+	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/localstate"
 	"github.com/rillreach/rillreach/node"
 	"github.com/rillreach/rillreach/peer"
@@ -30,10 +31,12 @@
 	weightsWait = 20 * time.Second
 	// gatherRunners is a pause between watches of the runners, since their records change in quick succession.
 	gatherRunners = 250 * time.Millisecond
-	// defaultHeaderTimeout and defaultIdle serve until the configuration is known.
-	defaultHeaderTimeout = 3 * time.Second
-	defaultIdle          = 15 * time.Second
-	defaultMaxHeader     = 16 << 10
+	// defaultIdle serves until the configuration is known.
+	defaultIdle = 15 * time.Second
+	// mostHeaderTimeout and mostHeader (in bytes) bound a request's head before the configuration's own limits are asked:
+	// the server's are fixed when it starts, and must not be under what a configuration may allow.
+	mostHeaderTimeout = 30 * time.Second
+	mostHeader        = 256 << 10
 	// idleSlack is how much longer than promised a connection is kept.
 	idleSlack = time.Second
 	// lameFor is how long after a stop's signal new connections are still taken: the balancer asks every second and takes an
@@ -44,6 +47,8 @@
 	// callerTimeout is how long bytes to a caller may stay without acknowledgement.
 	callerTimeout = 5 * time.Second
 	sweepEvery    = time.Second
+	// noTimeout switches a time-out of package http off; zero would stand for that of the head.
+	noTimeout = -1
 )
 
 // Gateway is one entry; exported fields are set before Run.
@@ -99,7 +104,7 @@
 		g.state.WeightsFollower(g.Weights, weightsWait),
 		g.state.Expirer(),
 		&serverController{name: "callers", server: g.server, listener: g.Callers},
-		&serverController{name: "readiness", server: &http.Server{Handler: http.HandlerFunc(g.ready), ReadHeaderTimeout: defaultHeaderTimeout}, listener: g.Readiness},
+		&serverController{name: "readiness", server: &http.Server{Handler: http.HandlerFunc(g.ready), ReadHeaderTimeout: mostHeaderTimeout}, listener: g.Readiness},
 		&sweeper{pool: &g.pool},
 		peers,
 		&agents{gateway: g, pool: peers},
@@ -107,11 +112,13 @@
 }
 
 func (g *Gateway) newServer() *http.Server {
+	rests := &restKeeper{Allowed: g.restAllowed}
 	return &http.Server{
 		Handler:           http.HandlerFunc(g.handle),
-		ReadHeaderTimeout: defaultHeaderTimeout,
-		IdleTimeout:       defaultIdle + idleSlack,
-		MaxHeaderBytes:    defaultMaxHeader,
+		ReadHeaderTimeout: mostHeaderTimeout,
+		IdleTimeout:       noTimeout,
+		MaxHeaderBytes:    mostHeader,
+		ConnState:         rests.connState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			if err := forward.SetUserTimeout(c, callerTimeout); err != nil {
 				g.Log.Error(err, "caller's connection has no user time-out")
@@ -171,14 +178,6 @@
 
 // Run sweeps until the context ends.
 func (s *sweeper) Run(ctx context.Context) error {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			s.pool.Sweep()
-		}
-	}
+	pause.Every(ctx, sweepEvery, func(context.Context) { s.pool.Sweep() })
+	return nil
 }
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -40,6 +40,9 @@
 	if x.config == nil || !g.state.Complete() {
 		return notYet
 	}
+	if most := x.config.Limits.MaxHeader; most > 0 && headSize(x.request) > most {
+		return headTooLarge
+	}
 	path, _, _ := strings.Cut(x.request.RequestURI, "?")
 	if !strings.HasPrefix(path, "/") {
 		path = x.request.URL.EscapedPath()
@@ -62,6 +65,18 @@
 	return x.read()
 }
 
+// headSize is about how many bytes the head of a request takes.
+func headSize(r *http.Request) int {
+	const separators = len(": \r\n")
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
 func (x *exchange) authenticate() *refusal {
 	if !x.config.NeedsKeys() {
 		return nil
--- /dev/null
+++ b/gateway/limits_test.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach/deployment"
+)
+
+// limited is the usual configuration with other limits.
+func limited(limits jsonMap) jsonMap {
+	config := defaultConfig()
+	all := jsonMap{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+	for name, value := range limits {
+		all[name] = value
+	}
+	config["limits"] = all
+	return config
+}
+
+func TestLimitsOfTheConfiguration(t *testing.T) {
+	large := "X-Large: " + strings.Repeat("x", 40<<10)
+	t.Run("a head that the configuration allows is served, however large", func(t *testing.T) {
+		w := begin(t, limited(jsonMap{"max_header_bytes": 64 << 10}))
+		defer w.stop()
+		assertOwn(t, w.call(t, "GET", "/repeat/", "", large), http.StatusServiceUnavailable) // there is no runner
+	})
+	t.Run("a head over the configuration's limit is refused", func(t *testing.T) {
+		w := begin(t, limited(nil))
+		defer w.stop()
+		assertOwn(t, w.call(t, "GET", "/repeat/", "", large), http.StatusRequestHeaderFieldsTooLarge)
+	})
+	t.Run("a connection that rests too long is closed", func(t *testing.T) {
+		w := begin(t, limited(jsonMap{"idle_timeout_ms": 1}))
+		defer w.stop()
+		conn, err := net.Dial("tcp", w.callers)
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		_, err = fmt.Fprintf(conn, "GET /repeat/ HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n\r\n", host, key)
+		require.NoError(t, err)
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(wait)))
+		all, err := io.ReadAll(conn)
+		assert.NoError(t, err, "the entry closes the connection")
+		assert.Contains(t, string(all), "503")
+	})
+	t.Run("a connection may rest for as long as the configuration in force says", func(t *testing.T) {
+		g := &Gateway{}
+		assert.Equal(t, defaultIdle+idleSlack, g.restAllowed())
+		g.state.SetConfig(&deployment.Config{Revision: 1, Limits: deployment.Limits{IdleTimeout: time.Minute}})
+		assert.Equal(t, time.Minute+idleSlack, g.restAllowed())
+	})
+}
+
+func TestConnectionInUseIsNotClosed(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer func() { _ = theirs.Close() }()
+	k := &restKeeper{Allowed: func() time.Duration { return time.Hour }}
+	k.connState(ours, http.StateIdle)
+	timer := k.timers[ours]
+	k.connState(ours, http.StateActive)
+	k.end(ours, &timer) // the time-out fires as the request comes in
+	assert.NoError(t, ours.SetDeadline(time.Now().Add(time.Hour)), "the connection is still open")
+}
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -23,6 +23,7 @@
 	unknownRoute   = &refusal{http.StatusNotFound, "no-route", 0}
 	unknownKey     = &refusal{http.StatusUnauthorized, "unknown-key", 0}
 	unknownService = &refusal{http.StatusServiceUnavailable, "unknown-service", time.Second}
+	headTooLarge   = &refusal{http.StatusRequestHeaderFieldsTooLarge, "head-too-large", 0}
 	bodyTooLarge   = &refusal{http.StatusRequestEntityTooLarge, "body-too-large", 0}
 	unreadable     = &refusal{http.StatusBadRequest, "body-unreadable", 0}
 )
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -56,7 +56,7 @@
 		return g.failed(ctx, x, t, errors.Wrap(err, "answer broke off"))
 	}
 	status := answer.Response.StatusCode
-	if status >= failureStatus && g.replaceFailure(ctx, x, head) {
+	if status >= failureStatus && g.replaceFailure(ctx, x) {
 		return false
 	}
 	if status < failureStatus {
@@ -78,7 +78,7 @@
 }
 
 // replaceFailure decides whether a runner's failure is answered by another runner instead.
-func (g *Gateway) replaceFailure(ctx context.Context, x *exchange, _ platform.Answer) bool {
+func (g *Gateway) replaceFailure(ctx context.Context, x *exchange) bool {
 	if x.route.Once() || !x.mayMove() || ctx.Err() != nil || !g.budgets.Allows(time.Now(), x.service.Name) {
 		return false
 	}
--- a/localstate/expirer.go
+++ b/localstate/expirer.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/rillreach/rillreach/internal/pause"
 )
 
 // expirer removes runners whose doubtful time is over.
@@ -13,14 +15,8 @@
 
 // Run looks at the runners until the context ends.
 func (e expirer) Run(ctx context.Context) error {
-	ticker := time.NewTicker(expireEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-ticker.C:
-			e.state.logRunners(e.state.Roster.Expire(now))
-		}
-	}
+	pause.Every(ctx, expireEvery, func(context.Context) {
+		e.state.logRunners(e.state.Roster.Expire(time.Now()))
+	})
+	return nil
 }
--- a/sidecar/loader.go
+++ b/sidecar/loader.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/platform"
 	"github.com/rillreach/rillreach/weights"
 )
@@ -29,16 +30,8 @@
 
 // Run looks at the runner until the context ends.
 func (l *loader) Run(ctx context.Context) error {
-	ticker := time.NewTicker(lookEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			l.look(ctx)
-		}
-	}
+	pause.Every(ctx, lookEvery, l.look)
+	return nil
 }
 
 // look compares what the runner has with what is wanted, and acts on the difference.
