Put agents and engines into the soak

Ruled out: an agent inside the soak's process, which would not be the real program. Change: engines of the soak's own with reports, orders and weights, each on an address of loopback with its agent as a process beside it; faults for agents (pause, kill, stop, silent store) and engines (crash, reset, orders carried out late, new weights); judged are one holder and fences that never fall, weights replaced too long ago, and engines left with old ones. The judge's own test breaks each. Before: 15 kinds of fault, entries only. Conclusion: kept; clocks are still not in it.

--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -42,7 +42,10 @@
 func startPlatformEntry(t *testing.T, store string) *platformEntry {
 	t.Helper()
 	e := &platformEntry{callers: freeAddress(t), ready: freeAddress(t), metrics: freeAddress(t), settings: filepath.Join(t.TempDir(), "boot.toml")}
-	e.good = site.SettingsOf("entry-1", e.callers, e.ready, netip.MustParseAddrPort(store))
+	e.good = (&site.Settings{
+		Name: "entry-1", Host: netip.MustParseAddr("127.0.0.1"), PeerPort: 7580, Callers: e.callers, Readiness: e.ready,
+		Store: netip.MustParseAddrPort(store),
+	}).Text()
 	e.write(t, e.good)
 	_, port, err := net.SplitHostPort(e.metrics)
 	require.NoError(t, err)
--- a/internal/standin/site/specs.go
+++ b/internal/standin/site/specs.go
@@ -6,7 +6,16 @@
 	"net/netip"
 )
 
-// Route is a route of a configuration, with one service that is named s.
+// Model is the one that engines serve.
+const Model = "m"
+
+// services of the configurations.
+const (
+	plainService  = "s"
+	engineService = "e"
+)
+
+// Route is a route of a configuration, before plain runners or before engines.
 type Route struct {
 	// Name is also its path's first part.
 	Name      string
@@ -14,6 +23,8 @@
 	Kind      string
 	Attempts  int
 	Resumable bool
+	// Engines says that engines serve the route.
+	Engines bool
 }
 
 // routeTimeout and routeTarget are the same for all routes, in milliseconds.
@@ -26,44 +37,93 @@
 func ConfigOf(version int, keys []string, routes ...Route) any {
 	var specs []any
 	for _, r := range routes {
+		service := plainService
+		if r.Engines {
+			service = engineService
+		}
 		specs = append(specs, map[string]any{
 			"name": r.Name, "host": r.Host, "path_prefix": "/" + r.Name + "/", "kind": r.Kind, "timeout_ms": routeTimeout,
-			"target_latency_ms": routeTarget, "service": "s", "max_attempts": r.Attempts, "resumable": r.Resumable,
+			"target_latency_ms": routeTarget, "service": service, "max_attempts": r.Attempts, "resumable": r.Resumable,
 		})
 	}
 	return map[string]any{
 		"version": version, "routes": specs,
-		"services": []any{map[string]any{"name": "s", "max_connections": 300}},
-		"limits":   map[string]any{"max_body_bytes": 65536, "max_header_bytes": 16384, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []any{map[string]any{"name": "shop", "api_keys": keys}},
+		"services": []any{
+			map[string]any{"name": plainService, "max_connections": 300},
+			map[string]any{"name": engineService, "max_connections": 300, "engine": map[string]any{
+				"slots": 64, "kv_capacity_tokens": 40000, "kv_token_bytes": 18432, "link_mbps": 130000, "models": []any{map[string]any{"name": Model}},
+			}},
+		},
+		"limits":  map[string]any{"max_body_bytes": 65536, "max_header_bytes": 16384, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": "shop", "api_keys": keys}},
 	}
 }
 
-// RecordOf is the record of a runner of the service s.
+// RecordOf is the record of a plain runner.
 func RecordOf(address netip.AddrPort, state string) any {
-	return map[string]any{"service": "s", "address": address.String(), "zone": "z", "slots": 64, "state": state}
+	return map[string]any{"service": plainService, "address": address.String(), "zone": "z", "slots": 64, "state": state}
+}
+
+// EngineRecordOf is the record of an engine with the weights.
+func EngineRecordOf(address netip.AddrPort, state string, weights uint64) any {
+	return map[string]any{
+		"service": engineService, "address": address.String(), "zone": "z", "slots": 64, "state": state,
+		"models": []any{map[string]any{"name": Model, "version": weights}},
+	}
+}
+
+// WeightsOf names a version of the model's weights.
+func WeightsOf(version uint64) any { return map[string]any{"model": Model, "version": version} }
+
+// Settings are what a settings file says of one process.
+type Settings struct {
+	Name string
+	Host netip.Addr
+	// PeerPort is the first of the ports between processes.
+	PeerPort uint16
+	Store    netip.AddrPort
+	// Callers and Readiness are an entry's.
+	Callers   string
+	Readiness string
+	// Runner is an agent's.
+	Runner netip.AddrPort
 }
 
-// SettingsOf is the settings file of an entry.
-func SettingsOf(name, callers, readiness string, store netip.AddrPort) string {
+// Text is the settings file.
+func (s *Settings) Text() string {
+	runner := ""
+	if s.Runner.IsValid() {
+		runner = s.Runner.String()
+	}
 	return fmt.Sprintf(`
 node_name = %q
-ip = "127.0.0.1"
+ip = %q
+app = %q
 zone = "z"
-internal_port_range = [7580,7595]
+internal_port_range = [%d,%d]
 [listen]
 frontend = %q
 readiness = %q
 [limits]
 memory_mb = 284
 [bounds]
+contact_ms = 3000
+drain_timeout_ms = 2000
 grace_period_s = 8
 retry_budget_ratio = 0.2
 retry_window_s = 10
 budget_slack = 54
+version_ms = 10000
 [platform]
 address = %q
-`, name, callers, readiness, store)
+`, s.Name, s.Host, runner, s.PeerPort, s.PeerPort, s.Callers, s.Readiness, s.Store)
+}
+
+// SetPrompt gives a request the prompt of an engine's route.
+func SetPrompt(r *http.Request, conversation string) {
+	r.Header.Set("X-Rillreach-Model", Model)
+	r.Header.Set("X-Rillreach-Token-Usage", "1460,80")
+	r.Header.Set("X-Rillreach-Prompt-Prefix", "5c1e07a2:800,"+conversation+":410,e4402b7d:250")
 }
 
 // RequestID names the request, as its caller does.
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -29,7 +29,7 @@
 	giveUp      = 8 * time.Second
 )
 
-var kinds = []kind{kindRepeat, kindOnce, kindStream, kindFlow}
+var kinds = []kind{kindRepeat, kindOnce, kindStream, kindFlow, kindPrompt}
 
 func (c *callers) run(stop <-chan struct{}) {
 	var wg sync.WaitGroup
@@ -68,6 +68,9 @@
 	}
 	req.Host = c.host
 	site.SetRequestID(req, seen.ID)
+	if seen.Kind == kindPrompt {
+		site.SetPrompt(req, fmt.Sprintf("%08x", len(seen.ID)))
+	}
 	req.Header.Set("Authorization", "Bearer "+seen.Key)
 	resp, err := client.Do(req)
 	if err != nil {
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/rillreach/rillreach/internal/standin/site"
 )
 
 // kind is a kind of request.
@@ -16,6 +18,8 @@
 	kindOnce   kind = "once"
 	kindStream kind = "stream"
 	kindFlow   kind = "flow"
+	// kindPrompt requests go to engines, and may go on elsewhere.
+	kindPrompt kind = "prompt"
 )
 
 // once reports that a request of the kind must not run twice.
@@ -40,6 +44,8 @@
 	ID     string
 	Runner string
 	At     time.Time
+	// Weights are those that the run began on, zero where the runner has none.
+	Weights uint64
 }
 
 // span is a time in which something was disturbed.
@@ -49,6 +55,13 @@
 type record struct {
 	Calls []call
 	Runs  []run
+	// Orders are those that engines got, in the order of their coming.
+	Orders []given
+	// Named is when each version of the weights was named, Loaded what each engine has at the end.
+	Named  map[uint64]time.Time
+	Loaded map[string]uint64
+	// Ended is when the record was closed.
+	Ended time.Time
 	// Disturbed are the times in which an entry was under a fault of its own, by entry.
 	Disturbed map[int][]span
 	// Left is when each runner's leaving was acknowledged, Removed when each key was taken away.
@@ -68,9 +81,13 @@
 	keyWithin   = 2 * time.Second
 	// contact is how long an entry must have been undisturbed for a bound in time to count, backWithin how soon after the
 	// last fault requests are served again.
-	contact    = 3 * time.Second
-	backWithin = 4 * time.Second
-	backShare  = 0.95
+	contact = 3 * time.Second
+	// weightsWithin is how soon nothing begins on weights that were replaced, and loadedWithin how soon all engines have the
+	// newest, where faults strike engines and agents all the while.
+	weightsWithin = 10 * time.Second
+	loadedWithin  = 14 * time.Second
+	backWithin    = 4 * time.Second
+	backShare     = 0.95
 )
 
 // expected is the whole answer to a request.
@@ -103,7 +120,9 @@
 			r.judgeKey(c, add)
 		}
 	}
+	r.judgeOrders(add)
 	if timed {
+		r.judgeWeights(add)
 		r.judgeLeaving(add)
 		r.judgeReturn(add)
 	}
@@ -155,6 +174,50 @@
 	return false
 }
 
+// judgeOrders holds the orders to each run of an engine against the promises of one holder and of fences that never fall.
+func (r *record) judgeOrders(add func(string, ...any)) {
+	last := map[string]site.Order{}
+	for _, g := range r.Orders {
+		before, ok := last[g.Engine]
+		if ok && before.Holder != g.Order.Holder {
+			add("engine %s got orders of %s and of %s", g.Engine, before.Holder, g.Order.Holder)
+		}
+		if ok && g.Order.Fence < before.Fence {
+			add("engine %s got fence %d after %d", g.Engine, g.Order.Fence, before.Fence)
+		}
+		last[g.Engine] = g.Order
+	}
+}
+
+// judgeWeights finds requests that began on weights replaced too long ago, and engines that were left with old ones.
+func (r *record) judgeWeights(add func(string, ...any)) {
+	newest := uint64(0)
+	for version := range r.Named {
+		newest = max(newest, version)
+	}
+	for _, one := range r.Runs {
+		if at := r.replaced(one.Weights); one.Weights != 0 && !at.IsZero() && one.At.After(at.Add(weightsWithin)) {
+			add("request %s began on weights %d, replaced %s before", one.ID, one.Weights, one.At.Sub(at))
+		}
+	}
+	for name, loaded := range r.Loaded {
+		if loaded < newest && r.Ended.Sub(r.Named[newest]) > loadedWithin {
+			add("engine %s still has weights %d and not %d", name, loaded, newest)
+		}
+	}
+}
+
+// replaced is when the first version newer than the given one was named, zero where there is none.
+func (r *record) replaced(weights uint64) time.Time {
+	var first time.Time
+	for version, at := range r.Named {
+		if version > weights && (first.IsZero() || at.Before(first)) {
+			first = at
+		}
+	}
+	return first
+}
+
 func (r *record) judgeLeaving(add func(string, ...any)) {
 	byID := map[string]*call{}
 	for i := range r.Calls {
--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rillreach/rillreach/internal/standin/site"
+)
+
+// process is one of the system's processes, which is started again whenever it ends.
+type process struct {
+	role     string
+	binary   string
+	dir      string
+	metrics  string
+	settings site.Settings
+	// store is the way to the object store.
+	store *proxy
+
+	// restarts keeps two ends of the process from overlapping.
+	restarts sync.Mutex
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+// entry is a process before the runners.
+type entry struct {
+	process
+	number  int
+	callers string
+	ready   string
+}
+
+// agent is a process beside an engine.
+type agent struct{ process }
+
+func freeAddress() (string, error) {
+	l, err := listen(loopback)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+// prepare gives the process its way to the store, and writes its settings.
+func (p *process) prepare(store netip.AddrPort) error {
+	var err error
+	if p.store, err = newProxy(loopback, store); err != nil {
+		return err
+	}
+	p.settings.Store = p.store.address()
+	if p.metrics, err = freeAddress(); err != nil {
+		return err
+	}
+	return p.write(p.settings.Text())
+}
+
+func newEntry(number int, binary, dir string, store netip.AddrPort, peerPort uint16) (*entry, error) {
+	e := &entry{number: number, process: process{role: "entry", binary: binary, dir: dir}}
+	var err error
+	for _, address := range []*string{&e.callers, &e.ready} {
+		if *address, err = freeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	e.settings = site.Settings{
+		Name: "entry-" + strconv.Itoa(number), Host: loopback, PeerPort: peerPort, Callers: e.callers, Readiness: e.ready,
+	}
+	return e, e.prepare(store)
+}
+
+func newAgent(number int, binary, dir string, store, engine netip.AddrPort, peerPort uint16) (*agent, error) {
+	a := &agent{process{role: "agent", binary: binary, dir: dir}}
+	a.settings = site.Settings{Name: "agent-" + strconv.Itoa(number), Host: engine.Addr(), PeerPort: peerPort, Runner: engine}
+	return a, a.prepare(store)
+}
+
+func (p *process) path() string { return filepath.Join(p.dir, p.settings.Name+".toml") }
+
+func (p *process) write(text string) error { return os.WriteFile(p.path(), []byte(text), 0o600) }
+
+// start starts the process; its log goes to a file.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	log, err := os.OpenFile(filepath.Join(p.dir, p.settings.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	_, port, err := net.SplitHostPort(p.metrics)
+	if err != nil {
+		return err
+	}
+	p.cmd = exec.CommandContext(context.Background(), p.binary, "platform", p.role, "--settings-file", p.path(), "--metrics-port", port)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	p.ended = make(chan struct{})
+	go func(cmd *exec.Cmd, ended chan struct{}) {
+		_ = cmd.Wait()
+		_ = log.Close()
+		close(ended)
+	}(p.cmd, p.ended)
+	return nil
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.cmd.Process.Signal(s) // a process that has ended takes no signal, and is started again by whoever ended it
+}
+
+// end ends the process by a signal and waits until it has, at the longest for its grace.
+func (p *process) end(s syscall.Signal) {
+	p.signal(syscall.SIGCONT)
+	p.signal(s)
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	select {
+	case <-ended:
+	case <-time.After(10 * time.Second):
+		p.signal(syscall.SIGKILL)
+		<-ended
+	}
+}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -24,8 +24,8 @@
 	changed chan struct{}
 }
 
-func newProxy(to netip.AddrPort) (*proxy, error) {
-	l, err := listen()
+func newProxy(host netip.Addr, to netip.AddrPort) (*proxy, error) {
+	l, err := listen(host)
 	if err != nil {
 		return nil, err
 	}
@@ -34,9 +34,12 @@
 	return p, nil
 }
 
-// listen listens on a free port of loopback.
-func listen() (net.Listener, error) {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+// loopback is where everything lives that needs no address of its own.
+var loopback = netip.MustParseAddr("127.0.0.1")
+
+// listen listens on a free port of an address of loopback.
+func listen(host netip.Addr) (net.Listener, error) {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", netip.AddrPortFrom(host, 0).String())
 	return l, errors.Wrap(err, "listen on loopback")
 }
 
--- a/soak/runner.go
+++ b/soak/runner.go
@@ -13,8 +13,9 @@
 
 // ledger is what all runners have run.
 type ledger struct {
-	mu   sync.Mutex
-	runs []run
+	mu     sync.Mutex
+	runs   []run
+	orders []given
 }
 
 func (l *ledger) add(r run) {
@@ -23,6 +24,12 @@
 	l.runs = append(l.runs, r)
 }
 
+func (l *ledger) order(o given) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.orders = append(l.orders, o)
+}
+
 // place is where a runner lives: one run after another, behind one proxy.
 type place struct {
 	proxy  *proxy
@@ -71,15 +78,31 @@
 }
 
 func (p *place) handle(id string, w http.ResponseWriter, r *http.Request) {
-	request := site.RequestID(r)
-	p.ledger.add(run{ID: request, Runner: id, At: time.Now()})
+	one := run{ID: site.RequestID(r), Runner: id, At: time.Now()}
+	if strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/flow/") {
+		streamPieces(w, r, p.ledger, one)
+		return
+	}
+	p.ledger.add(one)
+	if work(r) {
+		site.Answer(w, r, expected(one.ID, kindOnce))
+	}
+}
+
+// work takes the time of one request; it reports whether the request is still wanted.
+func work(r *http.Request) bool {
 	select {
 	case <-time.After(workTime):
+		return true
 	case <-r.Context().Done():
-		return
+		return false
 	}
-	if strings.HasPrefix(r.URL.Path, "/repeat/") || strings.HasPrefix(r.URL.Path, "/once/") {
-		site.Answer(w, r, expected(request, kindOnce))
+}
+
+// streamPieces runs a request that is answered by events.
+func streamPieces(w http.ResponseWriter, r *http.Request, l *ledger, one run) {
+	l.add(one)
+	if !work(r) {
 		return
 	}
 	site.Seal(w, r)
@@ -89,7 +112,7 @@
 		from = 0
 	}
 	for i := from + 1; i <= pieces; i++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, request, i)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, one.ID, i)
 		if http.NewResponseController(w).Flush() != nil {
 			return
 		}
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -26,11 +26,20 @@
 	faultForget     fault = "store forgets its history"
 	faultRemoveKey  fault = "take a key away"
 	faultNewVersion fault = "change the configuration"
+	faultAgentPause fault = "pause agent"
+	faultAgentKill  fault = "kill agent"
+	faultAgentStop  fault = "stop agent"
+	faultAgentMute  fault = "store is silent for one agent"
+	faultEngine     fault = "crash engine"
+	faultEngineLink fault = "reset connections to engine"
+	faultLoseOrders fault = "engine carries orders out late"
+	faultWeights    fault = "name new weights"
 )
 
 var faults = []fault{
 	faultPause, faultKill, faultStop, faultBadReload, faultCrash, faultLeave, faultDelay, faultReset, faultSilence, faultOneWay,
 	faultStoreDown, faultStoreMute, faultForget, faultRemoveKey, faultNewVersion,
+	faultAgentPause, faultAgentKill, faultAgentStop, faultAgentMute, faultEngine, faultEngineLink, faultLoseOrders, faultWeights,
 }
 
 // action is one fault at one time.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach/internal/standin/site"
 )
 
 // TestShortSoak plays one schedule with real processes, and holds it against the promises that are not bound in time.
@@ -41,6 +43,7 @@
 	at := start.Add
 	good := func() *record {
 		r := &record{Disturbed: map[int][]span{}, Left: map[string]time.Time{}, Removed: map[string]time.Time{}, Quiet: at(20 * time.Second)}
+		r.Named, r.Loaded, r.Ended = map[uint64]time.Time{1: at(-time.Minute), 2: at(-time.Second)}, map[string]uint64{"e": 2}, at(40*time.Second)
 		for i, k := range kinds {
 			id := string(k)
 			r.Calls = append(r.Calls, call{
@@ -77,7 +80,19 @@
 		"late":                   {func(r *record) { of(r, kindOnce).Ended = at(20 * time.Second) }, "no final answer"},
 		"a leaving runner":       {func(r *record) { r.Left["r"] = at(7 * time.Second) }, "after its leaving"},
 		"a key taken away":       {func(r *record) { r.Removed[keptKey] = at(7 * time.Second) }, "taken away"},
-		"no return":              {func(r *record) { r.Calls[len(r.Calls)-1].Status = 502 }, "after the last fault"},
+		"two holders": {func(r *record) {
+			r.Orders = append(r.Orders, given{"e", site.Order{Holder: "a", Fence: 1}}, given{"e", site.Order{Holder: "b", Fence: 2}})
+		}, "orders of a and of b"},
+		"a fence that falls": {func(r *record) {
+			r.Orders = append(r.Orders, given{"e", site.Order{Holder: "a", Fence: 2}}, given{"e", site.Order{Holder: "a", Fence: 1}})
+		}, "fence 1 after 2"},
+		"an order given again": {func(r *record) {
+			r.Orders = append(r.Orders, given{"e", site.Order{Holder: "a", Fence: 2}}, given{"e", site.Order{Holder: "a", Fence: 2}})
+		}, ""},
+		"replaced weights":   {func(r *record) { r.Runs[0].Weights = 1 }, "began on weights 1"},
+		"the newest weights": {func(r *record) { r.Runs[0].Weights = 2 }, ""},
+		"old weights left":   {func(r *record) { r.Loaded["e"] = 1 }, "still has weights 1"},
+		"no return":          {func(r *record) { r.Calls[len(r.Calls)-1].Status = 502 }, "after the last fault"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/soak/strike.go
+++ b/soak/strike.go
@@ -4,14 +4,22 @@
 	"net/http"
 	"syscall"
 	"time"
+
+	"github.com/rillreach/rillreach/internal/standin/site"
 )
 
 // strike does one fault, and sees to it that it ends.
 func (w *world) strike(a action) {
-	e, p := w.entries[a.Which%len(w.entries)], w.places[a.Which%len(w.places)]
+	e, p, n := w.entries[a.Which%len(w.entries)], w.places[a.Which%len(w.places)], w.engines[a.Which%len(w.engines)]
 	switch a.Fault {
 	case faultPause, faultKill, faultStop, faultBadReload:
 		w.strikeEntry(a, e)
+	case faultAgentPause, faultAgentKill, faultAgentStop, faultAgentMute:
+		w.strikeAgent(a, n.agent)
+	case faultEngine, faultEngineLink, faultLoseOrders:
+		w.strikeEngine(a, n)
+	case faultWeights:
+		w.nameWeights()
 	case faultCrash, faultLeave:
 		w.strikeRunner(a, p)
 	case faultDelay, faultReset, faultSilence, faultOneWay:
@@ -29,31 +37,83 @@
 	switch a.Fault {
 	case faultPause:
 		w.disturb(e, a.For)
-		e.signal(syscall.SIGSTOP)
-		w.later(a.For, func() { e.signal(syscall.SIGCONT) })
+		w.pause(a, &e.process)
 	case faultKill, faultStop:
 		sig := syscall.SIGKILL
 		if a.Fault == faultStop {
 			sig = syscall.SIGTERM
 		}
 		w.disturb(e, 10*time.Second)
-		w.later(0, func() { w.restart(e, sig) })
+		w.later(0, func() { w.restart(&e.process, sig) })
 	case faultBadReload:
 		w.later(0, func() { w.reload(e, "= =") })
-		w.later(a.For, func() { w.reload(e, e.good()) })
+		w.later(a.For, func() { w.reload(e, e.settings.Text()) })
 	}
 }
 
-func (w *world) restart(e *entry, sig syscall.Signal) {
-	e.restarts.Lock()
-	defer e.restarts.Unlock()
-	e.end(sig)
+func (w *world) pause(a action, p *process) {
+	p.signal(syscall.SIGSTOP)
+	w.later(a.For, func() { p.signal(syscall.SIGCONT) })
+}
+
+func (w *world) strikeAgent(a action, g *agent) {
+	switch a.Fault {
+	case faultAgentPause:
+		w.pause(a, &g.process)
+	case faultAgentKill:
+		w.later(0, func() { w.restart(&g.process, syscall.SIGKILL) })
+	case faultAgentStop:
+		w.later(0, func() { w.restart(&g.process, syscall.SIGTERM) })
+	case faultAgentMute:
+		w.mute(a, &g.process)
+	}
+}
+
+// mute has the store be silent for one process.
+func (w *world) mute(a action, p *process) {
+	p.store.set(func(x *proxy) { x.silent = true })
+	w.later(a.For, func() { p.store.set(func(x *proxy) { x.silent = false }) })
+}
+
+func (w *world) strikeEngine(a action, n *engine) {
+	switch a.Fault {
+	case faultLoseOrders:
+		n.lose(a.For)
+		w.later(a.For, func() {})
+	case faultEngineLink:
+		n.proxy.reset()
+		w.later(0, func() {})
+	case faultEngine:
+		n.strikes.Lock()
+		old, weights := n.run()
+		n.crash()
+		w.later(restartAfter, func() {
+			defer n.strikes.Unlock()
+			w.listEngine(n, n.start(weights))
+			w.store.Remove("servers", old)
+		})
+	}
+}
+
+// nameWeights names the next version of the weights.
+func (w *world) nameWeights() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.weights++
+	w.store.Put("versions", site.Model, site.WeightsOf(w.weights))
+	w.named[w.weights] = time.Now()
+}
+
+func (w *world) restart(p *process, sig syscall.Signal) {
+	p.restarts.Lock()
+	defer p.restarts.Unlock()
+	p.end(sig)
 	time.Sleep(restartAfter)
-	if err := e.write(e.good()); err != nil {
+	if err := p.write(p.settings.Text()); err != nil {
 		w.report("settings not written: %v", err)
 	}
-	if err := e.start(); err != nil {
-		w.report("entry %d not started: %v", e.number, err)
+	if err := p.start(); err != nil {
+		w.report("%s not started: %v", p.settings.Name, err)
 	}
 }
 
@@ -124,8 +184,7 @@
 		w.later(a.For, func() { w.store.Fail(0) })
 	case faultStoreMute:
 		w.disturb(e, a.For)
-		e.store.set(func(x *proxy) { x.silent = true })
-		w.later(a.For, func() { e.store.set(func(x *proxy) { x.silent = false }) })
+		w.mute(a, &e.process)
 	}
 }
 
--- a/soak/world.go
+++ b/soak/world.go
@@ -35,12 +35,15 @@
 	server  *httptest.Server
 	places  []*place
 	entries []*entry
+	engines []*engine
 	callers []*callers
 	ledger  ledger
 	report  func(format string, args ...any)
 
 	mu        sync.Mutex
 	version   int
+	weights   uint64
+	named     map[uint64]time.Time
 	removed   map[string]time.Time
 	left      map[string]time.Time
 	disturbed map[int][]span
@@ -51,10 +54,11 @@
 func newWorld(binary, dir string, entries, runners int, report func(string, ...any)) (*world, error) {
 	w := &world{
 		store: site.NewStore(), report: report, removed: map[string]time.Time{}, left: map[string]time.Time{}, disturbed: map[int][]span{},
+		named: map[uint64]time.Time{},
 	}
 	w.server = httptest.NewServer(w.store)
 	for i := range runners {
-		p, err := newProxy(netip.AddrPort{})
+		p, err := newProxy(loopback, netip.AddrPort{})
 		if err != nil {
 			return nil, err
 		}
@@ -62,9 +66,21 @@
 		w.list(w.places[i], w.places[i].start(), "ready")
 	}
 	w.configure()
+	w.nameWeights()
+	store := netip.MustParseAddrPort(strings.TrimPrefix(w.server.URL, "http://"))
+	peers, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	peerPort := netip.MustParseAddrPort(peers).Port()
+	for i := range runners {
+		if err := w.addEngine(i, binary, dir, store, peerPort); err != nil {
+			return nil, err
+		}
+	}
 	var next atomic.Int64
 	for i := range entries {
-		e, err := newEntry(i, binary, dir, netip.MustParseAddrPort(strings.TrimPrefix(w.server.URL, "http://")))
+		e, err := newEntry(i, binary, dir, store, peerPort)
 		if err != nil {
 			return nil, err
 		}
@@ -77,6 +93,26 @@
 	return w, w.awaitReady()
 }
 
+// addEngine starts an engine and the agent beside it.
+func (w *world) addEngine(number int, binary, dir string, store netip.AddrPort, peerPort uint16) error {
+	p, err := newProxy(engineHost(number), netip.AddrPort{})
+	if err != nil {
+		return err
+	}
+	n := &engine{proxy: p, ledger: &w.ledger, number: number}
+	w.listEngine(n, n.start(1))
+	if n.agent, err = newAgent(number, binary, dir, store, p.address(), peerPort); err != nil {
+		return err
+	}
+	w.engines = append(w.engines, n)
+	return n.agent.start()
+}
+
+func (w *world) listEngine(n *engine, id string) {
+	_, weights := n.run()
+	w.store.Put("servers", id, site.EngineRecordOf(n.proxy.address(), "ready", weights))
+}
+
 const (
 	readyTries = 200
 	readyPause = 50 * time.Millisecond
@@ -138,6 +174,7 @@
 		site.Route{Name: string(kindOnce), Host: host, Kind: "non_idempotent", Attempts: 2},
 		site.Route{Name: string(kindStream), Host: host, Kind: "streaming", Attempts: 3, Resumable: true},
 		site.Route{Name: string(kindFlow), Host: host, Kind: "streaming", Attempts: 1},
+		site.Route{Name: string(kindPrompt), Host: host, Kind: "streaming", Attempts: 3, Resumable: true, Engines: true},
 	))
 }
 
@@ -185,7 +222,14 @@
 	defer w.mu.Unlock()
 	w.ledger.mu.Lock()
 	defer w.ledger.mu.Unlock()
-	r := &record{Runs: slices.Clone(w.ledger.runs), Disturbed: w.disturbed, Left: maps.Clone(w.left), Removed: w.removed, Quiet: w.last}
+	r := &record{
+		Runs: slices.Clone(w.ledger.runs), Orders: slices.Clone(w.ledger.orders), Disturbed: w.disturbed, Left: maps.Clone(w.left),
+		Removed: w.removed, Quiet: w.last, Named: maps.Clone(w.named), Loaded: map[string]uint64{}, Ended: time.Now(),
+	}
+	for _, n := range w.engines {
+		id, weights := n.run()
+		r.Loaded[id] = weights
+	}
 	for _, c := range w.callers {
 		c.mu.Lock()
 		r.Calls = append(r.Calls, c.calls...)
@@ -199,6 +243,9 @@
 	for _, e := range w.entries {
 		e.end(syscall.SIGKILL)
 	}
+	for _, n := range w.engines {
+		n.agent.end(syscall.SIGKILL)
+	}
 	w.server.CloseClientConnections()
 	w.server.Close()
 }
