Tell entries less often and in fewer bytes, ask the store seldomer, and spread requests by conversation

Change: a bulletin leaves out what its follower knows; agents tell other zones half as often, and all the seldomer the more agents there are; changes of kept parts stand by salts; the list of runners is asked for after a third of the bound on leaving, at once where an address turns out to have another run; pauses to a lost store grow to 0.8 s; a watch that hung over the store's return is given up before the entry counts as undisturbed (the users' line on who is in touch); a hash of conversation and runner counts as up to 80 ms. What the configuration and records say and nobody used is decoded no more.

--- a/bulletin/bulletin.go
+++ b/bulletin/bulletin.go
@@ -3,7 +3,9 @@
 package bulletin
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,6 +23,8 @@
 type Follow struct {
 	// Name is that of the process that asks.
 	Name rillreach.InstanceID `cbor:"1,keyasint"`
+	// Zone is where it is; empty where it does not say.
+	Zone rillreach.ZoneID `cbor:"2,keyasint,omitempty"`
 }
 
 // Check reports what is wrong with the message.
@@ -31,10 +35,11 @@
 	return nil
 }
 
-// Bulletin is one message of an agent.
+// Bulletin is one message of an agent. On its way it leaves out what the follower knows from the one before; Complete puts
+// that back.
 type Bulletin struct {
 	// Runner is the run that the agent stands beside.
-	Runner rillreach.InstanceID `cbor:"1,keyasint"`
+	Runner rillreach.InstanceID `cbor:"1,keyasint,omitempty"`
 	// Clock is the runners' clock when the bulletin was made, in milliseconds.
 	Clock int64 `cbor:"2,keyasint"`
 	// Load is the runner's own report.
@@ -44,43 +49,77 @@
 	// Named are the newest weights that the agent knows of.
 	Named []deployment.NamedWeights `cbor:"5,keyasint,omitempty"`
 	// Followers is how many entries follow the agent.
-	Followers int `cbor:"6,keyasint"`
+	Followers int `cbor:"6,keyasint,omitempty"`
+}
+
+// Without is the bulletin as it goes to a follower that knows the one before.
+func (b Bulletin) Without(before *Bulletin) Bulletin {
+	if b.Runner == before.Runner {
+		b.Runner = ""
+	}
+	if slices.Equal(b.Named, before.Named) {
+		b.Named = nil
+	}
+	if b.Followers == before.Followers {
+		b.Followers = 0
+	}
+	if maps.Equal(b.Load.Weights, before.Load.Weights) {
+		b.Load.Weights = nil
+	}
+	return b
+}
+
+// Complete adds what a bulletin has left out since the one before had it, and reports what is missing in both.
+func (b *Bulletin) Complete(before *Bulletin) error {
+	if b.Runner == "" {
+		b.Runner = before.Runner
+	}
+	if b.Named == nil {
+		b.Named = before.Named
+	}
+	if b.Followers == 0 {
+		b.Followers = before.Followers
+	}
+	if b.Load.Weights == nil {
+		b.Load.Weights = before.Load.Weights
+	}
+	if b.Runner == "" {
+		return errors.New("bulletin names no runner")
+	}
+	return nil
 }
 
 // Load is how a runner is.
 type Load struct {
-	Running int `cbor:"1,keyasint"`
-	Waiting int `cbor:"2,keyasint"`
-	Used    int `cbor:"3,keyasint"`
+	Running int `cbor:"1,keyasint,omitempty"`
+	Waiting int `cbor:"2,keyasint,omitempty"`
+	Used    int `cbor:"3,keyasint,omitempty"`
 	// Loading says that the runner loads weights or is about to, and takes nothing.
-	Loading bool `cbor:"4,keyasint"`
-	Leaving bool `cbor:"5,keyasint"`
+	Loading bool `cbor:"4,keyasint,omitempty"`
+	Leaving bool `cbor:"5,keyasint,omitempty"`
 	// Unread are the running requests that have no event yet.
-	Unread int `cbor:"7,keyasint"`
+	Unread int `cbor:"7,keyasint,omitempty"`
 	// Silent says that the runner does not answer its agent.
-	Silent bool `cbor:"8,keyasint"`
+	Silent bool `cbor:"8,keyasint,omitempty"`
 	// Weights are what the runner has loaded.
-	Weights map[rillreach.ModelID]deployment.WeightVersion `cbor:"6,keyasint"`
+	Weights map[rillreach.ModelID]deployment.WeightVersion `cbor:"6,keyasint,omitempty"`
 }
 
 // Holder says what one runner or store holds.
 type Holder struct {
 	Place netip.AddrPort `cbor:"1,keyasint"`
 	// Store says that the place is a store, Down that it does not answer.
-	Store bool `cbor:"2,keyasint"`
-	Down  bool `cbor:"3,keyasint"`
+	Store bool `cbor:"2,keyasint,omitempty"`
+	Down  bool `cbor:"3,keyasint,omitempty"`
 	// Whole says that the changes are everything that is held.
-	Whole   bool              `cbor:"4,keyasint"`
-	Changes []holdings.Change `cbor:"5,keyasint,omitempty"`
+	Whole   bool             `cbor:"4,keyasint,omitempty"`
+	Changes holdings.Changes `cbor:"5,keyasint,omitempty"`
 	// Dying are the salts whose parts are about to be freed.
 	Dying []string `cbor:"6,keyasint,omitempty"`
 }
 
 // Check reports what is wrong with the message.
 func (b Bulletin) Check() error {
-	if b.Runner == "" {
-		return errors.New("bulletin names no runner")
-	}
 	for _, h := range b.Holders {
 		if !h.Place.IsValid() {
 			return errors.New("bulletin names a holder without an address")
--- /dev/null
+++ b/bulletin/bulletin_test.go
@@ -0,0 +1,69 @@
+package bulletin
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/peer"
+)
+
+// drawn is any bulletin that an agent may make: it always has a runner, and counts the follower that it is for.
+func drawn(t *rapid.T) Bulletin {
+	b := Bulletin{
+		Runner: rillreach.InstanceID(rapid.SampledFrom([]string{"r1", "r2"}).Draw(t, "runner")),
+		Clock:  rapid.Int64Range(0, 1e12).Draw(t, "clock"), Followers: rapid.IntRange(1, 3).Draw(t, "followers"),
+	}
+	b.Load = Load{
+		Running: rapid.IntRange(0, 2).Draw(t, "running"), Waiting: rapid.IntRange(0, 2).Draw(t, "waiting"), Silent: rapid.Bool().Draw(t, "silent"),
+		Weights: map[rillreach.ModelID]deployment.WeightVersion{"m": deployment.WeightVersion(rapid.IntRange(1, 2).Draw(t, "weights"))},
+	}
+	for version := range rapid.IntRange(0, 2).Draw(t, "named") {
+		b.Named = append(b.Named, deployment.NamedWeights{Model: "m", Version: deployment.WeightVersion(version + 1), Revision: 7})
+	}
+	return b
+}
+
+// TestFollowerKnowsAll sends a series of bulletins, each without what the one before had said.
+func TestFollowerKnowsAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var told, known Bulletin
+		for range rapid.IntRange(1, 8).Draw(t, "bulletins") {
+			b := drawn(t)
+			if len(b.Named) == 0 {
+				b.Named = told.Named // names are never taken back
+			}
+			body, err := peer.Encode(b.Without(&told))
+			require.NoError(t, err)
+			told = b
+			got, err := peer.Decode[Bulletin](body)
+			require.NoError(t, err)
+			require.NoError(t, got.Complete(&known))
+			known = got
+			assert.Equal(t, b, known)
+		}
+	})
+}
+
+func TestSmallWhereLittleChanges(t *testing.T) {
+	b := Bulletin{
+		Runner: "i-0123456789abcdef", Clock: 1_790_000_000_000, Followers: 21,
+		Load:  Load{Running: 12, Used: 30000, Unread: 3, Weights: map[rillreach.ModelID]deployment.WeightVersion{"a-model-with-a-name": 3}},
+		Named: []deployment.NamedWeights{{Model: "a-model-with-a-name", Version: 3, Revision: 123456}},
+	}
+	next := b
+	next.Load.Running++
+	next.Clock += 40
+	body, err := peer.Encode(next.Without(&b))
+	require.NoError(t, err)
+	assert.LessOrEqual(t, len(body), 32)
+}
+
+func TestFirstBulletinNamesItsRunner(t *testing.T) {
+	b := Bulletin{Clock: 1}
+	assert.Error(t, b.Complete(&Bulletin{}))
+}
--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// firstPause and mostPause bound the pause after a failed call; the store answers again within some tens of
-	// milliseconds of its return, and each call is paid for.
+	// firstPause and mostPause bound the pause after a failed call: each call is paid for, those that are refused too, and
+	// an instance has seconds after the store's return to know everything again.
 	firstPause = 100 * time.Millisecond
-	mostPause  = 400 * time.Millisecond
+	mostPause  = 800 * time.Millisecond
 )
 
 // Controller follows one kind of objects; exported fields are set before Run.
--- a/controller/subscribe/subscribe.go
+++ b/controller/subscribe/subscribe.go
@@ -63,6 +63,7 @@
 		return err
 	}
 	defer stream.Close()
+	var before bulletin.Bulletin
 	for {
 		part, err := nextInTime(ctx, stream)
 		if err != nil {
@@ -73,6 +74,10 @@
 		if err != nil {
 			return err
 		}
+		if err := b.Complete(&before); err != nil {
+			return err
+		}
+		before = b
 		if s.lost {
 			s.lost = false
 			s.Log.Info("dependency regained", "dependency", "agent", "agent", s.Agent)
--- a/deployment/config.go
+++ b/deployment/config.go
@@ -53,8 +53,6 @@
 	Timeout time.Duration
 	// Target is the time to the answer, or to the first event of a stream, that callers expect.
 	Target time.Duration
-	// PauseTarget is the longest pause between events that callers expect; zero where the route does not stream.
-	PauseTarget time.Duration
 	// MaxRunners is how many runners one request may be sent to.
 	MaxRunners int
 	// Priority ranks requests; zero is the most urgent.
@@ -79,11 +77,7 @@
 	TokenBytes     float64
 	// LinkBitsPerSecond is the rate at which a runner moves KV cache.
 	LinkBitsPerSecond float64
-	// Stride is how many tokens one event holds.
-	Stride int
-	// MaxFollowers is how many callers may wait for cache events at once.
-	MaxFollowers int
-	Models       []rillreach.ModelID
+	Models            []rillreach.ModelID
 }
 
 // CacheStore is a store of kept KV cache.
@@ -93,16 +87,14 @@
 	CapacityTokens    int
 	LinkBitsPerSecond float64
 	// FirstDelay passes before each move begins.
-	FirstDelay   time.Duration
-	MaxFollowers int
+	FirstDelay time.Duration
 	// Managed says that the store drops nothing by itself.
 	Managed bool
 }
 
 // Service is a group of runners, or a store.
 type Service struct {
-	Name       rillreach.ServiceID
-	HealthPath string
+	Name rillreach.ServiceID
 	// MaxConns is how many connections a runner takes from all callers together.
 	MaxConns int
 	// Engine is set where the runners are model engines.
--- a/deployment/runner.go
+++ b/deployment/runner.go
@@ -22,8 +22,6 @@
 	Revision uint64
 	// Leaving says that the runner is about to end and takes nothing new.
 	Leaving bool
-	// ColdFor is how much longer the runner is slow after its start.
-	ColdFor time.Duration
 	// Weights are the versions of the models that it has loaded.
 	Weights map[rillreach.ModelID]WeightVersion
 }
--- a/deployment/settings.go
+++ b/deployment/settings.go
@@ -11,12 +11,12 @@
 
 // Bounds are the times and shares that the site promises its callers and its operators.
 type Bounds struct {
+	// Contact is how long after the last trouble, of its own or of the object store, an instance has to keep the bounds again.
+	Contact time.Duration
 	// RunnerStop is how long after the notice a leaving runner may still be sent requests.
 	RunnerStop time.Duration
 	// Grace is how long a process has from the signal to its end.
 	Grace time.Duration
-	// ConfigApply is how soon a configuration is in force.
-	ConfigApply time.Duration
 	// RetryRatio, RetryWindow and RetrySlack bound the sends beyond a request's first: over the window, not more than the
 	// ratio of the requests plus the slack, over all entries together.
 	RetryRatio  float64
@@ -45,8 +45,6 @@
 	LastPort  uint16
 	// MemoryMB bounds the process's memory, in units of 2^20 bytes.
 	MemoryMB int
-	// FirstStart says that the whole system starts for the first time.
-	FirstStart bool
 }
 
 // Check reports all that is wrong with the settings.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -125,6 +125,10 @@
 	switch {
 	case head.OtherRunner && head.Instance != "" && head.Instance != t.view.ID:
 		t.runner.Leaves() // another run has its address, so that this one is over, whatever the list says
+		select {
+		case g.restarted <- struct{}{}:
+		default: // the list is going to be asked for already
+		}
 	case head.OtherRunner && x.wire.Prompt != nil:
 		g.learnWeights(x, t, head)
 	default:
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/fetch"
+	"github.com/rillreach/rillreach/internal/hash"
 	"github.com/rillreach/rillreach/place"
 	"github.com/rillreach/rillreach/platform"
 	"github.com/rillreach/rillreach/roster"
@@ -95,12 +98,18 @@
 			c.Held = max(c.Held, v.Load.Used)
 			c.Avoid = c.Avoid || v.Load.Busy || v.Load.Silent
 		}
+		c.Distance = distance(conversation(x), v.ID)
 		replaced := g.state.Replaced(p.Model, v.Weights[p.Model])
 		c.Old = !replaced.IsZero() && time.Since(replaced) > oldFrom
 	}
 	return c
 }
 
+// distance is where a hash puts a runner for a conversation, between 0 and 1.
+func distance(conversation string, runner rillreach.InstanceID) float64 {
+	return float64(hash.Mix(hash.String(conversation), hash.String(string(runner)))) / math.MaxUint64
+}
+
 // expired reports that the runner's weights were replaced so long ago that the request, which may wait there for a while,
 // would begin on them too late.
 func (g *Gateway) expired(x *exchange, v *roster.View, now time.Time) bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,13 +24,18 @@
 )
 
 const (
-	// watchWait is how long one watch of the store waits: under the bound on leaving runners together with watchSlack, so
-	// that a watch that hangs is noticed in time.
-	watchWait = 2500 * time.Millisecond
+	// watchMargin is kept from the time after which an undisturbed instance has to know everything, for a watch that hung
+	// since before the end of the store's trouble: the client gives it up 0.7 s after its wait, and asks again.
+	watchMargin = 1200 * time.Millisecond
+	// leastWatch and mostWatch bound how long one watch of the store waits.
+	leastWatch = time.Second
+	mostWatch  = 3 * time.Second
 	// weightsWait is the same for the names of weights, of which the agents tell, too.
 	weightsWait = 20 * time.Second
-	// gatherRunners is a pause between watches of the runners, since their records change in quick succession.
-	gatherRunners = 250 * time.Millisecond
+	// gatherShare is the part of the bound on leaving runners that passes between watches of the runners, whose records
+	// change in quick succession; an entry that meets a new run at an address asks at once.
+	gatherShare = 3
+	mostGather  = time.Second
 	// defaultIdle serves until the configuration is known.
 	defaultIdle = 15 * time.Second
 	// mostHeaderTimeout and mostHeader (in bytes) bound a request's head before the configuration's own limits are asked:
@@ -74,12 +79,15 @@
 	running node.Inflight
 	leaving atomic.Bool
 	seq     atomic.Uint64
-	server  *http.Server
+	// restarted is told when a runner turns out to be another run than the list says.
+	restarted chan struct{}
+	server    *http.Server
 }
 
 // Run serves until the context ends, then stops in order within the grace.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.state.Log = g.Log
+	g.restarted = make(chan struct{}, 1)
 	g.budgets = retry.Shares{Ratio: g.Settings.Bounds.RetryRatio, Window: g.Settings.Bounds.RetryWindow, Slack: g.Settings.Bounds.RetrySlack}
 	g.server = g.newServer()
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
@@ -99,8 +107,8 @@
 	})
 	defer stop()
 	return controller.Run(life, g.Log,
-		g.state.ConfigFollower(g.Configs, watchWait),
-		g.state.RunnersFollower(g.Runners, watchWait, gatherRunners, nil),
+		g.state.ConfigFollower(g.Configs, g.watchWait()),
+		g.state.RunnersFollower(g.Runners, g.watchWait(), g.gatherRunners(), g.restarted),
 		g.state.WeightsFollower(g.Weights, weightsWait),
 		g.state.Expirer(),
 		&serverController{name: "callers", server: g.server, listener: g.Callers},
@@ -111,6 +119,16 @@
 	)
 }
 
+// watchWait is how long one watch of what is bound in time waits.
+func (g *Gateway) watchWait() time.Duration {
+	return min(max(g.Settings.Bounds.Contact-watchMargin, leastWatch), mostWatch)
+}
+
+// gatherRunners is the pause between watches of the runners.
+func (g *Gateway) gatherRunners() time.Duration {
+	return min(g.Settings.Bounds.RunnerStop/gatherShare, mostGather)
+}
+
 func (g *Gateway) newServer() *http.Server {
 	rests := &restKeeper{Allowed: g.restAllowed}
 	return &http.Server{
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -48,7 +48,7 @@
 		require.NoError(t, err)
 		require.NoError(t, conn.SetReadDeadline(time.Now().Add(wait)))
 		all, err := io.ReadAll(conn)
-		assert.NoError(t, err, "the entry closes the connection")
+		require.NoError(t, err, "the entry closes the connection")
 		assert.Contains(t, string(all), "503")
 	})
 	t.Run("a connection may rest for as long as the configuration in force says", func(t *testing.T) {
@@ -69,3 +69,14 @@
 	k.end(ours, &timer) // the time-out fires as the request comes in
 	assert.NoError(t, ours.SetDeadline(time.Now().Add(time.Hour)), "the connection is still open")
 }
+
+// TestHungWatchIsNoticedInTime: a watch that the store swallowed at the end of its trouble must be given up before the entry
+// counts as undisturbed again.
+func TestHungWatchIsNoticedInTime(t *testing.T) {
+	const givenUpAfter = 700 * time.Millisecond // beyond its wait, by the client of the store
+	for _, contact := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, 10 * time.Second} {
+		g := &Gateway{Settings: &deployment.Settings{Bounds: deployment.Bounds{Contact: contact, RunnerStop: 2 * time.Second}}}
+		assert.Less(t, g.watchWait()+givenUpAfter, contact)
+		assert.LessOrEqual(t, g.gatherRunners(), time.Second)
+	}
+}
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -65,7 +65,7 @@
 		a.following[address] = stop
 		s := &subscribe.Subscription{
 			Pool: a.pool, Agent: address, Log: a.gateway.Log, Take: a.gateway.learn,
-			Ask: bulletin.Follow{Name: rillreach.InstanceID(a.gateway.Settings.Name)},
+			Ask: bulletin.Follow{Name: rillreach.InstanceID(a.gateway.Settings.Name), Zone: a.gateway.Settings.Zone},
 		}
 		a.wg.Go(func() { s.Run(one) })
 	}
--- a/holdings/holdings_test.go
+++ b/holdings/holdings_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
 
@@ -93,3 +95,25 @@
 	assert.True(t, d.Free("1/m", start.Add(time.Second), time.Second))
 	assert.False(t, d.Free("2/m", start.Add(time.Second), time.Second), "each salt is told of by itself")
 }
+
+func TestChangesOnTheirWay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var sent Changes
+		for range rapid.IntRange(0, 9).Draw(t, "changes") {
+			salt := rapid.SampledFrom([]string{"1/m", "2/m", "1/m/account"}).Draw(t, "salt")
+			part := rapid.StringMatching("[0-9a-f]{1,8}").Draw(t, "part")
+			sent = append(sent, Change{Key: Key{Salt: salt, Part: part}, Tokens: rapid.IntRange(0, 9000).Draw(t, "tokens")})
+		}
+		data, err := cbor.Marshal(sent)
+		require.NoError(t, err)
+		var got Changes
+		require.NoError(t, cbor.Unmarshal(data, &got))
+		var before, after Index
+		before.Apply(placeA, sent)
+		after.Apply(placeA, got)
+		for _, c := range sent {
+			assert.Equal(t, before.Holders(c.Key), after.Holders(c.Key))
+		}
+		assert.Equal(t, before.Total(placeA), after.Total(placeA))
+	})
+}
--- a/holdings/tracker.go
+++ b/holdings/tracker.go
@@ -9,14 +9,14 @@
 
 // Key names a part of a prompt under the salt that keeps it apart.
 type Key struct {
-	Salt string `cbor:"1,keyasint"`
-	Part string `cbor:"2,keyasint"`
+	Salt string
+	Part string
 }
 
 // Change says how many tokens of a part a holder now holds; none means that the part is gone.
 type Change struct {
-	Key    Key `cbor:"1,keyasint"`
-	Tokens int `cbor:"2,keyasint"`
+	Key    Key
+	Tokens int
 }
 
 // Check reports a change that cannot be.
--- a/place/choose.go
+++ b/place/choose.go
@@ -25,6 +25,8 @@
 	Avoid        bool
 	Tried        bool
 	FailureShare float64
+	// Distance is where a hash puts the runner for this conversation, from 0 (near) to 1 (far).
+	Distance float64
 }
 
 // Question is what a request needs.
@@ -49,6 +51,9 @@
 	costFailure = 1.0
 	// costTie keeps the runner that does the least ahead where nothing else tells runners apart.
 	costTie = 1e-3
+	// costDistance keeps entries that see the same loads, all some ten milliseconds old, from sending everything to the same
+	// runner: it is worth some 80 ms of the first event's time, in which as many requests come as there are runners.
+	costDistance = 0.1
 	// costAvoid is more than anything else, so that a runner under suspicion is chosen only where there is no other.
 	costAvoid = 100
 )
@@ -81,7 +86,7 @@
 	cost := costTie * float64(c.Running)
 	if q.Tokens > 0 {
 		cost += costPerMissingToken*float64(c.Again) + costPerFetchedToken*float64(c.Fetched+2*c.FetchedAfar)
-		cost += costLate * lateness(Estimate(q, c), q.Target)
+		cost += costLate*lateness(Estimate(q, c), q.Target) + costDistance*c.Distance
 	} else if c.Slots > 0 {
 		full := float64(c.Running+1) / float64(c.Slots)
 		cost += costLate * full * full / 2
--- a/sidecar/news.go
+++ b/sidecar/news.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/bulletin"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/holdings"
@@ -16,8 +17,10 @@
 	// newsEvery is how often followers are told what has changed, and quietMost how long they hear nothing at the most.
 	newsEvery = 40 * time.Millisecond
 	quietMost = 400 * time.Millisecond
-	// fullPace is up to how many followers are told that often.
-	fullPace = 32
+	// eachTakes is how much of a follower's time each agent takes for one bulletin, so that the smallest entries, with a
+	// seventh of a core, spend a tenth of it on them; farSlower is by how much seldomer those of other zones are told.
+	eachTakes = time.Millisecond
+	farSlower = 2
 )
 
 // news tells the entries how the runner is and what the stores hold.
@@ -75,15 +78,23 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(n.pace()):
+		case <-time.After(n.pace(follow.Zone)):
 		}
 	}
 }
 
-// pace is how often each follower is told: the more there are, the seldomer, so that an entry's work does not grow with the
-// product of agents and entries.
-func (n *news) pace() time.Duration {
-	return newsEvery * time.Duration(max(1, n.followers.Load()/fullPace))
+// pace is how often a follower is told: the more agents there are, the seldomer, so that what an entry hears from all of
+// them stays about the same; and seldomer in other zones, whose entries send fewer requests here.
+func (n *news) pace(zone rillreach.ZoneID) time.Duration {
+	s := n.sidecar
+	pace := newsEvery
+	if self := s.state.Roster.At(s.Settings.Runner); self != nil {
+		pace = max(pace, eachTakes*time.Duration(len(s.state.Roster.Group(self.Info().Service))))
+	}
+	if zone != s.Settings.Zone {
+		pace *= farSlower
+	}
+	return min(pace, quietMost)
 }
 
 func newFollower(n *news) *follower {
@@ -123,8 +134,9 @@
 	if !changed && f.sameLoad(&b) && time.Since(f.toldAt) < quietMost {
 		return b, false
 	}
+	slim := b.Without(&f.told)
 	f.told, f.toldAt = b, time.Now()
-	return b, true
+	return slim, true
 }
 
 // sameLoad reports that the runner is as the follower was told.
@@ -169,6 +181,9 @@
 	told := bulletin.Holder{Place: h.place, Store: h.store, Down: h.down.Load(), Dying: dying}
 	rest := f.unheard(h)
 	news := rest.whole || len(rest.changes) > 0
+	if !news && !h.store {
+		return false // of a store it matters that its agent still speaks of it
+	}
 	if left := room - sizeOf(b); left > 0 {
 		n := fitting(rest.changes, left)
 		told.Whole, told.Changes = rest.whole, rest.changes[:n]
--- a/sidecar/news_test.go
+++ b/sidecar/news_test.go
@@ -4,11 +4,14 @@
 	"fmt"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/bulletin"
+	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/holdings"
 	"github.com/rillreach/rillreach/peer"
 )
@@ -64,3 +67,31 @@
 		index.Apply(told.Place, told.Changes)
 	}
 }
+
+func TestPace(t *testing.T) {
+	address := func(i int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)
+	}
+	agentOf := func(runners int) *news {
+		s := &Sidecar{Settings: &deployment.Settings{Zone: "z1", Runner: address(0)}}
+		for i := range runners {
+			s.state.Roster.Put(time.Now(), deployment.Runner{ID: rillreach.InstanceID(fmt.Sprint(i)), Service: "s", Address: address(i)})
+		}
+		return &news{sidecar: s}
+	}
+	t.Run("a few agents tell at once", func(t *testing.T) {
+		assert.Equal(t, newsEvery, agentOf(18).pace("z1"))
+	})
+	t.Run("what an entry hears from all agents does not grow with them", func(t *testing.T) {
+		for _, runners := range []int{100, 200, 400} {
+			perSecond := float64(runners) / agentOf(runners).pace("z1").Seconds()
+			assert.InDelta(t, 1000, perSecond, 1)
+		}
+	})
+	t.Run("nobody waits so long that the agent seems to be lost", func(t *testing.T) {
+		assert.Equal(t, quietMost, agentOf(5000).pace("z2"))
+	})
+	t.Run("entries of other zones are told seldomer", func(t *testing.T) {
+		assert.Equal(t, farSlower*newsEvery, agentOf(18).pace("z2"))
+	})
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -20,9 +20,11 @@
 )
 
 const (
-	// watchWait is how long one watch of the store waits, weightsWait that for the names of weights, whose bound is some ten
-	// seconds; a watch that hangs is noticed after that time.
-	watchWait   = 10 * time.Second
+	// configWait, runnersWait and weightsWait are how long one watch of the store waits; one that hangs is noticed after
+	// that time. Of the configuration an agent needs the stores alone, and new weights have to be loaded within some ten
+	// seconds.
+	configWait  = 25 * time.Second
+	runnersWait = 10 * time.Second
 	weightsWait = 5 * time.Second
 	// gatherRunners is a pause between watches of the runners, of which an agent needs ranks, and its own runner's name: it
 	// does not wait for that once its runner has been started anew.
@@ -71,8 +73,8 @@
 	s.pool = &peer.Pool{Self: self, Mux: mux, Log: s.Log}
 	s.pool.Start(ctx)
 	return controller.Run(ctx, s.Log,
-		s.state.ConfigFollower(s.Configs, watchWait),
-		s.state.RunnersFollower(s.Runners, watchWait, gatherRunners, s.restarted),
+		s.state.ConfigFollower(s.Configs, configWait),
+		s.state.RunnersFollower(s.Runners, runnersWait, gatherRunners, s.restarted),
 		s.state.WeightsFollower(s.Weights, weightsWait),
 		s.state.Expirer(),
 		&loader{sidecar: s},
