Tell entries of other zones nothing of what runners hold, and have agents serve figures

Ruled out: slower bulletins within a zone, whose age counts. Change: an agent tells followers of its own zone alone what its runner holds; the hash of conversation and runner counts as up to 160 ms; gauges of agents, of store calls and of the retry budget; one look-up of a part's holders less; one bound for each step of following.

--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -117,6 +117,9 @@
 		settings: s, store: platform.NewStore(s.Store), metrics: metrics,
 		log: sink.Logger(logLevels[c.String("log-level")]).WithValues("instance", s.Name, "role", name),
 	}
+	if err := metrics.Gauge("rillreach.store.calls", "calls that were made to the object store", func() float64 { return float64(p.store.Calls.Load()) }); err != nil {
+		return err
+	}
 	p.log.Info("starting", "decision", "start", "zone", s.Zone, "store", s.Store, "memoryMB", s.MemoryMB)
 	life, end := context.WithCancel(context.Background())
 	defer end()
--- a/controller/subscribe/subscribe.go
+++ b/controller/subscribe/subscribe.go
@@ -50,7 +50,7 @@
 
 // read takes bulletins from one connection until it fails.
 func (s *Subscription) read(ctx context.Context) error {
-	conn, err := s.connect(ctx)
+	conn, err := inTime(ctx, func(ctx context.Context) (*peer.Conn, error) { return s.Pool.Get(ctx, s.Agent) })
 	if err != nil {
 		return err
 	}
@@ -65,7 +65,7 @@
 	defer stream.Close()
 	var before bulletin.Bulletin
 	for {
-		part, err := nextInTime(ctx, stream)
+		part, err := inTime(ctx, stream.Next)
 		if err != nil {
 			conn.Close()
 			return err
@@ -86,14 +86,9 @@
 	}
 }
 
-func (s *Subscription) connect(ctx context.Context) (*peer.Conn, error) {
+// inTime bounds one step of following.
+func inTime[T any](ctx context.Context, do func(context.Context) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, silentMost)
 	defer cancel()
-	return s.Pool.Get(ctx, s.Agent)
-}
-
-func nextInTime(ctx context.Context, stream *peer.Stream) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, silentMost)
-	defer cancel()
-	return stream.Next(ctx)
+	return do(ctx)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	if err := g.addGauges(); err != nil {
+	if err := g.Metrics.AddGauges(g.gauges()); err != nil {
 		return err
 	}
 	peers := &peer.Pool{Self: self, Mux: &peer.Mux{Log: g.Log}, Log: g.Log}
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -1,35 +1,24 @@
 package gateway
 
-import "time"
+import (
+	"time"
 
-// gauge is a figure that is read whenever the metrics are.
-type gauge struct {
-	name        string
-	description string
-	read        func() float64
-}
-
-// addGauges has the metrics show what the entry knows, and how old that is.
-func (g *Gateway) addGauges() error {
-	for _, one := range g.gauges() {
-		if err := g.Metrics.Gauge(one.name, one.description, one.read); err != nil {
-			return err
-		}
-	}
-	return nil
-}
+	"github.com/rillreach/rillreach/telemetry"
+)
 
-func (g *Gateway) gauges() []gauge {
-	return []gauge{
-		{"rillreach.config.version", "version of the configuration in force", g.configVersion},
-		{"rillreach.config.age", "seconds since the configuration was known to be the newest", func() float64 { return time.Since(g.state.ConfigConfirmed()).Seconds() }},
-		{"rillreach.runners", "runners that are listed", func() float64 { return float64(g.state.Roster.Len()) }},
-		{"rillreach.runners.leaving", "listed runners that take nothing new", func() float64 { return float64(g.countRunners(true)) }},
-		{"rillreach.runners.avoided", "listed runners that are left alone for their answers", func() float64 { return float64(g.countRunners(false)) }},
-		{"rillreach.runners.age", "seconds since the list of runners was known to be complete", func() float64 { return time.Since(g.state.Roster.Updated()).Seconds() }},
-		{"rillreach.requests.running", "requests that run", func() float64 { return float64(g.running.Count()) }},
-		{"rillreach.connections.opened", "connections to runners that were made", func() float64 { return float64(g.pool.Opened.Load()) }},
-		{"rillreach.stores.usable", "stores of KV cache that may be asked now", func() float64 { return float64(g.stores.count(time.Now())) }},
+// gauges are what the entry knows, and how old that is.
+func (g *Gateway) gauges() []telemetry.Gauge {
+	return []telemetry.Gauge{
+		{Name: "rillreach.config.version", Description: "version of the configuration in force", Read: g.configVersion},
+		{Name: "rillreach.config.age", Description: "seconds since the configuration was known to be the newest", Read: func() float64 { return time.Since(g.state.ConfigConfirmed()).Seconds() }},
+		{Name: "rillreach.runners", Description: "runners that are listed", Read: func() float64 { return float64(g.state.Roster.Len()) }},
+		{Name: "rillreach.runners.leaving", Description: "listed runners that take nothing new", Read: func() float64 { return float64(g.countRunners(true)) }},
+		{Name: "rillreach.runners.avoided", Description: "listed runners that are left alone for their answers", Read: func() float64 { return float64(g.countRunners(false)) }},
+		{Name: "rillreach.runners.age", Description: "seconds since the list of runners was known to be complete", Read: func() float64 { return time.Since(g.state.Roster.Updated()).Seconds() }},
+		{Name: "rillreach.requests.running", Description: "requests that run", Read: func() float64 { return float64(g.running.Count()) }},
+		{Name: "rillreach.repeats.left", Description: "share of the retry budget that is left, for the service with the least", Read: func() float64 { return g.budgets.Left(time.Now()) }},
+		{Name: "rillreach.connections.opened", Description: "connections to runners that were made", Read: func() float64 { return float64(g.pool.Opened.Load()) }},
+		{Name: "rillreach.stores.usable", Description: "stores of KV cache that may be asked now", Read: func() float64 { return float64(g.stores.count(time.Now())) }},
 	}
 }
 
--- a/gateway/kept.go
+++ b/gateway/kept.go
@@ -117,7 +117,7 @@
 	to := make([]netip.AddrPort, len(x.wire.Prompt.Parts))
 	for i, part := range p.shared {
 		key := holdings.Key{Salt: p.salt, Part: part.ID}
-		stores := g.saveStores(x, p, v, key, now)
+		stores := g.saveStores(x, p, v, key, p.holders[i], now)
 		to[i] = fetch.SaveTo(p.engine, part.Tokens, i == 0, stores)
 		if to[i].IsValid() {
 			g.stores.save(key, to[i], now)
@@ -127,9 +127,8 @@
 }
 
 // saveStores are the stores that may take a part.
-func (g *Gateway) saveStores(x *exchange, p *promptState, v *roster.View, key holdings.Key, now time.Time) []fetch.Store {
+func (g *Gateway) saveStores(x *exchange, p *promptState, v *roster.View, key holdings.Key, holders map[netip.AddrPort]int, now time.Time) []fetch.Store {
 	var stores []fetch.Store
-	holders := g.stores.index.Holders(key)
 	for _, s := range x.config.Stores() {
 		info, ok := p.places[s.Address]
 		if !ok || !info.store {
--- a/holdings/tracker.go
+++ b/holdings/tracker.go
@@ -87,6 +87,17 @@
 	return slices.Clone(t.log[position-t.base:]), next, false
 }
 
+// Total is how many tokens are held.
+func (t *Tracker) Total() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	total := 0
+	for _, tokens := range t.held {
+		total += tokens
+	}
+	return total
+}
+
 // Salts returns how many tokens are held under each salt.
 func (t *Tracker) Salts() map[string]int {
 	t.mu.Lock()
--- a/place/choose.go
+++ b/place/choose.go
@@ -53,7 +53,7 @@
 	costTie = 1e-3
 	// costDistance keeps entries that see the same loads, all some ten milliseconds old, from sending everything to the same
 	// runner: it is worth some 80 ms of the first event's time, in which as many requests come as there are runners.
-	costDistance = 0.1
+	costDistance = 0.2
 	// costAvoid is more than anything else, so that a runner under suspicion is chosen only where there is no other.
 	costAvoid = 100
 )
--- a/retry/shares.go
+++ b/retry/shares.go
@@ -72,9 +72,30 @@
 	return true
 }
 
+// Left is the part of this entry's share that is left, of the service where that is the least.
+func (s *Shares) Left(now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	least := 1.0
+	for name := range s.services {
+		w, _ := s.window(now, name)
+		spent, most := s.use(w)
+		if most > 0 {
+			least = min(least, max(0, 1-float64(spent)/most))
+		}
+	}
+	return least
+}
+
 // fits reports whether one more repeat stays within this entry's share.
 func (s *Shares) fits(w *window) bool {
-	requests, repeats := 0, 0
+	repeats, most := s.use(w)
+	return float64(repeats+1) <= most
+}
+
+// use is how many repeats the window holds, and how many it may.
+func (s *Shares) use(w *window) (repeats int, most float64) {
+	requests := 0
 	for k := range slots {
 		requests += w.requests[k]
 		repeats += w.repeats[k]
@@ -83,7 +104,7 @@
 	if entries == 0 {
 		entries = DefaultEntries
 	}
-	return float64(repeats+1) <= shareOf*(s.Ratio*float64(requests)+s.Slack/float64(entries))
+	return repeats, shareOf * (s.Ratio*float64(requests) + s.Slack/float64(entries))
 }
 
 // window gives the counts of a service and the index of the current span, with those that are over emptied.
--- a/retry/shares_test.go
+++ b/retry/shares_test.go
@@ -69,3 +69,19 @@
 		assert.LessOrEqual(t, spent, 8/DefaultEntries)
 	})
 }
+
+func TestShareLeft(t *testing.T) {
+	s := Shares{Ratio: 0.2, Window: 10 * time.Second, Slack: 80}
+	s.SetEntries(4)
+	now := time.Unix(0, 0)
+	assert.InDelta(t, 1, s.Left(now), 0, "nothing is spent where nothing is asked")
+	s.Request(now, "plain")
+	before := s.Left(now)
+	for s.Spend(now, "plain") {
+		left := s.Left(now)
+		assert.Less(t, left, before)
+		before = left
+	}
+	assert.Less(t, before, 0.1)
+	assert.InDelta(t, 1, s.Left(now.Add(time.Minute)), 0, "the window has passed")
+}
--- /dev/null
+++ b/sidecar/gauges.go
@@ -0,0 +1,39 @@
+package sidecar
+
+import (
+	"time"
+
+	"github.com/rillreach/rillreach/telemetry"
+)
+
+// gauges are what the agent knows of its runner and of the stores that it looks after, and how old that is.
+func (s *Sidecar) gauges() []telemetry.Gauge {
+	return []telemetry.Gauge{
+		{Name: "rillreach.report.age", Description: "seconds since the runner's last report", Read: func() float64 {
+			_, at, _ := s.news.get()
+			return time.Since(at).Seconds()
+		}},
+		{Name: "rillreach.runner.running", Description: "requests that run at the runner", Read: func() float64 {
+			load, _, _ := s.news.get()
+			return float64(load.Running)
+		}},
+		{Name: "rillreach.runner.waiting", Description: "requests that wait at the runner", Read: func() float64 {
+			load, _, _ := s.news.get()
+			return float64(load.Waiting)
+		}},
+		{Name: "rillreach.runner.holds", Description: "tokens of KV cache that the runner holds", Read: func() float64 { return float64(s.own.tracker.Total()) }},
+		{Name: "rillreach.followers", Description: "entries that follow the agent", Read: func() float64 { return float64(s.news.followers.Load()) }},
+		{Name: "rillreach.stores.kept", Description: "stores of KV cache that the agent looks after", Read: func() float64 { return float64(len(s.stores.all())) }},
+		{Name: "rillreach.stores.holds", Description: "tokens that these stores hold", Read: s.heldByStores},
+		{Name: "rillreach.runners", Description: "runners that are listed", Read: func() float64 { return float64(s.state.Roster.Len()) }},
+		{Name: "rillreach.runners.age", Description: "seconds since the list of runners was known to be complete", Read: func() float64 { return time.Since(s.state.Roster.Updated()).Seconds() }},
+	}
+}
+
+func (s *Sidecar) heldByStores() float64 {
+	total := 0
+	for _, k := range s.stores.all() {
+		total += k.tracker.Total()
+	}
+	return float64(total)
+}
--- a/sidecar/news.go
+++ b/sidecar/news.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/bulletin"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/holdings"
@@ -65,6 +64,7 @@
 		n.sidecar.Log.Info("follower left", "decision", "end", "follower", follow.Name, "followers", n.followers.Add(-1))
 	}()
 	f := newFollower(n)
+	f.far = follow.Zone != "" && follow.Zone != n.sidecar.Settings.Zone
 	for {
 		if b, worth := f.next(); worth {
 			body, err := peer.Encode(b)
@@ -78,20 +78,20 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(n.pace(follow.Zone)):
+		case <-time.After(n.pace(f.far)):
 		}
 	}
 }
 
 // pace is how often a follower is told: the more agents there are, the seldomer, so that what an entry hears from all of
 // them stays about the same; and seldomer in other zones, whose entries send fewer requests here.
-func (n *news) pace(zone rillreach.ZoneID) time.Duration {
+func (n *news) pace(far bool) time.Duration {
 	s := n.sidecar
 	pace := newsEvery
 	if self := s.state.Roster.At(s.Settings.Runner); self != nil {
 		pace = max(pace, eachTakes*time.Duration(len(s.state.Roster.Group(self.Info().Service))))
 	}
-	if zone != s.Settings.Zone {
+	if far {
 		pace *= farSlower
 	}
 	return min(pace, quietMost)
@@ -104,6 +104,9 @@
 // follower is what one entry has been told.
 type follower struct {
 	news *news
+	// far says that the follower is in another zone: it is not told what the runner itself holds, since a fetch from there
+	// takes twice as long as one from a store of its own zone, and each prompt changes what a runner holds.
+	far bool
 	// positions are how far it has been told of each holder; one that is followed anew is told of from its beginning.
 	positions map[*holder]uint64
 	// untold is what did not fit the last messages.
@@ -149,7 +152,7 @@
 
 func (f *follower) addHolders(b *bulletin.Bulletin) (changed bool) {
 	s := f.news.sidecar
-	if f.addHolder(b, s.own, nil) {
+	if !f.far && f.addHolder(b, s.own, nil) {
 		changed = true
 	}
 	for _, k := range s.stores.all() {
--- a/sidecar/news_test.go
+++ b/sidecar/news_test.go
@@ -80,18 +80,40 @@
 		return &news{sidecar: s}
 	}
 	t.Run("a few agents tell at once", func(t *testing.T) {
-		assert.Equal(t, newsEvery, agentOf(18).pace("z1"))
+		assert.Equal(t, newsEvery, agentOf(18).pace(false))
 	})
 	t.Run("what an entry hears from all agents does not grow with them", func(t *testing.T) {
 		for _, runners := range []int{100, 200, 400} {
-			perSecond := float64(runners) / agentOf(runners).pace("z1").Seconds()
+			perSecond := float64(runners) / agentOf(runners).pace(false).Seconds()
 			assert.InDelta(t, 1000, perSecond, 1)
 		}
 	})
 	t.Run("nobody waits so long that the agent seems to be lost", func(t *testing.T) {
-		assert.Equal(t, quietMost, agentOf(5000).pace("z2"))
+		assert.Equal(t, quietMost, agentOf(5000).pace(true))
 	})
 	t.Run("entries of other zones are told seldomer", func(t *testing.T) {
-		assert.Equal(t, farSlower*newsEvery, agentOf(18).pace("z2"))
+		assert.Equal(t, farSlower*newsEvery, agentOf(18).pace(true))
 	})
 }
+
+func TestFollowersOfOtherZones(t *testing.T) {
+	s := &Sidecar{own: &holder{place: netip.MustParseAddrPort("10.0.0.1:1")}, stores: &caretaker{stores: map[netip.AddrPort]*kept{}}}
+	s.own.listed.Store(true)
+	s.own.tracker.Replace([]holdings.Change{{Key: holdings.Key{Salt: "1/m", Part: "p"}, Tokens: 5}})
+	store := &kept{holder: &holder{place: netip.MustParseAddrPort("10.0.0.2:1"), store: true}}
+	store.listed.Store(true)
+	s.stores.stores[store.place] = store
+	tell := func(far bool) []netip.AddrPort {
+		f := newFollower(&news{sidecar: s})
+		f.far = far
+		var b bulletin.Bulletin
+		f.addHolders(&b)
+		var places []netip.AddrPort
+		for _, h := range b.Holders {
+			places = append(places, h.Place)
+		}
+		return places
+	}
+	assert.Equal(t, []netip.AddrPort{s.own.place, store.place}, tell(false))
+	assert.Equal(t, []netip.AddrPort{store.place}, tell(true), "what a runner holds matters in its own zone alone")
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -70,6 +70,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.Metrics.AddGauges(s.gauges()); err != nil {
+		return err
+	}
 	s.pool = &peer.Pool{Self: self, Mux: mux, Log: s.Log}
 	s.pool.Start(ctx)
 	return controller.Run(ctx, s.Log,
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -93,6 +93,23 @@
 	m.first.Record(context.Background(), took.Seconds())
 }
 
+// Gauge is a figure that is read whenever the metrics are.
+type Gauge struct {
+	Name        string
+	Description string
+	Read        func() float64
+}
+
+// AddGauges has all the figures read whenever the metrics are.
+func (m *Metrics) AddGauges(gauges []Gauge) error {
+	for _, g := range gauges {
+		if err := m.Gauge(g.Name, g.Description, g.Read); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Gauge has a number read whenever the metrics are.
 func (m *Metrics) Gauge(name, description string, read func() float64) error {
 	if m == nil {
