Move a silent stream on, and keep more of the grace for the end

An agent whose weights nobody had named logged 'since 2562047h'. Change: 0.9 s are kept; the wait for a runner's word is bounded for each pause as for the first event, by what callers expect; no line about weights that nobody has named.

--- a/deployment/config.go
+++ b/deployment/config.go
@@ -53,6 +53,8 @@
 	Timeout time.Duration
 	// Target is the time to the answer, or to the first event of a stream, that callers expect.
 	Target time.Duration
+	// PauseTarget is the longest pause between events that callers expect; zero where the route does not stream.
+	PauseTarget time.Duration
 	// MaxRunners is how many runners one request may be sent to.
 	MaxRunners int
 	// Priority ranks requests; zero is the most urgent.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -8,20 +8,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rillreach/rillreach/forward"
-	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/platform"
 )
 
-const (
-	// hedgeAfter times the route's target is how long a repeatable request waits for an answer before it moves on.
-	hedgeAfter = 2
-	// leastHedge keeps a short target from moving requests that are merely a little late.
-	leastHedge = 300 * time.Millisecond
-	// askEvery is how often it is asked then whether the runner is known to live, since a runner that lives and is slow has
-	// the request's work behind it that another would begin anew.
-	askEvery = 50 * time.Millisecond
-)
-
 // attempt sends the request to one runner; it reports whether the request is done with.
 func (g *Gateway) attempt(ctx context.Context, x *exchange) bool {
 	t := g.choose(x)
@@ -33,11 +22,12 @@
 	x.tried = append(x.tried, t.view.ID)
 	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
-	inTime := g.boundFirst(x, t, cancel)
+	bound := boundSilence(x, t, cancel)
+	defer bound.stop()
 	begun := t.begin()
 	defer begun.end()
-	first := func() {
-		inTime()
+	heard := func() {
+		bound.heard()
 		begun.first()
 	}
 	x.call.Header = g.directions(x, t).Header(x.request.Header)
@@ -59,27 +49,7 @@
 		g.notRun(x, t, answer, head)
 		return false
 	}
-	return g.relay(ctx, x, t, answer, head, first)
-}
-
-// boundFirst ends the attempt where the first of an answer does not come in time and the request may move on to another
-// runner; the function that it returns lifts the bound.
-func (g *Gateway) boundFirst(x *exchange, t *target, end func()) (lift func()) {
-	if x.route.Once() || len(x.runners)+1 >= x.route.MaxRunners {
-		return func() {}
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	timer := time.AfterFunc(max(hedgeAfter*x.route.Target, leastHedge), func() {
-		pause.Every(ctx, askEvery, func(context.Context) {
-			if v := t.runner.View(time.Now()); !v.Reported || v.Load.Silent {
-				end() // the runner is dead, or nobody knows that it is not
-			}
-		})
-	})
-	return func() {
-		timer.Stop()
-		cancel()
-	}
+	return g.relay(ctx, x, t, answer, head, heard)
 }
 
 // maxConns is how many connections this entry may have to one runner.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,8 +47,6 @@
 	// lameFor is how long after a stop's signal new connections are still taken: the balancer asks every second and takes an
 	// entry out after two misses.
 	lameFor = 3200 * time.Millisecond
-	// endMargin is kept from the grace for the process's own end.
-	endMargin = 400 * time.Millisecond
 	// callerTimeout is how long bytes to a caller may stay without acknowledgement.
 	callerTimeout = 5 * time.Second
 	sweepEvery    = time.Second
@@ -56,6 +54,10 @@
 	noTimeout = -1
 )
 
+// EndMargin is kept from the grace for the process's own end: its log alone may take 0.2 s, and the smallest entries have a
+// seventh of a core.
+const EndMargin = 900 * time.Millisecond
+
 // Gateway is one entry; exported fields are set before Run.
 type Gateway struct {
 	// Settings are the platform's.
@@ -159,7 +161,7 @@
 	g.leaving.Store(true)
 	g.Log.Info("stopping", "decision", "stop", "running", g.running.Count())
 	time.Sleep(lameFor)
-	ctx, cancel := context.WithDeadline(context.Background(), signalled.Add(g.Settings.Bounds.Grace-endMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), signalled.Add(g.Settings.Bounds.Grace-EndMargin))
 	defer cancel()
 	if err := g.server.Shutdown(ctx); err != nil {
 		g.Log.Error(err, "grace is over, requests are cut", "running", g.running.Count())
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -26,7 +26,7 @@
 )
 
 // relay passes a runner's answer on; it reports whether the request is done with.
-func (g *Gateway) relay(ctx context.Context, x *exchange, t *target, answer *forward.Answer, head platform.Answer, first func()) bool {
+func (g *Gateway) relay(ctx context.Context, x *exchange, t *target, answer *forward.Answer, head platform.Answer, heard func()) bool {
 	if head.Weights != 0 && x.wire.Prompt != nil {
 		t.runner.SetWeights(x.wire.Prompt.Model, head.Weights)
 	}
@@ -40,18 +40,18 @@
 		return false
 	}
 	if x.route.Kind == deployment.EventStream && status < failureStatus {
-		return g.relayStream(ctx, x, t, answer, first)
+		return g.relayStream(ctx, x, t, answer, heard)
 	}
-	return g.relayWhole(ctx, x, t, answer, head, first)
+	return g.relayWhole(ctx, x, t, answer, head, heard)
 }
 
 // relayWhole holds an answer until it is whole, so that a broken one can still be replaced.
-func (g *Gateway) relayWhole(ctx context.Context, x *exchange, t *target, answer *forward.Answer, head platform.Answer, first func()) bool {
+func (g *Gateway) relayWhole(ctx context.Context, x *exchange, t *target, answer *forward.Answer, head platform.Answer, heard func()) bool {
 	body, err := io.ReadAll(io.LimitReader(answer, maxHeld+1))
 	if err == nil && len(body) > maxHeld {
 		return g.relayLarge(x, t, answer, body)
 	}
-	first()
+	heard()
 	if err != nil {
 		return g.failed(ctx, x, t, errors.Wrap(err, "answer broke off"))
 	}
@@ -113,7 +113,7 @@
 }
 
 // relayStream passes events on as they come, whole ones only where the stream may go on elsewhere.
-func (g *Gateway) relayStream(ctx context.Context, x *exchange, t *target, answer *forward.Answer, first func()) bool {
+func (g *Gateway) relayStream(ctx context.Context, x *exchange, t *target, answer *forward.Answer, heard func()) bool {
 	if !x.began {
 		x.begin(answer)
 		x.writer.WriteHeader(answer.Response.StatusCode)
@@ -122,7 +122,7 @@
 	for {
 		part, err := events.next()
 		if len(part) > 0 {
-			first()
+			heard()
 			t.runner.Well(time.Now())
 			if x.first.IsZero() {
 				x.first = time.Now()
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -105,3 +105,25 @@
 		assert.Equal(t, pieces(2)+"data: no end", body)
 	})
 }
+
+func TestStreamThatFallsSilent(t *testing.T) {
+	release := make(chan struct{})
+	once := make(chan struct{}, 1)
+	once <- struct{}{}
+	falls := func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-once:
+			site.Events(w, r, 4, 0)
+			<-release
+		default:
+			site.Events(w, r, 9, 0)
+		}
+	}
+	a, b := &site.Runner{ID: "a", Handle: falls}, &site.Runner{ID: "b", Handle: falls}
+	w := begin(t, defaultConfig(), a, b)
+	defer w.stop()
+	defer close(release)
+	got := w.call(t, "POST", "/stream/x", "prompt")
+	require.NoError(t, got.err, "the runner is not known to live, and so another goes on")
+	assert.Equal(t, pieces(9), got.body)
+}
--- a/sidecar/loader.go
+++ b/sidecar/loader.go
@@ -51,6 +51,9 @@
 	loading := load.Busy
 	for model, loaded := range load.Weights {
 		named, since := s.state.Weights(model)
+		if named.Version == 0 {
+			continue // nobody has named weights yet
+		}
 		if l.decide(ctx, info, load, named, loaded, time.Since(since)) {
 			loading = true
 		}
