Lift the bound on silence for good

Cause: read at the end: where a request ended just while its runner was being looked at, the timer was set anew and asked every 50 ms for as long as the runner lived. Ruled out: a context for each request, as before: a goroutine more for each, and the same question. Change: a lock and a mark that the bound is lifted. The entry's tests log no more once they are over: an entry that stops goes on for 3.2 s, and a test binary that runs longer than that panicked at its late line (seen once the tests took 3.4 s).

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -10,10 +10,12 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr/testr"
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -100,7 +102,7 @@
 			Bounds: deployment.Bounds{Grace: 8 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100, Weights: 10 * time.Second},
 		},
 		Configs: platform.Configs(store), Runners: platform.Runners(store), Weights: platform.Weights(store),
-		Callers: callers, Readiness: readiness, Log: testr.New(t), Metrics: metrics,
+		Callers: callers, Readiness: readiness, Log: logOf(t), Metrics: metrics,
 	}
 	w.callers, w.ready = callers.Addr().String(), readiness.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -112,6 +114,25 @@
 	return w
 }
 
+// logOf logs to the test for as long as it runs: an entry that stops goes on for some seconds after that.
+func logOf(t *testing.T) logr.Logger {
+	t.Helper()
+	var mu sync.Mutex
+	over := false
+	t.Cleanup(func() {
+		mu.Lock()
+		defer mu.Unlock()
+		over = true
+	})
+	return funcr.New(func(prefix, args string) {
+		mu.Lock()
+		defer mu.Unlock()
+		if !over {
+			t.Log(prefix, args)
+		}
+	}, funcr.Options{})
+}
+
 func listener(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 const (
 	// silenceTargets times what callers expect, of the first event or of a pause, is how long a request that may move on
@@ -15,42 +18,61 @@
 
 // silenceBound ends an attempt whose runner says nothing for too long and is not known to live.
 type silenceBound struct {
+	// allowed is how long a pause may be before it is asked whether the runner lives.
 	allowed time.Duration
+	// lives says whether the runner is known to live, end ends the attempt.
+	lives func() bool
+	end   func()
+
+	mu      sync.Mutex
 	timer   *time.Timer
+	stopped bool
 }
 
 // boundSilence begins to wait for the runner's first word; where the request may not move on there is no bound.
 func boundSilence(x *exchange, t *target, end func()) *silenceBound {
-	b := &silenceBound{allowed: max(silenceTargets*x.route.PauseTarget, leastSilence)}
-	if x.route.Once() || len(x.runners)+1 >= x.route.MaxRunners {
-		return b
-	}
-	dead := func() bool {
+	b := &silenceBound{allowed: max(silenceTargets*x.route.PauseTarget, leastSilence), end: end}
+	b.lives = func() bool {
 		v := t.runner.View(time.Now())
-		return !v.Reported || v.Load.Silent // it does not answer its agent either, or nobody knows of it
+		return v.Reported && !v.Load.Silent // its agent speaks, and says that the runner answers
+	}
+	if !x.route.Once() && len(x.runners)+1 < x.route.MaxRunners {
+		b.begin(max(silenceTargets*x.route.Target, leastSilence))
 	}
-	asking := make(chan struct{})
-	b.timer = time.AfterFunc(max(silenceTargets*x.route.Target, leastSilence), func() {
-		<-asking
-		if dead() {
-			end()
-			return
-		}
-		b.timer.Reset(askEvery)
-	})
-	close(asking)
 	return b
 }
 
+func (b *silenceBound) begin(first time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.timer = time.AfterFunc(first, b.ask)
+}
+
+// ask ends the attempt, or asks again soon.
+func (b *silenceBound) ask() {
+	if !b.lives() {
+		b.end()
+		return
+	}
+	b.wait(askEvery)
+}
+
 // heard records that the runner has said something, and waits for the next.
-func (b *silenceBound) heard() {
-	if b.timer != nil {
-		b.timer.Reset(b.allowed)
+func (b *silenceBound) heard() { b.wait(b.allowed) }
+
+func (b *silenceBound) wait(d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.timer != nil && !b.stopped {
+		b.timer.Reset(d)
 	}
 }
 
-// stop lifts the bound.
+// stop lifts the bound for good, also where it is just being asked.
 func (b *silenceBound) stop() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stopped = true
 	if b.timer != nil {
 		b.timer.Stop()
 	}
