--- a/sidecar/caretaker.go
+++ b/sidecar/caretaker.go
@@ -25,6 +25,9 @@
 	freeMargin = 300 * time.Millisecond
 	// freeBatch is how many parts one call frees.
 	freeBatch = 250
+	// takeOver is how long an agent that takes a store over frees nothing: the one before asks for the list of runners every
+	// gatherRunners, and until it has the new list it may go on telling entries that the parts live.
+	takeOver = gatherRunners + 1500*time.Millisecond
 	// oldMost is how long parts of replaced weights are kept, where runners do not change sooner.
 	oldMost = 6 * time.Second
 )
@@ -45,6 +48,14 @@
 	*holder
 	stop  context.CancelFunc
 	dying holdings.Dying
+	// since is when this agent took the store over.
+	since time.Time
+}
+
+// mayFree reports whether the parts under a salt of replaced weights may be freed now.
+func (k *kept) mayFree(salt string, now time.Time) bool {
+	told := k.dying.Free(salt, now, bulletin.Grant+freeMargin)
+	return told && now.Sub(k.since) >= takeOver
 }
 
 // Name is the controller's name.
@@ -87,6 +98,7 @@
 	k := &kept{
 		holder: &holder{place: place, store: true, client: platform.NewRunner(place), log: c.sidecar.Log},
 		stop:   stop,
+		since:  time.Now(),
 	}
 	c.wg.Go(func() { k.run(ctx) })
 	return k
@@ -140,7 +152,7 @@
 func (c *caretaker) free(ctx context.Context, k *kept) {
 	now := time.Now()
 	for salt := range k.tracker.Salts() {
-		if !c.replaced(salt, now) || !k.dying.Free(salt, now, bulletin.Grant+freeMargin) {
+		if !c.replaced(salt, now) || !k.mayFree(salt, now) {
 			continue
 		}
 		if err := c.freeAll(ctx, k, k.tracker.Under(salt)); err != nil {
--- a/sidecar/news_test.go
+++ b/sidecar/news_test.go
@@ -117,3 +117,14 @@
 	assert.Equal(t, []netip.AddrPort{s.own.place, store.place}, tell(false))
 	assert.Equal(t, []netip.AddrPort{store.place}, tell(true), "what a runner holds matters in its own zone alone")
 }
+
+// TestStoreTakenOver has an agent take a store over from one whose list of runners is older.
+func TestStoreTakenOver(t *testing.T) {
+	start := time.Unix(0, 0)
+	k := &kept{since: start}
+	assert.False(t, k.mayFree("1/m", start), "the first question only begins to tell")
+	assert.False(t, k.mayFree("1/m", start.Add(gatherRunners)), "the agent before may still tell that the parts live")
+	assert.True(t, k.mayFree("1/m", start.Add(takeOver)))
+	assert.False(t, k.mayFree("2/m", start.Add(takeOver)), "each salt is told of first")
+	assert.True(t, k.mayFree("2/m", start.Add(takeOver+bulletin.Grant+freeMargin)))
+}
