Let no agent speak for a store with an old list of runners

Ruled out: noticing the freeze itself, since a cut from the object store does the same. Change: an agent speaks for stores only while its list is at most 16 s old (it is asked for at least every 11 s), and frees nothing for 17.8 s after it took a store over. Before: TestOldListSpeaksForNoStore has no counterpart; TestStoreTakenOver fails with the old wait. After: both pass.

--- a/sidecar/caretaker.go
+++ b/sidecar/caretaker.go
@@ -25,9 +25,12 @@
 	freeMargin = 300 * time.Millisecond
 	// freeBatch is how many parts one call frees.
 	freeBatch = 250
-	// takeOver is how long an agent that takes a store over frees nothing: the one before asks for the list of runners every
-	// gatherRunners, and until it has the new list it may go on telling entries that the parts live.
-	takeOver = gatherRunners + 1500*time.Millisecond
+	// listMost is how old an agent's list of runners may be while it speaks for stores: two rounds of asking for it, and a
+	// little. Where the object store is away for longer, nobody speaks for them.
+	listMost = 16 * time.Second
+	// takeOver is how long an agent that takes a store over frees nothing: the one before, whose list is older than the
+	// change that took the store from it, may speak for the parts until that list is listMost old, and fetches last on.
+	takeOver = listMost + bulletin.Grant + freeMargin
 	// oldMost is how long parts of replaced weights are kept, where runners do not change sooner.
 	oldMost = 6 * time.Second
 )
@@ -104,6 +107,14 @@
 	return k
 }
 
+// spoken are the stores that this agent may speak for.
+func (c *caretaker) spoken(now time.Time) []*kept {
+	if now.Sub(c.sidecar.state.Roster.Updated()) > listMost {
+		return nil // another agent may have them by now
+	}
+	return c.all()
+}
+
 // all are the stores that this agent looks after.
 func (c *caretaker) all() []*kept {
 	c.mu.Lock()
--- a/sidecar/news.go
+++ b/sidecar/news.go
@@ -155,7 +155,7 @@
 	if !f.far && f.addHolder(b, s.own, nil) {
 		changed = true
 	}
-	for _, k := range s.stores.all() {
+	for _, k := range s.stores.spoken(time.Now()) {
 		if f.addHolder(b, k.holder, k.dying.Salts()) {
 			changed = true
 		}
--- a/sidecar/news_test.go
+++ b/sidecar/news_test.go
@@ -98,6 +98,8 @@
 
 func TestFollowersOfOtherZones(t *testing.T) {
 	s := &Sidecar{own: &holder{place: netip.MustParseAddrPort("10.0.0.1:1")}, stores: &caretaker{stores: map[netip.AddrPort]*kept{}}}
+	s.stores.sidecar = s
+	s.state.Roster.Confirm(time.Now())
 	s.own.listed.Store(true)
 	s.own.tracker.Replace([]holdings.Change{{Key: holdings.Key{Salt: "1/m", Part: "p"}, Tokens: 5}})
 	store := &kept{holder: &holder{place: netip.MustParseAddrPort("10.0.0.2:1"), store: true}}
@@ -124,7 +126,21 @@
 	k := &kept{since: start}
 	assert.False(t, k.mayFree("1/m", start), "the first question only begins to tell")
 	assert.False(t, k.mayFree("1/m", start.Add(gatherRunners)), "the agent before may still tell that the parts live")
+	assert.False(t, k.mayFree("1/m", start.Add(listMost)), "also one that was frozen or cut off for long")
 	assert.True(t, k.mayFree("1/m", start.Add(takeOver)))
 	assert.False(t, k.mayFree("2/m", start.Add(takeOver)), "each salt is told of first")
 	assert.True(t, k.mayFree("2/m", start.Add(takeOver+bulletin.Grant+freeMargin)))
 }
+
+// TestOldListSpeaksForNoStore has an agent that was frozen or cut off wake with an old list of runners.
+func TestOldListSpeaksForNoStore(t *testing.T) {
+	s := &Sidecar{stores: &caretaker{stores: map[netip.AddrPort]*kept{}}}
+	s.stores.sidecar = s
+	s.stores.stores[netip.MustParseAddrPort("10.0.0.2:1")] = &kept{}
+	now := time.Unix(1000, 0)
+	s.state.Roster.Confirm(now)
+	assert.Len(t, s.stores.spoken(now.Add(listMost)), 1)
+	assert.Empty(t, s.stores.spoken(now.Add(listMost+time.Millisecond)))
+	assert.Greater(t, listMost, gatherRunners+runnersWait+time.Second, "a list that is asked for in turn is never that old")
+	assert.Greater(t, takeOver, listMost+bulletin.Grant, "whoever takes the store over waits for longer than that")
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -24,7 +24,7 @@
 	// that time. Of the configuration an agent needs the stores alone, and new weights have to be loaded within some ten
 	// seconds.
 	configWait  = 25 * time.Second
-	runnersWait = 10 * time.Second
+	runnersWait = 6 * time.Second
 	weightsWait = 5 * time.Second
 	// gatherRunners is a pause between watches of the runners, of which an agent needs ranks, and its own runner's name: it
 	// does not wait for that once its runner has been started anew.
