--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -46,11 +46,12 @@
 		return nil
 	}
 	question := g.question(x)
+	conversation := hash.String(conversation(x))
 	candidates := make([]place.Candidate, len(views))
 	plans := make([]fetch.Plan, len(views))
 	states := map[deployment.WeightVersion]*promptState{}
 	for i := range views {
-		candidates[i] = g.candidate(x, &views[i])
+		candidates[i] = g.candidate(x, &views[i], conversation)
 		if question.Tokens > 0 {
 			plans[i] = g.planAt(x, &views[i], views, states, now).plan(&views[i])
 			addPlan(&candidates[i], x.wire.Prompt, &plans[i])
@@ -79,7 +80,8 @@
 	return q
 }
 
-func (g *Gateway) candidate(x *exchange, v *roster.View) place.Candidate {
+// candidate is a runner as the choice sees it, for a conversation by its hash.
+func (g *Gateway) candidate(x *exchange, v *roster.View, conversation uint64) place.Candidate {
 	c := place.Candidate{
 		Running:      v.Running,
 		Slots:        v.Slots,
@@ -98,7 +100,7 @@
 			c.Held = max(c.Held, v.Load.Used)
 			c.Avoid = c.Avoid || v.Load.Busy || v.Load.Silent
 		}
-		c.Distance = distance(conversation(x), v.ID)
+		c.Distance = distance(conversation, v.ID)
 		replaced := g.state.Replaced(p.Model, v.Weights[p.Model])
 		c.Old = !replaced.IsZero() && time.Since(replaced) > oldFrom
 	}
@@ -106,8 +108,8 @@
 }
 
 // distance is where a hash puts a runner for a conversation, between 0 and 1.
-func distance(conversation string, runner rillreach.InstanceID) float64 {
-	return float64(hash.Mix(hash.String(conversation), hash.String(string(runner)))) / math.MaxUint64
+func distance(conversation uint64, runner rillreach.InstanceID) float64 {
+	return float64(hash.Mix(conversation, hash.String(string(runner)))) / math.MaxUint64
 }
 
 // expired reports that the runner's weights were replaced so long ago that the request, which may wait there for a while,
--- a/sidecar/caretaker.go
+++ b/sidecar/caretaker.go
@@ -25,8 +25,8 @@
 	freeMargin = 300 * time.Millisecond
 	// freeBatch is how many parts one call frees.
 	freeBatch = 250
-	// listMost is how old an agent's list of runners may be while it speaks for stores: two rounds of asking for it, and a
-	// little. Where the object store is away for longer, nobody speaks for them.
+	// listMost is how old an agent's list of runners may be while it speaks for stores: a round of asking for it takes
+	// gatherRunners and runnersWait, 11 s. Where the object store is away for longer than the rest, nobody speaks for them.
 	listMost = 16 * time.Second
 	// takeOver is how long an agent that takes a store over frees nothing: the one before, whose list is older than the
 	// change that took the store from it, may speak for the parts until that list is listMost old, and fetches last on.
