Bring the incident about in tests, which fail

An entry that is told to stop goes by fixed times: it takes everything for 3.2 s, closes its listener while its process lives on, and cuts what has no answer at the end.

--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/internal/standin/site"
 )
 
 // limited is the usual configuration with other limits.
@@ -80,3 +82,28 @@
 		assert.LessOrEqual(t, g.gatherRunners(), time.Second)
 	}
 }
+
+// TestRestUnderNewerConfiguration: a rest that began under a shorter limit is measured by the one in force when it ends, since
+// the caller goes by that one.
+func TestRestUnderNewerConfiguration(t *testing.T) {
+	w := begin(t, limited(jsonMap{"idle_timeout_ms": 200}), &site.Runner{ID: "r1"})
+	defer w.stop()
+	conn := w.dial(t)
+	answers := bufio.NewReader(conn)
+	assertServed := func() {
+		t.Helper()
+		w.ask(t, conn, "/repeat/x")
+		resp, err := http.ReadResponse(answers, nil)
+		require.NoError(t, err, "the connection was closed while it might still be used")
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusOK, resp.StatusCode)
+	}
+	assertServed()
+	longer := limited(jsonMap{"idle_timeout_ms": 60000})
+	longer["version"] = 2
+	w.store.Put("config", "main", longer)
+	w.eventually(t, func() bool { return w.gateway.restAllowed() > time.Minute })
+	time.Sleep(idleSlack + 400*time.Millisecond) // beyond what the configuration allowed when the rest began
+	assertServed()
+}
--- /dev/null
+++ b/gateway/stop_test.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach/internal/standin/site"
+)
+
+// shortGrace is a grace under which a stop ends soon after callers may be expected to have noticed it.
+const shortGrace = 5 * time.Second
+
+// slowEvents streams an event each tenth of a second for the time, and an end that tells a whole stream from a cut one.
+func slowEvents(length time.Duration) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		site.Seal(w, r)
+		w.Header().Set("Content-Type", "text/event-stream")
+		for id := range int(length / (100 * time.Millisecond)) {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: piece\n\n", id+1)
+			_ = http.NewResponseController(w).Flush()
+			select {
+			case <-time.After(100 * time.Millisecond):
+			case <-r.Context().Done():
+				return
+			}
+		}
+		_, _ = io.WriteString(w, "data: end\n\n")
+	}
+}
+
+// beginStop starts an entry with a runner and the grace; stopping is the time of the stop's signal.
+func beginStop(t *testing.T, handle http.HandlerFunc) (w *world, runner *site.Runner, stopping func() time.Time) {
+	t.Helper()
+	runner = &site.Runner{ID: "r1", Handle: handle}
+	w = begin(t, defaultConfig(), runner)
+	w.gateway.Settings.Bounds.Grace = shortGrace
+	t.Cleanup(w.stop)
+	return w, runner, func() time.Time {
+		w.stop()
+		w.eventually(t, w.gateway.leaving.Load)
+		return time.Now()
+	}
+}
+
+// ask sends a request on the connection, and returns once the entry has it.
+func (w *world) ask(t *testing.T, conn net.Conn, path string) {
+	t.Helper()
+	_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nX-Rillreach-Attempt-Id: a1\r\nAuthorization: Bearer %s\r\n\r\n", path, host, key)
+	require.NoError(t, err)
+}
+
+func (w *world) dial(t *testing.T) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", w.callers)
+	require.NoError(t, err, "the entry lives, and takes no connection")
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// assertEnded holds an answer against the promise that a stop cuts nothing: it is whole, or it says that the request has not run.
+func assertEnded(t *testing.T, got answer, runs int) {
+	t.Helper()
+	require.NoError(t, got.err, "the answer was cut")
+	if got.status == http.StatusServiceUnavailable {
+		assert.NotEmpty(t, got.header.Get("Retry-After"))
+		assert.Zero(t, runs, "refused as not run, and it ran")
+		return
+	}
+	assert.Equal(t, http.StatusOK, got.status)
+	assert.Contains(t, got.body, "data: end")
+}
+
+func TestStop(t *testing.T) {
+	t.Run("a stream that is taken late and cannot end in time is not cut", func(t *testing.T) {
+		t.Parallel()
+		w, runner, stop := beginStop(t, slowEvents(2*time.Second))
+		signalled := stop()
+		time.Sleep(time.Until(signalled.Add(3 * time.Second)))
+		got := w.call(t, "GET", "/stream/x", "")
+		assertEnded(t, got, len(runner.Runs()))
+	})
+	t.Run("connections are taken for as long as the process lives", func(t *testing.T) {
+		t.Parallel()
+		w, runner, stop := beginStop(t, slowEvents(3700*time.Millisecond))
+		old := w.dial(t)
+		w.ask(t, old, "/stream/old")
+		w.eventually(t, func() bool { return len(runner.Runs()) == 1 })
+		signalled := stop()
+		time.Sleep(time.Until(signalled.Add(3350 * time.Millisecond)))
+		got := w.call(t, "GET", "/repeat/x", "")
+		require.NoError(t, got.err)
+		assert.Equal(t, "close", got.header.Get("Connection"))
+		whole := read(t, old, "GET")
+		require.NoError(t, whole.err, "a stream from before the stop goes on to its end")
+		assert.Contains(t, whole.body, "data: end")
+	})
+	t.Run("what has no answer yet at the end gets one", func(t *testing.T) {
+		t.Parallel()
+		w, runner, stop := beginStop(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		conn := w.dial(t)
+		w.ask(t, conn, "/once/x")
+		w.eventually(t, func() bool { return len(runner.Runs()) == 1 })
+		stop()
+		assertOwn(t, read(t, conn, "GET"), http.StatusBadGateway)
+	})
+	t.Run("an open connection is served on, and told to close", func(t *testing.T) {
+		t.Parallel()
+		w, _, stop := beginStop(t, nil)
+		conn := w.dial(t)
+		w.ask(t, conn, "/repeat/x")
+		first := bufio.NewReader(conn)
+		resp, err := http.ReadResponse(first, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		require.NoError(t, err)
+		assert.False(t, resp.Close)
+		stop()
+		w.ask(t, conn, "/repeat/y")
+		resp, err = http.ReadResponse(first, nil)
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusOK, resp.StatusCode)
+		assert.True(t, resp.Close)
+	})
+}
