--- a/drain/usual.go
+++ b/drain/usual.go
@@ -3,12 +3,10 @@
 import "time"
 
 const (
-	// meanGain and deviationGain are the weights of the newest value, as RFC 6298 has them for the time of a round trip.
-	meanGain      = 1.0 / 8
-	deviationGain = 1.0 / 4
-	// deviations is how many mean deviations over the mean still count as usual. Of the streams on the users' sites about nine in
-	// ten end within that.
-	deviations = 2
+	// meanGain and deviationGain are the weights of the newest value. RFC 6298, whose estimate this is, has four times as much:
+	// one stream in a hundred takes eight times the median here, and must not count for long.
+	meanGain      = 1.0 / 32
+	deviationGain = 1.0 / 16
 	// leastSamples is how many values must be known before anything is said.
 	leastSamples = 8
 )
@@ -22,19 +20,17 @@
 
 // Add takes the time of one request that was served.
 func (u *Usual) Add(took time.Duration) {
-	if u.samples++; u.samples == 1 {
-		u.mean, u.deviation = took, took/2
-		return
-	}
+	u.samples++
 	off := took - u.mean
-	u.mean += time.Duration(meanGain * float64(off))
-	u.deviation += time.Duration(deviationGain * float64(off.Abs()-u.deviation))
+	// The first values count alike, so that none of them has the weight of a whole history.
+	u.mean += time.Duration(max(meanGain, 1/float64(u.samples)) * float64(off))
+	u.deviation += time.Duration(max(deviationGain, 1/float64(u.samples)) * float64(off.Abs()-u.deviation))
 }
 
-// Time is how long most requests of the kind take, zero while too few are known.
-func (u *Usual) Time() time.Duration {
+// Time is the mean and as many mean deviations, zero while too few requests are known.
+func (u *Usual) Time(deviations int) time.Duration {
 	if u.samples < leastSamples {
 		return 0
 	}
-	return u.mean + deviations*u.deviation
+	return u.mean + time.Duration(deviations)*u.deviation
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -203,7 +203,7 @@
 // answered records a request that has its whole answer.
 func (g *Gateway) answered(x *exchange, t *target, status int) {
 	took := time.Since(x.arrived)
-	g.Log.Info("answered", "decision", "done", "request", x.wire.ID, "runner", t.view.ID, "status", status, "sends", x.sends,
+	g.Log.Info("answered", "decision", "done", "request", x.wire.ID, "route", x.route.Name, "runner", t.view.ID, "status", status, "sends", x.sends,
 		"first", x.firstAfter().String(), "took", took.String(), "held", x.held, "config", x.config.Version)
 	g.usual.add(x.route.Name, took)
 	g.Metrics.Request("answered", strings.ToLower(x.route.Kind.String()))
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/drain"
 )
 
@@ -80,7 +81,7 @@
 	if g.over.Err() != nil {
 		return g.refuseLeaving(x)
 	}
-	usual := g.usual.of(x.route.Name)
+	usual := g.usual.of(x.route)
 	verdict := g.plan.Decide(time.Now(), x.ends, usual)
 	if verdict == drain.Refuse {
 		g.Log.Info("too late to be taken", "decision", "drain", "request", x.wire.ID, "usual", usual.String(),
@@ -114,8 +115,14 @@
 	return at
 }
 
-// mostRoutes bounds how many routes' times are remembered.
-const mostRoutes = 4096
+const (
+	// mostRoutes bounds how many routes' times are remembered.
+	mostRoutes = 4096
+	// likelyDeviations is how many mean deviations over the mean most requests take, surelyDeviations nearly all: three in four
+	// and 95 in 100 where times vary as much as those of streams do.
+	likelyDeviations = 1
+	surelyDeviations = 4
+)
 
 // usualTimes are how long answered requests take, by route; the zero value knows none.
 type usualTimes struct {
@@ -135,11 +142,17 @@
 	u.byRoute[route].Add(took)
 }
 
-func (u *usualTimes) of(route string) time.Duration {
+// of is how long a request on the route may well take. What must not run twice is lost where the end overtakes it, so that it
+// needs more certainty than what its caller may send again.
+func (u *usualTimes) of(route *deployment.Route) time.Duration {
+	deviations := likelyDeviations
+	if route.Once() {
+		deviations = surelyDeviations
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if known := u.byRoute[route]; known != nil {
-		return known.Time()
+	if known := u.byRoute[route.Name]; known != nil {
+		return known.Time(deviations)
 	}
 	return 0
 }
