Keep a stream at its busy runner where no other may take it

Cause: found while looking for ways in which a request that was taken ends without an answer: a stream leaves a runner that is about to load weights though no other runner may take it, and is then cut. The runner itself would have served it to its end. Ruled out: asking for the number of listed runners (those that leave, fail, load or have expired weights take nothing). Change: a stream moves on only where another runner may well take it. Before: TestStreamOfBusyRunner, first subtest, fails (unexpected EOF). After: both subtests pass; the second, which shows that streams still move on, was not run without the change in its present form.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -178,7 +178,7 @@
 	if !x.route.Resumable || x.lastEvent == "" || !x.mayMove() || x.ends.Sub(now) < x.route.Target {
 		return false
 	}
-	if v := t.runner.View(now); !v.Reported || !v.Load.Busy || !g.budgets.Allows(now, x.service.Name) {
+	if v := t.runner.View(now); !v.Reported || !v.Load.Busy || !g.budgets.Allows(now, x.service.Name) || !g.hasOther(x, t, now) {
 		return false
 	}
 	x.maybeRan, x.reason = true, "runner-empties"
@@ -186,6 +186,18 @@
 	return true
 }
 
+// hasOther reports that another runner than the target may well take the request now.
+func (g *Gateway) hasOther(x *exchange, t *target, now time.Time) bool {
+	for _, r := range g.state.Roster.Group(x.service.Name) {
+		v := r.View(now)
+		unfit := v.Leaving || v.Avoid || v.Reported && (v.Load.Busy || v.Load.Silent) || g.expired(x, &v, now)
+		if v.ID != t.view.ID && !unfit {
+			return true
+		}
+	}
+	return false
+}
+
 func (x *exchange) write(part []byte) error {
 	if _, err := x.writer.Write(part); err != nil {
 		return err
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -7,11 +7,14 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/internal/standin/site"
+	"github.com/rillreach/rillreach/roster"
 )
 
 // pieces is the stream of events from the first to the last.
@@ -127,3 +130,52 @@
 	require.NoError(t, got.err, "the runner is not known to live, and so another goes on")
 	assert.Equal(t, pieces(9), got.body)
 }
+
+// TestStreamOfBusyRunner: a runner that is about to load weights waits for its streams to end, which leave it for others; it
+// takes nothing new meanwhile.
+func TestStreamOfBusyRunner(t *testing.T) {
+	empties := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Last-Event-Id") != "" {
+			site.Refuse(w, r)
+			return
+		}
+		site.Events(w, r, 9, 0)
+	}
+	busy := roster.Report{Load: deployment.Load{Busy: true}, At: time.Now().Add(wait)}
+	t.Run("a stream stays where no other runner may take it", func(t *testing.T) {
+		alone, leaves := &site.Runner{ID: "alone", Handle: empties}, &site.Runner{ID: "leaves"}
+		w := begin(t, defaultConfig(), alone, leaves)
+		defer w.stop()
+		w.store.Put("servers", "leaves", record(leaves, "draining"))
+		w.eventually(t, func() bool { return w.gateway.state.Roster.Find("leaves").Info().Leaving })
+		w.gateway.state.Roster.Find("alone").SetReport(busy)
+		got := w.call(t, "POST", "/stream/x", "prompt")
+		require.NoError(t, got.err, "the stream left a sound runner, and nobody took it")
+		assert.Equal(t, pieces(9), got.body)
+	})
+	t.Run("a stream goes on at another that may", func(t *testing.T) {
+		emptied := make(chan struct{})
+		a := &site.Runner{ID: "a", Handle: func(w http.ResponseWriter, r *http.Request) {
+			site.Events(w, r, 4, 0)
+			<-emptied
+			_, _ = io.WriteString(w, "id: 5\ndata: piece 5\n\n")
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}}
+		b := &site.Runner{ID: "b", Handle: cutAfter(0)}
+		w := begin(t, defaultConfig(), a)
+		defer w.stop()
+		conn := w.dial(t)
+		w.ask(t, conn, "/stream/x")
+		w.eventually(t, func() bool { return len(a.Runs()) == 1 })
+		b.Start()
+		t.Cleanup(b.Stop)
+		w.store.Put("servers", "b", record(b, "ready"))
+		w.eventually(t, func() bool { return w.gateway.state.Roster.Find("b") != nil })
+		w.gateway.state.Roster.Find("a").SetReport(busy)
+		close(emptied)
+		got := read(t, conn, "GET")
+		require.NoError(t, got.err)
+		assert.Equal(t, pieces(9), got.body)
+	})
+}
