Send nothing on a connection to a peer that has ended

Cause: send chose by select between a queue with room and the end of the connection; where both held it took the queue about every second time. An entry that had not yet forgotten the connection of an agent that had stopped took the request for sent: its outcome became unknown, though it certainly had not run, and for a marked call that is final once the agent is gone. Ruled out: the list of open streams (a stream opened after the end is failed by Next, so nothing hangs); the pool, which forgets the connection only a moment later by design. Change: send asks first whether the connection has ended. Before: go test ./peer -run TestStreams, new subtest on the code as it was: 'Expected error with "connection to peer has ended" in chain but got nil', FAIL. After: go test -race ./peer -count=3: ok. Conclusion: kept; a frame that was queued before the end still counts as perhaps sent, which is the careful reading.

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -121,7 +121,14 @@
 	})
 }
 
+// send queues a frame. An error says that it certainly does not go out: where the queue has room and the connection has
+// ended, select alone would choose either.
 func (c *Conn) send(ctx context.Context, f *Frame) error {
+	select {
+	case <-c.ended:
+		return ErrClosed
+	default:
+	}
 	select {
 	case c.out <- f:
 		return nil
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -110,6 +110,14 @@
 		require.Error(t, err)
 		assert.NotErrorIs(t, err, io.EOF)
 	})
+	t.Run("a connection that has ended takes nothing more, so that what was to be sent is certain not to have run", func(t *testing.T) {
+		ctx, conn := pair(t, nil)
+		conn.Close()
+		for range 100 {
+			_, err := conn.Open(ctx, MethodServe, nil)
+			require.ErrorIs(t, err, ErrClosed)
+		}
+	})
 	t.Run("a method that is not offered is refused as not run", func(t *testing.T) {
 		ctx, conn := pair(t, nil)
 		s, err := conn.Open(ctx, MethodLease, nil)
