Keep connections of peers that are in use at the side that accepted them

Cause: only the side that opens a stream noted the use of the connection. Change: a stream that a peer opens counts as use, too. Before: go test ./peer -run TestSweepKeepsWhatIsInUse on the code as it was: 'Should not be zero, but was 0', FAIL. After: go test -race ./peer -count=3: ok.

--- a/peer/call.go
+++ b/peer/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -83,6 +84,7 @@
 
 // accept starts the handler for a stream that the other side has opened.
 func (c *Conn) accept(ctx context.Context, f Frame) {
+	c.used.Store(time.Now().UnixNano())
 	ctx, cancel := context.WithCancelCause(ctx)
 	call := &Call{From: c, Body: f.Body, id: f.Stream, cancel: cancel, window: streamWindow, more: make(chan struct{}, 1)}
 	c.mu.Lock()
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -101,7 +101,7 @@
 	return len(c.opened)+len(c.served) > 0
 }
 
-// LastUsed is when a stream was last opened on the connection.
+// LastUsed is when either side last opened a stream on the connection.
 func (c *Conn) LastUsed() time.Time {
 	return time.Unix(0, c.used.Load())
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -129,6 +129,28 @@
 	})
 }
 
+// TestSweepKeepsWhatIsInUse has a connection that is old at the side that accepted it, and on which a stream has just ended:
+// were it closed then, the next request on its way would be cut.
+func TestSweepKeepsWhatIsInUse(t *testing.T) {
+	accepted := make(chan *Conn, 1)
+	ctx, conn := pair(t, func(_ context.Context, call *Call) error {
+		accepted <- call.From
+		return nil
+	})
+	ask := func() *Conn {
+		s, err := conn.Open(ctx, MethodServe, nil)
+		require.NoError(t, err)
+		defer s.Close()
+		_, err = s.readWhole(ctx)
+		require.NoError(t, err)
+		return <-accepted
+	}
+	far := ask()
+	far.used.Store(0)
+	assert.Same(t, far, ask())
+	assert.NotZero(t, far.used.Load(), "a stream that a peer opens is use too")
+}
+
 func TestConnectionsLeaveNothingBehind(t *testing.T) {
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 	ctx, cancel := context.WithCancel(context.Background())
