Have a leaving agent's last answers read before it ends

Cause: a planned stop waited for the handlers of requests and then ended the connections. A handler is over before the end of its answer, and with it up to a queue of frames, is written; and what is written can still be lost, since the close of a socket with unread bytes resets it. Whole answers were cut: a streamed one is broken off at the caller, a marked call is unknown, any other runs again elsewhere. What hid it is the call that takes the process off the platform's list, a few milliseconds as a rule; with the platform down it fails at once. Ruled out: a fixed pause before the end (the end has to follow from what is owed); counting in the handlers (they cannot see the queue). Change: a connection counts what it has not written, a stream counts as served until its end is queued, and Pool.Settle waits until peers have answered a ping behind all that, a second at the most.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -127,6 +127,7 @@
 	if !a.running.Wait(time.Until(end)) {
 		a.Node.Log.Info("grace is over, requests are cut", "requests", a.running.Count())
 	}
+	a.Node.Settle(ctx, a.Grace)
 	a.Node.Removed(ctx)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -33,6 +33,9 @@
 	DefaultGrace = 5 * time.Minute
 
 	noticeTimeout = time.Second
+	// settleMost bounds the wait for peers to read the last answers: a peer that is well does so within one way there and
+	// back, and one that is not must not hold the process up.
+	settleMost    = time.Second
 	headerTimeout = 10 * time.Second
 )
 
@@ -157,6 +160,14 @@
 	wg.Wait()
 }
 
+// Settle waits, at the end of a planned stop, until peers have read the answers that they were given. It takes no longer
+// than the stop's whole grace.
+func (n *Node) Settle(ctx context.Context, grace time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, min(settleMost, grace))
+	defer cancel()
+	n.Pool.Settle(ctx)
+}
+
 // Removed takes the process off the platform's list, at the end of a planned stop.
 func (n *Node) Removed(ctx context.Context) {
 	if err := n.Register.Remove(ctx); err != nil {
--- a/peer/call.go
+++ b/peer/call.go
@@ -103,11 +103,10 @@
 
 func (c *Conn) serve(ctx context.Context, call *Call, method Method) {
 	defer call.cancel(nil)
-	err := c.mux.serve(ctx, method, call)
+	c.finish(ctx, call, c.mux.serve(ctx, method, call))
 	c.mu.Lock()
 	delete(c.served, call.id)
 	c.mu.Unlock()
-	c.finish(ctx, call, err)
 }
 
 // finish tells the opener how the stream ended.
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -20,9 +20,11 @@
 	writeTimeout  = 10 * time.Second
 	// pingEvery is for connections with open streams; idlePings as many times are let pass on the others, of which an
 	// entry has hundreds.
-	pingEvery      = 3 * time.Second
-	idlePings      = 10
-	pingTimeout    = 6 * time.Second
+	pingEvery   = 3 * time.Second
+	idlePings   = 10
+	pingTimeout = 6 * time.Second
+	// settlePoll is how often it is looked at whether a peer still has something coming.
+	settlePoll     = 5 * time.Millisecond
 	streamWindow   = 64 << 10
 	maxOpenStreams = 4096
 )
@@ -47,6 +49,8 @@
 	endOnce sync.Once
 	next    atomic.Uint64
 	used    atomic.Int64
+	// unsent counts the frames that are not written yet.
+	unsent atomic.Int64
 
 	mu     sync.Mutex
 	opened map[uint64]*Stream
@@ -101,6 +105,28 @@
 	return len(c.opened)+len(c.served) > 0
 }
 
+// settle waits until the peer has read the answer to all that it asked, or the context ends. A peer answers a ping once it
+// has read what came before.
+func (c *Conn) settle(ctx context.Context) error {
+	for c.answering() {
+		select {
+		case <-c.ended:
+			return ErrClosed
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-time.After(settlePoll):
+		}
+	}
+	return errors.Wrap(c.socket.Ping(ctx), "ping peer")
+}
+
+// answering reports whether a stream of the peer has no answer yet, or one that is not written yet.
+func (c *Conn) answering() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.served) > 0 || c.unsent.Load() > 0
+}
+
 // LastUsed is when either side last opened a stream on the connection.
 func (c *Conn) LastUsed() time.Time {
 	return time.Unix(0, c.used.Load())
@@ -129,22 +155,28 @@
 		return ErrClosed
 	default:
 	}
+	c.unsent.Add(1)
 	select {
 	case c.out <- f:
 		return nil
 	case <-c.ended:
+		c.unsent.Add(-1)
 		return ErrClosed
 	case <-ctx.Done():
+		c.unsent.Add(-1)
 		return context.Cause(ctx)
 	}
 }
 
 // sendNow queues a frame whose sender must not wait; a full queue ends the connection.
 func (c *Conn) sendNow(f *Frame) {
+	c.unsent.Add(1)
 	select {
 	case c.out <- f:
 	case <-c.ended:
+		c.unsent.Add(-1)
 	default:
+		c.unsent.Add(-1)
 		go c.end(ErrClosed)
 	}
 }
@@ -156,35 +188,36 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case f := <-c.out:
-			if err := c.fill(&message, f); err != nil {
+			frames, err := c.fill(&message, f)
+			if err != nil {
 				return err
 			}
 			if err := c.flush(ctx, &message); err != nil {
 				return err
 			}
+			c.unsent.Add(-frames)
 		}
 	}
 }
 
-// fill puts the first frame and those that wait behind it into one message.
-func (c *Conn) fill(message *bytes.Buffer, first *Frame) error {
+// fill puts the first frame and those that wait behind it into one message, and counts them.
+func (c *Conn) fill(message *bytes.Buffer, first *Frame) (frames int64, err error) {
 	message.Reset()
-	c.traffic.Frames.Add(1)
-	if err := appendFrame(message, first); err != nil {
-		return err
-	}
-	for message.Len() < messageTarget {
+	defer func() { c.traffic.Frames.Add(frames) }()
+	for f := first; ; {
+		frames++
+		if err := appendFrame(message, f); err != nil {
+			return frames, err
+		}
+		if message.Len() >= messageTarget {
+			return frames, nil
+		}
 		select {
-		case f := <-c.out:
-			c.traffic.Frames.Add(1)
-			if err := appendFrame(message, f); err != nil {
-				return err
-			}
+		case f = <-c.out:
 		default:
-			return nil
+			return frames, nil
 		}
 	}
-	return nil
 }
 
 func (c *Conn) flush(ctx context.Context, message *bytes.Buffer) error {
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
 	"golang.org/x/sync/singleflight"
 
 	"github.com/rillreach/rillreach"
@@ -119,6 +120,19 @@
 	return conns
 }
 
+// Settle waits until all peers have read the answers to what they asked, or the context ends; what they ask meanwhile counts.
+func (p *Pool) Settle(ctx context.Context) {
+	var wg conc.WaitGroup
+	for _, c := range p.Conns() {
+		wg.Go(func() {
+			if err := c.settle(ctx); err != nil {
+				p.Log.Info("peer may not have all answers", "peer", c.Peer.ID, "cause", err.Error())
+			}
+		})
+	}
+	wg.Wait()
+}
+
 func (p *Pool) known(address netip.AddrPort) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
