Have a leaving agent give its last word on what cannot end within the grace

An entry could not tell a request that had only waited in the agent's queue from one that ran: a marked call became unknown for good, though its owner knew that it had not run. A request may have ten minutes (MaxDeadline), the grace is five. Ruled out: refusing more while leaving (nothing new is taken from the first moment on); cutting marked calls loose from the grace (they run under their own time-out of two minutes and would outlive a short grace). Change: the last second of the grace, a quarter of a short one, is kept for final answers. Inflight binds the contexts of requests and gives them up with a cause; what has not had its turn is refused as not run, at a marked call as the owner's word; what ran is unknown. A turn that comes when the request is given up already is passed on instead of taken. Before: go test ./agent -run TestStopAnswersWhatCannotEnd on the code as it was: both subtests FAIL, 'connection to peer has ended' in the place of a refusal. After: go test -race ./agent -count=10: ok. At-most-once is as it was: the ledger settles before the answer goes out, and a leaving agent runs nothing under a freed name.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -117,15 +117,19 @@
 	}}
 }
 
-// leave ends the agent's work without cutting any of it, within the grace.
+// errEnding is why requests are given up that cannot end within the grace.
+var errEnding = errors.New("agent ends, its grace is over")
+
+// leave ends the agent's work within the grace. What cannot end by then gets its final answer before the connections close.
 func (a *Agent) leave(ctx context.Context) {
 	a.Node.Log.Info("leaving", "instance", a.Node.Self.ID)
 	a.slots.close()
 	a.Node.Leave(ctx)
-	end := time.Now().Add(a.Grace)
+	end := time.Now().Add(a.Grace - node.LastWords(a.Grace))
 	a.awaitRelease(end)
 	if !a.running.Wait(time.Until(end)) {
-		a.Node.Log.Info("grace is over, requests are cut", "requests", a.running.Count())
+		a.Node.Log.Info("grace is over, requests are given up", "decision", "give-up", "requests", a.running.Count())
+		a.running.GiveUp(errEnding)
 	}
 	a.Node.Settle(ctx, a.Grace)
 	a.Node.Removed(ctx)
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -187,3 +187,41 @@
 	}
 	assert.Empty(t, broken, "answers that were whole were cut")
 }
+
+// TestStopAnswersWhatCannotEnd has an agent's grace end while one request runs and another waits behind it.
+func TestStopAnswersWhatCannotEnd(t *testing.T) {
+	const grace = 400 * time.Millisecond
+	begin := func(t *testing.T) *running {
+		t.Helper()
+		return start(t, &Agent{Backend: newHeld(nil), Slots: 1, Grace: grace})
+	}
+	await := func(t *testing.T, r *running) {
+		t.Helper()
+		<-r.agent.Backend.(*heldBackend).started
+	}
+	t.Run("what runs may have run, and what waits has not", func(t *testing.T) {
+		r := begin(t)
+		runs := r.send(fleet.Dispatch{})
+		await(t, r)
+		waits := r.send(fleet.Dispatch{})
+		r.stop()
+		assert.Equal(t, rillreach.OutcomeUnknown, r.refusal(runs).Outcome)
+		refusal := r.refusal(waits)
+		assert.Equal(t, rillreach.OutcomeNotRun, refusal.Outcome)
+		assert.Equal(t, rillreach.ReasonLeaving, refusal.Reason)
+		require.NoError(t, <-r.ended)
+	})
+	t.Run("the same holds for marked calls, and is their owner's word", func(t *testing.T) {
+		r := begin(t)
+		runs := r.send(fleet.Dispatch{Once: true, Ticket: r.ticket()})
+		await(t, r)
+		waits := r.send(fleet.Dispatch{Once: true, Ticket: r.ticket()})
+		r.stop()
+		assert.Equal(t, rillreach.OutcomeUnknown, r.refusal(runs).Outcome)
+		refusal := r.refusal(waits)
+		assert.Equal(t, rillreach.OutcomeNotRun, refusal.Outcome)
+		assert.Equal(t, rillreach.ReasonLeaving, refusal.Reason)
+		assert.True(t, refusal.Owner)
+		require.NoError(t, <-r.ended)
+	})
+}
--- a/agent/once.go
+++ b/agent/once.go
@@ -110,9 +110,11 @@
 	return hash.Keyed(hash.Key{}, []byte(d.Method), []byte(d.Path), []byte(d.Query), d.Body)
 }
 
-// runOnce runs a request to its end, whether or not its caller still waits.
+// runOnce runs a request to its end, whether or not its caller still waits, unless the agent ends before.
 func (a *Agent) runOnce(ctx context.Context, d fleet.Dispatch) once.Outcome {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), onceTimeout)
+	ctx, unbind := a.running.Bind(context.WithoutCancel(ctx))
+	defer unbind()
+	ctx, cancel := context.WithTimeout(ctx, onceTimeout)
 	defer cancel()
 	if d.Key != "" && (a.Node.Leaving() || !slices.Contains(d.Sides, a.Node.Self.Side)) {
 		return a.delegate(ctx, d)
@@ -138,12 +140,12 @@
 func (a *Agent) collect(ctx context.Context, d fleet.Dispatch) once.Outcome {
 	answer, err := a.Backend.Do(ctx, a.callOf(d))
 	if err != nil {
-		return refused(backendFailure(err))
+		return refused(backendFailure(ctx, err))
 	}
 	defer answer.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxOutcome+1))
 	if err != nil {
-		return refused(backendFailure(err))
+		return refused(backendFailure(ctx, err))
 	}
 	if len(body) > maxOutcome {
 		return refused(rillreach.Unknown(rillreach.ReasonTooLarge, "request was run, but its answer is too large to keep"))
--- a/agent/serve.go
+++ b/agent/serve.go
@@ -35,6 +35,8 @@
 	a.Node.Spread.CatchUp(call.From, d.Mark)
 	a.running.Add()
 	defer a.running.Done()
+	ctx, unbind := a.running.Bind(ctx)
+	defer unbind()
 	if d.Once {
 		return a.serveOnce(ctx, call, d)
 	}
@@ -91,7 +93,7 @@
 	}
 	answer, err := a.Backend.Do(ctx, a.callOf(d))
 	if err != nil {
-		return backendFailure(err)
+		return backendFailure(ctx, err)
 	}
 	defer answer.Body.Close()
 	if err := passOn(ctx, call, answer); err != nil {
@@ -134,10 +136,13 @@
 	return float64(max(d.Tokens, 1))
 }
 
-func backendFailure(err error) error {
+func backendFailure(ctx context.Context, err error) error {
 	if errors.Is(err, backend.ErrNotSent) {
 		return rillreach.NotRun(rillreach.ReasonNoBackend, "backend server is out of reach")
 	}
+	if ctx.Err() != nil {
+		return rillreach.Unknown(rillreach.ReasonCut, "call of the backend server was broken off: "+context.Cause(ctx).Error())
+	}
 	return rillreach.Unknown(rillreach.ReasonCut, "backend server broke off: "+err.Error())
 }
 
--- a/agent/slots.go
+++ b/agent/slots.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/queue"
 )
@@ -69,16 +71,29 @@
 	defer stop()
 	select {
 	case t := <-p.turns:
+		if t == turnRun && ctx.Err() != nil {
+			p.leave()
+			return givenUp(ctx)
+		}
 		return p.took(t)
 	case <-ctx.Done():
 		p.abandon()
-		return context.Cause(ctx)
+		return givenUp(ctx)
 	case <-expired:
 		p.abandon()
 		return p.late()
 	}
 }
 
+// givenUp is why a request ends that was given up before it ran.
+func givenUp(ctx context.Context) error {
+	cause := context.Cause(ctx)
+	if errors.Is(cause, errEnding) {
+		return rillreach.NotRun(rillreach.ReasonLeaving, cause.Error())
+	}
+	return cause
+}
+
 // leave gives the slot to the next in order.
 func (p *place) leave() {
 	p.slots.mu.Lock()
--- a/node/inflight.go
+++ b/node/inflight.go
@@ -1,15 +1,58 @@
 package node
 
 import (
+	"context"
 	"sync"
 	"time"
 )
 
-// Inflight counts requests that run, so that a planned stop can wait for them; its zero value is ready.
+const (
+	// lastWordsMost and lastWordsShare bound what is kept of a grace for final answers: they are short, and written at once
+	// where the process gets any processor time at all; a very short grace is for the requests.
+	lastWordsMost  = time.Second
+	lastWordsShare = 4
+)
+
+// LastWords is the part at the end of a planned stop's grace that is kept for the final answers of what cannot end within it.
+func LastWords(grace time.Duration) time.Duration {
+	return min(lastWordsMost, grace/lastWordsShare)
+}
+
+// Inflight counts requests that run, so that a planned stop can wait for them, and give them up in the end; its zero value is
+// ready.
 type Inflight struct {
-	mu    sync.Mutex
-	count int
-	empty chan struct{}
+	mu     sync.Mutex
+	count  int
+	empty  chan struct{}
+	life   context.Context
+	giveUp context.CancelCauseFunc
+}
+
+// Bind returns a context for a request, which ends with the given one or when what runs is given up; the function has to be
+// called at the request's end.
+func (f *Inflight) Bind(ctx context.Context) (context.Context, func()) {
+	life, _ := f.lifetime()
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(life, func() { cancel(context.Cause(life)) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// GiveUp ends the contexts of all requests that run, and of those that come, with a cause.
+func (f *Inflight) GiveUp(cause error) {
+	_, giveUp := f.lifetime()
+	giveUp(cause)
+}
+
+func (f *Inflight) lifetime() (context.Context, context.CancelCauseFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.life == nil {
+		f.life, f.giveUp = context.WithCancelCause(context.Background())
+	}
+	return f.life, f.giveUp
 }
 
 // Add counts one request more.
--- a/node/node.go
+++ b/node/node.go
@@ -160,10 +160,10 @@
 	wg.Wait()
 }
 
-// Settle waits, at the end of a planned stop, until peers have read the answers that they were given. It takes no longer
-// than the stop's whole grace.
+// Settle waits, at the end of a planned stop, until peers have read the answers that they were given. One that is not well
+// must not hold the process up for longer than the last words of the grace take.
 func (n *Node) Settle(ctx context.Context, grace time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, min(settleMost, grace))
+	ctx, cancel := context.WithTimeout(ctx, LastWords(grace))
 	defer cancel()
 	n.Pool.Settle(ctx)
 }
