Keep a leaving entry's door open, and give a last word on what cannot end

With nothing under way it closed its listener within milliseconds of the signal, whatever its comment said, while balancers still sent callers there; it never told a connection to close, so that a caller whose request was refused came back to the same leaving entry; refusals and lists of models that were on their way out were cut with the listener; and at the end of the grace what ran was cut without a word. A request may have ten minutes (MaxDeadline), the grace is five. Change: a leaving entry refuses for 3.2 s at the least, where its grace allows; every answer that begins while it leaves closes its connection; in the last second of the grace, a quarter of a short one, what still runs gets its final answer (unknown, or not run where the body has not come); the listener closes last of all, and the answers that are on their way go out first. Before: go test ./e2e -run TestEntryLeavesNobody on the code as it was: both subtests FAIL: 'entry says that it is not ready: Condition never satisfied', 'the caller comes back on another connection: Should be true', the running request 'EOF', the half-sent one 'unexpected EOF'. After: go test ./e2e -run TestEntryLeavesNobody -count=3: ok.

--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -1,8 +1,11 @@
 package e2e
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -42,6 +45,106 @@
 	})
 }
 
+// leavingCall sends one prompt on a connection of its own; closes says that the entry wants no more on it.
+func leavingCall(url, key, body string) (a answer, closes bool, err error) {
+	req, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return answer{}, false, err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	resp, err := (&http.Client{Transport: transport}).Do(req)
+	if err != nil {
+		return answer{}, false, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(data)}, resp.Close, err
+}
+
+// halfSent sends a request but for the end of its body, and returns where its answer comes.
+func halfSent(t *testing.T, address, key string) *bufio.Reader {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = io.WriteString(conn, "POST "+chatPath+" HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+key+"\r\nContent-Length: 100\r\n\r\n{")
+	require.NoError(t, err)
+	return bufio.NewReader(conn)
+}
+
+// TestEntryLeavesNobodyWithoutAnAnswer stops entries while callers still come, and while an answer takes longer than the
+// grace.
+func TestEntryLeavesNobodyWithoutAnAnswer(t *testing.T) {
+	f := newFleet(t)
+	engine, _ := f.engine(rillreach.SideOld, "--engine-token-time", "100ms")
+	key := f.account("kigali", allOld("m"))
+	begin := func(t *testing.T, more ...string) (*process, string) {
+		t.Helper()
+		entry := f.entry(more...)
+		url := "http://" + entry.address("callers") + chatPath
+		serves(t, http.StatusOK, func() (answer, error) {
+			return trySend(http.MethodPost, url, key, `{"model":"m","max_tokens":1,"messages":[{"role":"user","content":"warm up"}]}`)
+		})
+		return entry, url
+	}
+	left := func(t *testing.T, entry *process) {
+		t.Helper()
+		entry.signal(syscall.SIGTERM)
+		eventually(t, func() bool { return strings.Contains(entry.text(), `"msg":"leaving"`) }, "entry leaves")
+	}
+	refused := func(t *testing.T, a answer, closes bool, err error) {
+		t.Helper()
+		require.NoError(t, err)
+		assert.Equal(t, string(rillreach.OutcomeNotRun), a.header.Get(rillreach.HeaderOutcome), a.body)
+		assert.Equal(t, string(rillreach.ReasonLeaving), a.header.Get(rillreach.HeaderReason), a.body)
+		assert.True(t, closes, "the caller comes back on another connection")
+	}
+	t.Run("an entry with nothing to do refuses those who still come, until a balancer has noticed", func(t *testing.T) {
+		entry, url := begin(t)
+		ready := "http://" + entry.address("operators") + "/readyz"
+		left(t, entry)
+		eventually(t, func() bool { return status(ready) == http.StatusServiceUnavailable }, "entry says that it is not ready")
+		a, closes, err := leavingCall(url, key, chatBody("late", false))
+		refused(t, a, closes, err)
+		<-entry.exited
+		assert.Zero(t, entry.cmd.ProcessState.ExitCode())
+	})
+	t.Run("an answer that cannot be whole within the grace is given up with a final answer", func(t *testing.T) {
+		entry, url := begin(t, "--grace", "4s")
+		type result struct {
+			answer
+			closes bool
+			err    error
+		}
+		results := make(chan result, 1)
+		go func() {
+			a, closes, err := leavingCall(url, key, longAnswer("false"))
+			results <- result{a, closes, err}
+		}()
+		eventually(t, func() bool {
+			var load struct{ Running int }
+			get(t, "http://"+engine.address("standin")+"/load", &load)
+			return load.Running > 0
+		}, "engine answers")
+		half := halfSent(t, entry.address("callers"), key)
+		left(t, entry)
+		a, closes, err := leavingCall(url, key, chatBody("late", false))
+		refused(t, a, closes, err)
+		resp, err := http.ReadResponse(half, nil)
+		require.NoError(t, err)
+		refused(t, answer{header: resp.Header, body: readAll(t, resp)}, resp.Close, nil)
+		r := <-results
+		require.NoError(t, r.err)
+		assert.Equal(t, string(rillreach.OutcomeUnknown), r.header.Get(rillreach.HeaderOutcome), r.body)
+		assert.Equal(t, string(rillreach.ReasonLeaving), r.header.Get(rillreach.HeaderReason), r.body)
+		assert.True(t, r.closes)
+		<-entry.exited
+		assert.Zero(t, entry.cmd.ProcessState.ExitCode())
+	})
+}
+
 func TestPlatformOutageStopsNoRequests(t *testing.T) {
 	f := newFleet(t)
 	f.engine(rillreach.SideOld)
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -12,6 +12,7 @@
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/filter/authenticate"
+	"github.com/rillreach/rillreach/node"
 )
 
 // errorBody is an error in the shape of OpenAI's interface, with the outcome added.
@@ -62,6 +63,28 @@
 	panic(http.ErrAbortHandler) // the connection is cut, so that the answer cannot be taken for a whole one
 }
 
+// closingWriter has a caller's connection closed with the answer where the entry leaves by the time the answer begins, so that
+// the caller's next request goes to another entry.
+type closingWriter struct {
+	http.ResponseWriter
+	node *node.Node
+}
+
+// WriteHeader begins the answer.
+func (w closingWriter) WriteHeader(status int) {
+	if w.node.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap returns the connection's own writer, for its deadlines and its flushing.
+func (w closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (e *Entry) closing(w http.ResponseWriter) http.ResponseWriter {
+	return closingWriter{ResponseWriter: w, node: e.Node}
+}
+
 func writeRefusal(w http.ResponseWriter, refusal *rillreach.Refusal) {
 	header := w.Header()
 	header.Set(rillreach.HeaderOutcome, string(refusal.Outcome))
@@ -98,6 +121,9 @@
 
 // models lists what the account's rows name.
 func (e *Entry) models(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	e.running.Add()
+	defer e.running.Done()
+	w = e.closing(w)
 	x := &rillreach.Exchange{Writer: w, Request: requestOf(r)}
 	if err := (authenticate.Filter{Table: e.Node.Table}).Run(r.Context(), x); err != nil {
 		writeRefusal(w, rillreach.NotRun(rillreach.ReasonUnauthorized, "key is not valid"))
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/rillreach/rillreach/filter/dispatch"
 	"github.com/rillreach/rillreach/filter/identify"
 	"github.com/rillreach/rillreach/filter/resolve"
+	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/keep"
 	"github.com/rillreach/rillreach/node"
 	"github.com/rillreach/rillreach/once"
@@ -30,8 +31,14 @@
 	headerTimeout = 10 * time.Second
 	bodyTimeout   = 60 * time.Second
 	idleTimeout   = 2 * time.Minute
+	// noticeFor is how long a leaving entry refuses at the least, where its grace allows: a balancer that asks for readiness
+	// every second takes an entry out after two misses.
+	noticeFor = 3200 * time.Millisecond
 )
 
+// errEnding is the final answer to what runs when the entry's grace is over.
+var errEnding = rillreach.Unknown(rillreach.ReasonLeaving, "entry ends before the answer is whole")
+
 // Entry is one entry; exported fields are set before Run.
 type Entry struct {
 	// Node is the common part of the process.
@@ -107,15 +114,28 @@
 	e.mint = &filter.Chain{Log: e.Node.Log, Filters: append(understand[:len(understand):len(understand)], ticketStep{e.dispatch})}
 }
 
-// leave ends the entry's work without cutting any of it, within the grace. It goes on taking connections for as long
-// as the balancer sends them, and refuses what comes on them.
+// leave ends the entry's work within the grace. Until the process goes it takes the connections that still come, refuses what
+// is new on them and has them closed; what cannot be answered in time gets its final answer instead.
 func (e *Entry) leave(ctx context.Context) {
 	e.Node.Log.Info("leaving", "instance", e.Node.Self.ID)
+	end := time.Now().Add(e.Grace - node.LastWords(e.Grace))
 	e.Node.Leave(ctx)
-	if !e.running.Wait(e.Grace) {
-		e.Node.Log.Info("grace is over, requests are cut", "requests", e.running.Count())
+	pause.For(ctx, min(noticeFor, time.Until(end)))
+	if !e.running.Wait(time.Until(end)) {
+		e.Node.Log.Info("grace is over, requests are given up", "decision", "give-up", "requests", e.running.Count())
+		e.running.GiveUp(errEnding)
 	}
 	e.Node.Removed(ctx)
+	e.close(ctx)
+}
+
+// close shuts the door once the last answers, refusals too, have gone out.
+func (e *Entry) close(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, node.LastWords(e.Grace))
+	defer cancel()
+	if err := e.server.Shutdown(ctx); err != nil {
+		e.Node.Log.Info("connections of callers are cut", "requests", e.running.Count(), "cause", err.Error())
+	}
 }
 
 // callerServer accepts the connections of callers.
--- a/entry/routes.go
+++ b/entry/routes.go
@@ -24,6 +24,7 @@
 	pathTickets    = "/v1/tickets/:service"
 	pathServices   = "/services/:service/*path"
 	notReadyRetry  = 2 * time.Second
+	leavingRetry   = time.Second
 )
 
 // servicesMethods are the methods that calls to plain services may use.
@@ -39,10 +40,10 @@
 		router.Handle(method, pathServices, e.service)
 	}
 	router.NotFound = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		writeRefusal(w, rillreach.NotRun(rillreach.ReasonUnknownPath, "no such path: "+r.URL.Path))
+		writeRefusal(e.closing(w), rillreach.NotRun(rillreach.ReasonUnknownPath, "no such path: "+r.URL.Path))
 	})
 	router.MethodNotAllowed = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		writeRefusal(w, rillreach.NotRun(rillreach.ReasonMethod, "path does not take "+r.Method))
+		writeRefusal(e.closing(w), rillreach.NotRun(rillreach.ReasonMethod, "path does not take "+r.Method))
 	})
 	return router
 }
@@ -68,15 +69,17 @@
 func (e *Entry) run(w http.ResponseWriter, r *http.Request, chain *filter.Chain, set func(*rillreach.Request)) {
 	e.running.Add()
 	defer e.running.Done()
-	x := &rillreach.Exchange{Writer: w, Arrived: e.Node.Clock.Now()}
+	ctx, unbind := e.running.Bind(r.Context())
+	defer unbind()
+	x := &rillreach.Exchange{Writer: e.closing(w), Arrived: e.Node.Clock.Now()}
 	x.Request = requestOf(r)
 	set(&x.Request)
 	w.Header().Set(rillreach.HeaderRequest, string(x.Request.ID))
-	if refusal := e.read(w, r, x); refusal != nil {
-		writeRefusal(w, filter.WithIdentity(x.Request, refusal))
+	if refusal := e.read(ctx, w, r, x); refusal != nil {
+		writeRefusal(x.Writer, filter.WithIdentity(x.Request, refusal))
 		return
 	}
-	refusal := chain.Run(r.Context(), x)
+	refusal := chain.Run(ctx, x)
 	e.observe(x, refusal)
 	if refusal != nil {
 		end(x, refusal)
@@ -98,29 +101,48 @@
 const answeredOutcome = "answered"
 
 // read takes the body in, if the entry takes requests at all.
-func (e *Entry) read(w http.ResponseWriter, r *http.Request, x *rillreach.Exchange) *rillreach.Refusal {
+func (e *Entry) read(ctx context.Context, w http.ResponseWriter, r *http.Request, x *rillreach.Exchange) *rillreach.Refusal {
 	if e.Node.Leaving() {
-		return rillreach.NotRun(rillreach.ReasonLeaving, "entry is leaving").After(time.Second)
+		return leaving()
 	}
 	if !e.Node.Ready() {
 		return rillreach.NotRun(rillreach.ReasonNotReady, "entry does not know the table yet").After(notReadyRetry)
 	}
-	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		e.Node.Log.V(1).Info("no read deadline", "cause", err.Error())
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.MaxBody))
+	body, err := e.readBody(ctx, w, r)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return rillreach.NotRun(rillreach.ReasonTooLarge, "body is larger than the limit")
-	}
-	if err != nil {
+	case err != nil && errors.Is(context.Cause(ctx), errEnding):
+		return leaving()
+	case err != nil:
 		return rillreach.NotRun(rillreach.ReasonBadRequest, "body could not be read")
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	x.Request.Body = body
 	return nil
 }
 
+func leaving() *rillreach.Refusal {
+	return rillreach.NotRun(rillreach.ReasonLeaving, "entry is leaving").After(leavingRetry)
+}
+
+// readBody reads the body, for bodyTimeout at the longest, or until the request is given up.
+func (e *Entry) readBody(ctx context.Context, w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	control := http.NewResponseController(w)
+	until := func(deadline time.Time) {
+		if err := control.SetReadDeadline(deadline); err != nil {
+			e.Node.Log.V(1).Info("no read deadline", "cause", err.Error())
+		}
+	}
+	until(time.Now().Add(bodyTimeout))
+	stop := context.AfterFunc(ctx, func() { until(time.Now()) })
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.MaxBody))
+	if stop() && err == nil {
+		until(time.Time{})
+	}
+	return body, err
+}
+
 func requestOf(r *http.Request) rillreach.Request {
 	return rillreach.Request{
 		ID:     rillreach.RequestID(uuid.NewString()),
