Don't tell of a runner's silence when it is the agent that stops

Cause: an agent that is stopped while it asks its runner took the broken call for the runner's silence; a bulletin that went out in that moment would have told entries to avoid a runner that is well, until another agent speaks for it. Ruled out: the rest of the agent's stop: no request goes through it, an order that is broken off is given again under the same number, a store that is left is freed by nobody before takeOver. Change: a call that the stop broke off says nothing of the runner. Before: go test ./sidecar -run TestStopIsNotTheRunnersSilence on the code as it was: 'Should be false', FAIL. After: go test -race ./sidecar -count=3: ok.

--- a/sidecar/loader.go
+++ b/sidecar/loader.go
@@ -45,7 +45,9 @@
 	load, err := s.Runner.Report(ctx)
 	l.note(ctx, err)
 	if err != nil {
-		s.news.silence()
+		if ctx.Err() == nil { // it is the runner that did not answer, not this agent that stopped asking
+			s.news.silence()
+		}
 		return
 	}
 	loading := load.Busy
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -192,6 +192,22 @@
 	})
 }
 
+// TestStopIsNotTheRunnersSilence has an agent stop while it asks its runner: entries would turn away from a runner that is well.
+func TestStopIsNotTheRunnersSilence(t *testing.T) {
+	runner := httptest.NewServer(&engine{version: 1})
+	t.Cleanup(runner.Close)
+	s := &Sidecar{
+		Settings: &deployment.Settings{Runner: addressOf(runner.URL)}, Runner: platform.NewRunner(addressOf(runner.URL)), Log: testr.New(t),
+	}
+	s.news = &news{sidecar: s}
+	s.state.Roster.Put(time.Now(), deployment.Runner{ID: "r1", Service: "s", Address: addressOf(runner.URL)})
+	ctx, stop := context.WithCancel(context.Background())
+	stop()
+	(&loader{sidecar: s}).look(ctx)
+	load, _, _ := s.news.get()
+	assert.False(t, load.Silent)
+}
+
 func TestBulletins(t *testing.T) {
 	f := begin(t, &engine{version: 1})
 	f.name(1)
