--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -31,9 +31,9 @@
 	good     string
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t *testing.T, host string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	require.NoError(t, err)
 	defer func() { require.NoError(t, l.Close()) }()
 	return l.Addr().String()
@@ -41,17 +41,38 @@
 
 func startPlatformEntry(t *testing.T, store string) *platformEntry {
 	t.Helper()
-	e := &platformEntry{callers: freeAddress(t), ready: freeAddress(t), metrics: freeAddress(t), settings: filepath.Join(t.TempDir(), "boot.toml")}
+	e := newPlatformEntry(t, "127.0.0.1", store)
+	e.start(t)
+	e.awaitReady(t)
+	return e
+}
+
+// newPlatformEntry settles an entry's addresses and settings, and starts nothing yet.
+func newPlatformEntry(t *testing.T, host, store string) *platformEntry {
+	t.Helper()
+	e := &platformEntry{
+		callers: freeAddress(t, host), ready: freeAddress(t, host), metrics: freeAddress(t, host),
+		settings: filepath.Join(t.TempDir(), "boot.toml"),
+	}
 	e.good = (&site.Settings{
-		Name: "entry-1", Host: netip.MustParseAddr("127.0.0.1"), PeerPort: 7580, Callers: e.callers, Readiness: e.ready,
+		Name: "entry-1", Host: netip.MustParseAddr(host), PeerPort: 7580, Callers: e.callers, Readiness: e.ready,
 		Store: netip.MustParseAddrPort(store),
 	}).Text()
 	e.write(t, e.good)
+	return e
+}
+
+// start starts the entry's process, for the first time or again.
+func (e *platformEntry) start(t *testing.T) {
+	t.Helper()
 	_, port, err := net.SplitHostPort(e.metrics)
 	require.NoError(t, err)
 	e.process = startReading(t, (*exec.Cmd).StdoutPipe, "platform", "entry", "--settings-file", e.settings, "--metrics-port", port)
+}
+
+func (e *platformEntry) awaitReady(t *testing.T) {
+	t.Helper()
 	require.Eventually(t, func() bool { return status("http://"+e.ready+"/ready") == http.StatusOK }, patience, 10*time.Millisecond)
-	return e
 }
 
 func (e *platformEntry) write(t *testing.T, text string) {
--- a/e2e/race_off_test.go
+++ b/e2e/race_off_test.go
@@ -2,4 +2,10 @@
 
 package e2e
 
+import "time"
+
 var buildFlags []string
+
+// lastBreath is how long before its process's end an entry may fail new connections: between the closing of its door and the
+// end that its parent sees there is always some time.
+const lastBreath = 50 * time.Millisecond
--- a/e2e/race_on_test.go
+++ b/e2e/race_on_test.go
@@ -2,4 +2,11 @@
 
 package e2e
 
+import "time"
+
 var buildFlags = []string{"-race"}
+
+// lastBreath is how long before its process's end an entry may fail new connections: between the closing of its door and the
+// end that its parent sees there is always some time, which the race detector
+// makes longer.
+const lastBreath = 250 * time.Millisecond
--- /dev/null
+++ b/e2e/stopping_judge_test.go
@@ -0,0 +1,195 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach/internal/standin/site"
+)
+
+const (
+	// stopGrace is what the settings file gives as grace: the platform kills what has not ended by then.
+	stopGrace = 8 * time.Second
+	// atOnce bounds a refusal. What an entry cannot end in time is known when it is read, so that no run of any request lies
+	// between; all runs of streams in these tests take several times as long.
+	atOnce = time.Second
+	// mostShown is how many attempts a failure lists.
+	mostShown = 6
+	// streamTick is the pause between the events of a stream.
+	streamTick = 100 * time.Millisecond
+)
+
+// stopSite is a deployment's outside: its store, and one runner for plain answers and long streams.
+type stopSite struct {
+	store  *site.Store
+	runner *site.Runner
+	// address is the store's.
+	address string
+}
+
+func newStopSite(t *testing.T, events int) *stopSite {
+	t.Helper()
+	s := &stopSite{store: site.NewStore(), runner: &site.Runner{ID: "r1"}}
+	s.runner.Handle = func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/"+streamRoute+"/") {
+			site.Pace(w, r, events, streamTick)
+			return
+		}
+		site.Answer(w, r, plainAnswer)
+	}
+	s.runner.Start()
+	t.Cleanup(s.runner.Stop)
+	s.configure(1)
+	s.store.Put("servers", "r1", map[string]any{"service": "s", "address": s.runner.Address().String(), "zone": "z", "state": "ready"})
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.Close)
+	s.address = strings.TrimPrefix(server.URL, "http://")
+	return s
+}
+
+// configure puts a version of the configuration in force; each has a route of its own beside those that callers ask.
+func (s *stopSite) configure(version int) {
+	route := func(name, kind string, timeout int) map[string]any {
+		return map[string]any{
+			"name": name, "host": stopHost, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": timeout, "service": "s", "max_attempts": 1,
+		}
+	}
+	s.store.Put("config", "main", map[string]any{
+		"version": version,
+		"routes": []any{
+			route(plainRoute, "idempotent", 2000), route(streamRoute, "streaming", 12000), route(fmt.Sprintf("only%d", version), "idempotent", 2000),
+		},
+		"services": []any{map[string]any{"name": "s"}},
+		"limits":   map[string]any{"max_body_bytes": 1000},
+	})
+}
+
+// stopEntry is an entry and its processes, one after another.
+type stopEntry struct {
+	*platformEntry
+
+	mu         sync.Mutex
+	lives      []*process
+	signalled  time.Time
+	gone, back time.Time
+}
+
+func (s *stopSite) entry(t *testing.T, host string) *stopEntry {
+	t.Helper()
+	e := &stopEntry{platformEntry: newPlatformEntry(t, host, s.address)}
+	e.start(t)
+	e.awaitReady(t)
+	e.lives = append(e.lives, e.process)
+	return e
+}
+
+// terminate sends SIGTERM and notes when the process has ended; it tells through what it returns.
+func (e *stopEntry) terminate() (ended <-chan struct{}) {
+	told, first := make(chan struct{}), e.process
+	e.signalled = time.Now()
+	first.signal(syscall.SIGTERM)
+	go func() {
+		<-first.exited
+		e.mu.Lock()
+		e.gone = time.Now()
+		e.mu.Unlock()
+		close(told)
+	}()
+	return told
+}
+
+// away reports that there was, at some time of the attempt, no process at the entry's address.
+func (e *stopEntry) away(a *attempt) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.gone.IsZero() && a.ended.After(e.gone.Add(-lastBreath)) && (e.back.IsZero() || a.began.Before(e.back))
+}
+
+// read reports that one of the entry's processes had read the attempt's request: its connection shows it, its log names it, or
+// it ran.
+func (e *stopEntry) read(a *attempt, ran map[string]bool) bool {
+	if a.taken || ran[a.id] {
+		return true
+	}
+	for _, p := range e.lives {
+		if strings.Contains(p.text(), fmt.Sprintf("%q", a.id)) {
+			return true
+		}
+	}
+	return false
+}
+
+// ran are the requests that came to the runner.
+func (s *stopSite) ran() map[string]bool {
+	ids := map[string]bool{}
+	for _, run := range s.runner.Runs() {
+		ids[run.Header.Get("X-Rillreach-Attempt-Id")] = true
+	}
+	return ids
+}
+
+// assertNone fails with what became of some of the attempts that must not be there.
+func assertNone(t *testing.T, bad []attempt, what string) {
+	t.Helper()
+	if len(bad) == 0 {
+		return
+	}
+	var text strings.Builder
+	for _, a := range bad[:min(len(bad), mostShown)] {
+		since := func(at time.Time) float64 { return at.Sub(a.entry.signalled).Seconds() }
+		fmt.Fprintf(&text, "\n  %s, sent to %s %.3f s after its SIGTERM: %s at %.3f s (%s)", a.id, a.entry.callers, since(a.began), a.how, since(a.ended), a.detail)
+	}
+	assert.Failf(t, what, "%d of them, such as%s", len(bad), text.String())
+}
+
+// assertKept runs the checks that hold for every stop: what an entry reads gets a whole answer, or at once a refusal that
+// keeps its promise.
+func assertKept(t *testing.T, s *stopSite, l *ledger) {
+	t.Helper()
+	ran := s.ran()
+	t.Run("no answer is cut", func(t *testing.T) {
+		assertNone(t, l.those(func(a *attempt) bool { return a.how == cutOff }), "cut")
+	})
+	t.Run("what is read is answered or refused", func(t *testing.T) {
+		assertNone(t, l.those(func(a *attempt) bool {
+			return a.how == noPromise || a.how == unanswered && a.entry.read(a, ran)
+		}), "read, and neither answered nor refused")
+	})
+	t.Run("what is refused has not run", func(t *testing.T) {
+		assertNone(t, l.those(func(a *attempt) bool { return a.how == refused && ran[a.id] }), "refused, and run")
+	})
+	t.Run("a refusal comes at once", func(t *testing.T) {
+		assertNone(t, l.those(func(a *attempt) bool { return a.how == refused && a.ended.Sub(a.sent) > atOnce }), "refused late")
+	})
+	t.Run("what is short is still answered after the signal", func(t *testing.T) {
+		answered := l.those(func(a *attempt) bool {
+			return a.how == whole && a.route == plainRoute && a.began.After(a.entry.signalled) && a.ended.Before(a.entry.gone)
+		})
+		assert.NotEmpty(t, answered)
+	})
+}
+
+// assertDoorOpen checks that a new connection fails only while there is no process.
+func assertDoorOpen(t *testing.T, l *ledger) {
+	t.Helper()
+	assertNone(t, l.those(func(a *attempt) bool {
+		return (a.how == unconnected || a.how == unanswered && !a.again) && !a.entry.away(a)
+	}), "no connection, while the entry's process lived")
+}
+
+// assertEnded checks that the entry's stopped process ended by itself and in time.
+func assertEnded(t *testing.T, e *stopEntry) {
+	t.Helper()
+	require.False(t, e.gone.IsZero())
+	assert.Zero(t, e.lives[0].cmd.ProcessState.ExitCode())
+	assert.Less(t, e.gone.Sub(e.signalled), stopGrace)
+}
--- a/internal/standin/site/runner.go
+++ b/internal/standin/site/runner.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Run is one request that a runner has got.
@@ -116,3 +117,23 @@
 		}
 	}
 }
+
+// Pace streams events with the ids up to the last, one at each tick, until the stream is whole or its caller has gone.
+func Pace(w http.ResponseWriter, req *http.Request, last int, tick time.Duration) {
+	Seal(w, req)
+	w.Header().Set("Content-Type", "text/event-stream")
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for id := 1; id <= last; id++ {
+		_, _ = io.WriteString(w, Piece(id))
+		_ = http.NewResponseController(w).Flush()
+		select {
+		case <-req.Context().Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Piece is one event of a paced stream.
+func Piece(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
