Pass on during a stop only what surely ends, hold what likely does, refuse what nobody knows

Ruled out: holding what is not known (it ends with 502 where a refusal at once would have said that it has not run). Change: Decide takes a likely and a sure time; without any the request is refused, and a single one counts for little. The listener is closed 20 ms before the end instead of 50.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -26,20 +26,25 @@
 	End time.Time
 }
 
-// Decide judges a request that has come whole: due is when it gets its final answer whatever happens, usual how long requests
-// of its kind take, zero where that is not known.
-func (s Stop) Decide(now, due time.Time, usual time.Duration) Verdict {
+// Times are how long requests of one kind take; zero says that it is not known.
+type Times struct {
+	// Likely is enough for most of them, Surely for nearly all.
+	Likely time.Duration
+	Surely time.Duration
+}
+
+// Decide judges a request that has come whole: due is when it gets its final answer whatever happens.
+func (s Stop) Decide(now, due time.Time, takes Times) Verdict {
+	inTime := func(d time.Duration) bool { return d > 0 && !now.Add(d).After(s.End) }
 	switch {
 	case !now.Before(s.End):
 		return Refuse
 	case !due.After(s.End):
 		return Pass
-	case now.Add(usual).After(s.End):
+	case !inTime(takes.Likely):
 		return Refuse
-	case now.Before(s.Signalled.Add(s.Notice)):
+	case inTime(takes.Surely) && now.Before(s.Signalled.Add(s.Notice)):
 		return Pass
-	case usual == 0:
-		return Refuse
 	default:
 		return Hold
 	}
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -15,32 +15,36 @@
 
 func TestDecide(t *testing.T) {
 	s := Stop{Signalled: start, Notice: 2 * time.Second, End: at(7 * time.Second)}
-	assertVerdict := func(t *testing.T, want Verdict, now, patience, usual time.Duration) {
+	assertVerdict := func(t *testing.T, want Verdict, now, patience time.Duration, takes Times) {
 		t.Helper()
-		assert.Equal(t, want, s.Decide(at(now), at(now+patience), usual))
+		assert.Equal(t, want, s.Decide(at(now), at(now+patience), takes))
 	}
+	quick := Times{Likely: time.Second, Surely: 3 * time.Second}
 	t.Run("what is due before the end is passed on, whatever it usually takes", func(t *testing.T) {
-		assertVerdict(t, Pass, 4*time.Second, 2*time.Second, 9*time.Second)
-		assertVerdict(t, Pass, 4*time.Second, 3*time.Second, 0)
+		assertVerdict(t, Pass, 4*time.Second, 2*time.Second, Times{Likely: 9 * time.Second, Surely: 9 * time.Second})
+		assertVerdict(t, Pass, 4*time.Second, 3*time.Second, Times{})
 	})
-	t.Run("while callers cannot know yet, all that usually ends in time is passed on", func(t *testing.T) {
-		assertVerdict(t, Pass, time.Second, time.Minute, time.Second)
-		assertVerdict(t, Pass, time.Second, time.Minute, 0)
-		assertVerdict(t, Refuse, time.Second, time.Minute, 7*time.Second)
+	t.Run("while callers cannot know yet, what surely ends in time is passed on", func(t *testing.T) {
+		assertVerdict(t, Pass, time.Second, time.Minute, quick)
 	})
-	t.Run("later, what usually ends in time is held until it is whole", func(t *testing.T) {
-		assertVerdict(t, Hold, 4*time.Second, time.Minute, time.Second)
+	t.Run("what only likely ends in time is held until it is whole", func(t *testing.T) {
+		assertVerdict(t, Hold, time.Second, time.Minute, Times{Likely: time.Second, Surely: 7 * time.Second})
 	})
-	t.Run("what usually ends too late, or nobody knows when, is refused", func(t *testing.T) {
-		assertVerdict(t, Refuse, 4*time.Second, time.Minute, 4*time.Second)
-		assertVerdict(t, Refuse, 4*time.Second, time.Minute, 0)
+	t.Run("once callers can know, everything that is not due is held", func(t *testing.T) {
+		assertVerdict(t, Hold, 2*time.Second, time.Minute, quick)
+		assertVerdict(t, Hold, 5*time.Second, time.Minute, quick)
+	})
+	t.Run("what likely ends too late, or nobody knows when, is refused", func(t *testing.T) {
+		assertVerdict(t, Refuse, time.Second, time.Minute, Times{Likely: 7 * time.Second, Surely: 7 * time.Second})
+		assertVerdict(t, Refuse, time.Second, time.Minute, Times{})
+		assertVerdict(t, Refuse, 6500*time.Millisecond, time.Minute, quick)
 	})
 	t.Run("from the end on everything is refused", func(t *testing.T) {
-		assertVerdict(t, Refuse, 7*time.Second, 0, time.Millisecond)
+		assertVerdict(t, Refuse, 7*time.Second, 0, Times{Likely: time.Millisecond, Surely: time.Millisecond})
 	})
 }
 
-// TestNothingLateIsCut: what is passed on after the notice is due before the end, so that the end cuts none of it.
+// TestNothingLateIsCut: what is passed on is due before the end, or surely whole by then and taken before callers could know.
 func TestNothingLateIsCut(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		drawn := func(name string) time.Duration {
@@ -49,20 +53,26 @@
 		s := Stop{Signalled: start, Notice: drawn("notice"), End: at(drawn("end"))}
 		now := at(drawn("now"))
 		due := now.Add(drawn("patience"))
-		if s.Decide(now, due, drawn("usual")) == Pass && !now.Before(s.Signalled.Add(s.Notice)) {
-			assert.False(t, due.After(s.End))
+		takes := Times{Likely: drawn("likely"), Surely: drawn("surely")}
+		if s.Decide(now, due, takes) == Pass && due.After(s.End) {
+			assert.True(t, now.Before(s.Signalled.Add(s.Notice)))
+			assert.Positive(t, takes.Surely)
+			assert.False(t, now.Add(takes.Surely).After(s.End))
 		}
 	})
 }
 
 func TestUsual(t *testing.T) {
-	t.Run("nothing is said of a kind that is hardly known", func(t *testing.T) {
+	t.Run("nothing is said of a kind that is not known", func(t *testing.T) {
 		var u Usual
-		for range leastSamples - 1 {
-			u.Add(time.Second)
-		}
 		assert.Zero(t, u.Time(4))
 	})
+	t.Run("little is sure while little is known", func(t *testing.T) {
+		var u Usual
+		u.Add(time.Second)
+		assert.Equal(t, 2*time.Second, u.Time(1))
+		assert.Equal(t, 5*time.Second, u.Time(4))
+	})
 	t.Run("times that are alike are usual themselves", func(t *testing.T) {
 		var u Usual
 		for range 100 {
--- a/drain/usual.go
+++ b/drain/usual.go
@@ -7,8 +7,6 @@
 	// one stream in a hundred takes eight times the median here, and must not count for long.
 	meanGain      = 1.0 / 32
 	deviationGain = 1.0 / 16
-	// leastSamples is how many values must be known before anything is said.
-	leastSamples = 8
 )
 
 // Usual learns how long requests of one kind take; its zero value knows nothing.
@@ -22,15 +20,12 @@
 func (u *Usual) Add(took time.Duration) {
 	u.samples++
 	off := took - u.mean
-	// The first values count alike, so that none of them has the weight of a whole history.
+	// The first values count alike, and the first one's deviation is itself: little is sure while little is known.
 	u.mean += time.Duration(max(meanGain, 1/float64(u.samples)) * float64(off))
 	u.deviation += time.Duration(max(deviationGain, 1/float64(u.samples)) * float64(off.Abs()-u.deviation))
 }
 
-// Time is the mean and as many mean deviations, zero while too few requests are known.
+// Time is the mean and as many mean deviations, zero while no request is known.
 func (u *Usual) Time(deviations int) time.Duration {
-	if u.samples < leastSamples {
-		return 0
-	}
 	return u.mean + time.Duration(deviations)*u.deviation
 }
--- a/e2e/reload_test.go
+++ b/e2e/reload_test.go
@@ -25,10 +25,10 @@
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
 	store.Put("config", "main", site.ConfigOf(1, nil))
-	callers, ready := freeAddress(t), freeAddress(t)
+	callers, ready := freeAddress(t, "127.0.0.1"), freeAddress(t, "127.0.0.1")
 	file := filepath.Join(t.TempDir(), "boot.toml")
 	require.NoError(t, syscall.Mkfifo(file, 0o600))
-	_, port, err := net.SplitHostPort(freeAddress(t))
+	_, port, err := net.SplitHostPort(freeAddress(t, "127.0.0.1"))
 	require.NoError(t, err)
 	p := startReading(t, (*exec.Cmd).StdoutPipe, "platform", "entry", "--settings-file", file, "--metrics-port", port)
 	pipe, err := os.OpenFile(file, os.O_WRONLY, 0) // returns once the process has begun to read
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -26,7 +26,7 @@
 	// answerMargin is kept from the end of all work for the answers to requests that have none yet.
 	answerMargin = 200 * time.Millisecond
 	// lastRequests is how long after the listener is closed the connections that it took last may bring a request.
-	lastRequests = 50 * time.Millisecond
+	lastRequests = 20 * time.Millisecond
 	// lastWords is how long requests that are cut have for their lines in the log; it is part of EndMargin.
 	lastWords = 100 * time.Millisecond
 	// restartTime is how long an entry takes to be back after its end: the platform starts it again after 0.5 s, and it knows
@@ -81,10 +81,10 @@
 	if g.over.Err() != nil {
 		return g.refuseLeaving(x)
 	}
-	usual := g.usual.of(x.route)
-	verdict := g.plan.Decide(time.Now(), x.ends, usual)
+	takes := g.usual.of(x.route)
+	verdict := g.plan.Decide(time.Now(), x.ends, takes)
 	if verdict == drain.Refuse {
-		g.Log.Info("too late to be taken", "decision", "drain", "request", x.wire.ID, "usual", usual.String(),
+		g.Log.Info("too late to be taken", "decision", "drain", "request", x.wire.ID, "likely", takes.Likely.String(),
 			"due", time.Until(x.ends).String(), "end", time.Until(g.plan.End).String())
 		return g.refuseLeaving(x)
 	}
@@ -142,17 +142,18 @@
 	u.byRoute[route].Add(took)
 }
 
-// of is how long a request on the route may well take. What must not run twice is lost where the end overtakes it, so that it
-// needs more certainty than what its caller may send again.
-func (u *usualTimes) of(route *deployment.Route) time.Duration {
-	deviations := likelyDeviations
-	if route.Once() {
-		deviations = surelyDeviations
-	}
+// of is how long requests on the route take. What must not run twice is lost where the end overtakes it, so that its likely
+// time is the sure one.
+func (u *usualTimes) of(route *deployment.Route) drain.Times {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if known := u.byRoute[route.Name]; known != nil {
-		return known.Time(deviations)
+	known := u.byRoute[route.Name]
+	if known == nil {
+		return drain.Times{}
+	}
+	takes := drain.Times{Likely: known.Time(likelyDeviations), Surely: known.Time(surelyDeviations)}
+	if route.Once() {
+		takes.Likely = takes.Surely
 	}
-	return 0
+	return takes
 }
