End in time where nobody reads the log

Where the log's pipe is full it was killed instead of ending. Ruled out: closing standard output (a write that hangs does not end by that). Before: TestStopWithLogThatNobodyReads fails (not ended 8 s after SIGTERM). After: passes; ./logsink passes 20 of 20 under the race detector.

--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -126,8 +126,8 @@
 	p.log.Info("starting", "decision", "start", "zone", s.Zone, "store", s.Store, "memoryMB", s.MemoryMB)
 	life, end := context.WithCancel(context.Background())
 	defer end()
+	go sink.Run(life) // not waited for: where nobody reads the log it does not end, and Drain bounds that
 	var wg conc.WaitGroup
-	wg.Go(func() { sink.Run(life) })
 	wg.Go(func() { p.reload(life, c.String("settings-file"), changed) })
 	wg.Go(func() { p.serveMetrics(life, uint16(c.Int("metrics-port"))) })
 	err = run(ctx, p)
--- /dev/null
+++ b/e2e/stopping_log_test.go
@@ -0,0 +1,39 @@
+package e2e
+
+import (
+	"os/exec"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestStopWithLogThatNobodyReads has an entry stop while its log's pipe is full: the log must not keep it beyond its grace.
+func TestStopWithLogThatNobodyReads(t *testing.T) {
+	t.Parallel()
+	const refusals = 1500 // whose lines are more than a pipe takes
+	s := newStopSite(t, 1)
+	e := newPlatformEntry(t, "127.0.0.1", s.address)
+	cmd := exec.Command(binary, "platform", "entry", "--settings-file", e.settings)
+	_, err := cmd.StdoutPipe() // nobody reads it
+	require.NoError(t, err)
+	require.NoError(t, cmd.Start())
+	t.Cleanup(func() { _ = cmd.Process.Kill() })
+	e.awaitReady(t)
+	for range refusals {
+		require.NotZero(t, status("http://"+e.callers+"/none"))
+	}
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	ended := make(chan error, 1)
+	go func() {
+		_, err := cmd.Process.Wait()
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		require.NoError(t, err)
+	case <-time.After(stopGrace):
+		require.Fail(t, "the process has not ended within its grace")
+	}
+}
--- a/logsink/sink.go
+++ b/logsink/sink.go
@@ -28,6 +28,8 @@
 // Sink takes lines and writes them in order; New makes one.
 type Sink struct {
 	out io.Writer
+	// writing keeps lines in order where two flush at once.
+	writing sync.Mutex
 
 	mu      sync.Mutex
 	held    []byte
@@ -65,7 +67,7 @@
 	return len(line), nil
 }
 
-// Run writes lines until the context ends, and then what is left, for as long as that takes at the most.
+// Run writes lines until the context ends, and then what is left, however long that takes.
 func (s *Sink) Run(ctx context.Context) {
 	for {
 		select {
@@ -78,7 +80,7 @@
 	}
 }
 
-// Drain writes what is left, at the longest for the given time.
+// Drain writes what is left, also what Run is just writing, at the longest for the given time.
 func (s *Sink) Drain(wait time.Duration) {
 	done := make(chan struct{})
 	go func() {
@@ -92,6 +94,8 @@
 }
 
 func (s *Sink) flush() {
+	s.writing.Lock()
+	defer s.writing.Unlock()
 	s.mu.Lock()
 	held, dropped := s.held, s.dropped
 	s.held, s.dropped = nil, 0
--- a/logsink/sink_test.go
+++ b/logsink/sink_test.go
@@ -15,12 +15,16 @@
 // gate is a writer that takes nothing until it is opened, as a full pipe does.
 type gate struct {
 	open chan struct{}
-	mu   sync.Mutex
+	// reached is closed when somebody waits.
+	reached chan struct{}
+	once    sync.Once
+	mu      sync.Mutex
 	bytes.Buffer
 }
 
 // Write waits for the gate to open.
 func (g *gate) Write(data []byte) (int, error) {
+	g.once.Do(func() { close(g.reached) })
 	<-g.open
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -28,12 +32,14 @@
 }
 
 func TestSinkNeverBlocks(t *testing.T) {
-	out := &gate{open: make(chan struct{})}
+	out := &gate{open: make(chan struct{}), reached: make(chan struct{})}
 	s := New(out)
 	log := s.Logger(slog.LevelInfo)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { s.Run(ctx) })
+	log.Info("first")
+	<-out.reached // from now on nothing is written, so that what is dropped stays counted
 	filler := strings.Repeat("x", 1000)
 	for range 4 * maxHeld / len(filler) {
 		log.Info("ordinary", "filler", filler) // more than fits, with nobody reading
