Say of a request what all its attempts say, not the last alone

Marked calls had this right. Ruled out: weakening in the attempt itself (it speaks of itself alone, and retries go by that). Change: one function for both ways weakens the last refusal where an earlier attempt may have run.

--- a/filter/dispatch/dispatch.go
+++ b/filter/dispatch/dispatch.go
@@ -67,24 +67,35 @@
 // tryAgents tries one agent after another until one has answered or no further attempt is allowed.
 func (f *Filter) tryAgents(ctx context.Context, x *rillreach.Exchange, try func(m *membership.Member, attempt int) error) error {
 	var tried []rillreach.InstanceID
+	mayHaveRun := false
 	for attempt := 1; ; attempt++ {
 		m, err := f.choose(x, tried, attempt)
 		if err != nil {
-			return err
+			return ofAll(asRefusal(err), mayHaveRun)
 		}
 		if err = try(m, attempt); err == nil {
 			return nil
 		}
 		tried = append(tried, m.ID)
 		refusal := asRefusal(err)
+		mayHaveRun = mayHaveRun || refusal.Outcome == rillreach.OutcomeUnknown
 		verdict := f.decide(ctx, x, refusal, attempt)
 		f.logAttempt(x, m, attempt, refusal, verdict)
 		if verdict != retry.VerdictRetry {
-			return refusal
+			return ofAll(refusal, mayHaveRun)
 		}
 	}
 }
 
+// ofAll is the refusal of a request whose last attempt was refused: that this attempt has not run says nothing of an earlier
+// one whose outcome is unknown.
+func ofAll(last *rillreach.Refusal, mayHaveRun bool) *rillreach.Refusal {
+	if !mayHaveRun || last.Outcome == rillreach.OutcomeUnknown {
+		return last
+	}
+	return rillreach.Unknown(last.Reason, last.Message).After(last.RetryAfter)
+}
+
 func (f *Filter) decide(ctx context.Context, x *rillreach.Exchange, refusal *rillreach.Refusal, attempt int) retry.Verdict {
 	if ctx.Err() != nil {
 		return retry.VerdictDeadline
--- a/filter/dispatch/once.go
+++ b/filter/dispatch/once.go
@@ -70,10 +70,7 @@
 	if refusal == nil {
 		return nil
 	}
-	if (unknown || unknownBefore) && !refusal.Owner {
-		return rillreach.Unknown(refusal.Reason, refusal.Message).After(refusal.RetryAfter)
-	}
-	return refusal
+	return ofAll(refusal, (unknown || unknownBefore) && !refusal.Owner)
 }
 
 // askOwner makes the attempts, and reports whether any of them ended with an unknown outcome.
