Keep SIGHUP from ending the daemons of our own interface

Ruled out: stopping in order on SIGHUP (an operator who asks for a reload doesn't ask for a stop). Change: it is taken, and said to be ignored; settings are flags and variables. Before: TestHangUpEndsNothing fails for entry and agent. After: it passes.

--- a/cmd/ops.go
+++ b/cmd/ops.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
 
+	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
 
 	"github.com/rillreach/rillreach/node"
@@ -18,6 +22,7 @@
 	n.Log.Info("listening", "for", "operators", "address", addressOf(listener))
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	var wg conc.WaitGroup
+	wg.Go(func() { takeHangUps(life, n.Log) })
 	wg.Go(func() {
 		if err := node.ServeHTTP(life, listener, n.Operators()); err != nil {
 			n.Log.Error(err, "operators' address ended")
@@ -28,3 +33,19 @@
 	wg.Wait()
 	return err
 }
+
+// takeHangUps keeps SIGHUP, with which operators and terminals tell a process to read its settings again, from ending a daemon
+// under its requests.
+func takeHangUps(ctx context.Context, log logr.Logger) {
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	defer signal.Stop(hangUps)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangUps:
+			log.Info("SIGHUP is ignored: settings are read only at the start", "decision", "reload")
+		}
+	}
+}
