End no attempt for a runner's silence where nobody can go on in its place

Ruled out: a longer bound (it delays what can be replaced, and still cuts what cannot). Change: the bound asks whether the budget and the list of runners allow another before it ends an attempt; the unit tests of the bound say that there is another, as before. Before: both subtests of TestSilenceWithoutAnother fail (cut after 0.6 s). After: they pass, and ./gateway passes under the race detector.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -22,7 +22,7 @@
 	x.tried = append(x.tried, t.view.ID)
 	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
-	bound := boundSilence(x, t, cancel)
+	bound := g.boundSilence(x, t, cancel)
 	defer bound.stop()
 	begun := t.begin()
 	defer begun.end()
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -20,9 +20,10 @@
 type silenceBound struct {
 	// allowed is how long a pause may be before it is asked whether the runner lives.
 	allowed time.Duration
-	// lives says whether the runner is known to live, end ends the attempt.
-	lives func() bool
-	end   func()
+	// lives says whether the runner is known to live, replaced whether another may go on in its place; end ends the attempt.
+	lives    func() bool
+	replaced func() bool
+	end      func()
 
 	mu      sync.Mutex
 	timer   *time.Timer
@@ -30,12 +31,16 @@
 }
 
 // boundSilence begins to wait for the runner's first word; where the request may not move on there is no bound.
-func boundSilence(x *exchange, t *target, end func()) *silenceBound {
+func (g *Gateway) boundSilence(x *exchange, t *target, end func()) *silenceBound {
 	b := &silenceBound{allowed: max(silenceTargets*x.route.PauseTarget, leastSilence), end: end}
 	b.lives = func() bool {
 		v := t.runner.View(time.Now())
 		return v.Reported && !v.Load.Silent // its agent speaks, and says that the runner answers
 	}
+	b.replaced = func() bool {
+		now := time.Now()
+		return g.budgets.Allows(now, x.service.Name) && g.hasOther(x, t, now)
+	}
 	if !x.route.Once() && len(x.runners)+1 < x.route.MaxRunners {
 		b.begin(max(silenceTargets*x.route.Target, leastSilence))
 	}
@@ -48,9 +53,9 @@
 	b.timer = time.AfterFunc(first, b.ask)
 }
 
-// ask ends the attempt, or asks again soon.
+// ask ends the attempt where another can follow, or asks again soon: the runner may only be slow.
 func (b *silenceBound) ask() {
-	if !b.lives() {
+	if !b.lives() && b.replaced() {
 		b.end()
 		return
 	}
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -8,11 +8,13 @@
 	"github.com/stretchr/testify/assert"
 )
 
+func yes() bool { return true }
+
 func TestSilenceBound(t *testing.T) {
 	t.Run("nothing is asked once the bound is lifted, also where it was being asked just then", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			asked := 0
-			b := &silenceBound{end: func() {}}
+			b := &silenceBound{end: func() {}, replaced: yes}
 			b.lives = func() bool {
 				asked++
 				b.stop() // the answer comes while the runner is being looked at
@@ -27,7 +29,7 @@
 	t.Run("a runner that lives is asked again, one that does not ends the attempt", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			asked, ended := 0, 0
-			b := &silenceBound{end: func() { ended++ }}
+			b := &silenceBound{end: func() { ended++ }, replaced: yes}
 			b.lives = func() bool {
 				asked++
 				return asked < 5
@@ -41,7 +43,7 @@
 	})
 	t.Run("each word of the runner begins the wait anew", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			b := &silenceBound{allowed: time.Second, end: func() { t.Error("ended") }, lives: func() bool { return false }}
+			b := &silenceBound{allowed: time.Second, end: func() { t.Error("ended") }, lives: func() bool { return false }, replaced: yes}
 			b.begin(time.Second)
 			for range 10 {
 				time.Sleep(900 * time.Millisecond)
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -179,3 +179,40 @@
 		assert.Equal(t, pieces(9), got.body)
 	})
 }
+
+// TestSilenceWithoutAnother: a runner's silence is no reason to end an answer that nobody else would go on with.
+func TestSilenceWithoutAnother(t *testing.T) {
+	pauses := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Last-Event-Id") != "" {
+			site.Refuse(w, r)
+			return
+		}
+		site.Events(w, r, 4, 0)
+		select {
+		case <-time.After(4 * leastSilence):
+		case <-r.Context().Done():
+			return
+		}
+		r.Header.Set("Last-Event-Id", "4")
+		site.Events(w, r, 9, 0)
+	}
+	assertWhole := func(t *testing.T, w *world) {
+		t.Helper()
+		got := w.call(t, "POST", "/stream/x", "prompt")
+		require.NoError(t, got.err, "the answer was ended, and nobody went on with it")
+		assert.Equal(t, pieces(9), got.body)
+	}
+	t.Run("where no other runner may take it, it is waited for", func(t *testing.T) {
+		w := begin(t, defaultConfig(), &site.Runner{ID: "a", Handle: pauses})
+		defer w.stop()
+		assertWhole(t, w)
+	})
+	t.Run("where no budget is left for another, too", func(t *testing.T) {
+		w := begin(t, defaultConfig(), &site.Runner{ID: "a", Handle: pauses}, &site.Runner{ID: "b", Handle: pauses})
+		defer w.stop()
+		for w.gateway.budgets.Spend(time.Now(), "plain") {
+			continue
+		}
+		assertWhole(t, w)
+	})
+}
