Let the soak's callers come through a balancer, and stop in series

Each new connection goes to an entry that a balancer gives, by the users' rules; half of the callers open one for each request, the others keep theirs. New faults stop all entries or all agents in series, with other faults drawn beside them, and reload good settings.

The judge holds each request that an entry took whole against LOST, new connections against refusal by an entry that lives, and processes against an end by themselves. A cut answer of an undisturbed entry and runner used to count as nothing; the case of the judge's test that said so now has a fault of the runner.

Settings are rewritten without emptying the file: that waited up to ten seconds for a busy disk, and kept processes from starting again.

--- a/internal/standin/site/specs.go
+++ b/internal/standin/site/specs.go
@@ -1,9 +1,11 @@
 package site
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"net/netip"
+	"time"
 )
 
 // Model is the one that engines serve.
@@ -25,12 +27,14 @@
 	Resumable bool
 	// Engines says that engines serve the route.
 	Engines bool
+	// Timeout is the longest that a request may take; zero means three seconds.
+	Timeout time.Duration
 }
 
-// routeTimeout and routeTarget are the same for all routes, in milliseconds.
 const (
-	routeTimeout = 3000
-	routeTarget  = 300
+	routeTimeout = 3 * time.Second
+	// routeTarget is the same for all routes, in milliseconds.
+	routeTarget = 300
 )
 
 // ConfigOf is a configuration with one client account that has the keys.
@@ -42,7 +46,7 @@
 			service = engineService
 		}
 		specs = append(specs, map[string]any{
-			"name": r.Name, "host": r.Host, "path_prefix": "/" + r.Name + "/", "kind": r.Kind, "timeout_ms": routeTimeout,
+			"name": r.Name, "host": r.Host, "path_prefix": "/" + r.Name + "/", "kind": r.Kind, "timeout_ms": cmp.Or(r.Timeout, routeTimeout).Milliseconds(),
 			"target_latency_ms": routeTarget, "service": service, "max_attempts": r.Attempts, "resumable": r.Resumable,
 		})
 	}
--- /dev/null
+++ b/soak/balancer.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// probeEvery is how often the balancer asks each entry, probeTimeout how long it waits for the answer.
+	probeEvery   = time.Second
+	probeTimeout = time.Second
+	// mostMisses is how many probes in a row may fail before an entry gets no new connections.
+	mostMisses = 2
+	// dialTimeout is how long a new connection may take to come up.
+	dialTimeout = time.Second
+)
+
+// balancer gives each new connection an entry, as the users' platform does.
+type balancer struct {
+	entries []*entry
+
+	mu     sync.Mutex
+	misses []int
+}
+
+func newBalancer(entries []*entry) *balancer {
+	return &balancer{entries: entries, misses: make([]int, len(entries))}
+}
+
+// run probes the entries until it is told to stop.
+func (b *balancer) run(stop <-chan struct{}) {
+	var wg sync.WaitGroup
+	for i := range b.entries {
+		wg.Go(func() {
+			ticker := time.NewTicker(probeEvery)
+			defer ticker.Stop()
+			for {
+				b.probe(i)
+				select {
+				case <-stop:
+					return
+				case <-ticker.C:
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (b *balancer) probe(i int) {
+	e := b.entries[i]
+	current := e.life()
+	ready := isReady(e)
+	if ready {
+		e.noteReady(current)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if ready {
+		b.misses[i] = 0
+		return
+	}
+	b.misses[i]++
+}
+
+// pick chooses among the entries that are in, or among all of them when under half are.
+func (b *balancer) pick() *entry {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var in []*entry
+	for i, e := range b.entries {
+		if b.misses[i] < mostMisses {
+			in = append(in, e)
+		}
+	}
+	if 2*len(in) < len(b.entries) {
+		in = b.entries
+	}
+	return in[rand.IntN(len(in))]
+}
+
+// dial opens a connection to an entry of the balancer's choice.
+func (b *balancer) dial(ctx context.Context) (net.Conn, *entry, error) {
+	e := b.pick()
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", e.callers)
+	return conn, e, err
+}
+
+func isReady(e *entry) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.ready+"/ready", http.NoBody)
+	if err != nil {
+		return false
+	}
+	resp, err := probeClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// probeClient asks over a new connection each time, so that no answer comes from an earlier process.
+var probeClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -4,82 +4,121 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/rillreach/rillreach/internal/standin/site"
 )
 
-// callers send requests to one entry over connections that they keep, until they are told to end.
+// callers send requests through the balancer until they are told to stop: half of them open a connection for each request,
+// the others go on using theirs until it is closed.
 type callers struct {
-	entry *entry
-	host  string
-	keys  []string
-	next  *atomic.Int64
+	balancer *balancer
+	host     string
+	keys     []string
+	count    int
 
+	next  atomic.Int64
 	mu    sync.Mutex
 	calls []call
 }
 
 const (
-	callersEach = 4
-	thinkTime   = 25 * time.Millisecond
-	giveUp      = 8 * time.Second
+	thinkTime = 25 * time.Millisecond
+	giveUp    = 10 * time.Second
 )
 
 var kinds = []kind{kindRepeat, kindOnce, kindStream, kindFlow, kindPrompt}
 
 func (c *callers) run(stop <-chan struct{}) {
 	var wg sync.WaitGroup
-	for i := range callersEach {
-		wg.Go(func() {
-			client := &http.Client{Transport: &http.Transport{DisableCompression: true}, Timeout: giveUp}
-			defer client.CloseIdleConnections()
-			for n := i; ; n++ {
-				select {
-				case <-stop:
-					return
-				case <-time.After(thinkTime):
-				}
-				c.one(client, kinds[n%len(kinds)], c.keys[n/len(kinds)%len(c.keys)])
-			}
-		})
+	for i := range c.count {
+		one := &caller{callers: c}
+		wg.Go(func() { one.run(i, stop) })
 	}
 	wg.Wait()
 }
 
-func (c *callers) one(client *http.Client, k kind, key string) {
-	seen := call{ID: fmt.Sprintf("%s-%d", k, c.next.Add(1)), Kind: k, Key: key, Entry: c.entry.number, Sent: time.Now()}
-	c.send(client, &seen)
-	seen.Ended = time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.calls = append(c.calls, seen)
+// caller sends one request after another.
+type caller struct {
+	callers *callers
+	client  *http.Client
+	// entry is the one that the latest connection leads to; fresh says that no request has used it yet.
+	entry *entry
+	fresh bool
+}
+
+func (c *caller) run(number int, stop <-chan struct{}) {
+	c.client = &http.Client{Timeout: giveUp, Transport: &http.Transport{
+		DisableCompression: true, DisableKeepAlives: number%2 == 0, DialContext: c.dial,
+	}}
+	defer c.client.CloseIdleConnections()
+	for n := number; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(thinkTime):
+		}
+		c.one(kinds[n%len(kinds)], c.callers.keys[n/len(kinds)%len(c.callers.keys)])
+	}
+}
+
+// dial connects to whichever entry the balancer gives, since the URL names none.
+func (c *caller) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	conn, e, err := c.callers.balancer.dial(ctx)
+	c.entry, c.fresh = e, true
+	return conn, err
 }
 
-func (c *callers) send(client *http.Client, seen *call) {
+func (c *caller) one(k kind, key string) {
+	seen := call{ID: fmt.Sprintf("%s-%d", k, c.callers.next.Add(1)), Kind: k, Key: key, Sent: time.Now()}
+	c.fresh = false
+	c.send(&seen)
+	seen.Ended, seen.Fresh = time.Now(), c.fresh
+	if c.entry != nil {
+		seen.Entry = c.entry.number
+	}
+	c.callers.mu.Lock()
+	defer c.callers.mu.Unlock()
+	c.callers.calls = append(c.callers.calls, seen)
+}
+
+func (c *caller) send(seen *call) {
+	var written atomic.Pointer[time.Time]
+	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if now := time.Now(); info.Err == nil {
+			written.Store(&now)
+		}
+	}})
 	// A POST without a way to make its body anew is sent once by the client, whatever happens to the connection.
-	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, fmt.Sprintf("http://%s/%s/x", c.entry.callers, seen.Kind), io.LimitReader(zeros{}, 10))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/%s/x", c.callers.host, seen.Kind), io.LimitReader(zeros{}, 10))
 	if err != nil {
 		seen.Cut = true
 		return
 	}
-	req.Host = c.host
 	site.SetRequestID(req, seen.ID)
 	if seen.Kind == kindPrompt {
 		site.SetPrompt(req, fmt.Sprintf("%08x", len(seen.ID)))
 	}
 	req.Header.Set("Authorization", "Bearer "+seen.Key)
-	resp, err := client.Do(req)
-	if err != nil {
-		seen.Cut = true
-		return
+	resp, err := c.client.Do(req)
+	if err == nil {
+		defer resp.Body.Close()
+		var body []byte
+		body, err = io.ReadAll(resp.Body)
+		seen.Status, seen.Body = resp.StatusCode, string(body)
+	}
+	seen.Cut, seen.Refused = err != nil, errors.Is(err, syscall.ECONNREFUSED)
+	if at := written.Load(); at != nil {
+		seen.Written = *at
 	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	seen.Status, seen.Body, seen.Cut = resp.StatusCode, string(body), err != nil
 }
 
 // zeros is a reader of zeros.
--- a/soak/engine.go
+++ b/soak/engine.go
@@ -38,12 +38,15 @@
 // engineHost is the address of loopback on which an engine and its agent live.
 func engineHost(number int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 1, byte(number + 1)}) }
 
+// name names the place of the engine, in whatever runs there.
+func (e *engine) name() string { return fmt.Sprintf("e-%d", e.number) }
+
 // start begins a new run with the weights, and returns its name.
 func (e *engine) start(weights uint64) string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.runs++
-	id := fmt.Sprintf("e-%d-%d", e.number, e.runs)
+	id := fmt.Sprintf("%s-%d", e.name(), e.runs)
 	one := &site.Engine{Model: site.Model, Version: weights, LoadTime: loadTime}
 	one.ID = id
 	one.Handle = func(w http.ResponseWriter, r *http.Request) {
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -27,16 +27,22 @@
 
 // call is what a caller saw of one request.
 type call struct {
-	ID     string
-	Kind   kind
-	Key    string
-	Entry  int
-	Sent   time.Time
-	Ended  time.Time
-	Status int
-	Body   string
+	ID   string
+	Kind kind
+	Key  string
+	// Entry is the one that the request's connection led to.
+	Entry int
+	Sent  time.Time
+	// Written is when the whole request had been sent, zero where it never was.
+	Written time.Time
+	Ended   time.Time
+	Status  int
+	Body    string
 	// Cut says that the answer did not end as it should, or never came.
 	Cut bool
+	// Fresh says that the connection was opened for the request, Refused that it could not be since nobody listened.
+	Fresh   bool
+	Refused bool
 }
 
 // run is what a runner saw of one request.
@@ -44,6 +50,8 @@
 	ID     string
 	Runner string
 	At     time.Time
+	// Until is when the runner's work on it ended, zero where it goes on.
+	Until time.Time
 	// Weights are those that the run began on, zero where the runner has none.
 	Weights uint64
 }
@@ -64,6 +72,9 @@
 	Ended time.Time
 	// Disturbed are the times in which an entry was under a fault of its own, by entry.
 	Disturbed map[int][]span
+	// Entries are the histories of the entries' processes, Harmed the times in which each place of runners was under a fault.
+	Entries map[int]history
+	Harmed  map[string][]span
 	// Left is when each runner's leaving was acknowledged, Removed when each key was taken away.
 	Left    map[string]time.Time
 	Removed map[string]time.Time
@@ -73,9 +84,11 @@
 
 const (
 	statusOK = http.StatusOK
-	pieces   = 6
-	// answerWithin is the routes' time-out with the slack that the users allow.
-	answerWithin = 3500 * time.Millisecond
+	pieces   = 24
+	// streamTimeout and plainTimeout are the routes' time-outs, timeoutSlack is what the users allow beyond them.
+	streamTimeout = 7 * time.Second
+	plainTimeout  = 3 * time.Second
+	timeoutSlack  = 500 * time.Millisecond
 	// leaveWithin and keyWithin are how soon a leaving runner gets nothing more and a key is refused.
 	leaveWithin = 2 * time.Second
 	keyWithin   = 2 * time.Second
@@ -90,6 +103,17 @@
 	backShare     = 0.95
 )
 
+// resumable reports that requests of the kind may go on at another runner.
+func (k kind) resumable() bool { return k == kindStream || k == kindPrompt }
+
+// timeout is the time-out of the kind's route.
+func (k kind) timeout() time.Duration {
+	if k == kindRepeat || k == kindOnce {
+		return plainTimeout
+	}
+	return streamTimeout
+}
+
 // expected is the whole answer to a request.
 func expected(id string, k kind) string {
 	if k == kindRepeat || k == kindOnce {
@@ -107,20 +131,23 @@
 func judge(r *record, timed bool) []string {
 	var broken []string
 	add := func(format string, args ...any) { broken = append(broken, fmt.Sprintf(format, args...)) }
-	runs := map[string]int{}
+	runs := map[string][]run{}
 	for _, one := range r.Runs {
-		runs[one.ID]++
+		runs[one.ID] = append(runs[one.ID], one)
 	}
 	for i := range r.Calls {
 		c := &r.Calls[i]
-		judgeRuns(c, runs[c.ID], add)
+		judgeRuns(c, len(runs[c.ID]), add)
 		judgeAnswer(c, add)
+		r.judgeLost(c, runs[c.ID], timed, add)
 		if timed {
 			r.judgeTime(c, add)
 			r.judgeKey(c, add)
 		}
 	}
+	r.judgeRefused(runs, add)
 	r.judgeOrders(add)
+	r.judgeLives(timed, add)
 	if timed {
 		r.judgeWeights(add)
 		r.judgeLeaving(add)
@@ -159,19 +186,14 @@
 }
 
 func (r *record) judgeTime(c *call, add func(string, ...any)) {
-	if took := c.Ended.Sub(c.Sent); took > answerWithin && !r.disturbed(c) {
+	if took := c.Ended.Sub(c.Sent); took > c.Kind.timeout()+timeoutSlack && !r.disturbed(c) {
 		add("request %s of kind %s: no final answer for %s", c.ID, c.Kind, took)
 	}
 }
 
 // disturbed reports that the call's entry was under a fault of its own from shortly before the request to its end.
 func (r *record) disturbed(c *call) bool {
-	for _, s := range r.Disturbed[c.Entry] {
-		if s.From.Before(c.Ended) && s.To.Add(contact).After(c.Sent) {
-			return true
-		}
-	}
-	return false
+	return during(c, r.Disturbed[c.Entry])
 }
 
 // judgeOrders holds the orders to each run of an engine against the promises of one holder and of fences that never fall.
--- a/soak/main.go
+++ b/soak/main.go
@@ -16,6 +16,7 @@
 	defaultLength  = 20 * time.Second
 	defaultEntries = 3
 	defaultRunners = 4
+	defaultCallers = 48
 	// mostShown is how many broken promises are printed.
 	mostShown = 20
 )
@@ -27,8 +28,9 @@
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "what the schedule of faults follows from"},
 			&cli.DurationFlag{Name: "for", Value: defaultLength, Usage: "how long faults and callers go on"},
-			&cli.IntFlag{Name: "processes", Value: defaultEntries, Usage: "how many entries"},
-			&cli.IntFlag{Name: "runners", Value: defaultRunners, Usage: "how many runners"},
+			&cli.IntFlag{Name: "entries", Value: defaultEntries, Usage: "how many entries"},
+			&cli.IntFlag{Name: "runners", Value: defaultRunners, Usage: "how many runners, and as many engines with an agent each (at most 250)"},
+			&cli.IntFlag{Name: "callers", Value: defaultCallers, Usage: "how many callers"},
 			&cli.StringFlag{Name: "binary", Usage: "the program; built from the sources where it is not set"},
 			&cli.StringFlag{Name: "keep", Usage: "folder for logs of a seed that failed"},
 		},
@@ -52,7 +54,8 @@
 			return errors.Wrapf(err, "build: %s", out)
 		}
 	}
-	broken, err := playSeed(binary, dir, c.Uint64("seed"), c.Duration("for"), c.Int("processes"), c.Int("runners"), printf)
+	n := size{Entries: c.Int("entries"), Runners: c.Int("runners"), Callers: c.Int("callers")}
+	broken, err := playSeed(binary, dir, c.Uint64("seed"), c.Duration("for"), n, printf)
 	if err != nil {
 		return err
 	}
@@ -73,8 +76,8 @@
 func printf(format string, args ...any) { _, _ = fmt.Printf(format+"\n", args...) }
 
 // playSeed plays one schedule and returns the promises that were broken.
-func playSeed(binary, dir string, seed uint64, length time.Duration, entries, runners int, report func(string, ...any)) ([]string, error) {
-	w, err := newWorld(binary, dir, entries, runners, report)
+func playSeed(binary, dir string, seed uint64, length time.Duration, n size, report func(string, ...any)) ([]string, error) {
+	w, err := newWorld(binary, dir, n, report)
 	if err != nil {
 		return nil, err
 	}
--- a/soak/process.go
+++ b/soak/process.go
@@ -27,10 +27,13 @@
 
 	// restarts keeps two ends of the process from overlapping.
 	restarts sync.Mutex
+	// files keeps the settings from being changed while the process is started with them.
+	files sync.Mutex
 
-	mu    sync.Mutex
-	cmd   *exec.Cmd
-	ended chan struct{}
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	ended   chan struct{}
+	history history
 }
 
 // entry is a process before the runners.
@@ -44,15 +47,6 @@
 // agent is a process beside an engine.
 type agent struct{ process }
 
-func freeAddress() (string, error) {
-	l, err := listen(loopback)
-	if err != nil {
-		return "", err
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
-}
-
 // prepare gives the process its way to the store, and writes its settings.
 func (p *process) prepare(store netip.AddrPort) error {
 	var err error
@@ -88,7 +82,19 @@
 
 func (p *process) path() string { return filepath.Join(p.dir, p.settings.Name+".toml") }
 
-func (p *process) write(text string) error { return os.WriteFile(p.path(), []byte(text), 0o600) }
+// write replaces the settings file. It does not empty the file first, since some file systems then wait for the disk, for
+// seconds where that is busy.
+func (p *process) write(text string) error {
+	f, err := os.OpenFile(p.path(), os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.Close() }()
+	if _, err := f.WriteString(text); err != nil {
+		return err
+	}
+	return f.Truncate(int64(len(text)))
+}
 
 // start starts the process; its log goes to a file.
 func (p *process) start() error {
@@ -108,11 +114,13 @@
 		return err
 	}
 	p.ended = make(chan struct{})
-	go func(cmd *exec.Cmd, ended chan struct{}) {
+	p.history.Lives = append(p.history.Lives, life{})
+	go func(cmd *exec.Cmd, ended chan struct{}, current int) {
 		_ = cmd.Wait()
 		_ = log.Close()
+		p.change(func(h *history) { h.Lives[current].Ended = time.Now() })
 		close(ended)
-	}(p.cmd, p.ended)
+	}(p.cmd, p.ended, len(p.history.Lives)-1)
 	return nil
 }
 
@@ -124,14 +132,15 @@
 
 // end ends the process by a signal and waits until it has, at the longest for its grace.
 func (p *process) end(s syscall.Signal) {
-	p.signal(syscall.SIGCONT)
-	p.signal(s)
 	p.mu.Lock()
 	ended := p.ended
 	p.mu.Unlock()
+	p.change(func(h *history) { h.end(s, time.Now()) })
+	p.signal(syscall.SIGCONT)
+	p.signal(s)
 	select {
 	case <-ended:
-	case <-time.After(10 * time.Second):
+	case <-time.After(endWithin):
 		p.signal(syscall.SIGKILL)
 		<-ended
 	}
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -14,6 +14,8 @@
 	faultPause      fault = "pause entry"
 	faultKill       fault = "kill entry"
 	faultStop       fault = "stop entry"
+	faultStopAll    fault = "stop all entries in series"
+	faultReload     fault = "reload settings"
 	faultBadReload  fault = "reload broken settings"
 	faultCrash      fault = "crash runner"
 	faultLeave      fault = "runner leaves"
@@ -29,6 +31,7 @@
 	faultAgentPause fault = "pause agent"
 	faultAgentKill  fault = "kill agent"
 	faultAgentStop  fault = "stop agent"
+	faultAgentsStop fault = "stop all agents in series"
 	faultAgentMute  fault = "store is silent for one agent"
 	faultEngine     fault = "crash engine"
 	faultEngineLink fault = "reset connections to engine"
@@ -37,9 +40,9 @@
 )
 
 var faults = []fault{
-	faultPause, faultKill, faultStop, faultBadReload, faultCrash, faultLeave, faultDelay, faultReset, faultSilence, faultOneWay,
+	faultPause, faultKill, faultStop, faultStopAll, faultReload, faultBadReload, faultCrash, faultLeave, faultDelay, faultReset, faultSilence, faultOneWay,
 	faultStoreDown, faultStoreMute, faultForget, faultRemoveKey, faultNewVersion,
-	faultAgentPause, faultAgentKill, faultAgentStop, faultAgentMute, faultEngine, faultEngineLink, faultLoseOrders, faultWeights,
+	faultAgentPause, faultAgentKill, faultAgentStop, faultAgentsStop, faultAgentMute, faultEngine, faultEngineLink, faultLoseOrders, faultWeights,
 }
 
 // action is one fault at one time.
@@ -61,20 +64,30 @@
 	longFault  = 2500 * time.Millisecond
 	// series is how likely a fault comes again at once, for the same process.
 	series = 0.25
+	// leastGap and mostGap bound the time between the signals of a series, beside which other faults are drawn as well.
+	leastGap     = 100 * time.Millisecond
+	mostGap      = time.Second
+	besideSeries = 5
+	besideWithin = 5 * time.Second
 )
 
+// planned are the faults that are work an operator does, of which most of what is drawn beside a series consists.
+var planned = []fault{faultReload, faultBadReload, faultNewVersion, faultRemoveKey, faultStop, faultAgentStop, faultWeights}
+
+// gap is the time between the signals of a series.
+func (a *action) gap() time.Duration { return min(max(a.For*2/5, leastGap), mostGap) }
+
 // schedule gives the same actions for the same seed.
 func schedule(seed uint64, length time.Duration) []action {
 	random := rand.New(rand.NewPCG(seed, 1))
 	var actions []action
 	at := quietBefore
 	for at < length-quietAfter {
-		a := action{
-			At: at, Fault: faults[random.IntN(len(faults))], Which: random.IntN(1 << 16),
-			For: shortFault + time.Duration(random.Int64N(int64(longFault-shortFault))),
-		}
+		a := draw(random, faults, at)
 		actions = append(actions, a)
-		if random.Float64() < series {
+		if a.Fault == faultStopAll || a.Fault == faultAgentsStop {
+			actions = append(actions, beside(random, at)...)
+		} else if random.Float64() < series {
 			a.At += a.For / 2
 			actions = append(actions, a)
 		}
@@ -83,3 +96,23 @@
 	slices.SortStableFunc(actions, func(a, b action) int { return int(a.At - b.At) })
 	return actions
 }
+
+// beside draws faults that overlap with a series of stops, most of them planned work.
+func beside(random *rand.Rand, at time.Duration) []action {
+	var actions []action
+	for i := range besideSeries {
+		from := planned
+		if i == besideSeries-1 {
+			from = faults
+		}
+		actions = append(actions, draw(random, from, at+time.Duration(random.Int64N(int64(besideWithin)))))
+	}
+	return actions
+}
+
+func draw(random *rand.Rand, from []fault, at time.Duration) action {
+	return action{
+		At: at, Fault: from[random.IntN(len(from))], Which: random.IntN(1 << 16),
+		For: shortFault + time.Duration(random.Int64N(int64(longFault-shortFault))),
+	}
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,8 +1,11 @@
 package main
 
 import (
+	"maps"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -13,19 +16,23 @@
 	"github.com/rillreach/rillreach/internal/standin/site"
 )
 
-// TestShortSoak plays one schedule with real processes, and holds it against the promises that are not bound in time.
+// TestShortSoak plays schedules with real processes, and holds them against the promises that are not bound in time. The second
+// stops all entries in series, and all agents beside that.
 func TestShortSoak(t *testing.T) {
-	dir := t.TempDir()
-	binary := filepath.Join(dir, "rillreach")
+	binary := filepath.Join(t.TempDir(), "rillreach")
 	out, err := exec.Command("go", "build", "-o", binary, "../cmd/rillreach").CombinedOutput()
 	require.NoError(t, err, string(out))
 	const length = 14 * time.Second
-	w, err := newWorld(binary, dir, 2, 3, t.Logf)
-	require.NoError(t, err)
-	defer w.close()
-	r := w.play(schedule(5, length), length)
-	assert.NotEmpty(t, r.Runs)
-	assert.Empty(t, judge(r, false))
+	for _, seed := range []uint64{5, 84} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			w, err := newWorld(binary, t.TempDir(), size{Entries: 3, Runners: 3, Callers: 30}, t.Logf)
+			require.NoError(t, err)
+			defer w.close()
+			r := w.play(schedule(seed, length), length)
+			assert.NotEmpty(t, r.Runs)
+			assert.Empty(t, judge(r, false))
+		})
+	}
 }
 
 func TestScheduleFollowsFromTheSeed(t *testing.T) {
@@ -37,19 +44,33 @@
 	}
 }
 
+// entry changes the history of the record's entry.
+func (r *record) entry(change func(h *history)) {
+	h := r.Entries[0]
+	change(&h)
+	r.Entries[0] = h
+}
+
+// forget removes the runs of a call.
+func (r *record) forget(c *call) {
+	r.Runs = slices.DeleteFunc(r.Runs, func(one run) bool { return one.ID == c.ID })
+}
+
 // TestJudgeFindsBrokenPromises breaks each promise in a record that keeps all of them.
 func TestJudgeFindsBrokenPromises(t *testing.T) {
 	start := time.Unix(1000, 0)
 	at := start.Add
 	good := func() *record {
 		r := &record{Disturbed: map[int][]span{}, Left: map[string]time.Time{}, Removed: map[string]time.Time{}, Quiet: at(20 * time.Second)}
+		r.Harmed, r.Entries = map[string][]span{}, map[int]history{0: {Lives: []life{{Ready: at(0)}}}}
 		r.Named, r.Loaded, r.Ended = map[uint64]time.Time{1: at(-time.Minute), 2: at(-time.Second)}, map[string]uint64{"e": 2}, at(40*time.Second)
 		for i, k := range kinds {
 			id := string(k)
 			r.Calls = append(r.Calls, call{
-				ID: id, Kind: k, Key: keptKey, Sent: at(10 * time.Second), Ended: at(11 * time.Second), Status: 200, Body: expected(id, k),
+				ID: id, Kind: k, Key: keptKey, Sent: at(10 * time.Second), Written: at(10 * time.Second),
+				Ended: at(11 * time.Second), Status: 200, Body: expected(id, k),
 			})
-			r.Runs = append(r.Runs, run{ID: id, Runner: "r", At: at(10*time.Second + time.Duration(i))})
+			r.Runs = append(r.Runs, run{ID: id, Runner: "r-1", At: at(10*time.Second + time.Duration(i)), Until: at(11 * time.Second)})
 		}
 		r.Calls = append(r.Calls, call{
 			ID: "last", Kind: kindRepeat, Key: keptKey, Sent: at(30 * time.Second), Ended: at(31 * time.Second), Status: 200, Body: expected("last", kindRepeat),
@@ -64,6 +85,24 @@
 		}
 		return nil
 	}
+	cut := func(c *call, ended time.Time) { c.Cut, c.Body, c.Ended = true, "", ended }
+	// stopped has the flow's entry get SIGTERM, and cut the flow while its runner is at work.
+	stopped := func(r *record, signal, ended time.Time) {
+		r.entry(func(h *history) { h.Stops = []time.Time{signal} })
+		cut(of(r, kindFlow), ended)
+		r.Runs[slices.Index(kinds, kindFlow)].Until = ended
+	}
+	// refused has the flow's entry get SIGTERM five seconds before the flow, take no connection for it and end later.
+	refused := func(r *record, ended time.Time) {
+		r.entry(func(h *history) {
+			h.Stops = []time.Time{at(5 * time.Second)}
+			h.Lives[0].Asked, h.Lives[0].Ended = true, ended
+		})
+		c := of(r, kindFlow)
+		c.Status, c.Refused = 0, true
+		cut(c, c.Sent)
+		r.forget(c)
+	}
 	cases := map[string]struct {
 		spoil func(r *record)
 		want  string
@@ -75,11 +114,15 @@
 		"another's answer":       {func(r *record) { of(r, kindRepeat).Body = "answer to x" }, "looks whole"},
 		"a piece lost":           {func(r *record) { of(r, kindStream).Body = expected("stream", kindStream)[20:] }, "looks whole"},
 		"a cut that looks whole": {func(r *record) { c := of(r, kindFlow); c.Body = c.Body[:9] }, "looks whole"},
-		"a cut that is a cut":    {func(r *record) { c := of(r, kindFlow); c.Body, c.Cut = c.Body[:9], true }, ""},
-		"a piece doubled":        {func(r *record) { c := of(r, kindFlow); c.Body, c.Cut = c.Body+c.Body, true }, "before the cut"},
-		"late":                   {func(r *record) { of(r, kindOnce).Ended = at(20 * time.Second) }, "no final answer"},
-		"a leaving runner":       {func(r *record) { r.Left["r"] = at(7 * time.Second) }, "after its leaving"},
-		"a key taken away":       {func(r *record) { r.Removed[keptKey] = at(7 * time.Second) }, "taken away"},
+		"a cut that is a cut": {func(r *record) {
+			c := of(r, kindFlow)
+			c.Body, c.Cut = c.Body[:9], true
+			r.Harmed["r"] = []span{{c.Sent, c.Sent}}
+		}, ""},
+		"a piece doubled":  {func(r *record) { c := of(r, kindFlow); c.Body, c.Cut = c.Body+c.Body, true }, "before the cut"},
+		"late":             {func(r *record) { of(r, kindOnce).Ended = at(20 * time.Second) }, "no final answer"},
+		"a leaving runner": {func(r *record) { r.Left["r-1"] = at(7 * time.Second) }, "after its leaving"},
+		"a key taken away": {func(r *record) { r.Removed[keptKey] = at(7 * time.Second) }, "taken away"},
 		"two holders": {func(r *record) {
 			r.Orders = append(r.Orders, given{"e", site.Order{Holder: "a", Fence: 1}}, given{"e", site.Order{Holder: "b", Fence: 2}})
 		}, "orders of a and of b"},
@@ -89,10 +132,39 @@
 		"an order given again": {func(r *record) {
 			r.Orders = append(r.Orders, given{"e", site.Order{Holder: "a", Fence: 2}}, given{"e", site.Order{Holder: "a", Fence: 2}})
 		}, ""},
-		"replaced weights":   {func(r *record) { r.Runs[0].Weights = 1 }, "began on weights 1"},
-		"the newest weights": {func(r *record) { r.Runs[0].Weights = 2 }, ""},
-		"old weights left":   {func(r *record) { r.Loaded["e"] = 1 }, "still has weights 1"},
-		"no return":          {func(r *record) { r.Calls[len(r.Calls)-1].Status = 502 }, "after the last fault"},
+		"replaced weights":    {func(r *record) { r.Runs[0].Weights = 1 }, "began on weights 1"},
+		"the newest weights":  {func(r *record) { r.Runs[0].Weights = 2 }, ""},
+		"old weights left":    {func(r *record) { r.Loaded["e"] = 1 }, "still has weights 1"},
+		"no return":           {func(r *record) { r.Calls[len(r.Calls)-1].Status = 502 }, "after the last fault"},
+		"cut without a stop":  {func(r *record) { cut(of(r, kindFlow), at(11*time.Second)) }, "without a stop"},
+		"cut beside a config": {func(r *record) { cut(of(r, kindOnce), at(11*time.Second)) }, "without a stop"},
+		"cut at a runner's crash": {func(r *record) {
+			cut(of(r, kindFlow), at(11*time.Second))
+			r.Harmed["r"] = []span{{at(10 * time.Second), at(10 * time.Second)}}
+		}, ""},
+		"cut at another's crash": {func(r *record) {
+			cut(of(r, kindFlow), at(11*time.Second))
+			r.Harmed["q"] = []span{{at(10 * time.Second), at(10 * time.Second)}}
+		}, "without a stop"},
+		"cut by a kill": {func(r *record) {
+			cut(of(r, kindFlow), at(11*time.Second))
+			r.entry(func(h *history) { h.Struck = []span{{at(9 * time.Second), at(9 * time.Second)}} })
+		}, ""},
+		"cut by the time-out":     {func(r *record) { cut(of(r, kindFlow), at(17*time.Second)) }, ""},
+		"cut before it was sent":  {func(r *record) { c := of(r, kindFlow); cut(c, at(11*time.Second)); c.Written = time.Time{} }, ""},
+		"crossed a close":         {func(r *record) { c := of(r, kindFlow); cut(c, at(10*time.Second+crossing/2)); r.forget(c) }, ""},
+		"read and not passed on":  {func(r *record) { c := of(r, kindFlow); cut(c, at(10*time.Second+crossing*2)); r.forget(c) }, "without a stop"},
+		"cut by the end of grace": {func(r *record) { stopped(r, at(7*time.Second+time.Millisecond), at(14*time.Second)) }, ""},
+		"cut too early":           {func(r *record) { stopped(r, at(8*time.Second), at(12*time.Second)) }, "cut 4s after it"},
+		"taken late":              {func(r *record) { stopped(r, at(7*time.Second-time.Millisecond), at(14*time.Second)) }, "taken by entry 0 3.001s after its SIGTERM"},
+		"refused":                 {func(r *record) { refused(r, at(15*time.Second)) }, "took none of 1 new connections, from 5s"},
+		"refused at the end":      {func(r *record) { refused(r, at(10*time.Second+endSlack/2)) }, ""},
+		"closed without a word": {func(r *record) {
+			refused(r, at(15*time.Second))
+			c := of(r, kindFlow)
+			c.Refused, c.Fresh = false, true
+		}, "took none of 1"},
+		"an end by itself": {func(r *record) { r.entry(func(h *history) { h.Lives[0].Ended = at(35 * time.Second) }) }, "ended by itself"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -107,3 +179,48 @@
 		})
 	}
 }
+
+// TestBalancerPicks checks which entries get new connections, by the probes that each has missed in a row.
+func TestBalancerPicks(t *testing.T) {
+	cases := map[string]struct {
+		misses []int
+		want   []int
+	}{
+		"all in":        {[]int{0, 0, 0, 0}, []int{0, 1, 2, 3}},
+		"one miss":      {[]int{1, 0, 0, 0}, []int{0, 1, 2, 3}},
+		"half out":      {[]int{2, 9, 0, 1}, []int{2, 3}},
+		"under half in": {[]int{2, 2, 2, 0}, []int{0, 1, 2, 3}},
+		"none in":       {[]int{2, 2, 2, 2}, []int{0, 1, 2, 3}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var entries []*entry
+			for i := range c.misses {
+				entries = append(entries, &entry{number: i})
+			}
+			b := newBalancer(entries)
+			b.misses = c.misses
+			picked := map[int]bool{}
+			for range 1000 {
+				picked[b.pick().number] = true
+			}
+			assert.Equal(t, c.want, slices.Sorted(maps.Keys(picked)))
+		})
+	}
+}
+
+// TestSeriesStopsOverlap checks that other faults are drawn beside each series of stops.
+func TestSeriesStopsOverlap(t *testing.T) {
+	actions := schedule(5, 10*time.Minute)
+	count := 0
+	for _, a := range actions {
+		if a.Fault != faultStopAll && a.Fault != faultAgentsStop {
+			continue
+		}
+		count++
+		beside := slices.DeleteFunc(slices.Clone(actions), func(b action) bool { return b.At < a.At || b.At > a.At+besideWithin })
+		assert.Greater(t, len(beside), besideSeries)
+		assert.True(t, a.gap() >= leastGap && a.gap() <= mostGap)
+	}
+	assert.Positive(t, count)
+}
--- a/soak/strike.go
+++ b/soak/strike.go
@@ -12,39 +12,64 @@
 func (w *world) strike(a action) {
 	e, p, n := w.entries[a.Which%len(w.entries)], w.places[a.Which%len(w.places)], w.engines[a.Which%len(w.engines)]
 	switch a.Fault {
-	case faultPause, faultKill, faultStop, faultBadReload:
+	case faultPause, faultKill, faultStop, faultReload, faultBadReload:
 		w.strikeEntry(a, e)
+	case faultStopAll, faultAgentsStop:
+		w.strikeSeries(a)
 	case faultAgentPause, faultAgentKill, faultAgentStop, faultAgentMute:
 		w.strikeAgent(a, n.agent)
 	case faultEngine, faultEngineLink, faultLoseOrders:
 		w.strikeEngine(a, n)
-	case faultWeights:
-		w.nameWeights()
 	case faultCrash, faultLeave:
 		w.strikeRunner(a, p)
 	case faultDelay, faultReset, faultSilence, faultOneWay:
 		w.strikeLink(a, p)
 	case faultStoreDown, faultStoreMute, faultForget:
 		w.strikeStore(a, e)
+	case faultRemoveKey, faultNewVersion, faultWeights:
+		w.operate(a)
+	}
+}
+
+// strikeSeries stops all entries or all agents, one soon after another, and starts each again when it has ended.
+func (w *world) strikeSeries(a action) {
+	var all []*process
+	for _, e := range w.entries {
+		all = append(all, &e.process)
+	}
+	if a.Fault == faultAgentsStop {
+		all = nil
+		for _, n := range w.engines {
+			all = append(all, &n.agent.process)
+		}
+	}
+	for i, p := range all {
+		w.later(time.Duration(i)*a.gap(), func() { w.restart(p, syscall.SIGTERM) })
+	}
+}
+
+// operate changes what the operator writes.
+func (w *world) operate(a action) {
+	switch a.Fault {
 	case faultRemoveKey:
 		w.removeKey(a.Which)
 	case faultNewVersion:
 		w.configure()
+	case faultWeights:
+		w.nameWeights()
 	}
 }
 
 func (w *world) strikeEntry(a action, e *entry) {
 	switch a.Fault {
 	case faultPause:
-		w.disturb(e, a.For)
 		w.pause(a, &e.process)
-	case faultKill, faultStop:
-		sig := syscall.SIGKILL
-		if a.Fault == faultStop {
-			sig = syscall.SIGTERM
-		}
-		w.disturb(e, 10*time.Second)
-		w.later(0, func() { w.restart(&e.process, sig) })
+	case faultKill:
+		w.later(0, func() { w.restart(&e.process, syscall.SIGKILL) })
+	case faultStop:
+		w.later(0, func() { w.restart(&e.process, syscall.SIGTERM) })
+	case faultReload:
+		w.later(0, func() { w.reload(e, e.settings.Text()) })
 	case faultBadReload:
 		w.later(0, func() { w.reload(e, "= =") })
 		w.later(a.For, func() { w.reload(e, e.settings.Text()) })
@@ -52,6 +77,7 @@
 }
 
 func (w *world) pause(a action, p *process) {
+	p.change(func(h *history) { h.Struck = append(h.Struck, span{From: time.Now(), To: time.Now().Add(a.For)}) })
 	p.signal(syscall.SIGSTOP)
 	w.later(a.For, func() { p.signal(syscall.SIGCONT) })
 }
@@ -81,11 +107,13 @@
 		n.lose(a.For)
 		w.later(a.For, func() {})
 	case faultEngineLink:
+		w.harm(n.name(), 0)
 		n.proxy.reset()
 		w.later(0, func() {})
 	case faultEngine:
 		n.strikes.Lock()
 		old, weights := n.run()
+		w.harm(n.name(), 0)
 		n.crash()
 		w.later(restartAfter, func() {
 			defer n.strikes.Unlock()
@@ -109,15 +137,31 @@
 	defer p.restarts.Unlock()
 	p.end(sig)
 	time.Sleep(restartAfter)
+	p.files.Lock()
+	defer p.files.Unlock()
+	begun := time.Now()
 	if err := p.write(p.settings.Text()); err != nil {
 		w.report("settings not written: %v", err)
 	}
 	if err := p.start(); err != nil {
 		w.report("%s not started: %v", p.settings.Name, err)
 	}
+	if took := time.Since(begun); took > slowStart {
+		w.report("the machine took %s to start %s", took, p.settings.Name)
+	}
 }
 
+// slowStart is how long writing the settings and starting a process may take before it is reported, for whoever traces a
+// promise that is bound in time.
+const slowStart = time.Second
+
+// reload changes the settings of an entry that runs, since one that starts with broken ones rightly ends.
 func (w *world) reload(e *entry, text string) {
+	e.files.Lock()
+	defer e.files.Unlock()
+	if h := e.past(); text != e.settings.Text() && h.Lives[len(h.Lives)-1].Ready.IsZero() {
+		return
+	}
 	if err := e.write(text); err != nil {
 		w.report("settings not written: %v", err)
 	}
@@ -128,6 +172,7 @@
 	p.strikes.Lock()
 	old := p.id()
 	if a.Fault == faultCrash {
+		w.harm(p.name(), 0)
 		p.crash()
 		w.later(restartAfter, func() {
 			defer p.strikes.Unlock()
@@ -142,6 +187,7 @@
 	w.mu.Unlock()
 	w.later(gracePause, func() {
 		defer p.strikes.Unlock()
+		w.harm(p.name(), 0)
 		p.crash()
 		w.store.Remove("servers", old)
 		w.list(p, p.start(), "ready")
@@ -149,6 +195,7 @@
 }
 
 func (w *world) strikeLink(a action, p *place) {
+	w.harm(p.name(), a.For)
 	if a.Fault == faultReset {
 		p.proxy.reset()
 		w.later(0, func() {})
--- a/soak/world.go
+++ b/soak/world.go
@@ -1,16 +1,13 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"maps"
-	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,14 +28,15 @@
 
 // world is a site: a store, runners behind proxies, entries as processes, callers.
 type world struct {
-	store   *site.Store
-	server  *httptest.Server
-	places  []*place
-	entries []*entry
-	engines []*engine
-	callers []*callers
-	ledger  ledger
-	report  func(format string, args ...any)
+	store    *site.Store
+	server   *httptest.Server
+	places   []*place
+	entries  []*entry
+	engines  []*engine
+	balancer *balancer
+	callers  *callers
+	ledger   ledger
+	report   func(format string, args ...any)
 
 	mu        sync.Mutex
 	version   int
@@ -47,17 +45,21 @@
 	removed   map[string]time.Time
 	left      map[string]time.Time
 	disturbed map[int][]span
+	harmed    map[string][]span
 	last      time.Time
 	work      sync.WaitGroup
 }
 
-func newWorld(binary, dir string, entries, runners int, report func(string, ...any)) (*world, error) {
+// size is how much a world has of everything.
+type size struct{ Entries, Runners, Callers int }
+
+func newWorld(binary, dir string, n size, report func(string, ...any)) (*world, error) {
 	w := &world{
 		store: site.NewStore(), report: report, removed: map[string]time.Time{}, left: map[string]time.Time{}, disturbed: map[int][]span{},
-		named: map[uint64]time.Time{},
+		named: map[uint64]time.Time{}, harmed: map[string][]span{},
 	}
 	w.server = httptest.NewServer(w.store)
-	for i := range runners {
+	for i := range n.Runners {
 		p, err := newProxy(loopback, netip.AddrPort{})
 		if err != nil {
 			return nil, err
@@ -73,13 +75,12 @@
 		return nil, err
 	}
 	peerPort := netip.MustParseAddrPort(peers).Port()
-	for i := range runners {
+	for i := range n.Runners {
 		if err := w.addEngine(i, binary, dir, store, peerPort); err != nil {
 			return nil, err
 		}
 	}
-	var next atomic.Int64
-	for i := range entries {
+	for i := range n.Entries {
 		e, err := newEntry(i, binary, dir, store, peerPort)
 		if err != nil {
 			return nil, err
@@ -88,8 +89,9 @@
 			return nil, err
 		}
 		w.entries = append(w.entries, e)
-		w.callers = append(w.callers, &callers{entry: e, host: host, keys: w.keys(), next: &next})
 	}
+	w.balancer = newBalancer(w.entries)
+	w.callers = &callers{balancer: w.balancer, host: host, keys: w.keys(), count: n.Callers}
 	return w, w.awaitReady()
 }
 
@@ -132,19 +134,6 @@
 	return nil
 }
 
-func isReady(e *entry) bool {
-	req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+e.ready+"/ready", http.NoBody)
-	if err != nil {
-		return false
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
-
 func (w *world) keys() []string {
 	keys := []string{keptKey}
 	for i := range keyCount {
@@ -172,9 +161,9 @@
 		w.version, keys,
 		site.Route{Name: string(kindRepeat), Host: host, Kind: "idempotent", Attempts: 2},
 		site.Route{Name: string(kindOnce), Host: host, Kind: "non_idempotent", Attempts: 2},
-		site.Route{Name: string(kindStream), Host: host, Kind: "streaming", Attempts: 3, Resumable: true},
-		site.Route{Name: string(kindFlow), Host: host, Kind: "streaming", Attempts: 1},
-		site.Route{Name: string(kindPrompt), Host: host, Kind: "streaming", Attempts: 3, Resumable: true, Engines: true},
+		site.Route{Name: string(kindStream), Host: host, Kind: "streaming", Attempts: 3, Resumable: true, Timeout: streamTimeout},
+		site.Route{Name: string(kindFlow), Host: host, Kind: "streaming", Attempts: 1, Timeout: streamTimeout},
+		site.Route{Name: string(kindPrompt), Host: host, Kind: "streaming", Attempts: 3, Resumable: true, Engines: true, Timeout: streamTimeout},
 	))
 }
 
@@ -186,6 +175,14 @@
 	w.disturbed[e.number] = append(w.disturbed[e.number], span{From: now, To: now.Add(d)})
 }
 
+// harm notes that the runners of a place, or their links, are under a fault for a time.
+func (w *world) harm(place string, d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.harmed[place] = append(w.harmed[place], span{From: now, To: now.Add(d)})
+}
+
 // later does something after a time, and keeps the end of the soak waiting for it.
 func (w *world) later(d time.Duration, do func()) {
 	w.work.Go(func() {
@@ -201,9 +198,8 @@
 func (w *world) play(actions []action, length time.Duration) *record {
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
-	for _, c := range w.callers {
-		callers.Go(func() { c.run(stop) })
-	}
+	callers.Go(func() { w.balancer.run(stop) })
+	callers.Go(func() { w.callers.run(stop) })
 	begun := time.Now()
 	for _, a := range actions {
 		time.Sleep(time.Until(begun.Add(a.At)))
@@ -225,16 +221,20 @@
 	r := &record{
 		Runs: slices.Clone(w.ledger.runs), Orders: slices.Clone(w.ledger.orders), Disturbed: w.disturbed, Left: maps.Clone(w.left),
 		Removed: w.removed, Quiet: w.last, Named: maps.Clone(w.named), Loaded: map[string]uint64{}, Ended: time.Now(),
+		Harmed: w.harmed, Entries: map[int]history{},
 	}
 	for _, n := range w.engines {
 		id, weights := n.run()
 		r.Loaded[id] = weights
 	}
-	for _, c := range w.callers {
-		c.mu.Lock()
-		r.Calls = append(r.Calls, c.calls...)
-		c.mu.Unlock()
+	for _, e := range w.entries {
+		past := e.past()
+		r.Entries[e.number] = past
+		r.Disturbed[e.number] = append(r.Disturbed[e.number], past.disturbed()...)
 	}
+	w.callers.mu.Lock()
+	defer w.callers.mu.Unlock()
+	r.Calls = slices.Clone(w.callers.calls)
 	return r
 }
 
