Bound the head of a caller's request by the configuration

Ruled out: the server's own time-out (fixed before the configuration is known). Change: the first byte begins the time for the head. Before: TestLimitsOfTheConfiguration, the subtest on heads, fails. After: it passes; the subtest on a head that begins just before its rest is over passes with and without this change, and was not run on the code as landed.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -137,7 +137,7 @@
 }
 
 func (g *Gateway) newServer() *http.Server {
-	g.rests = &restKeeper{Allowed: g.restAllowed}
+	g.rests = &restKeeper{Allowed: g.restAllowed, AllowedHead: g.headAllowed}
 	return &http.Server{
 		Handler:           http.HandlerFunc(g.handle),
 		ReadHeaderTimeout: mostHeaderTimeout,
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -53,6 +53,28 @@
 		require.NoError(t, err, "the entry closes the connection")
 		assert.Contains(t, string(all), "503")
 	})
+	t.Run("a head that begins and does not end closes its connection", func(t *testing.T) {
+		w := begin(t, limited(jsonMap{"header_timeout_ms": 1}))
+		defer w.stop()
+		conn := w.dial(t)
+		_, err := io.WriteString(conn, "GET /repeat/ HTTP/1.1\r\n")
+		require.NoError(t, err)
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(wait)))
+		_, err = io.ReadAll(conn)
+		assert.NoError(t, err, "the entry closes the connection")
+	})
+	t.Run("a head may begin just before the rest is over", func(t *testing.T) {
+		w := begin(t, limited(jsonMap{"idle_timeout_ms": 1}), &site.Runner{ID: "r1"})
+		defer w.stop()
+		conn := w.dial(t)
+		head := fmt.Sprintf("GET /repeat/ HTTP/1.1\r\nHost: %s\r\nX-Rillreach-Attempt-Id: a1\r\nAuthorization: Bearer %s\r\n\r\n", host, key)
+		_, err := io.WriteString(conn, head[:5])
+		require.NoError(t, err)
+		time.Sleep(idleSlack + 300*time.Millisecond) // beyond the rest that is allowed
+		_, err = io.WriteString(conn, head[5:])
+		require.NoError(t, err)
+		assert.Equal(t, http.StatusOK, read(t, conn, "GET").status)
+	})
 	t.Run("a connection may rest for as long as the configuration in force says", func(t *testing.T) {
 		g := &Gateway{}
 		assert.Equal(t, defaultIdle+idleSlack, g.restAllowed())
@@ -64,7 +86,8 @@
 func TestConnectionInUseIsNotClosed(t *testing.T) {
 	ours, theirs := net.Pipe()
 	defer func() { _ = theirs.Close() }()
-	k := &restKeeper{Allowed: func() time.Duration { return time.Hour }}
+	hour := func() time.Duration { return time.Hour }
+	k := &restKeeper{Allowed: hour, AllowedHead: hour}
 	k.connState(ours, http.StateIdle)
 	mine := k.rests[ours]
 	k.connState(ours, http.StateActive)
--- a/gateway/rest.go
+++ b/gateway/rest.go
@@ -7,20 +7,24 @@
 	"time"
 )
 
-// restKeeper closes callers' connections that rest for longer than the configuration in force allows. The server's own
-// time-out is fixed when it starts, before any configuration is known. Exported fields are set before use.
+// restKeeper closes callers' connections that rest, or take for the head of a request, longer than the configuration in force
+// allows. The server's own time-outs are fixed when it starts, before any configuration is known. Exported fields are set before
+// use.
 type restKeeper struct {
-	// Allowed is how long a connection may rest now.
-	Allowed func() time.Duration
+	// Allowed is how long a connection may rest now, AllowedHead how long a head may take from its first byte on.
+	Allowed     func() time.Duration
+	AllowedHead func() time.Duration
 
 	mu    sync.Mutex
 	rests map[net.Conn]*rest
 }
 
-// rest is one connection's rest.
+// rest is the time of one connection without a request that has been read.
 type rest struct {
 	since time.Time
 	timer *time.Timer
+	// head says that a request has begun to come.
+	head bool
 }
 
 // connState is told of each change of a caller's connection.
@@ -52,22 +56,34 @@
 func (k *restKeeper) wake(c net.Conn) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.forget(c)
+	if r := k.rests[c]; r != nil && !r.head {
+		r.head, r.since = true, time.Now()
+		r.timer.Reset(k.AllowedHead())
+	}
+}
+
+// left is how much longer the connection may stay as it is.
+func (k *restKeeper) left(r *rest) time.Duration {
+	allowed := k.Allowed
+	if r.head {
+		allowed = k.AllowedHead
+	}
+	return allowed() - time.Since(r.since)
 }
 
-// end closes a connection whose rest is over by the configuration in force now, unless something has come meanwhile.
+// end closes a connection whose time is over by the configuration in force now, unless a request has come meanwhile.
 func (k *restKeeper) end(c net.Conn, mine *rest) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.rests[c] != mine {
 		return
 	}
-	if left := k.Allowed() - time.Since(mine.since); left > 0 {
+	if left := k.left(mine); left > 0 {
 		mine.timer.Reset(left)
 		return
 	}
 	delete(k.rests, c)
-	_ = c.Close() // the caller has gone or stays silent: nothing is lost with it
+	_ = c.Close() // the caller has gone or stays silent: no whole request is lost with it
 }
 
 // restAllowed is how long a caller's connection may rest: what the configuration promises, and a little more, since the
@@ -78,3 +94,11 @@
 	}
 	return defaultIdle + idleSlack
 }
+
+// headAllowed is how long the head of a request may take: what the configuration allows, and a little more.
+func (g *Gateway) headAllowed() time.Duration {
+	if c := g.state.Config(); c != nil && c.Limits.HeaderTimeout > 0 {
+		return min(c.Limits.HeaderTimeout+idleSlack, mostHeaderTimeout)
+	}
+	return mostHeaderTimeout
+}
