--- a/deployment/config.go
+++ b/deployment/config.go
@@ -72,6 +72,22 @@
 	return r.Kind == RunOnce || r.Kind == EventStream && !r.Resumable
 }
 
+const (
+	// quietLeast, quietTargets and quietPauses make up how long callers of streams wait for the next event: the longest of a time,
+	// of that expected for the first event, and of that between two (the users' page on requests).
+	quietLeast   = 2 * time.Second
+	quietTargets = 4
+	quietPauses  = 8
+)
+
+// Quiet is how long a caller stays while nothing of its answer comes; zero says that it does so until its patience ends.
+func (r *Route) Quiet() time.Duration {
+	if r.Kind != EventStream {
+		return 0
+	}
+	return max(quietLeast, quietTargets*r.Target, quietPauses*r.PauseTarget)
+}
+
 // Engine describes the model engines of a service.
 type Engine struct {
 	Slots          int
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -26,25 +26,31 @@
 	End time.Time
 }
 
-// Times are how long requests of one kind take; zero says that it is not known.
-type Times struct {
-	// Likely is enough for most of them, Surely for nearly all.
+// Request is what is known of a request that has come whole.
+type Request struct {
+	// Due is when it gets its final answer whatever happens.
+	Due time.Time
+	// Likely is enough time for most requests of its kind, Surely for nearly all; zero says that it is not known.
 	Likely time.Duration
 	Surely time.Duration
+	// Quiet is how long its caller stays while nothing comes; zero says until it is due.
+	Quiet time.Duration
 }
 
-// Decide judges a request that has come whole: due is when it gets its final answer whatever happens.
-func (s Stop) Decide(now, due time.Time, takes Times) Verdict {
+// Decide judges a request.
+func (s Stop) Decide(now time.Time, r Request) Verdict {
 	inTime := func(d time.Duration) bool { return d > 0 && !now.Add(d).After(s.End) }
 	switch {
 	case !now.Before(s.End):
 		return Refuse
-	case !due.After(s.End):
+	case !r.Due.After(s.End):
 		return Pass
-	case !inTime(takes.Likely):
+	case !inTime(r.Likely):
 		return Refuse
-	case inTime(takes.Surely) && now.Before(s.Signalled.Add(s.Notice)):
+	case inTime(r.Surely) && now.Before(s.Signalled.Add(s.Notice)):
 		return Pass
+	case r.Quiet > 0 && r.Likely > r.Quiet:
+		return Refuse
 	default:
 		return Hold
 	}
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -15,32 +15,37 @@
 
 func TestDecide(t *testing.T) {
 	s := Stop{Signalled: start, Notice: 2 * time.Second, End: at(7 * time.Second)}
-	assertVerdict := func(t *testing.T, want Verdict, now, patience time.Duration, takes Times) {
+	assertVerdict := func(t *testing.T, want Verdict, now, patience time.Duration, r Request) {
 		t.Helper()
-		assert.Equal(t, want, s.Decide(at(now), at(now+patience), takes))
+		r.Due = at(now + patience)
+		assert.Equal(t, want, s.Decide(at(now), r))
 	}
-	quick := Times{Likely: time.Second, Surely: 3 * time.Second}
+	quick := Request{Likely: time.Second, Surely: 3 * time.Second}
 	t.Run("what is due before the end is passed on, whatever it usually takes", func(t *testing.T) {
-		assertVerdict(t, Pass, 4*time.Second, 2*time.Second, Times{Likely: 9 * time.Second, Surely: 9 * time.Second})
-		assertVerdict(t, Pass, 4*time.Second, 3*time.Second, Times{})
+		assertVerdict(t, Pass, 4*time.Second, 2*time.Second, Request{Likely: 9 * time.Second, Surely: 9 * time.Second})
+		assertVerdict(t, Pass, 4*time.Second, 3*time.Second, Request{})
 	})
 	t.Run("while callers cannot know yet, what surely ends in time is passed on", func(t *testing.T) {
 		assertVerdict(t, Pass, time.Second, time.Minute, quick)
 	})
 	t.Run("what only likely ends in time is held until it is whole", func(t *testing.T) {
-		assertVerdict(t, Hold, time.Second, time.Minute, Times{Likely: time.Second, Surely: 7 * time.Second})
+		assertVerdict(t, Hold, time.Second, time.Minute, Request{Likely: time.Second, Surely: 7 * time.Second})
 	})
 	t.Run("once callers can know, everything that is not due is held", func(t *testing.T) {
 		assertVerdict(t, Hold, 2*time.Second, time.Minute, quick)
 		assertVerdict(t, Hold, 5*time.Second, time.Minute, quick)
 	})
+	t.Run("nothing is held for longer than its caller stays without a word", func(t *testing.T) {
+		assertVerdict(t, Hold, 3*time.Second, time.Minute, Request{Likely: 2 * time.Second, Surely: 3 * time.Second, Quiet: 2 * time.Second})
+		assertVerdict(t, Refuse, 3*time.Second, time.Minute, Request{Likely: 3 * time.Second, Surely: 3 * time.Second, Quiet: 2 * time.Second})
+	})
 	t.Run("what likely ends too late, or nobody knows when, is refused", func(t *testing.T) {
-		assertVerdict(t, Refuse, time.Second, time.Minute, Times{Likely: 7 * time.Second, Surely: 7 * time.Second})
-		assertVerdict(t, Refuse, time.Second, time.Minute, Times{})
+		assertVerdict(t, Refuse, time.Second, time.Minute, Request{Likely: 7 * time.Second, Surely: 7 * time.Second})
+		assertVerdict(t, Refuse, time.Second, time.Minute, Request{})
 		assertVerdict(t, Refuse, 6500*time.Millisecond, time.Minute, quick)
 	})
 	t.Run("from the end on everything is refused", func(t *testing.T) {
-		assertVerdict(t, Refuse, 7*time.Second, 0, Times{Likely: time.Millisecond, Surely: time.Millisecond})
+		assertVerdict(t, Refuse, 7*time.Second, 0, Request{Likely: time.Millisecond, Surely: time.Millisecond})
 	})
 }
 
@@ -52,12 +57,11 @@
 		}
 		s := Stop{Signalled: start, Notice: drawn("notice"), End: at(drawn("end"))}
 		now := at(drawn("now"))
-		due := now.Add(drawn("patience"))
-		takes := Times{Likely: drawn("likely"), Surely: drawn("surely")}
-		if s.Decide(now, due, takes) == Pass && due.After(s.End) {
+		r := Request{Due: now.Add(drawn("patience")), Likely: drawn("likely"), Surely: drawn("surely"), Quiet: drawn("quiet")}
+		if s.Decide(now, r) == Pass && r.Due.After(s.End) {
 			assert.True(t, now.Before(s.Signalled.Add(s.Notice)))
-			assert.Positive(t, takes.Surely)
-			assert.False(t, now.Add(takes.Surely).After(s.End))
+			assert.Positive(t, r.Surely)
+			assert.False(t, now.Add(r.Surely).After(s.End))
 		}
 	})
 }
--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -8,7 +8,9 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -74,6 +76,23 @@
 	return bufio.NewReader(conn)
 }
 
+// asksLate asks on the connection, and fails where there is no answer though the process lives on.
+func asksLate(t *testing.T, entry *process, conn net.Conn, key string) {
+	t.Helper()
+	_, err := io.WriteString(conn, "GET /v1/models HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+key+"\r\n\r\n")
+	if err == nil {
+		_, err = http.ReadResponse(bufio.NewReader(conn), nil)
+	}
+	if err == nil {
+		return
+	}
+	select {
+	case <-entry.exited:
+	case <-time.After(lastBreath):
+		assert.NoError(t, err, "the entry lives, and drops what it reads")
+	}
+}
+
 // TestEntryLeavesNobodyWithoutAnAnswer stops entries while callers still come, and while an answer takes longer than the
 // grace.
 func TestEntryLeavesNobodyWithoutAnAnswer(t *testing.T) {
@@ -111,6 +130,25 @@
 		<-entry.exited
 		assert.Zero(t, entry.cmd.ProcessState.ExitCode())
 	})
+	t.Run("what comes late on open connections is answered for as long as the entry lives", func(t *testing.T) {
+		const conns, gap = 12, 100 * time.Millisecond
+		var asks conc.WaitGroup
+		entry, _ := begin(t)
+		left(t, entry)
+		signalled := time.Now()
+		time.Sleep(2900 * time.Millisecond) // the first of them come just before the entry may end, the others would hold it up
+		for i := range conns {
+			conn, err := net.Dial("tcp", entry.address("callers"))
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			asks.Go(func() {
+				time.Sleep(time.Until(signalled.Add(3*time.Second + time.Duration(i)*gap)))
+				asksLate(t, entry, conn, key)
+			})
+		}
+		asks.Wait()
+		<-entry.exited
+	})
 	t.Run("an answer that cannot be whole within the grace is given up with a final answer", func(t *testing.T) {
 		entry, url := begin(t, "--grace", "4s")
 		type result struct {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -60,6 +60,7 @@
 	lease    *lease.Controller
 	running  node.Inflight
 	server   *http.Server
+	door     *node.Door
 }
 
 // Run serves until the context ends, then leaves in order: it says so, takes nothing new and finishes what runs.
@@ -84,6 +85,7 @@
 	if e.Grace == 0 {
 		e.Grace = node.DefaultGrace
 	}
+	e.door = &node.Door{Listener: e.Listener}
 	e.server = &http.Server{
 		Handler:           e.routes(),
 		ReadHeaderTimeout: headerTimeout,
@@ -129,12 +131,17 @@
 	e.close(ctx)
 }
 
-// close shuts the door once the last answers, refusals too, have gone out.
+// close shuts the door, and ends once the last answers, refusals too, have gone out.
 func (e *Entry) close(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, node.LastWords(e.Grace))
-	defer cancel()
-	if err := e.server.Shutdown(ctx); err != nil {
-		e.Node.Log.Info("connections of callers are cut", "requests", e.running.Count(), "cause", err.Error())
+	if err := e.door.Shut(); err != nil {
+		e.Node.Log.Error(err, "listener for callers is not closed")
+	}
+	pause.For(ctx, node.LastRequests)
+	if !e.running.Wait(node.LastWords(e.Grace)) {
+		e.Node.Log.Info("connections of callers are cut", "requests", e.running.Count())
+	}
+	if err := e.server.Close(); err != nil {
+		e.Node.Log.Error(err, "connections of callers are not closed")
 	}
 }
 
@@ -148,7 +155,7 @@
 func (s *callerServer) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.entry.server.Close() })
 	defer stop()
-	if err := s.entry.server.Serve(s.entry.Listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.entry.server.Serve(s.entry.door); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve callers")
 	}
 	return nil
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -188,6 +188,18 @@
 		_, err := ask(hanging, &p, s.address, "1", "")
 		assert.Error(t, err)
 	})
+	t.Run("a call whose context has ended is not sent, also where a connection rests", func(t *testing.T) {
+		s := serve(t, func(_ int, c net.Conn, id string) { say(c, whole(id, "yes")) })
+		var p Pool
+		_, err := ask(ctx, &p, s.address, "1", "")
+		require.NoError(t, err)
+		ended, cancel := context.WithCancel(ctx)
+		cancel()
+		_, err = ask(ended, &p, s.address, "2", "")
+		assert.True(t, errors.Is(err, ErrNotSent))
+		_, requests := s.counts()
+		assert.Equal(t, 1, requests)
+	})
 	t.Run("no more connections are made than may be", func(t *testing.T) {
 		hold := make(chan struct{})
 		s := serve(t, func(_ int, c net.Conn, id string) {
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -51,6 +51,10 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
+	if err := ctx.Err(); err != nil { // a resting connection is had without asking
+		p.drop(to, c)
+		return nil, errors.Mark(errors.Wrap(err, "send request"), ErrNotSent)
+	}
 	stop := c.watchUntil(ctx)
 	writing, err := c.send(call)
 	if err != nil {
--- a/gateway/door.go
+++ b/gateway/door.go
@@ -2,31 +2,27 @@
 
 import (
 	"net"
-	"net/http"
-	"sync/atomic"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
 	"github.com/rillreach/rillreach/forward"
+	"github.com/rillreach/rillreach/node"
 )
 
 // door takes callers' connections, whose rests it has watched.
 type door struct {
-	net.Listener
-	rests  *restKeeper
-	log    logr.Logger
-	isShut atomic.Bool
+	node.Door
+
+	rests *restKeeper
+	log   logr.Logger
 }
 
-// Accept waits for the next connection; http.ErrServerClosed says that the door was shut on purpose.
+// Accept waits for the next connection.
 func (d *door) Accept() (net.Conn, error) {
-	c, err := d.Listener.Accept()
+	c, err := d.Door.Accept()
 	if err != nil {
-		if d.isShut.Load() {
-			return nil, http.ErrServerClosed
-		}
 		return nil, err
 	}
 	if err := forward.SetUserTimeout(c, callerTimeout); err != nil {
@@ -35,12 +31,6 @@
 	return &callerConn{Conn: c, rests: d.rests}, nil
 }
 
-// shut takes no more connections; those that are open go on.
-func (d *door) shut() error {
-	d.isShut.Store(true)
-	return errors.Wrap(d.Close(), "close listener")
-}
-
 // callerConn is a caller's connection that tells when something comes.
 type callerConn struct {
 	net.Conn
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,7 +93,7 @@
 	g.restarted = make(chan struct{}, 1)
 	g.budgets = retry.Shares{Ratio: g.Settings.Bounds.RetryRatio, Window: g.Settings.Bounds.RetryWindow, Slack: g.Settings.Bounds.RetrySlack}
 	g.server = g.newServer()
-	g.door = &door{Listener: g.Callers, rests: g.rests, log: g.Log}
+	g.door = &door{Door: node.Door{Listener: g.Callers}, rests: g.rests, log: g.Log}
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	over, finish := context.WithCancel(life)
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -63,6 +63,18 @@
 		_, err = io.ReadAll(conn)
 		assert.NoError(t, err, "the entry closes the connection")
 	})
+	t.Run("a few bytes after an answer do not keep a connection for good", func(t *testing.T) {
+		w := begin(t, limited(jsonMap{"header_timeout_ms": 1}), &site.Runner{ID: "r1"})
+		defer w.stop()
+		conn := w.dial(t)
+		w.ask(t, conn, "/repeat/x")
+		w.eventually(t, func() bool { return w.gateway.running.Count() == 0 })
+		_, err := io.WriteString(conn, "\r\n")
+		require.NoError(t, err)
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(wait)))
+		_, err = io.ReadAll(conn)
+		assert.NoError(t, err, "the entry closes the connection")
+	})
 	t.Run("a head may begin just before the rest is over", func(t *testing.T) {
 		w := begin(t, limited(jsonMap{"idle_timeout_ms": 1}), &site.Runner{ID: "r1"})
 		defer w.stop()
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -61,6 +61,9 @@
 		"reason", x.reason, "outcome", outcome, "status", status, "began", x.began, "sends", x.sends, "runners", x.runners,
 		"config", x.config.Version, "listAge", time.Since(g.state.Roster.Updated()).String(), "after", time.Since(x.arrived).String())
 	g.Metrics.Request(outcome, verdict)
+	if verdict == verdictTimedOut {
+		g.usual.add(x.route.Name, time.Since(x.arrived)) // it takes that long at the least
+	}
 	if x.began || verdict == verdictLeft {
 		panic(http.ErrAbortHandler) // the connection is cut, so that nothing on it can be taken for a whole answer
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -49,7 +49,7 @@
 func (g *Gateway) relayWhole(ctx context.Context, x *exchange, t *target, answer *forward.Answer, head platform.Answer, heard func()) bool {
 	body, err := io.ReadAll(io.LimitReader(&heardReader{from: answer, heard: heard}, maxHeld+1))
 	if err == nil && len(body) > maxHeld {
-		return g.relayLarge(x, t, answer, body)
+		return g.relayLarge(ctx, x, t, answer, body)
 	}
 	if err != nil {
 		return g.failed(ctx, x, t, errors.Wrap(err, "answer broke off"))
@@ -86,7 +86,10 @@
 }
 
 // relayLarge passes on an answer that is too large to be held.
-func (g *Gateway) relayLarge(x *exchange, t *target, answer *forward.Answer, begun []byte) bool {
+func (g *Gateway) relayLarge(ctx context.Context, x *exchange, t *target, answer *forward.Answer, begun []byte) bool {
+	if !x.goOn() {
+		return g.failed(ctx, x, t, errStopping)
+	}
 	h := g.begin(x, answer)
 	if length := answer.Response.ContentLength; length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
@@ -109,7 +112,6 @@
 	maps.Copy(h, platform.PassedHeader(answer.Response.Header))
 	g.sayLeaving(h)
 	x.began = true
-	x.goOn()
 	return h
 }
 
@@ -138,6 +140,9 @@
 // relayStream passes events on as they come, whole ones only where the stream may go on elsewhere.
 func (g *Gateway) relayStream(ctx context.Context, x *exchange, t *target, answer *forward.Answer, heard func()) bool {
 	if !x.began {
+		if !x.goOn() {
+			return g.failed(ctx, x, t, errStopping) // the entry is just giving it its last answer
+		}
 		g.begin(x, answer)
 		x.writer.WriteHeader(answer.Response.StatusCode)
 	}
@@ -217,7 +222,9 @@
 	took := time.Since(x.arrived)
 	g.Log.Info("answered", "decision", "done", "request", x.wire.ID, "route", x.route.Name, "runner", t.view.ID, "status", status, "sends", x.sends,
 		"first", x.firstAfter().String(), "took", took.String(), "held", x.held, "config", x.config.Version)
-	g.usual.add(x.route.Name, took)
+	if status < failureStatus {
+		g.usual.add(x.route.Name, took)
+	}
 	g.Metrics.Request("answered", strings.ToLower(x.route.Kind.String()))
 	g.Metrics.Step(x.route.Kind.String(), took)
 }
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -10,6 +10,7 @@
 
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/drain"
+	"github.com/rillreach/rillreach/node"
 )
 
 // EndMargin is kept from the grace for the process's own end: its log alone may take 0.2 s, and the smallest entries have a
@@ -17,20 +18,21 @@
 const EndMargin = 900 * time.Millisecond
 
 const (
+	// endShare is the part of a short grace that takes the place of EndMargin: the last sixth of a grace is where the users let a
+	// stop cut what runs too long.
+	endShare = 8
 	// lameFor is how long after a stop's signal an entry without work waits for more: the balancer asks every second and takes an
 	// entry out after two misses.
 	lameFor = 3200 * time.Millisecond
-	// noticeTime is how long after the signal callers cannot know of it: two questions of the balancer, one second apart, and the
-	// way of the last connection that it gave.
+	// noticeTime is how long after the signal callers cannot know of it: the balancer's next two questions, one second apart, and
+	// three quarters of a second for its time-out, the last connection that it gave and the request on that.
 	noticeTime = 2750 * time.Millisecond
 	// answerMargin is kept from the end of all work for the answers to requests that have none yet.
 	answerMargin = 200 * time.Millisecond
-	// lastRequests is how long after the listener is closed the connections that it took last may bring a request.
-	lastRequests = 20 * time.Millisecond
 	// lastWords is how long requests that are cut have for their lines in the log; it is part of EndMargin.
 	lastWords = 100 * time.Millisecond
-	// restartTime is how long an entry takes to be back after its end: the platform starts it again after 0.5 s, and it knows
-	// configuration and runners some 15 ms later (measured on nbs-kigali).
+	// restartTime is how long an entry is taken to need until it is back after its end: the platform starts it again after a short
+	// delay (0.5 s in all records so far), and it then asks for configuration and runners once.
 	restartTime = 600 * time.Millisecond
 )
 
@@ -39,7 +41,8 @@
 
 // planStop plans a stop: the last answers are due when the grace is over but for the margins.
 func (g *Gateway) planStop(signalled time.Time) drain.Stop {
-	left := max(g.Settings.Bounds.Grace-EndMargin-lastRequests-answerMargin, 0)
+	grace := g.Settings.Bounds.Grace
+	left := max(grace-min(EndMargin, grace/endShare)-node.LastRequests-answerMargin, 0)
 	return drain.Stop{Signalled: signalled, Notice: min(noticeTime, left/2), End: signalled.Add(left)}
 }
 
@@ -54,12 +57,12 @@
 	idle := g.running.Wait(time.Until(g.plan.End))
 	finish()
 	g.Log.Info("taking no more requests", "decision", "stop", "idle", idle, "running", g.running.Count(), "after", time.Since(signalled).String())
-	cut := !g.running.Wait(time.Until(g.plan.End.Add(answerMargin)))
-	if err := g.door.shut(); err != nil {
+	g.running.Wait(time.Until(g.plan.End.Add(answerMargin)))
+	if err := g.door.Shut(); err != nil {
 		g.Log.Error(err, "listener for callers is not closed")
 	}
-	time.Sleep(lastRequests)
-	if cut {
+	time.Sleep(node.LastRequests)
+	if g.running.Count() > 0 {
 		g.cutRest()
 	}
 	g.Log.Info("stopped", "decision", "stop", "after", time.Since(signalled).String())
@@ -82,7 +85,8 @@
 		return g.refuseLeaving(x)
 	}
 	takes := g.usual.of(x.route)
-	verdict := g.plan.Decide(time.Now(), x.ends, takes)
+	takes.Due, takes.Quiet = x.ends, x.route.Quiet()
+	verdict := g.plan.Decide(time.Now(), takes)
 	if verdict == drain.Refuse {
 		g.Log.Info("too late to be taken", "decision", "drain", "request", x.wire.ID, "likely", takes.Likely.String(),
 			"due", time.Until(x.ends).String(), "end", time.Until(g.plan.End).String())
@@ -142,16 +146,16 @@
 	u.byRoute[route].Add(took)
 }
 
-// of is how long requests on the route take. What must not run twice is lost where the end overtakes it, so that its likely
+// of says how long requests on the route take. What must not run twice is lost where the end overtakes it, so that its likely
 // time is the sure one.
-func (u *usualTimes) of(route *deployment.Route) drain.Times {
+func (u *usualTimes) of(route *deployment.Route) drain.Request {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	known := u.byRoute[route.Name]
 	if known == nil {
-		return drain.Times{}
+		return drain.Request{}
 	}
-	takes := drain.Times{Likely: known.Time(likelyDeviations), Surely: known.Time(surelyDeviations)}
+	takes := drain.Request{Likely: known.Time(likelyDeviations), Surely: known.Time(surelyDeviations)}
 	if route.Once() {
 		takes.Likely = takes.Surely
 	}
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -130,3 +131,104 @@
 		assert.True(t, resp.Close)
 	})
 }
+
+// beginLate starts an entry whose streams usually take a time, and has it stop for so long that callers could know of it.
+func beginLate(t *testing.T, usual time.Duration, runners ...*site.Runner) *world {
+	t.Helper()
+	config := configOf(
+		1,
+		routeOf("stream", "streaming", "plain", jsonMap{"timeout_ms": 12000, "resumable": true}),
+		routeOf("flow", "streaming", "plain", jsonMap{"timeout_ms": 12000}),
+	)
+	w := begin(t, config, runners...)
+	t.Cleanup(w.stop)
+	for range 40 {
+		w.gateway.usual.add("stream", usual)
+		w.gateway.usual.add("flow", usual)
+	}
+	w.stop()
+	w.eventually(t, w.gateway.leaving.Load)
+	time.Sleep(time.Until(w.gateway.plan.Signalled.Add(w.gateway.plan.Notice)))
+	return w
+}
+
+func TestStreamsTakenLate(t *testing.T) {
+	t.Run("one that likely ends in time comes whole, under its runner's seal", func(t *testing.T) {
+		t.Parallel()
+		w := beginLate(t, 300*time.Millisecond, &site.Runner{ID: "a", Handle: slowEvents(300 * time.Millisecond)})
+		got := w.call(t, "GET", "/flow/x", "")
+		require.NoError(t, got.err)
+		assert.Equal(t, http.StatusOK, got.status)
+		assert.Contains(t, got.body, "data: end")
+		assert.NotEmpty(t, got.header.Get("X-Rillreach-Response-Seal"))
+		assert.NotEmpty(t, got.header.Get("Content-Length"))
+	})
+	t.Run("one that breaks and may run again begins anew elsewhere, nothing doubled", func(t *testing.T) {
+		t.Parallel()
+		var runs atomic.Int64
+		breaksOnce := func(w http.ResponseWriter, r *http.Request) {
+			if runs.Add(1) == 1 {
+				cutAfter(4)(w, r)
+				return
+			}
+			site.Events(w, r, 9, 0)
+		}
+		w := beginLate(t, 300*time.Millisecond, &site.Runner{ID: "a", Handle: breaksOnce}, &site.Runner{ID: "b", Handle: breaksOnce})
+		got := w.call(t, "GET", "/stream/x", "")
+		require.NoError(t, got.err)
+		assert.Equal(t, pieces(9), got.body)
+	})
+	t.Run("one that breaks and may run once gets an answer that promises nothing", func(t *testing.T) {
+		t.Parallel()
+		a, b := &site.Runner{ID: "a", Handle: cutAfter(4)}, &site.Runner{ID: "b", Handle: cutAfter(4)}
+		w := beginLate(t, 300*time.Millisecond, a, b)
+		assertOwn(t, w.call(t, "GET", "/flow/x", ""), http.StatusBadGateway)
+		assert.Equal(t, 1, len(a.Runs())+len(b.Runs()))
+	})
+	t.Run("one that likely takes longer than its caller stays without a word is refused", func(t *testing.T) {
+		t.Parallel()
+		a := &site.Runner{ID: "a"}
+		w := beginLate(t, 3*time.Second, a) // callers leave after 2.4 s
+		assertOwn(t, w.call(t, "GET", "/flow/x", ""), http.StatusServiceUnavailable)
+		assert.Empty(t, a.Runs())
+	})
+}
+
+// TestStreamsThatBeginAtTheEnd has streams begin just as the entry gives those without an answer their last one: each is whole, or
+// has an answer of the entry and none of its events.
+func TestStreamsThatBeginAtTheEnd(t *testing.T) {
+	t.Parallel()
+	const streams = 100
+	var began atomic.Int64
+	var end atomic.Pointer[time.Time]
+	runner := &site.Runner{ID: "r1", Handle: func(w http.ResponseWriter, r *http.Request) {
+		offset := time.Duration(began.Add(1)-streams/2) * 40 * time.Microsecond
+		for end.Load() == nil && r.Context().Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		if end.Load() == nil {
+			return
+		}
+		time.Sleep(time.Until(end.Load().Add(offset)))
+		site.Events(w, r, 1, 0)
+	}}
+	config := configOf(1, routeOf("flow", "streaming", "plain", jsonMap{"timeout_ms": 60000}))
+	config["services"] = []jsonMap{{"name": "plain", "max_connections": 6 * streams}} // of which this entry may have a sixth
+	w := begin(t, config, runner)
+	t.Cleanup(w.stop)
+	w.gateway.Settings.Bounds.Grace = shortGrace
+	conns := make([]net.Conn, streams)
+	for i := range conns {
+		conns[i] = w.dial(t)
+		w.ask(t, conns[i], "/flow/x")
+	}
+	w.eventually(t, func() bool { return w.gateway.running.Count() == streams })
+	w.stop()
+	w.eventually(t, w.gateway.leaving.Load)
+	end.Store(&w.gateway.plan.End)
+	for _, conn := range conns {
+		got := read(t, conn, "GET")
+		require.NoError(t, got.err, "status %d", got.status)
+		assert.Contains(t, []int{http.StatusOK, http.StatusBadGateway, http.StatusServiceUnavailable}, got.status)
+	}
+}
