Name what the stop needs by the field's words

Cause: the reviewer stopped at door, rests, lame, last words and Hold. Ruled out: nothing. Change: names and comments alone (node.Listener, callerListener, idleKeeper, FinalAnswerTime, Buffer, keepPastEnd).

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -125,7 +125,7 @@
 	a.Node.Log.Info("leaving", "instance", a.Node.Self.ID)
 	a.slots.close()
 	a.Node.Leave(ctx)
-	end := time.Now().Add(a.Grace - node.LastWords(a.Grace))
+	end := time.Now().Add(a.Grace - node.FinalAnswerTime(a.Grace))
 	a.awaitRelease(end)
 	if !a.running.Wait(time.Until(end)) {
 		a.Node.Log.Info("grace is over, requests are given up", "decision", "give-up", "requests", a.running.Count())
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -9,9 +9,9 @@
 const (
 	// Refuse turns the request away at once: it would not be done before the end.
 	Refuse Verdict = iota
-	// Hold takes the request, but nothing of its answer goes out before that is whole, so that the end can still replace it by a
+	// Buffer takes the request, but nothing of its answer goes out before that is whole, so that the end can still replace it by a
 	// final answer where it would otherwise have to cut it.
-	Hold
+	Buffer
 	// Pass takes the request and passes its answer on as it comes.
 	Pass
 )
@@ -52,6 +52,6 @@
 	case r.Quiet > 0 && r.Likely > r.Quiet:
 		return Refuse
 	default:
-		return Hold
+		return Buffer
 	}
 }
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -28,15 +28,15 @@
 	t.Run("while callers cannot know yet, what surely ends in time is passed on", func(t *testing.T) {
 		assertVerdict(t, Pass, time.Second, time.Minute, quick)
 	})
-	t.Run("what only likely ends in time is held until it is whole", func(t *testing.T) {
-		assertVerdict(t, Hold, time.Second, time.Minute, Request{Likely: time.Second, Surely: 7 * time.Second})
+	t.Run("what only likely ends in time is buffered until it is whole", func(t *testing.T) {
+		assertVerdict(t, Buffer, time.Second, time.Minute, Request{Likely: time.Second, Surely: 7 * time.Second})
 	})
-	t.Run("once callers can know, everything that is not due is held", func(t *testing.T) {
-		assertVerdict(t, Hold, 2*time.Second, time.Minute, quick)
-		assertVerdict(t, Hold, 5*time.Second, time.Minute, quick)
+	t.Run("once callers can know, everything that is not due is buffered", func(t *testing.T) {
+		assertVerdict(t, Buffer, 2*time.Second, time.Minute, quick)
+		assertVerdict(t, Buffer, 5*time.Second, time.Minute, quick)
 	})
-	t.Run("nothing is held for longer than its caller stays without a word", func(t *testing.T) {
-		assertVerdict(t, Hold, 3*time.Second, time.Minute, Request{Likely: 2 * time.Second, Surely: 3 * time.Second, Quiet: 2 * time.Second})
+	t.Run("nothing is buffered for longer than its caller stays without a word", func(t *testing.T) {
+		assertVerdict(t, Buffer, 3*time.Second, time.Minute, Request{Likely: 2 * time.Second, Surely: 3 * time.Second, Quiet: 2 * time.Second})
 		assertVerdict(t, Refuse, 3*time.Second, time.Minute, Request{Likely: 3 * time.Second, Surely: 3 * time.Second, Quiet: 2 * time.Second})
 	})
 	t.Run("what likely ends too late, or nobody knows when, is refused", func(t *testing.T) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -60,7 +60,7 @@
 	lease    *lease.Controller
 	running  node.Inflight
 	server   *http.Server
-	door     *node.Door
+	listener *node.Listener
 }
 
 // Run serves until the context ends, then leaves in order: it says so, takes nothing new and finishes what runs.
@@ -85,7 +85,7 @@
 	if e.Grace == 0 {
 		e.Grace = node.DefaultGrace
 	}
-	e.door = &node.Door{Listener: e.Listener}
+	e.listener = &node.Listener{Listener: e.Listener}
 	e.server = &http.Server{
 		Handler:           e.routes(),
 		ReadHeaderTimeout: headerTimeout,
@@ -120,7 +120,7 @@
 // is new on them and has them closed; what cannot be answered in time gets its final answer instead.
 func (e *Entry) leave(ctx context.Context) {
 	e.Node.Log.Info("leaving", "instance", e.Node.Self.ID)
-	end := time.Now().Add(e.Grace - node.LastWords(e.Grace))
+	end := time.Now().Add(e.Grace - node.FinalAnswerTime(e.Grace))
 	e.Node.Leave(ctx)
 	pause.For(ctx, min(noticeFor, time.Until(end)))
 	if !e.running.Wait(time.Until(end)) {
@@ -131,13 +131,13 @@
 	e.close(ctx)
 }
 
-// close shuts the door, and ends once the last answers, refusals too, have gone out.
+// close takes no more connections, and ends once the last answers, refusals too, have gone out.
 func (e *Entry) close(ctx context.Context) {
-	if err := e.door.Shut(); err != nil {
+	if err := e.listener.StopAccepting(); err != nil {
 		e.Node.Log.Error(err, "listener for callers is not closed")
 	}
-	pause.For(ctx, node.LastRequests)
-	if !e.running.Wait(node.LastWords(e.Grace)) {
+	pause.For(ctx, node.LastRequestTime)
+	if !e.running.Wait(node.FinalAnswerTime(e.Grace)) {
 		e.Node.Log.Info("connections of callers are cut", "requests", e.running.Count())
 	}
 	if err := e.server.Close(); err != nil {
@@ -155,7 +155,7 @@
 func (s *callerServer) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.entry.server.Close() })
 	defer stop()
-	if err := s.entry.server.Serve(s.entry.door); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.entry.server.Serve(s.entry.listener); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve callers")
 	}
 	return nil
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -34,10 +34,10 @@
 	// began says that the head of an answer has gone to the caller, first when the first event did.
 	began bool
 	first time.Time
-	// held says that nothing of the answer goes out before it is whole; goOn lets a stream go on past the time at which the entry
+	// buffered says that nothing of the answer goes out before it is whole; keepPastEnd lets a stream go on past the time at which the entry
 	// gives those without an answer their last one, and reports whether that was not too late.
-	held bool
-	goOn func() bool
+	buffered    bool
+	keepPastEnd func() bool
 	// lastEvent is the last whole event that the caller has.
 	lastEvent string
 	// reason is why the last attempt failed.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,8 +83,8 @@
 	// restarted is told when a runner turns out to be another run than the list says.
 	restarted chan struct{}
 	server    *http.Server
-	rests     *restKeeper
-	door      *door
+	idles     *idleKeeper
+	listener  *callerListener
 }
 
 // Run serves until the context ends, then stops in order within the grace.
@@ -93,7 +93,7 @@
 	g.restarted = make(chan struct{}, 1)
 	g.budgets = retry.Shares{Ratio: g.Settings.Bounds.RetryRatio, Window: g.Settings.Bounds.RetryWindow, Slack: g.Settings.Bounds.RetrySlack}
 	g.server = g.newServer()
-	g.door = &door{Door: node.Door{Listener: g.Callers}, rests: g.rests, log: g.Log}
+	g.listener = &callerListener{Listener: node.Listener{Listener: g.Callers}, idles: g.idles, log: g.Log}
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	over, finish := context.WithCancel(life)
@@ -118,7 +118,7 @@
 		g.state.RunnersFollower(g.Runners, g.watchWait(), g.gatherRunners(), g.restarted),
 		g.state.WeightsFollower(g.Weights, weightsWait),
 		g.state.Expirer(),
-		&serverController{name: "callers", server: g.server, listener: g.door},
+		&serverController{name: "callers", server: g.server, listener: g.listener},
 		&serverController{name: "readiness", server: &http.Server{Handler: http.HandlerFunc(g.ready), ReadHeaderTimeout: mostHeaderTimeout}, listener: g.Readiness},
 		&sweeper{pool: &g.pool},
 		peers,
@@ -137,13 +137,13 @@
 }
 
 func (g *Gateway) newServer() *http.Server {
-	g.rests = &restKeeper{Allowed: g.restAllowed, AllowedHead: g.headAllowed}
+	g.idles = &idleKeeper{Allowed: g.idleAllowed, AllowedHead: g.headAllowed}
 	return &http.Server{
 		Handler:           http.HandlerFunc(g.handle),
 		ReadHeaderTimeout: mostHeaderTimeout,
 		IdleTimeout:       noTimeout,
 		MaxHeaderBytes:    mostHeader,
-		ConnState:         g.rests.connState,
+		ConnState:         g.idles.connState,
 		ConnContext:       withOpened,
 		ErrorLog:          slog.NewLogLogger(logr.ToSlogHandler(g.Log), slog.LevelError),
 	}
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -34,8 +34,8 @@
 	defer cancel()
 	ctx, end := context.WithCancelCause(timed)
 	defer end(nil)
-	x.goOn = context.AfterFunc(g.over, func() { end(errStopping) })
-	defer x.goOn()
+	x.keepPastEnd = context.AfterFunc(g.over, func() { end(errStopping) })
+	defer x.keepPastEnd()
 	g.serve(ctx, x)
 }
 
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -89,9 +89,9 @@
 	})
 	t.Run("a connection may rest for as long as the configuration in force says", func(t *testing.T) {
 		g := &Gateway{}
-		assert.Equal(t, defaultIdle+idleSlack, g.restAllowed())
+		assert.Equal(t, defaultIdle+idleSlack, g.idleAllowed())
 		g.state.SetConfig(&deployment.Config{Revision: 1, Limits: deployment.Limits{IdleTimeout: time.Minute}})
-		assert.Equal(t, time.Minute+idleSlack, g.restAllowed())
+		assert.Equal(t, time.Minute+idleSlack, g.idleAllowed())
 	})
 }
 
@@ -99,9 +99,9 @@
 	ours, theirs := net.Pipe()
 	defer func() { _ = theirs.Close() }()
 	hour := func() time.Duration { return time.Hour }
-	k := &restKeeper{Allowed: hour, AllowedHead: hour}
+	k := &idleKeeper{Allowed: hour, AllowedHead: hour}
 	k.connState(ours, http.StateIdle)
-	mine := k.rests[ours]
+	mine := k.idles[ours]
 	k.connState(ours, http.StateActive)
 	k.end(ours, mine) // the time-out fires as the request comes in
 	assert.NoError(t, ours.SetDeadline(time.Now().Add(time.Hour)), "the connection is still open")
@@ -138,7 +138,7 @@
 	longer := limited(jsonMap{"idle_timeout_ms": 60000})
 	longer["version"] = 2
 	w.store.Put("config", "main", longer)
-	w.eventually(t, func() bool { return w.gateway.restAllowed() > time.Minute })
+	w.eventually(t, func() bool { return w.gateway.idleAllowed() > time.Minute })
 	time.Sleep(idleSlack + 400*time.Millisecond) // beyond what the configuration allowed when the rest began
 	assertServed()
 }
--- a/gateway/door.go
+++ b/gateway/listener.go
@@ -11,37 +11,37 @@
 	"github.com/rillreach/rillreach/node"
 )
 
-// door takes callers' connections, whose rests it has watched.
-type door struct {
-	node.Door
+// callerListener takes callers' connections, whose rests it has watched.
+type callerListener struct {
+	node.Listener
 
-	rests *restKeeper
+	idles *idleKeeper
 	log   logr.Logger
 }
 
 // Accept waits for the next connection.
-func (d *door) Accept() (net.Conn, error) {
-	c, err := d.Door.Accept()
+func (d *callerListener) Accept() (net.Conn, error) {
+	c, err := d.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
 	if err := forward.SetUserTimeout(c, callerTimeout); err != nil {
 		d.log.Error(err, "caller's connection has no user time-out")
 	}
-	return &callerConn{Conn: c, rests: d.rests}, nil
+	return &callerConn{Conn: c, idles: d.idles}, nil
 }
 
 // callerConn is a caller's connection that tells when something comes.
 type callerConn struct {
 	net.Conn
-	rests *restKeeper
+	idles *idleKeeper
 }
 
 // Read reads and ends the connection's rest.
 func (c *callerConn) Read(buf []byte) (int, error) {
 	n, err := c.Conn.Read(buf)
 	if n > 0 {
-		c.rests.wake(c)
+		c.idles.sawByte(c)
 	}
 	return n, err
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -39,7 +39,7 @@
 		x.reason = "resumed-elsewhere-refused"
 		return false
 	}
-	if x.route.Kind == deployment.EventStream && status < failureStatus && !x.held {
+	if x.route.Kind == deployment.EventStream && status < failureStatus && !x.buffered {
 		return g.relayStream(ctx, x, t, answer, heard)
 	}
 	return g.relayWhole(ctx, x, t, answer, head, heard)
@@ -87,7 +87,7 @@
 
 // relayLarge passes on an answer that is too large to be held.
 func (g *Gateway) relayLarge(ctx context.Context, x *exchange, t *target, answer *forward.Answer, begun []byte) bool {
-	if !x.goOn() {
+	if !x.keepPastEnd() {
 		return g.failed(ctx, x, t, errStopping)
 	}
 	h := g.begin(x, answer)
@@ -140,7 +140,7 @@
 // relayStream passes events on as they come, whole ones only where the stream may go on elsewhere.
 func (g *Gateway) relayStream(ctx context.Context, x *exchange, t *target, answer *forward.Answer, heard func()) bool {
 	if !x.began {
-		if !x.goOn() {
+		if !x.keepPastEnd() {
 			return g.failed(ctx, x, t, errStopping) // the entry is just giving it its last answer
 		}
 		g.begin(x, answer)
@@ -221,7 +221,7 @@
 func (g *Gateway) answered(x *exchange, t *target, status int) {
 	took := time.Since(x.arrived)
 	g.Log.Info("answered", "decision", "done", "request", x.wire.ID, "route", x.route.Name, "runner", t.view.ID, "status", status, "sends", x.sends,
-		"first", x.firstAfter().String(), "took", took.String(), "held", x.held, "config", x.config.Version)
+		"first", x.firstAfter().String(), "took", took.String(), "buffered", x.buffered, "config", x.config.Version)
 	if status < failureStatus {
 		g.usual.add(x.route.Name, took)
 	}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -21,16 +21,16 @@
 	// endShare is the part of a short grace that takes the place of EndMargin: the last sixth of a grace is where the users let a
 	// stop cut what runs too long.
 	endShare = 8
-	// lameFor is how long after a stop's signal an entry without work waits for more: the balancer asks every second and takes an
+	// leastStop is how long after a stop's signal an entry without work waits for more: the balancer asks every second and takes an
 	// entry out after two misses.
-	lameFor = 3200 * time.Millisecond
+	leastStop = 3200 * time.Millisecond
 	// noticeTime is how long after the signal callers cannot know of it: the balancer's next two questions, one second apart, and
 	// three quarters of a second for its time-out, the last connection that it gave and the request on that.
 	noticeTime = 2750 * time.Millisecond
 	// answerMargin is kept from the end of all work for the answers to requests that have none yet.
 	answerMargin = 200 * time.Millisecond
-	// lastWords is how long requests that are cut have for their lines in the log; it is part of EndMargin.
-	lastWords = 100 * time.Millisecond
+	// finalLogTime is how long requests that are cut have for their lines in the log; it is part of EndMargin.
+	finalLogTime = 100 * time.Millisecond
 	// restartTime is how long an entry is taken to need until it is back after its end: the platform starts it again after a short
 	// delay (0.5 s in all records so far), and it then asks for configuration and runners once.
 	restartTime = 600 * time.Millisecond
@@ -42,7 +42,7 @@
 // planStop plans a stop: the last answers are due when the grace is over but for the margins.
 func (g *Gateway) planStop(signalled time.Time) drain.Stop {
 	grace := g.Settings.Bounds.Grace
-	left := max(grace-min(EndMargin, grace/endShare)-node.LastRequests-answerMargin, 0)
+	left := max(grace-min(EndMargin, grace/endShare)-node.LastRequestTime-answerMargin, 0)
 	return drain.Stop{Signalled: signalled, Notice: min(noticeTime, left/2), End: signalled.Add(left)}
 }
 
@@ -53,15 +53,15 @@
 	g.plan = g.planStop(signalled)
 	g.leaving.Store(true)
 	g.Log.Info("stopping", "decision", "stop", "running", g.running.Count(), "end", g.plan.End.Sub(signalled).String())
-	time.Sleep(min(lameFor, time.Until(g.plan.End)))
+	time.Sleep(min(leastStop, time.Until(g.plan.End)))
 	idle := g.running.Wait(time.Until(g.plan.End))
 	finish()
 	g.Log.Info("taking no more requests", "decision", "stop", "idle", idle, "running", g.running.Count(), "after", time.Since(signalled).String())
 	g.running.Wait(time.Until(g.plan.End.Add(answerMargin)))
-	if err := g.door.Shut(); err != nil {
+	if err := g.listener.StopAccepting(); err != nil {
 		g.Log.Error(err, "listener for callers is not closed")
 	}
-	time.Sleep(node.LastRequests)
+	time.Sleep(node.LastRequestTime)
 	if g.running.Count() > 0 {
 		g.cutRest()
 	}
@@ -74,7 +74,7 @@
 	if err := g.server.Close(); err != nil {
 		g.Log.Error(err, "callers' connections are not closed")
 	}
-	if !g.running.Wait(lastWords) {
+	if !g.running.Wait(finalLogTime) {
 		g.Log.Error(errStopping, "requests are cut without a line of their own", "running", g.running.Count())
 	}
 }
@@ -92,7 +92,7 @@
 			"due", time.Until(x.ends).String(), "end", time.Until(g.plan.End).String())
 		return g.refuseLeaving(x)
 	}
-	x.held = verdict == drain.Hold
+	x.buffered = verdict == drain.Buffer
 	return nil
 }
 
@@ -100,7 +100,7 @@
 // connection is so new that the balancer has no other: then the caller does best to wait until this one is back.
 func (g *Gateway) refuseLeaving(x *exchange) *refusal {
 	r := *leavingNow
-	if opened := openedAt(x.request.Context()); opened.After(g.plan.Signalled.Add(lameFor)) {
+	if opened := openedAt(x.request.Context()); opened.After(g.plan.Signalled.Add(leastStop)) {
 		r.after = max(time.Until(g.plan.End.Add(answerMargin+restartTime)), restartTime)
 	}
 	return &r
--- a/node/inflight.go
+++ b/node/inflight.go
@@ -7,15 +7,15 @@
 )
 
 const (
-	// lastWordsMost and lastWordsShare bound what is kept of a grace for final answers: they are short, and written at once
+	// finalAnswerMost and finalAnswerShare bound what is kept of a grace for final answers: they are short, and written at once
 	// where the process gets any processor time at all; a very short grace is for the requests.
-	lastWordsMost  = time.Second
-	lastWordsShare = 4
+	finalAnswerMost  = time.Second
+	finalAnswerShare = 4
 )
 
-// LastWords is the part at the end of a planned stop's grace that is kept for the final answers of what cannot end within it.
-func LastWords(grace time.Duration) time.Duration {
-	return min(lastWordsMost, grace/lastWordsShare)
+// FinalAnswerTime is the part at the end of a planned stop's grace that is kept for the final answers of what cannot end within it.
+func FinalAnswerTime(grace time.Duration) time.Duration {
+	return min(finalAnswerMost, grace/finalAnswerShare)
 }
 
 // Inflight counts requests that run, so that a planned stop can wait for them, and give them up in the end; its zero value is
--- a/node/node.go
+++ b/node/node.go
@@ -163,7 +163,7 @@
 // Settle waits, at the end of a planned stop, until peers have read the answers that they were given. One that is not well
 // must not hold the process up for longer than the last words of the grace take.
 func (n *Node) Settle(ctx context.Context, grace time.Duration) {
-	ctx, cancel := context.WithTimeout(ctx, LastWords(grace))
+	ctx, cancel := context.WithTimeout(ctx, FinalAnswerTime(grace))
 	defer cancel()
 	n.Pool.Settle(ctx)
 }
