Let a newer name put no runner's turn off

Ruled out: loading at once where a second name comes (all would load together). Change: a runner keeps the turn that it was given when its weights were replaced; a newer name may bring an earlier one, never a later. Agents and entries that are all restarted after a naming still know nothing of its time: open.

--- a/sidecar/loader.go
+++ b/sidecar/loader.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/platform"
@@ -17,6 +18,8 @@
 type loader struct {
 	sidecar *Sidecar
 	turns   turns
+	// promises are the turns that the runner was given, by model.
+	promises map[rillreach.ModelID]*weights.Promise
 
 	// given is the last order, for the runner's run that it was meant for.
 	given   platform.Order
@@ -98,6 +101,7 @@
 		Named: named.Version, Loaded: loaded, Since: since, Bound: l.sidecar.Settings.Bounds.Weights, Rank: rank, Total: total,
 		Busy: load.Busy, Leaving: self.Leaving || load.Leaving,
 	}
+	situation.Earlier = l.earlier(&situation, named.Model)
 	if l.given.Runner == self.ID && l.given.Weights == named.Version {
 		situation.Ordered = time.Since(l.givenAt)
 	}
@@ -105,7 +109,7 @@
 	if action != l.said {
 		l.said = action
 		l.sidecar.Log.Info("weights", "decision", action, "model", named.Model, "named", named.Version, "loaded", loaded,
-			"rank", rank, "total", total, "since", since.String(), "busy", load.Busy)
+			"rank", rank, "total", total, "since", since.String(), "earlier", situation.Earlier.String(), "busy", load.Busy)
 	}
 	if action == weights.Order {
 		l.order(ctx, self, load, named)
@@ -113,6 +117,18 @@
 	return action == weights.Order || action == weights.Empty
 }
 
+// earlier is by how much a turn that the runner was given before comes ahead of its turn by rank.
+func (l *loader) earlier(s *weights.Situation, model rillreach.ModelID) time.Duration {
+	if l.promises == nil {
+		l.promises = map[rillreach.ModelID]*weights.Promise{}
+	}
+	if l.promises[model] == nil {
+		l.promises[model] = &weights.Promise{}
+	}
+	turn := time.Now().Add(weights.Turn(s.Rank, s.Total, s.Bound) - s.Since)
+	return turn.Sub(l.promises[model].Keep(s.Loaded, s.Named, turn))
+}
+
 func (l *loader) order(ctx context.Context, self deployment.Runner, load deployment.Load, named deployment.NamedWeights) {
 	l.given = platform.Order{
 		Runner: self.ID, Model: named.Model, Weights: named.Version,
--- a/weights/decide.go
+++ b/weights/decide.go
@@ -35,6 +35,8 @@
 	// Rank is the runner's place among the Total of its service, those with the oldest weights first.
 	Rank  int
 	Total int
+	// Earlier is by how much the turn that a Promise keeps comes before the runner's turn by its rank.
+	Earlier time.Duration
 	// Busy says that the runner carries out an order.
 	Busy bool
 	// Ordered is how long ago the last order for this version was given, zero where none was.
@@ -60,7 +62,7 @@
 
 // Decide says what to do with the runner now.
 func Decide(s Situation) Action {
-	turn := Turn(s.Rank, s.Total, s.Bound)
+	turn := Turn(s.Rank, s.Total, s.Bound) - s.Earlier
 	switch {
 	case s.Named == 0 || s.Loaded >= s.Named || s.Leaving:
 		return Nothing
@@ -75,6 +77,25 @@
 	}
 }
 
+// Promise is the turn that a runner was given when its weights were replaced. A newer name brings it another turn, and never
+// a later one: its weights expire from the first name on.
+type Promise struct {
+	loaded deployment.WeightVersion
+	at     time.Time
+}
+
+// Keep takes the runner's turn for the newest version over, and returns the turn that counts.
+func (p *Promise) Keep(loaded, named deployment.WeightVersion, turn time.Time) time.Time {
+	if loaded >= named {
+		*p = Promise{}
+		return turn
+	}
+	if p.at.IsZero() || p.loaded != loaded || turn.Before(p.at) {
+		p.loaded, p.at = loaded, turn
+	}
+	return p.at
+}
+
 // AtOnce is how many runners of a service load at the same time.
 func AtOnce(total int) int {
 	return max(1, (total+Waves-1)/Waves)
--- a/weights/decide_test.go
+++ b/weights/decide_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
+
+	"github.com/rillreach/rillreach/deployment"
 )
 
 const bound = 10 * time.Second
@@ -29,6 +31,7 @@
 		{"an order is under way", func(s *Situation) { s.Busy = true }, Empty},
 		{"an order was given just now", func(s *Situation) { s.Ordered = resend - 1 }, Empty},
 		{"an order had no effect", func(s *Situation) { s.Ordered = resend }, Order},
+		{"it is the turn of a name before", func(s *Situation) { s.Since, s.Earlier = 0, Turn(4, 18, bound) }, Order},
 		{"the turn is far", func(s *Situation) { s.Since = 0 }, Wait},
 		{"the turn is near", func(s *Situation) { s.Since = Turn(4, 18, bound) - emptyBefore }, Empty},
 	}
@@ -72,3 +75,45 @@
 		}
 	})
 }
+
+// TestNewNamesPutNoTurnOff names one version after another in virtual time, with an order of ranks that does not follow what
+// the runners have: whatever the names, each runner's weights are gone before they expire.
+func TestNewNamesPutNoTurnOff(t *testing.T) {
+	const load = 760 * time.Millisecond
+	const step = 40 * time.Millisecond
+	start := time.Unix(1000, 0)
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.IntRange(1, 40).Draw(t, "runners")
+		gaps := rapid.SliceOfN(rapid.IntRange(1, 250), 1, 12).Draw(t, "steps between names")
+		named := []time.Duration{0, 0} // version 1 was named long before, version 2 at the start
+		for _, gap := range gaps {
+			named = append(named, named[len(named)-1]+time.Duration(gap)*step)
+		}
+		promises := make([]Promise, total)
+		loaded, ordered := make([]int, total), make([]time.Duration, total)
+		for rank := range loaded {
+			loaded[rank] = 1
+			ordered[rank] = -load
+		}
+		newest := 2
+		for now := time.Duration(0); now < named[len(named)-1]+bound; now += step {
+			for newest < len(named) && named[newest] <= now {
+				newest++
+			}
+			for rank := range total {
+				s := Situation{
+					Named: deployment.WeightVersion(newest), Loaded: deployment.WeightVersion(loaded[rank]), Bound: bound,
+					Rank: rank, Total: total, Since: now - named[newest-1], Busy: now < ordered[rank]+load,
+				}
+				turn := start.Add(named[newest-1] + Turn(rank, total, bound))
+				s.Earlier = turn.Sub(promises[rank].Keep(s.Loaded, s.Named, turn))
+				if Decide(s) == Order {
+					ordered[rank], loaded[rank] = now, newest
+				}
+				if loaded[rank] < newest {
+					assert.Less(t, now, named[loaded[rank]]+bound-load-time.Second, "rank %d has version %d", rank, loaded[rank])
+				}
+			}
+		}
+	})
+}
