--- a/controller/spread/spread.go
+++ b/controller/spread/spread.go
@@ -74,12 +74,37 @@
 	planned uint64
 	drawn   time.Time
 	turn    uint64
-	pushes  conc.WaitGroup
+	pushes  pushGroup
 	// confirmed is when the copy of the rows was last confirmed to be all there is, by this process's clock.
 	confirmed atomic.Int64
 	base      context.Context
 }
 
+// pushGroup runs pushes to children until it is ended: peers go on sending what would be pushed on while the controller ends. Its
+// zero value is ready.
+type pushGroup struct {
+	mu    sync.Mutex
+	ended bool
+	wg    conc.WaitGroup
+}
+
+// Go runs a push, unless the group has ended.
+func (p *pushGroup) Go(push func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.ended {
+		p.wg.Go(push)
+	}
+}
+
+// End starts no more pushes, and waits for those that run.
+func (p *pushGroup) End() {
+	p.mu.Lock()
+	p.ended = true
+	p.mu.Unlock()
+	p.wg.Wait()
+}
+
 // Name is the controller's name.
 func (c *Controller) Name() string { return "spread" }
 
@@ -104,7 +129,7 @@
 	}
 	wg.Go(func() { c.digestAll(ctx) })
 	wg.Wait()
-	c.pushes.Wait()
+	c.pushes.End()
 	return nil
 }
 
