Log how long a request waited at its runner, and for how long its weights were replaced

Cause: no line or metric told apart the two ways in which a request can begin on replaced weights: sent too late, or sent in time and held by its runner. Ruled out: a line for each first token, which would double the lines of prompts. Change: runner chosen has replacedFor; answered has waited and weights; begun on replaced weights and weights were named earlier have lines; the histogram rillreach_runner_wait_duration_seconds. No decision is changed. Measured: no change in what is decided; tests of gateway, localstate and telemetry pass.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -24,7 +24,7 @@
 	defer cancel()
 	bound := g.boundSilence(x, t, cancel)
 	defer bound.stop()
-	begun := t.begin()
+	begun := g.begin(x, t)
 	defer begun.end()
 	heard := func() {
 		bound.heard()
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -68,7 +68,7 @@
 	}
 	g.Log.Info("runner chosen", "decision", "send", "request", x.wire.ID, "account", x.accountName(), "route", x.route.Name,
 		"chosen", t.view.ID, "candidates", len(candidates), "cost", choice.Cost, "estimate", choice.Estimate.String(),
-		"attempt", x.sends+1, "weights", t.weights, "missing", t.reading, "again", t.plan.Again, "fetched", t.plan.Fetched, "avoided", t.view.Avoid, "listAge", now.Sub(g.state.Roster.Updated()).String())
+		"attempt", x.sends+1, "weights", t.weights, "replacedFor", g.replacedFor(x, t.weights, now).String(), "missing", t.reading, "again", t.plan.Again, "fetched", t.plan.Fetched, "avoided", t.view.Avoid, "listAge", now.Sub(g.state.Roster.Updated()).String())
 	return t
 }
 
@@ -101,8 +101,7 @@
 			c.Avoid = c.Avoid || v.Load.Busy || v.Load.Silent
 		}
 		c.Distance = distance(conversation, v.ID)
-		replaced := g.state.Replaced(p.Model, v.Weights[p.Model])
-		c.Old = !replaced.IsZero() && time.Since(replaced) > oldFrom
+		c.Old = g.replacedFor(x, v.Weights[p.Model], time.Now()) > oldFrom
 	}
 	return c
 }
@@ -119,8 +118,20 @@
 	if x.wire.Prompt == nil || x.service.Engine == nil || bound <= 0 {
 		return false
 	}
-	replaced := g.state.Replaced(x.wire.Prompt.Model, v.Weights[x.wire.Prompt.Model])
-	return !replaced.IsZero() && now.Sub(replaced) > bound-beginMargin
+	return g.replacedFor(x, v.Weights[x.wire.Prompt.Model], now) > bound-beginMargin
+}
+
+// replacedFor is for how long a newer version than the given weights of the request's model has been named, as far as this entry
+// knows; zero where there is none.
+func (g *Gateway) replacedFor(x *exchange, weights deployment.WeightVersion, now time.Time) time.Duration {
+	if x.wire.Prompt == nil {
+		return 0
+	}
+	replaced := g.state.Replaced(x.wire.Prompt.Model, weights)
+	if replaced.IsZero() {
+		return 0
+	}
+	return now.Sub(replaced)
 }
 
 // beginMargin is kept from the bound on old weights for the time that a request waits at its runner.
@@ -186,32 +197,3 @@
 	}
 	d.Save = g.saves(x, t.kept, &t.view, time.Now())
 }
-
-// work is a request that counts as running at its runner.
-type work struct {
-	target *target
-	read   bool
-}
-
-// begin counts the request as running at the runner.
-func (t *target) begin() *work {
-	t.runner.Begin(t.reading, t.held)
-	return &work{target: t}
-}
-
-// first records that the runner has read the prompt.
-func (w *work) first() {
-	if !w.read {
-		w.read = true
-		w.target.runner.First(time.Now(), w.target.reading)
-	}
-}
-
-// end counts the request as running no more.
-func (w *work) end() {
-	if !w.read {
-		w.read = true
-		w.target.runner.Drop(w.target.reading)
-	}
-	w.target.runner.End(w.target.held)
-}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -34,6 +34,8 @@
 	// began says that the head of an answer has gone to the caller, first when the first event did.
 	began bool
 	first time.Time
+	// waited is how long the last runner that began on the request took from the send to its first token.
+	waited time.Duration
 	// buffered says that nothing of the answer goes out before it is whole; keepPastEnd lets a stream go on past the time at which the entry
 	// gives those without an answer their last one, and reports whether that was not too late.
 	buffered    bool
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -65,7 +65,7 @@
 		x.maybeRan, x.reason = true, "runner-unavailable"
 		return false // it promises nothing, while the same status from us would
 	}
-	h := g.begin(x, answer)
+	h := g.beginAnswer(x, answer)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	x.writer.WriteHeader(status)
 	if _, err := x.writer.Write(body); err != nil {
@@ -90,7 +90,7 @@
 	if !x.keepPastEnd() {
 		return g.failed(ctx, x, t, errStopping)
 	}
-	h := g.begin(x, answer)
+	h := g.beginAnswer(x, answer)
 	if length := answer.Response.ContentLength; length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
@@ -106,8 +106,8 @@
 	return true
 }
 
-// begin sets the runner's header on the answer to the caller, which from now on can be finished but not be replaced.
-func (g *Gateway) begin(x *exchange, answer *forward.Answer) http.Header {
+// beginAnswer sets the runner's header on the answer to the caller, which from now on can be finished but not be replaced.
+func (g *Gateway) beginAnswer(x *exchange, answer *forward.Answer) http.Header {
 	h := x.writer.Header()
 	maps.Copy(h, platform.PassedHeader(answer.Response.Header))
 	g.sayLeaving(h)
@@ -143,7 +143,7 @@
 		if !x.keepPastEnd() {
 			return g.failed(ctx, x, t, errStopping) // the entry is just giving it its last answer
 		}
-		g.begin(x, answer)
+		g.beginAnswer(x, answer)
 		x.writer.WriteHeader(answer.Response.StatusCode)
 	}
 	events := eventReader{from: answer, whole: x.route.Resumable}
@@ -221,7 +221,7 @@
 func (g *Gateway) answered(x *exchange, t *target, status int) {
 	took := time.Since(x.arrived)
 	g.Log.Info("answered", "decision", "done", "request", x.wire.ID, "route", x.route.Name, "runner", t.view.ID, "status", status, "sends", x.sends,
-		"first", x.firstAfter().String(), "took", took.String(), "buffered", x.buffered, "config", x.config.Version)
+		"first", x.firstAfter().String(), "waited", x.waited.String(), "weights", t.weights, "took", took.String(), "buffered", x.buffered, "config", x.config.Version)
 	if status < failureStatus {
 		g.usual.add(x.route.Name, took)
 	}
--- /dev/null
+++ b/gateway/work.go
@@ -0,0 +1,55 @@
+package gateway
+
+import "time"
+
+// work is a request that counts as running at its runner.
+type work struct {
+	gateway  *Gateway
+	exchange *exchange
+	target   *target
+	sent     time.Time
+	read     bool
+}
+
+// begin counts the request as running at the runner.
+func (g *Gateway) begin(x *exchange, t *target) *work {
+	t.runner.Begin(t.reading, t.held)
+	return &work{gateway: g, exchange: x, target: t, sent: time.Now()}
+}
+
+// first records that the runner has read the prompt.
+func (w *work) first() {
+	if w.read {
+		return
+	}
+	w.read = true
+	now := time.Now()
+	w.target.runner.First(now, w.target.reading)
+	w.gateway.noteWait(w.exchange, w.target, now.Sub(w.sent), now)
+}
+
+// end counts the request as running no more.
+func (w *work) end() {
+	if !w.read {
+		w.read = true
+		w.target.runner.Drop(w.target.reading)
+	}
+	w.target.runner.End(w.target.held)
+}
+
+// noteWait records how long the request waited at its runner for its first token. One that begins on weights replaced longer ago than
+// the bound allows has a line of its own, since each time in it decides what went wrong: whether it was sent too late, or waited
+// for too long.
+func (g *Gateway) noteWait(x *exchange, t *target, waited time.Duration, now time.Time) {
+	x.waited = waited
+	if x.wire.Prompt == nil || x.service.Engine == nil {
+		return
+	}
+	g.Metrics.RunnerWait(waited)
+	replacedFor := g.replacedFor(x, t.weights, now)
+	if bound := g.Settings.Bounds.Weights; bound <= 0 || replacedFor <= bound {
+		return
+	}
+	g.Log.Error(nil, "begun on replaced weights", "decision", "note", "request", x.wire.ID, "runner", t.view.ID, "weights", t.weights,
+		"replacedFor", replacedFor.String(), "waited", waited.String())
+}
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -51,6 +51,10 @@
 	at      time.Time
 }
 
+// notableLag is how much earlier than known a naming must have been for a line in the log: less is the time of delivery, which
+// differs from message to message.
+const notableLag = 200 * time.Millisecond
+
 // maxNamings is how many versions of a model are remembered.
 const maxNamings = 16
 
@@ -114,6 +118,9 @@
 	i, known := slices.BinarySearchFunc(namings, learned.Version, func(n naming, v deployment.WeightVersion) int { return cmp.Compare(n.version, v) })
 	switch {
 	case known && learned.At.Before(namings[i].at):
+		if by := namings[i].at.Sub(learned.At); by > notableLag {
+			s.Log.Info("weights were named earlier", "decision", "apply", "model", learned.Model, "weights", learned.Version, "by", by.String())
+		}
 		namings = slices.Clone(namings)
 		namings[i].at = learned.At
 	case !known && i < len(namings): // the newest version comes from the object store alone
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -25,6 +25,7 @@
 	attempts metric.Int64Counter
 	steps    metric.Float64Histogram
 	first    metric.Float64Histogram
+	wait     metric.Float64Histogram
 }
 
 // New makes the instruments of one process.
@@ -53,6 +54,9 @@
 	if m.first, err = m.meter.Float64Histogram("rillreach.first_token.duration", metric.WithUnit("s"), metric.WithDescription("time from a request's arrival to the first part of its answer"), buckets); err != nil {
 		return errors.Wrap(err, "make histogram of first tokens")
 	}
+	if m.wait, err = m.meter.Float64Histogram("rillreach.runner_wait.duration", metric.WithUnit("s"), metric.WithDescription("time from the send of a prompt to a model runner to its first token"), buckets); err != nil {
+		return errors.Wrap(err, "make histogram of waits at runners")
+	}
 	return nil
 }
 
@@ -93,6 +97,14 @@
 	m.first.Record(context.Background(), took.Seconds())
 }
 
+// RunnerWait records the time from the send of a prompt to its first token.
+func (m *Metrics) RunnerWait(took time.Duration) {
+	if m == nil {
+		return
+	}
+	m.wait.Record(context.Background(), took.Seconds())
+}
+
 // Gauge is a figure that is read whenever the metrics are.
 type Gauge struct {
 	Name        string
