Bring about requests that begin on replaced weights, in a test that fails

Cause: the bound on replaced weights holds for the beginning of a request, and the entry looks at it when it sends, with 1.5 s to spare; a request that waits longer at its runner begins after the bound. Measured: its three subtests fail, each with 1 request begun where 0 is asked.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -81,36 +81,47 @@
 // begin starts an entry before the runners.
 func begin(t *testing.T, config jsonMap, runners ...*site.Runner) *world {
 	t.Helper()
-	w := &world{store: site.NewStore(), ended: make(chan error, 1)}
-	server := httptest.NewServer(w.store)
-	t.Cleanup(server.Close)
+	store := site.NewStore()
 	if config != nil {
-		w.store.Put("config", "main", config)
+		store.Put("config", "main", config)
 	}
 	for _, r := range runners {
 		r.Start()
 		t.Cleanup(r.Stop)
-		w.store.Put("servers", r.ID, record(r, "ready"))
+		store.Put("servers", r.ID, record(r, "ready"))
+	}
+	w := beginAt(t, store, weightsBound)
+	if config != nil {
+		w.awaitReady(t)
 	}
+	return w
+}
+
+// weightsBound is how long replaced weights may be used, where a test does not say otherwise.
+const weightsBound = 10 * time.Second
+
+// beginAt starts an entry that follows the store, and lets requests begin on replaced weights for as long as the bound.
+func beginAt(t *testing.T, store *site.Store, bound time.Duration) *world {
+	t.Helper()
+	w := &world{store: store, ended: make(chan error, 1)}
+	server := httptest.NewServer(w.store)
+	t.Cleanup(server.Close)
 	metrics, err := telemetry.New()
 	require.NoError(t, err)
 	callers, readiness := listener(t), listener(t)
-	store := platform.NewStore(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	client := platform.NewStore(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
 	w.gateway = &Gateway{
 		Settings: &deployment.Settings{
 			Name: "entry-1", Zone: "z1", Host: netip.MustParseAddr("127.0.0.1"), FirstPort: 1, LastPort: 1,
-			Bounds: deployment.Bounds{Grace: 8 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100, Weights: 10 * time.Second},
+			Bounds: deployment.Bounds{Grace: 8 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100, Weights: bound},
 		},
-		Configs: platform.Configs(store), Runners: platform.Runners(store), Weights: platform.Weights(store),
+		Configs: platform.Configs(client), Runners: platform.Runners(client), Weights: platform.Weights(client),
 		Callers: callers, Readiness: readiness, Log: logOf(t), Metrics: metrics,
 	}
 	w.callers, w.ready = callers.Addr().String(), readiness.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	w.stop = cancel
 	go func() { w.ended <- w.gateway.Run(ctx) }()
-	if config != nil {
-		w.eventually(t, func() bool { return w.readiness(t) == http.StatusOK })
-	}
 	return w
 }
 
@@ -146,6 +157,11 @@
 	require.Eventually(t, holds, wait, 5*time.Millisecond)
 }
 
+func (w *world) awaitReady(t *testing.T) {
+	t.Helper()
+	w.eventually(t, func() bool { return w.readiness(t) == http.StatusOK })
+}
+
 func (w *world) readiness(t *testing.T) int {
 	t.Helper()
 	resp, err := http.Get("http://" + w.ready + "/ready")
--- /dev/null
+++ b/gateway/weights_test.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/internal/standin/site"
+	"github.com/rillreach/rillreach/roster"
+)
+
+// shortBound is how long replaced weights may be used in these tests; requests are sent in the first part of it.
+const shortBound = 2500 * time.Millisecond
+
+// queued is an engine at which requests wait until replaced weights may be used no longer, and begin then.
+type queued struct {
+	site.Engine
+
+	// named is when the newer weights were named, in nanoseconds.
+	named     atomic.Int64
+	waiting   atomic.Int64
+	begun     atomic.Int64
+	withdrawn atomic.Int64
+}
+
+func newQueued(id string) *queued {
+	q := &queued{}
+	q.ID, q.Model, q.Version = id, site.Model, 1
+	q.Handle = q.wait
+	return q
+}
+
+// wait holds a request until the bound on old weights is over, unless its connection is closed before.
+func (q *queued) wait(w http.ResponseWriter, r *http.Request) {
+	q.waiting.Add(1)
+	for {
+		select {
+		case <-r.Context().Done():
+			q.withdrawn.Add(1)
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		if named := q.named.Load(); named != 0 && time.Since(time.Unix(0, named)) > shortBound {
+			q.begun.Add(1)
+			site.Events(w, r, 9, 0)
+			return
+		}
+	}
+}
+
+// enginesWorld is an entry before engines, with weights of version 1 named.
+func enginesWorld(t *testing.T, engines ...*site.Engine) *world {
+	t.Helper()
+	store := site.NewStore()
+	store.Put("config", "main", site.ConfigOf(
+		1, []string{key},
+		site.Route{Name: "prompt", Host: host, Kind: "streaming", Attempts: 2, Resumable: true, Engines: true, Timeout: wait},
+		site.Route{Name: "flow", Host: host, Kind: "streaming", Attempts: 1, Engines: true, Timeout: wait},
+	))
+	store.Put("versions", site.Model, site.WeightsOf(1))
+	w := beginAt(t, store, shortBound)
+	w.awaitReady(t)
+	for _, e := range engines {
+		w.addEngine(t, e)
+	}
+	return w
+}
+
+// addEngine lists an engine, and waits until the entry knows it.
+func (w *world) addEngine(t *testing.T, e *site.Engine) {
+	t.Helper()
+	e.Start()
+	t.Cleanup(e.Stop)
+	w.store.Put("servers", e.ID, site.EngineRecordOf(e.Address(), "ready", e.Weights()))
+	id := rillreach.InstanceID(e.ID)
+	w.eventually(t, func() bool { return w.gateway.state.Roster.Find(id) != nil })
+	w.gateway.state.Roster.Find(id).SetReport(roster.Report{At: time.Now().Add(wait)}) // its agent says that it lives
+}
+
+// nameWeights names version 2, and waits until the entry knows of it.
+func (w *world) nameWeights(t *testing.T, q *queued) {
+	t.Helper()
+	q.named.Store(time.Now().UnixNano())
+	w.store.Put("versions", site.Model, site.WeightsOf(2))
+	w.eventually(t, func() bool { return !w.gateway.state.Replaced(site.Model, 1).IsZero() })
+}
+
+// prompt sends one request with a prompt.
+func (w *world) prompt(t *testing.T, path string) answer {
+	t.Helper()
+	return w.call(t, "POST", path, "prompt", "X-Rillreach-Model: "+site.Model, "X-Rillreach-Token-Usage: 1460,80",
+		"X-Rillreach-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+}
+
+func assertWithdrawn(t *testing.T, q *queued) {
+	t.Helper()
+	assert.Zero(t, q.begun.Load(), "a request began on weights that were replaced longer ago than the bound")
+	require.Eventually(t, func() bool { return q.withdrawn.Load() == 1 }, wait, time.Millisecond)
+}
+
+// TestNoRequestBeginsOnReplacedWeights: a request that is sent in time may wait at its runner until the bound on old weights is over.
+func TestNoRequestBeginsOnReplacedWeights(t *testing.T) {
+	t.Run("one that may not go on elsewhere gets its answer before", func(t *testing.T) {
+		q := newQueued("old")
+		w := enginesWorld(t, &q.Engine)
+		defer w.stop()
+		w.nameWeights(t, q)
+		assertOwn(t, w.prompt(t, "/flow/x"), http.StatusBadGateway)
+		assertWithdrawn(t, q)
+	})
+	t.Run("one that may goes on where the newest weights are", func(t *testing.T) {
+		q := newQueued("old")
+		w := enginesWorld(t, &q.Engine)
+		defer w.stop()
+		w.nameWeights(t, q)
+		answered := make(chan answer, 1)
+		go func() { answered <- w.prompt(t, "/prompt/x") }()
+		w.eventually(t, func() bool { return q.waiting.Load() == 1 })
+		newest := &site.Engine{Model: site.Model, Version: 2}
+		newest.ID, newest.Handle = "new", cutAfter(0)
+		w.addEngine(t, newest)
+		got := <-answered
+		require.NoError(t, got.err)
+		assert.Equal(t, pieces(9), got.body)
+		assert.Len(t, newest.Runs(), 1)
+		assertWithdrawn(t, q)
+	})
+	t.Run("also where the newer weights are named while it waits", func(t *testing.T) {
+		q := newQueued("old")
+		w := enginesWorld(t, &q.Engine)
+		defer w.stop()
+		answered := make(chan answer, 1)
+		go func() { answered <- w.prompt(t, "/flow/x") }()
+		w.eventually(t, func() bool { return q.waiting.Load() == 1 })
+		w.nameWeights(t, q)
+		assertOwn(t, <-answered, http.StatusBadGateway)
+		assertWithdrawn(t, q)
+	})
+}
