Withdraw requests that have not begun when the window on their runner's weights closes

Cause: the bound on replaced weights holds when a request begins, and was looked at only when it was sent: a check of a state that goes on changing until the act. A fixed 1.5 s stood for the wait between the two, which slow runners and bursts make longer. Ruled out: a longer fixed margin, which would take all runners with old weights out for seconds more where nothing waits; a shorter deadline handed to the runner, which would cut the answer as well.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -4,6 +4,7 @@
 	"math"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/rillreach/rillreach"
@@ -27,6 +28,8 @@
 	// kept and plan say which parts of the prompt are where, and how the runner comes to them.
 	kept *promptState
 	plan fetch.Plan
+	// withdrawn says that the request was taken back, since it had not begun when that was still allowed.
+	withdrawn atomic.Bool
 }
 
 // choose decides on the runner for the next attempt, or returns nil where there is none.
@@ -111,16 +114,6 @@
 	return float64(hash.Mix(conversation, hash.String(string(runner)))) / math.MaxUint64
 }
 
-// expired reports that the runner's weights were replaced so long ago that the request, which may wait there for a while,
-// would begin on them too late.
-func (g *Gateway) expired(x *exchange, v *roster.View, now time.Time) bool {
-	bound := g.Settings.Bounds.Weights
-	if x.wire.Prompt == nil || x.service.Engine == nil || bound <= 0 {
-		return false
-	}
-	return g.replacedFor(x, v.Weights[x.wire.Prompt.Model], now) > bound-beginMargin
-}
-
 // replacedFor is for how long a newer version than the given weights of the request's model has been named, as far as this entry
 // knows; zero where there is none.
 func (g *Gateway) replacedFor(x *exchange, weights deployment.WeightVersion, now time.Time) time.Duration {
@@ -134,9 +127,6 @@
 	return now.Sub(replaced)
 }
 
-// beginMargin is kept from the bound on old weights for the time that a request waits at its runner.
-const beginMargin = 1500 * time.Millisecond
-
 // oldFrom is how long after the naming of new weights answers on the old ones are as good as others.
 const oldFrom = 1200 * time.Millisecond
 
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -52,9 +53,10 @@
 }
 
 // ask sends a request on the connection, and returns once the entry has it.
-func (w *world) ask(t *testing.T, conn net.Conn, path string) {
+func (w *world) ask(t *testing.T, conn net.Conn, path string, header ...string) {
 	t.Helper()
-	_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nX-Rillreach-Attempt-Id: a1\r\nAuthorization: Bearer %s\r\n\r\n", path, host, key)
+	lines := append([]string{"GET " + path + " HTTP/1.1", "Host: " + host, "X-Rillreach-Attempt-Id: a1", "Authorization: Bearer " + key}, header...)
+	_, err := io.WriteString(conn, strings.Join(lines, "\r\n")+"\r\n\r\n")
 	require.NoError(t, err)
 }
 
--- a/gateway/weights_test.go
+++ b/gateway/weights_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -90,11 +91,13 @@
 	w.eventually(t, func() bool { return !w.gateway.state.Replaced(site.Model, 1).IsZero() })
 }
 
-// prompt sends one request with a prompt.
-func (w *world) prompt(t *testing.T, path string) answer {
+// prompt sends one request with a prompt, whose answer is still to be read.
+func (w *world) prompt(t *testing.T, path string) net.Conn {
 	t.Helper()
-	return w.call(t, "POST", path, "prompt", "X-Rillreach-Model: "+site.Model, "X-Rillreach-Token-Usage: 1460,80",
+	conn := w.dial(t)
+	w.ask(t, conn, path, "X-Rillreach-Model: "+site.Model, "X-Rillreach-Token-Usage: 1460,80",
 		"X-Rillreach-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+	return conn
 }
 
 func assertWithdrawn(t *testing.T, q *queued) {
@@ -110,7 +113,7 @@
 		w := enginesWorld(t, &q.Engine)
 		defer w.stop()
 		w.nameWeights(t, q)
-		assertOwn(t, w.prompt(t, "/flow/x"), http.StatusBadGateway)
+		assertOwn(t, read(t, w.prompt(t, "/flow/x"), http.MethodGet), http.StatusBadGateway)
 		assertWithdrawn(t, q)
 	})
 	t.Run("one that may goes on where the newest weights are", func(t *testing.T) {
@@ -118,13 +121,12 @@
 		w := enginesWorld(t, &q.Engine)
 		defer w.stop()
 		w.nameWeights(t, q)
-		answered := make(chan answer, 1)
-		go func() { answered <- w.prompt(t, "/prompt/x") }()
+		conn := w.prompt(t, "/prompt/x")
 		w.eventually(t, func() bool { return q.waiting.Load() == 1 })
 		newest := &site.Engine{Model: site.Model, Version: 2}
 		newest.ID, newest.Handle = "new", cutAfter(0)
 		w.addEngine(t, newest)
-		got := <-answered
+		got := read(t, conn, http.MethodGet)
 		require.NoError(t, got.err)
 		assert.Equal(t, pieces(9), got.body)
 		assert.Len(t, newest.Runs(), 1)
@@ -134,11 +136,10 @@
 		q := newQueued("old")
 		w := enginesWorld(t, &q.Engine)
 		defer w.stop()
-		answered := make(chan answer, 1)
-		go func() { answered <- w.prompt(t, "/flow/x") }()
+		conn := w.prompt(t, "/flow/x")
 		w.eventually(t, func() bool { return q.waiting.Load() == 1 })
 		w.nameWeights(t, q)
-		assertOwn(t, <-answered, http.StatusBadGateway)
+		assertOwn(t, read(t, conn, http.MethodGet), http.StatusBadGateway)
 		assertWithdrawn(t, q)
 	})
 }
--- a/gateway/work.go
+++ b/gateway/work.go
@@ -13,8 +13,9 @@
 
 // begin counts the request as running at the runner.
 func (g *Gateway) begin(x *exchange, t *target) *work {
-	t.runner.Begin(t.reading, t.held)
-	return &work{gateway: g, exchange: x, target: t, sent: time.Now()}
+	now := time.Now()
+	t.runner.Begin(now, t.reading, t.held)
+	return &work{gateway: g, exchange: x, target: t, sent: now}
 }
 
 // first records that the runner has read the prompt.
@@ -24,7 +25,7 @@
 	}
 	w.read = true
 	now := time.Now()
-	w.target.runner.First(now, w.target.reading)
+	w.target.runner.First(now, w.sent, w.target.reading)
 	w.gateway.noteWait(w.exchange, w.target, now.Sub(w.sent), now)
 }
 
@@ -32,7 +33,7 @@
 func (w *work) end() {
 	if !w.read {
 		w.read = true
-		w.target.runner.Drop(w.target.reading)
+		w.target.runner.Drop(w.sent, w.target.reading)
 	}
 	w.target.runner.End(w.target.held)
 }
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -37,6 +37,7 @@
 	running int
 	reading int
 	held    int
+	waits   waits
 	heard   time.Time
 	avoid   time.Time
 	strikes int
@@ -54,6 +55,8 @@
 	Running int
 	Reading int
 	Held    int
+	// Wait is how long a request that is sent now is expected to wait there for its first token.
+	Wait time.Duration
 	// Avoid says that the runner's answers, or their lack, speak against it.
 	Avoid bool
 	// Failures is the share of requests that it lately failed.
@@ -70,7 +73,7 @@
 	defer r.mu.Unlock()
 	v := View{
 		Runner: r.info, Running: r.running, Reading: r.reading, Held: r.held, Avoid: now.Before(r.avoid), Failures: r.failures,
-		Load: r.report.Load, Reported: !r.report.At.IsZero() && now.Sub(r.report.At) < reportAge, Heard: r.heard,
+		Wait: r.waits.expected(now), Load: r.report.Load, Reported: !r.report.At.IsZero() && now.Sub(r.report.At) < reportAge, Heard: r.heard,
 	}
 	v.Leaving = v.Leaving || r.leaving || v.Reported && r.report.Load.Leaving
 	if len(r.weights) > 0 || v.Reported {
@@ -90,26 +93,29 @@
 }
 
 // Begin counts a request that is sent to the runner, with the tokens that it has to read and those that it holds.
-func (r *Runner) Begin(reading, held int) {
+func (r *Runner) Begin(now time.Time, reading, held int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.waits.sent(now)
 	r.running++
 	r.reading += reading
 	r.held += held
 }
 
-// First records that the request has its first event.
-func (r *Runner) First(now time.Time, reading int) {
+// First records that the request that was sent at the given time has its first event.
+func (r *Runner) First(now, sent time.Time, reading int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.waits.begun(now, sent)
 	r.reading -= reading
 	r.heard = now
 }
 
-// Drop records that the request will not have a first event.
-func (r *Runner) Drop(reading int) {
+// Drop records that the request that was sent at the given time will not have a first event.
+func (r *Runner) Drop(sent time.Time, reading int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.waits.dropped(sent)
 	r.reading -= reading
 }
 
--- /dev/null
+++ b/roster/waits_test.go
@@ -0,0 +1,41 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestExpectedWait(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	t.Run("nothing is expected of a runner that nothing was sent to", func(t *testing.T) {
+		r := &Runner{}
+		assert.Zero(t, r.View(start).Wait)
+	})
+	t.Run("a request is expected to wait as long as the last one did", func(t *testing.T) {
+		r := &Runner{}
+		r.Begin(start, 0, 0)
+		r.First(at(2*time.Second), start, 0)
+		assert.Equal(t, 2*time.Second, r.View(at(3*time.Second)).Wait)
+	})
+	t.Run("or as long as the one does that waits", func(t *testing.T) {
+		r := &Runner{}
+		r.Begin(start, 0, 0)
+		r.Begin(at(time.Second), 0, 0)
+		assert.Equal(t, 3*time.Second, r.View(at(3*time.Second)).Wait)
+		r.Drop(start, 0)
+		assert.Equal(t, 2*time.Second, r.View(at(3*time.Second)).Wait)
+	})
+	t.Run("a long wait is forgotten when shorter ones follow", func(t *testing.T) {
+		r := &Runner{}
+		r.Begin(start, 0, 0)
+		r.First(at(4*time.Second), start, 0)
+		for range 40 {
+			r.Begin(at(5*time.Second), 0, 0)
+			r.First(at(5*time.Second+100*time.Millisecond), at(5*time.Second), 0)
+		}
+		assert.Equal(t, 100*time.Millisecond, r.View(at(6*time.Second)).Wait)
+	})
+}
