Let the soak name weights that no agent loads in time, before engines with a queue

Cause: the soak's engines begin at once, so that no seed could show a request that waits past the bound on replaced weights. Ruled out: drawing the new fault with the others, which would change what each kept seed does.

--- a/roster/waits_test.go
+++ b/roster/waits_test.go
@@ -9,7 +9,7 @@
 
 func TestExpectedWait(t *testing.T) {
 	start := time.Unix(1000, 0)
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	t.Run("nothing is expected of a runner that nothing was sent to", func(t *testing.T) {
 		r := &Runner{}
 		assert.Zero(t, r.View(start).Wait)
--- a/soak/engine.go
+++ b/soak/engine.go
@@ -29,6 +29,7 @@
 	mu      sync.Mutex
 	runs    int
 	losing  time.Time
+	queue   time.Duration
 	current *site.Engine
 }
 
@@ -50,6 +51,9 @@
 	one := &site.Engine{Model: site.Model, Version: weights, LoadTime: loadTime}
 	one.ID = id
 	one.Handle = func(w http.ResponseWriter, r *http.Request) {
+		if !wait(r, e.queueing()) {
+			return // it has not begun, and is not wanted any more
+		}
 		streamPieces(w, r, e.ledger, run{ID: site.RequestID(r), Runner: id, At: time.Now(), Weights: one.Weights()})
 	}
 	one.Ordered = func(o site.Order) bool {
@@ -76,6 +80,19 @@
 	e.losing = time.Now().Add(d)
 }
 
+// setQueue has each request wait for the time before it begins.
+func (e *engine) setQueue(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.queue = d
+}
+
+func (e *engine) queueing() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.queue
+}
+
 // run names the run that lives here now, and its weights.
 func (e *engine) run() (id string, weights uint64) {
 	e.mu.Lock()
--- a/soak/main.go
+++ b/soak/main.go
@@ -31,6 +31,7 @@
 			&cli.IntFlag{Name: "entries", Value: defaultEntries, Usage: "how many entries"},
 			&cli.IntFlag{Name: "runners", Value: defaultRunners, Usage: "how many runners, and as many engines with an agent each (at most 250)"},
 			&cli.IntFlag{Name: "callers", Value: defaultCallers, Usage: "how many callers"},
+			&cli.BoolFlag{Name: "rollout", Usage: "name weights as well that no agent loads in time, while requests wait at engines"},
 			&cli.StringFlag{Name: "binary", Usage: "the program; built from the sources where it is not set"},
 			&cli.StringFlag{Name: "keep", Usage: "folder for logs of a seed that failed"},
 		},
@@ -55,7 +56,11 @@
 		}
 	}
 	n := size{Entries: c.Int("entries"), Runners: c.Int("runners"), Callers: c.Int("callers")}
-	broken, err := playSeed(binary, dir, c.Uint64("seed"), c.Duration("for"), n, printf)
+	actions := schedule(c.Uint64("seed"), c.Duration("for"))
+	if c.Bool("rollout") {
+		actions = inOrder(append(actions, rollout(c.Uint64("seed"))))
+	}
+	broken, err := playSeed(binary, dir, c.Uint64("seed"), actions, c.Duration("for"), n, printf)
 	if err != nil {
 		return err
 	}
@@ -76,13 +81,13 @@
 func printf(format string, args ...any) { _, _ = fmt.Printf(format+"\n", args...) }
 
 // playSeed plays one schedule and returns the promises that were broken.
-func playSeed(binary, dir string, seed uint64, length time.Duration, n size, report func(string, ...any)) ([]string, error) {
+func playSeed(binary, dir string, seed uint64, actions []action, length time.Duration, n size, report func(string, ...any)) ([]string, error) {
 	w, err := newWorld(binary, dir, n, report)
 	if err != nil {
 		return nil, err
 	}
 	defer w.close()
-	r := w.play(schedule(seed, length), length)
+	r := w.play(actions, length)
 	served := 0
 	for i := range r.Calls {
 		if r.Calls[i].Status == 200 && !r.Calls[i].Cut {
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -37,6 +37,8 @@
 	faultEngineLink fault = "reset connections to engine"
 	faultLoseOrders fault = "engine carries orders out late"
 	faultWeights    fault = "name new weights"
+	// faultRollout is not drawn with the others, so that a seed's other faults are the same with and without it.
+	faultRollout fault = "name new weights that no agent loads in time, before engines with a queue"
 )
 
 var faults = []fault{
@@ -68,7 +70,9 @@
 	leastGap     = 100 * time.Millisecond
 	mostGap      = time.Second
 	besideSeries = 5
-	besideWithin = 5 * time.Second
+	// rolloutWithin is how long after the start a rollout may come.
+	rolloutWithin = 3 * time.Second
+	besideWithin  = 5 * time.Second
 )
 
 // planned are the faults that are work an operator does, of which most of what is drawn beside a series consists.
@@ -93,10 +97,23 @@
 		}
 		at += time.Duration(random.ExpFloat64() * float64(meanPause))
 	}
+	return inOrder(actions)
+}
+
+// inOrder sorts actions by their times.
+func inOrder(actions []action) []action {
 	slices.SortStableFunc(actions, func(a, b action) int { return int(a.At - b.At) })
 	return actions
 }
 
+// rollout gives the same rollout of weights for the same seed.
+func rollout(seed uint64) action {
+	random := rand.New(rand.NewPCG(seed, 2))
+	a := draw(random, []fault{faultRollout}, quietBefore+time.Duration(random.Int64N(int64(rolloutWithin))))
+	a.For = longFault/2 + a.For/2
+	return a
+}
+
 // beside draws faults that overlap with a series of stops, most of them planned work.
 func beside(random *rand.Rand, at time.Duration) []action {
 	var actions []action
--- a/soak/strike.go
+++ b/soak/strike.go
@@ -28,6 +28,26 @@
 		w.strikeStore(a, e)
 	case faultRemoveKey, faultNewVersion, faultWeights:
 		w.operate(a)
+	case faultRollout:
+		w.strikeRollout(a)
+	}
+}
+
+const (
+	// agentsAway is how long agents stand still in a rollout: until their engines' old weights may be used no longer.
+	agentsAway = weightsWithin + time.Second
+	// queueFrom and queueFor are when in a rollout requests begin to wait at engines, and for how long.
+	queueFrom = 5 * time.Second
+	queueFor  = weightsWithin
+)
+
+// strikeRollout names weights which no agent has its engine load in time, while requests wait at the engines.
+func (w *world) strikeRollout(a action) {
+	w.nameWeights()
+	for _, n := range w.engines {
+		w.pause(action{For: agentsAway}, &n.agent.process)
+		w.later(queueFrom, func() { n.setQueue(a.For) })
+		w.later(queueFrom+queueFor, func() { n.setQueue(0) })
 	}
 }
 
--- a/weights/window_test.go
+++ b/weights/window_test.go
@@ -10,7 +10,7 @@
 
 func TestWindow(t *testing.T) {
 	replaced := time.Unix(1000, 0)
-	at := func(d time.Duration) time.Time { return replaced.Add(d) }
+	at := replaced.Add
 	window := Window{Replaced: replaced, Bound: bound}
 	t.Run("weights that nothing has replaced have no end", func(t *testing.T) {
 		assert.True(t, Window{Bound: bound}.Close().IsZero())
