Bring about requests on replaced weights from an entry that starts after their naming, in a test that fails

Cause: an entry that finds weights named at its start counts the bound from its start. Agents tell it when they were named, but where all agents stand still or are away nobody does, and nobody has runners load them either.

--- a/gateway/weights_test.go
+++ b/gateway/weights_test.go
@@ -54,15 +54,21 @@
 	}
 }
 
-// enginesWorld is an entry before engines, with weights of version 1 named.
-func enginesWorld(t *testing.T, engines ...*site.Engine) *world {
-	t.Helper()
+// enginesStore is a store with routes to engines.
+func enginesStore() *site.Store {
 	store := site.NewStore()
 	store.Put("config", "main", site.ConfigOf(
 		1, []string{key},
 		site.Route{Name: "prompt", Host: host, Kind: "streaming", Attempts: 2, Resumable: true, Engines: true, Timeout: wait},
 		site.Route{Name: "flow", Host: host, Kind: "streaming", Attempts: 1, Engines: true, Timeout: wait},
 	))
+	return store
+}
+
+// enginesWorld is an entry before engines, with weights of version 1 named.
+func enginesWorld(t *testing.T, engines ...*site.Engine) *world {
+	t.Helper()
+	store := enginesStore()
 	store.Put("versions", site.Model, site.WeightsOf(1))
 	w := beginAt(t, store, shortBound)
 	w.awaitReady(t)
@@ -143,3 +149,19 @@
 		assertWithdrawn(t, q)
 	})
 }
+
+// TestWeightsNamedBeforeTheStart: an entry that has just started finds weights named, and cannot know for how long; where no agent
+// speaks, nobody tells it, and nobody has runners load them either.
+func TestWeightsNamedBeforeTheStart(t *testing.T) {
+	store := enginesStore()
+	store.Put("versions", site.Model, site.WeightsOf(2))
+	old := &site.Engine{Model: site.Model, Version: 1}
+	old.ID, old.Handle = "old", cutAfter(0)
+	w := beginAt(t, store, time.Minute)
+	defer w.stop()
+	w.awaitReady(t)
+	w.addEngine(t, old)
+	w.eventually(t, func() bool {
+		return read(t, w.prompt(t, "/prompt/x"), http.MethodGet).status == http.StatusServiceUnavailable
+	})
+}
