Tell others only of namings that a process heard of itself, and count no time that nobody knows

Cause: processes took the time at which they heard of a naming for the time of the naming, also where that was at their start, right after they had stood still, or after a version in between which nobody had told them of; and passed that on to others as knowledge. Change: a naming is found, not heard, at a start, from another process that does not know its time, and within 0.5 s of a stall or of the answer that had waited for its end (stallWatch). Found ones aren't told on. Where versions before a found one may have been named unheard, weights older than the one before it are taken for too old unless somebody tells.

--- a/gateway/news.go
+++ b/gateway/news.go
@@ -99,7 +99,7 @@
 		}})
 	}
 	for _, w := range b.Named {
-		g.state.SetWeights(w)
+		g.state.FoundWeights(w)
 	}
 	g.learnNamings(b, now)
 	g.budgets.SetEntries(b.Followers)
--- a/localstate/expirer.go
+++ b/localstate/expirer.go
@@ -16,7 +16,9 @@
 // Run looks at the runners until the context ends.
 func (e expirer) Run(ctx context.Context) error {
 	pause.Every(ctx, expireEvery, func(context.Context) {
-		e.state.logRunners(e.state.Roster.Expire(time.Now()))
+		now := time.Now()
+		e.state.stalls.tick(now)
+		e.state.logRunners(e.state.Roster.Expire(now))
 	})
 	return nil
 }
--- /dev/null
+++ b/localstate/stall_test.go
@@ -0,0 +1,46 @@
+package localstate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestStallWatch(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := start.Add
+	const thaw = 4 * time.Second
+	ran := func() *stallWatch {
+		w := &stallWatch{}
+		for d := time.Duration(0); d <= time.Second; d += expireEvery {
+			w.tick(at(d))
+		}
+		return w
+	}
+	t.Run("what a process hears that runs is news", func(t *testing.T) {
+		assert.False(t, ran().doubts(at(time.Second+expireEvery)))
+		assert.False(t, (&stallWatch{}).doubts(start), "before its first tick")
+	})
+	t.Run("what it hears right after a stall is not, before its first tick or after it", func(t *testing.T) {
+		assert.True(t, ran().doubts(at(thaw)))
+		w := ran()
+		w.tick(at(thaw))
+		assert.True(t, w.doubts(at(thaw+1)))
+	})
+	t.Run("nor what comes with the answer after the one that had waited", func(t *testing.T) {
+		w := ran()
+		last := thaw + deliverWithin - 1
+		w.tick(at(thaw))
+		w.answer(at(last))
+		assert.True(t, w.doubts(at(last+deliverWithin-1)))
+		w.answer(at(last + deliverWithin - 1))
+		assert.False(t, w.doubts(at(last+deliverWithin)))
+	})
+	t.Run("what comes later is news again", func(t *testing.T) {
+		w := ran()
+		w.tick(at(thaw))
+		w.answer(at(thaw))
+		assert.False(t, w.doubts(at(thaw+deliverWithin)))
+	})
+}
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -36,6 +36,7 @@
 	ConfigChanged  func(*deployment.Config)
 	WeightsChanged func(deployment.NamedWeights)
 
+	stalls   stallWatch
 	config   atomic.Pointer[deployment.Config]
 	configAt atomic.Int64
 	listed   atomic.Bool
@@ -48,9 +49,13 @@
 // naming is when this process learned of a version.
 type naming struct {
 	version deployment.WeightVersion
+	// at is when it was named, as far as this process knows, and learned when this process learned of it.
 	at      time.Time
+	learned time.Time
 	// found says that the version was found named, and that nobody has told since when it is.
 	found bool
+	// unheard says that versions before it may have been named of which this process has not heard.
+	unheard bool
 }
 
 // tellWithin is how long after a version was found named others may take to tell since when it is: an entry that starts again follows its
@@ -86,18 +91,19 @@
 }
 
 // Replaced is when this process learned of the first version that is newer than the given one, zero where there is none. It is long ago
-// where that version was found named and nobody tells since when it is.
+// where nobody tells since when that version is named, or whether one between the two was.
 func (s *State) Replaced(model rillreach.ModelID, version deployment.WeightVersion) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, n := range s.named[model] {
-		switch {
-		case n.version <= version:
-		case n.found && time.Since(n.at) > tellWithin:
+		if n.version <= version {
+			continue
+		}
+		unsure := n.found || n.unheard && n.version > version+1
+		if unsure && time.Since(n.learned) > tellWithin {
 			return time.Unix(0, 0)
-		default:
-			return n.at
 		}
+		return n.at
 	}
 	return time.Time{}
 }
@@ -109,13 +115,16 @@
 	At      time.Time
 }
 
-// Namings are what is known of versions and the times of their naming, oldest version first.
+// Namings are what is known of versions and the times of their naming, oldest version first; one whose time nobody has told is left out.
 func (s *State) Namings() []Naming {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var all []Naming
 	for _, model := range slices.Sorted(maps.Keys(s.named)) {
 		for _, n := range s.named[model] {
+			if n.found {
+				continue
+			}
 			all = append(all, Naming{Model: model, Version: n.version, At: n.at})
 		}
 	}
@@ -132,7 +141,7 @@
 	case known:
 		s.moveNaming(&namings[i], learned)
 	case i < len(namings): // the newest version comes from the object store alone
-		namings = slices.Insert(namings, i, naming{version: learned.Version, at: learned.At})
+		namings = slices.Insert(namings, i, naming{version: learned.Version, at: learned.At, learned: time.Now()})
 		s.named[learned.Model] = namings[max(0, len(namings)-maxNamings):]
 	}
 }
@@ -179,18 +188,26 @@
 // SetWeights takes the name of weights over that are named now, unless it is older than what is known.
 func (s *State) SetWeights(w deployment.NamedWeights) { s.setWeights(w, false) }
 
+// FoundWeights takes the name of weights over that may have been named at any time before, unless it is older than what is known.
+func (s *State) FoundWeights(w deployment.NamedWeights) { s.setWeights(w, true) }
+
 func (s *State) setWeights(w deployment.NamedWeights, found bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if known, ok := s.weights[w.Model]; ok && w.Revision <= known.Revision {
+	known, ok := s.weights[w.Model]
+	if ok && w.Revision <= known.Revision {
+		if w.Revision == known.Revision && !found {
+			s.named[w.Model][len(s.named[w.Model])-1].found = false // another process had told of it first
+		}
 		return
 	}
 	if s.weights == nil {
 		s.weights, s.named = map[rillreach.ModelID]deployment.NamedWeights{}, map[rillreach.ModelID][]naming{}
 	}
 	s.weights[w.Model] = w
+	now := time.Now()
 	namings := slices.Clone(s.named[w.Model])
-	namings = append(namings, naming{version: w.Version, at: time.Now(), found: found})
+	namings = append(namings, naming{version: w.Version, at: now, learned: now, found: found, unheard: found})
 	s.named[w.Model] = namings[max(0, len(namings)-maxNamings):]
 	s.Log.Info("weights named", "decision", "apply", "model", w.Model, "weights", w.Version, "revision", w.Revision, "found", found)
 	if s.WeightsChanged != nil {
@@ -231,7 +248,8 @@
 	}
 	return &follow.Controller[deployment.NamedWeights]{
 		Kind: "weights", Source: source, Wait: wait, Log: s.Log,
-		Changed: func(u rillreach.Update[deployment.NamedWeights], _ time.Time) { take(u, false) },
+		Changed:   func(u rillreach.Update[deployment.NamedWeights], _ time.Time) { take(u, s.stalls.doubts(time.Now())) },
+		Confirmed: func() { s.stalls.answer(time.Now()) },
 		Listed: func(all []rillreach.Update[deployment.NamedWeights], _ time.Time) {
 			for _, u := range all {
 				take(u, true)
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -217,7 +218,11 @@
 	for version := range r.Named {
 		newest = max(newest, version)
 	}
+	byID := r.callsByID()
 	for _, one := range r.Runs {
+		if c := byID[one.ID]; c != nil && r.outOfTouch(c, one.At) {
+			continue // the entry cannot have known when newer weights were named, or could not take the request back
+		}
 		if at := r.replaced(one.Weights); one.Weights != 0 && !at.IsZero() && one.At.After(at.Add(weightsWithin)) {
 			add("request %s began on weights %d, replaced %s before", one.ID, one.Weights, one.At.Sub(at))
 		}
@@ -240,11 +245,25 @@
 	return first
 }
 
-func (r *record) judgeLeaving(add func(string, ...any)) {
+func (r *record) callsByID() map[string]*call {
 	byID := map[string]*call{}
 	for i := range r.Calls {
 		byID[r.Calls[i].ID] = &r.Calls[i]
 	}
+	return byID
+}
+
+// outOfTouch reports that the call's entry had started or stood still shortly before it took the request, or did so before the request
+// began at a runner.
+func (r *record) outOfTouch(c *call, began time.Time) bool {
+	concerned := func(s span) bool { return s.From.Before(began) && s.To.Add(contact).After(c.Sent) }
+	e := r.Entries[c.Entry]
+	return slices.ContainsFunc(e.Struck, concerned) ||
+		slices.ContainsFunc(e.Lives, func(l life) bool { return !l.Ready.IsZero() && concerned(span{From: l.Ready, To: l.Ready}) })
+}
+
+func (r *record) judgeLeaving(add func(string, ...any)) {
+	byID := r.callsByID()
 	for _, one := range r.Runs {
 		left, ok := r.Left[one.Runner]
 		if !ok || !one.At.After(left.Add(leaveWithin)) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -132,7 +132,19 @@
 		"an order given again": {func(r *record) {
 			r.Orders = append(r.Orders, given{"e", site.Order{Holder: "a", Fence: 2}}, given{"e", site.Order{Holder: "a", Fence: 2}})
 		}, ""},
-		"replaced weights":    {func(r *record) { r.Runs[0].Weights = 1 }, "began on weights 1"},
+		"replaced weights": {func(r *record) { r.Runs[0].Weights = 1 }, "began on weights 1"},
+		"replaced weights after a start": {func(r *record) {
+			r.Runs[0].Weights = 1
+			r.entry(func(h *history) { h.Lives[0].Ready = at(7*time.Second + 1) })
+		}, ""},
+		"replaced weights 3 s after a start": {func(r *record) {
+			r.Runs[0].Weights = 1
+			r.entry(func(h *history) { h.Lives[0].Ready = at(7 * time.Second) })
+		}, "began on weights 1"},
+		"replaced weights where the entry froze": {func(r *record) {
+			r.Runs[0].Weights = 1
+			r.entry(func(h *history) { h.Struck = []span{{at(9 * time.Second), at(9 * time.Second)}} })
+		}, ""},
 		"the newest weights":  {func(r *record) { r.Runs[0].Weights = 2 }, ""},
 		"old weights left":    {func(r *record) { r.Loaded["e"] = 1 }, "still has weights 1"},
 		"no return":           {func(r *record) { r.Calls[len(r.Calls)-1].Status = 502 }, "after the last fault"},
