Doubt the first answer after a stall, whenever it is asked for

Ruled out: doubting each first answer after a loss of the source, since a naming right after an outage would then be known to nobody. Change: stallWatch follows when the source is asked; what the first question after a stall is answered with at once is doubted. A list that is asked for again tells of what came just now, as before: all processes list again where the store drops its history. Measured: TestStallWatch.

--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -34,6 +34,8 @@
 	Kick <-chan struct{}
 	// Log takes the source's loss and return.
 	Log logr.Logger
+	// Asked is called before each question to the source; it may be nil.
+	Asked func()
 	// Listed takes all objects after each list; returned is when the source last came back, zero where it never was lost.
 	Listed func(all []rillreach.Update[T], returned time.Time)
 	// Changed takes one change; returned is as with Listed.
@@ -55,6 +57,9 @@
 	listed := false
 	for ctx.Err() == nil {
 		var err error
+		if c.Asked != nil {
+			c.Asked()
+		}
 		if listed {
 			revision, err = c.watch(ctx, revision)
 		} else {
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -248,16 +248,26 @@
 	}
 	return &follow.Controller[deployment.NamedWeights]{
 		Kind: "weights", Source: source, Wait: wait, Log: s.Log,
+		Asked:     func() { s.stalls.ask(time.Now()) },
 		Changed:   func(u rillreach.Update[deployment.NamedWeights], _ time.Time) { take(u, s.stalls.doubts(time.Now())) },
 		Confirmed: func() { s.stalls.answer(time.Now()) },
 		Listed: func(all []rillreach.Update[deployment.NamedWeights], _ time.Time) {
 			for _, u := range all {
-				take(u, true)
+				take(u, !s.knowsModel(u.Value.Model) || s.stalls.doubts(time.Now()))
 			}
 		},
 	}
 }
 
+// knowsModel reports that weights of the model were named as far as this process knows, so that it has followed their names since: a list
+// that it asks for again, since changes are missing, tells of what came in the moment between.
+func (s *State) knowsModel(model rillreach.ModelID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, known := s.weights[model]
+	return known
+}
+
 // RunnersFollower keeps the list of runners in step with its source.
 func (s *State) RunnersFollower(source rillreach.Source[*deployment.Runner], wait, gather time.Duration, kick <-chan struct{}) rillreach.Controller {
 	return &follow.Controller[*deployment.Runner]{
--- a/soak/history.go
+++ b/soak/history.go
@@ -11,9 +11,10 @@
 
 // life is one run of a process, from its start to its end.
 type life struct {
-	// Ready is when the process first called itself ready, Ended when it was seen to have ended.
-	Ready time.Time
-	Ended time.Time
+	// Started is when the process was started, Ready when it first called itself ready, Ended when it was seen to have ended.
+	Started time.Time
+	Ready   time.Time
+	Ended   time.Time
 	// Asked says that a signal asked it to end.
 	Asked bool
 }
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -259,7 +259,7 @@
 	concerned := func(s span) bool { return s.From.Before(began) && s.To.Add(contact).After(c.Sent) }
 	e := r.Entries[c.Entry]
 	return slices.ContainsFunc(e.Struck, concerned) ||
-		slices.ContainsFunc(e.Lives, func(l life) bool { return !l.Ready.IsZero() && concerned(span{From: l.Ready, To: l.Ready}) })
+		slices.ContainsFunc(e.Lives, func(l life) bool { return concerned(span{From: l.Started, To: l.Started}) })
 }
 
 func (r *record) judgeLeaving(add func(string, ...any)) {
--- a/soak/process.go
+++ b/soak/process.go
@@ -114,7 +114,7 @@
 		return err
 	}
 	p.ended = make(chan struct{})
-	p.history.Lives = append(p.history.Lives, life{})
+	p.history.Lives = append(p.history.Lives, life{Started: time.Now()})
 	go func(cmd *exec.Cmd, ended chan struct{}, current int) {
 		_ = cmd.Wait()
 		_ = log.Close()
