--- a/roster/runner.go
+++ b/roster/runner.go
@@ -37,7 +37,7 @@
 	running int
 	reading int
 	held    int
-	waits   waits
+	wait    waitEstimate
 	heard   time.Time
 	avoid   time.Time
 	strikes int
@@ -73,7 +73,7 @@
 	defer r.mu.Unlock()
 	v := View{
 		Runner: r.info, Running: r.running, Reading: r.reading, Held: r.held, Avoid: now.Before(r.avoid), Failures: r.failures,
-		Wait: r.waits.expected(now), Load: r.report.Load, Reported: !r.report.At.IsZero() && now.Sub(r.report.At) < reportAge, Heard: r.heard,
+		Wait: r.wait.expected(now), Load: r.report.Load, Reported: !r.report.At.IsZero() && now.Sub(r.report.At) < reportAge, Heard: r.heard,
 	}
 	v.Leaving = v.Leaving || r.leaving || v.Reported && r.report.Load.Leaving
 	if len(r.weights) > 0 || v.Reported {
@@ -96,7 +96,7 @@
 func (r *Runner) Begin(now time.Time, reading, held int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.waits.sent(now)
+	r.wait.sent(now)
 	r.running++
 	r.reading += reading
 	r.held += held
@@ -106,7 +106,7 @@
 func (r *Runner) First(now, sent time.Time, reading int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.waits.begun(now, sent)
+	r.wait.begun(now, sent)
 	r.reading -= reading
 	r.heard = now
 }
@@ -115,7 +115,7 @@
 func (r *Runner) Drop(sent time.Time, reading int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.waits.dropped(sent)
+	r.wait.dropped(sent)
 	r.reading -= reading
 }
 
