Split names of weights from the local state, and share what stands twice

Ruled out: a package of its own for namings, since the local state's lock guards them. Change: localstate/namings.go; fits and avoided serve both; namings are worked out once per change (NamingsVersion); SyscallConn of callers' connections is gone; stallDetector, startDeadline, ApplyNaming, AdoptWeights, reportWithin, and request cancelled before it began.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -26,10 +26,10 @@
 	defer bound.stop()
 	begun := g.begin(x, t)
 	defer begun.end()
-	window := g.boundBeginning(x, t, cancel)
-	defer window.stop()
+	deadline := g.boundStart(x, t, cancel)
+	defer deadline.stop()
 	heard := func() {
-		window.stop()
+		deadline.stop()
 		bound.heard()
 		begun.first()
 	}
@@ -77,9 +77,9 @@
 	if !notSent {
 		x.maybeRan = true
 	}
-	if t.withdrawn.Load() {
-		x.reason = errWeightsReplaced.Error()
-		g.Log.Info("request withdrawn", "decision", "withdraw", "request", x.wire.ID, "runner", t.view.ID, "weights", t.weights,
+	if t.cancelled.Load() {
+		x.reason = errStartTooLate.Error()
+		g.Log.Info("request cancelled before it began", "decision", "cancel", "request", x.wire.ID, "runner", t.view.ID, "weights", t.weights,
 			"replacedFor", g.replacedFor(x, t.weights, now).String(), "notSent", notSent, "after", now.Sub(x.arrived).String())
 		return false
 	}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -28,8 +28,8 @@
 	// kept and plan say which parts of the prompt are where, and how the runner comes to them.
 	kept *promptState
 	plan fetch.Plan
-	// withdrawn says that the request was taken back, since it had not begun when that was still allowed.
-	withdrawn atomic.Bool
+	// cancelled says that the request was cancelled at the runner, since it had not begun when that was still allowed.
+	cancelled atomic.Bool
 }
 
 // choose decides on the runner for the next attempt, or returns nil where there is none.
@@ -39,7 +39,7 @@
 	var runners []*roster.Runner
 	for _, r := range g.state.Roster.Group(x.service.Name) {
 		v := r.View(now)
-		if v.Leaving || g.expired(x, &v, now) {
+		if !g.fits(x, &v, now) {
 			continue
 		}
 		views = append(views, v)
@@ -101,14 +101,24 @@
 			c.Running = max(c.Running, v.Load.Running+v.Load.Waiting)
 			c.Reading = max(c.Reading, (v.Load.Unread+v.Load.Waiting)*g.reads.mean())
 			c.Held = max(c.Held, v.Load.Used)
-			c.Avoid = c.Avoid || v.Load.Busy || v.Load.Silent
 		}
+		c.Avoid = avoided(v)
 		c.Distance = distance(conversation, v.ID)
 		c.Old = g.replacedFor(x, v.Weights[p.Model], time.Now()) > oldFrom
 	}
 	return c
 }
 
+// fits reports that the runner may take the request.
+func (g *Gateway) fits(x *exchange, v *roster.View, now time.Time) bool {
+	return !v.Leaving && !g.expired(x, v, now)
+}
+
+// avoided reports that a runner of engines gets a request only where there is no other.
+func avoided(v *roster.View) bool {
+	return v.Avoid || v.Reported && (v.Load.Busy || v.Load.Silent)
+}
+
 // distance is where a hash puts a runner for a conversation, between 0 and 1.
 func distance(conversation uint64, runner rillreach.InstanceID) float64 {
 	return float64(hash.Mix(conversation, hash.String(string(runner)))) / math.MaxUint64
--- a/gateway/listener.go
+++ b/gateway/listener.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
@@ -54,12 +53,3 @@
 	}
 	return half.CloseWrite()
 }
-
-// SyscallConn gives the socket itself.
-func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil, errors.New("connection has no socket")
-	}
-	return raw.SyscallConn()
-}
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -99,7 +99,7 @@
 		}})
 	}
 	for _, w := range b.Named {
-		g.state.FoundWeights(w)
+		g.state.AdoptWeights(w)
 	}
 	g.learnNamings(b, now)
 	g.budgets.SetEntries(b.Followers)
@@ -116,7 +116,7 @@
 	}
 	for _, n := range b.Namings {
 		ago := time.Duration(b.Clock-n.At) * time.Millisecond
-		g.state.LearnNaming(localstate.Naming{Model: n.Model, Version: n.Version, At: now.Add(-ago)})
+		g.state.ApplyNaming(localstate.Naming{Model: n.Model, Version: n.Version, At: now.Add(-ago)})
 	}
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -195,8 +195,7 @@
 func (g *Gateway) hasOther(x *exchange, t *target, now time.Time) bool {
 	for _, r := range g.state.Roster.Group(x.service.Name) {
 		v := r.View(now)
-		unfit := v.Leaving || v.Avoid || v.Reported && (v.Load.Busy || v.Load.Silent) || g.expired(x, &v, now)
-		if v.ID != t.view.ID && !unfit {
+		if v.ID != t.view.ID && g.fits(x, &v, now) && !avoided(&v) {
 			return true
 		}
 	}
--- a/gateway/start_deadline.go
+++ b/gateway/start_deadline.go
@@ -11,8 +11,8 @@
 	"github.com/rillreach/rillreach/weights"
 )
 
-// errWeightsReplaced is why a request is withdrawn from a runner at which it has not begun.
-var errWeightsReplaced = errors.New("runner's weights were replaced too long ago for a request to begin")
+// errStartTooLate is why a request is cancelled at a runner at which it has not begun.
+var errStartTooLate = errors.New("runner's weights were replaced too long ago for a request to begin")
 
 // windowCheck is how often the window of a request that waits is looked at anew: newer weights may be named meanwhile, or turn out to
 // have been named earlier than this entry heard.
@@ -35,8 +35,8 @@
 	return !g.window(x, v.Weights[x.wire.Prompt.Model]).Admits(now, v.Wait)
 }
 
-// withdrawal takes a request back from its runner where it has not begun when the window on the runner's weights closes.
-type withdrawal struct {
+// startDeadline cancels a request at its runner where it has not begun when the window on the runner's weights closes.
+type startDeadline struct {
 	window func() weights.Window
 	// end ends the attempt.
 	end func()
@@ -46,46 +46,46 @@
 	over  bool
 }
 
-// boundBeginning has the attempt end where the request does not begin in time.
-func (g *Gateway) boundBeginning(x *exchange, t *target, end func()) *withdrawal {
-	w := &withdrawal{
+// boundStart has the attempt end where the request does not begin in time.
+func (g *Gateway) boundStart(x *exchange, t *target, end func()) *startDeadline {
+	d := &startDeadline{
 		window: func() weights.Window { return g.window(x, t.weights) },
 		end: func() {
-			t.withdrawn.Store(true)
+			t.cancelled.Store(true)
 			end()
 		},
 	}
 	if x.wire.Prompt != nil && x.service.Engine != nil && g.Settings.Bounds.Weights > 0 {
-		w.check()
+		d.check()
 	}
-	return w
+	return d
 }
 
 // check ends the attempt where the window has closed, or looks again later.
-func (w *withdrawal) check() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.over {
+func (d *startDeadline) check() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.over {
 		return
 	}
 	left := windowCheck
-	if end := w.window().Close(); !end.IsZero() {
+	if end := d.window().Close(); !end.IsZero() {
 		left = min(left, time.Until(end))
 	}
 	if left <= 0 {
-		w.over = true
-		w.end()
+		d.over = true
+		d.end()
 		return
 	}
-	w.timer = time.AfterFunc(left, w.check)
+	d.timer = time.AfterFunc(left, d.check)
 }
 
 // stop leaves the request where it is, since it has begun or ended.
-func (w *withdrawal) stop() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.over = true
-	if w.timer != nil {
-		w.timer.Stop()
+func (d *startDeadline) stop() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.over = true
+	if d.timer != nil {
+		d.timer.Stop()
 	}
 }
--- a/gateway/weights_test.go
+++ b/gateway/weights_test.go
@@ -26,7 +26,7 @@
 	named     atomic.Int64
 	waiting   atomic.Int64
 	begun     atomic.Int64
-	withdrawn atomic.Int64
+	cancelled atomic.Int64
 }
 
 func newQueued(id string) *queued {
@@ -42,7 +42,7 @@
 	for {
 		select {
 		case <-r.Context().Done():
-			q.withdrawn.Add(1)
+			q.cancelled.Add(1)
 			return
 		case <-time.After(10 * time.Millisecond):
 		}
@@ -106,10 +106,10 @@
 	return conn
 }
 
-func assertWithdrawn(t *testing.T, q *queued) {
+func assertCancelled(t *testing.T, q *queued) {
 	t.Helper()
 	assert.Zero(t, q.begun.Load(), "a request began on weights that were replaced longer ago than the bound")
-	require.Eventually(t, func() bool { return q.withdrawn.Load() == 1 }, wait, time.Millisecond)
+	require.Eventually(t, func() bool { return q.cancelled.Load() == 1 }, wait, time.Millisecond)
 }
 
 // TestNoRequestBeginsOnReplacedWeights: a request that is sent in time may wait at its runner until the bound on old weights is over.
@@ -120,7 +120,7 @@
 		defer w.stop()
 		w.nameWeights(t, q)
 		assertOwn(t, read(t, w.prompt(t, "/flow/x"), http.MethodGet), http.StatusBadGateway)
-		assertWithdrawn(t, q)
+		assertCancelled(t, q)
 	})
 	t.Run("one that may goes on where the newest weights are", func(t *testing.T) {
 		q := newQueued("old")
@@ -136,7 +136,7 @@
 		require.NoError(t, got.err)
 		assert.Equal(t, pieces(9), got.body)
 		assert.Len(t, newest.Runs(), 1)
-		assertWithdrawn(t, q)
+		assertCancelled(t, q)
 	})
 	t.Run("also where the newer weights are named while it waits", func(t *testing.T) {
 		q := newQueued("old")
@@ -146,7 +146,7 @@
 		w.eventually(t, func() bool { return q.waiting.Load() == 1 })
 		w.nameWeights(t, q)
 		assertOwn(t, read(t, conn, http.MethodGet), http.StatusBadGateway)
-		assertWithdrawn(t, q)
+		assertCancelled(t, q)
 	})
 }
 
--- /dev/null
+++ b/localstate/namings.go
@@ -0,0 +1,200 @@
+package localstate
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/controller/follow"
+	"github.com/rillreach/rillreach/deployment"
+)
+
+// naming is when this process learned of a version.
+type naming struct {
+	version deployment.WeightVersion
+	// at is when it was named, as far as this process knows, and learned when this process learned of it.
+	at      time.Time
+	learned time.Time
+	// found says that the version was found named, and that nobody has told since when it is.
+	found bool
+	// unheard says that versions before it may have been named of which this process has not heard.
+	unheard bool
+}
+
+// reportWithin is how long after a version was found named others may take to tell since when it is: an entry that starts again follows its
+// 18 agents after 0.23 s at the most (a play with logs). Where nobody tells, nobody has runners load it either, and old weights are
+// taken for too old.
+const reportWithin = 1500 * time.Millisecond
+
+// notableLag is how much earlier than known a naming must have been for a line in the log: less is the time of delivery, which
+// differs from message to message.
+const notableLag = 200 * time.Millisecond
+
+// maxNamings is how many versions of a model are remembered.
+const maxNamings = 16
+
+// Weights is the newest named version of a model, and when this process learned of it.
+func (s *State) Weights(model rillreach.ModelID) (deployment.NamedWeights, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	namings := s.named[model]
+	if len(namings) == 0 {
+		return deployment.NamedWeights{}, time.Time{}
+	}
+	return s.weights[model], namings[len(namings)-1].at
+}
+
+// Replaced is when this process learned of the first version that is newer than the given one, zero where there is none. It is long ago
+// where nobody tells since when that version is named, or whether one between the two was.
+func (s *State) Replaced(model rillreach.ModelID, version deployment.WeightVersion) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range s.named[model] {
+		if n.version <= version {
+			continue
+		}
+		unsure := n.found || n.unheard && n.version > version+1
+		if unsure && time.Since(n.learned) > reportWithin {
+			return time.Unix(0, 0)
+		}
+		return n.at
+	}
+	return time.Time{}
+}
+
+// Naming is when this process learned of a version of a model's weights, or of an earlier time at which it was named.
+type Naming struct {
+	Model   rillreach.ModelID
+	Version deployment.WeightVersion
+	At      time.Time
+}
+
+// Namings are what is known of versions and the times of their naming, oldest version first; one whose time nobody has told is left out.
+func (s *State) Namings() []Naming {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []Naming
+	for _, model := range slices.Sorted(maps.Keys(s.named)) {
+		for _, n := range s.named[model] {
+			if n.found {
+				continue
+			}
+			all = append(all, Naming{Model: model, Version: n.version, At: n.at})
+		}
+	}
+	return all
+}
+
+// NamingsVersion changes with what Namings gives.
+func (s *State) NamingsVersion() uint64 { return s.namingsVersion.Load() }
+
+// ApplyNaming takes over what another process knows of the time of a naming: this one may have started later.
+func (s *State) ApplyNaming(learned Naming) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	namings := s.named[learned.Model]
+	i, known := slices.BinarySearchFunc(namings, learned.Version, func(n naming, v deployment.WeightVersion) int { return cmp.Compare(n.version, v) })
+	switch {
+	case known:
+		s.moveNaming(&namings[i], learned)
+	case i < len(namings): // the newest version comes from the object store alone
+		namings = slices.Insert(namings, i, naming{version: learned.Version, at: learned.At, learned: time.Now()})
+		s.setNamings(learned.Model, namings)
+	}
+}
+
+// moveNaming has a naming be as early as another process knows it to be; the lock is held.
+func (s *State) moveNaming(n *naming, learned Naming) {
+	if n.found {
+		n.found = false
+		s.namingsVersion.Add(1)
+	}
+	if !learned.At.Before(n.at) {
+		return
+	}
+	if by := n.at.Sub(learned.At); by > notableLag {
+		s.Log.Info("weights were named earlier", "decision", "apply", "model", learned.Model, "weights", learned.Version, "by", by.String())
+	}
+	n.at = learned.At
+	s.namingsVersion.Add(1)
+}
+
+// setNamings keeps the newest namings of a model; the lock is held.
+func (s *State) setNamings(model rillreach.ModelID, namings []naming) {
+	s.named[model] = namings[max(0, len(namings)-maxNamings):]
+	s.namingsVersion.Add(1)
+}
+
+// AllWeights are the newest named versions of all models.
+func (s *State) AllWeights() []deployment.NamedWeights {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]deployment.NamedWeights, 0, len(s.weights))
+	for _, w := range s.weights {
+		all = append(all, w)
+	}
+	return all
+}
+
+// SetWeights takes the name of weights over that are named now, unless it is older than what is known.
+func (s *State) SetWeights(w deployment.NamedWeights) { s.setWeights(w, false) }
+
+// AdoptWeights takes the name of weights over that may have been named at any time before, unless it is older than what is known.
+func (s *State) AdoptWeights(w deployment.NamedWeights) { s.setWeights(w, true) }
+
+func (s *State) setWeights(w deployment.NamedWeights, found bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known, ok := s.weights[w.Model]
+	if ok && w.Revision <= known.Revision {
+		if w.Revision == known.Revision && !found {
+			s.named[w.Model][len(s.named[w.Model])-1].found = false // another process had told of it first
+			s.namingsVersion.Add(1)
+		}
+		return
+	}
+	if s.weights == nil {
+		s.weights, s.named = map[rillreach.ModelID]deployment.NamedWeights{}, map[rillreach.ModelID][]naming{}
+	}
+	s.weights[w.Model] = w
+	now := time.Now()
+	s.setNamings(w.Model, append(s.named[w.Model], naming{version: w.Version, at: now, learned: now, found: found, unheard: found}))
+	s.Log.Info("weights named", "decision", "apply", "model", w.Model, "weights", w.Version, "revision", w.Revision, "found", found)
+	if s.WeightsChanged != nil {
+		s.WeightsChanged(w)
+	}
+}
+
+// WeightsFollower keeps the named weights in step with their source.
+func (s *State) WeightsFollower(source rillreach.Source[deployment.NamedWeights], wait time.Duration) rillreach.Controller {
+	take := func(u rillreach.Update[deployment.NamedWeights], found bool) {
+		switch {
+		case u.Err != nil:
+			s.Log.Error(u.Err, "name of weights refused, the last good one stays", "revision", u.Revision)
+		case !u.Gone:
+			s.setWeights(u.Value, found)
+		}
+	}
+	return &follow.Controller[deployment.NamedWeights]{
+		Kind: "weights", Source: source, Wait: wait, Log: s.Log,
+		Asked:     func() { s.stalls.ask(time.Now()) },
+		Changed:   func(u rillreach.Update[deployment.NamedWeights], _ time.Time) { take(u, s.stalls.doubts(time.Now())) },
+		Confirmed: func() { s.stalls.answer(time.Now()) },
+		Listed: func(all []rillreach.Update[deployment.NamedWeights], _ time.Time) {
+			for _, u := range all {
+				take(u, !s.knowsModel(u.Value.Model) || s.stalls.doubts(time.Now()))
+			}
+		},
+	}
+}
+
+// knowsModel reports that weights of the model were named as far as this process knows, so that it has followed their names since: a list
+// that it asks for again, since changes are missing, tells of what came in the moment between.
+func (s *State) knowsModel(model rillreach.ModelID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, known := s.weights[model]
+	return known
+}
--- a/localstate/stall_detector.go
+++ b/localstate/stall_detector.go
@@ -14,8 +14,8 @@
 	deliverWithin = 500 * time.Millisecond
 )
 
-// stallWatch notices that the process stood still, after which it cannot know when what it hears of was done. Its zero value is ready.
-type stallWatch struct {
+// stallDetector notices that the process stood still, after which it cannot know when what it hears of was done. Its zero value is ready.
+type stallDetector struct {
 	mu     sync.Mutex
 	ticked time.Time
 	// ended is when the last stall did, and behind says that no question asked since then has been answered.
@@ -26,14 +26,14 @@
 }
 
 // tick is to be called every expireEvery.
-func (w *stallWatch) tick(now time.Time) {
+func (w *stallDetector) tick(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.notice(now)
 }
 
 // notice records that the process runs now; the lock is held.
-func (w *stallWatch) notice(now time.Time) {
+func (w *stallDetector) notice(now time.Time) {
 	if !w.ticked.IsZero() && now.Sub(w.ticked) > stallLeast {
 		w.ended, w.behind = now, true
 	}
@@ -41,7 +41,7 @@
 }
 
 // ask records that the source is asked for changes.
-func (w *stallWatch) ask(now time.Time) {
+func (w *stallDetector) ask(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.notice(now)
@@ -49,7 +49,7 @@
 }
 
 // answer records that a whole answer of the source has been taken over.
-func (w *stallWatch) answer(now time.Time) {
+func (w *stallDetector) answer(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.notice(now)
@@ -58,7 +58,7 @@
 
 // doubts reports that a change which is heard of now may have been made a while ago: an answer may have waited for the end of a stall,
 // and the first question after it is answered at once with what was done meanwhile.
-func (w *stallWatch) doubts(now time.Time) bool {
+func (w *stallDetector) doubts(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.notice(now)
--- a/localstate/stall_detector_test.go
+++ b/localstate/stall_detector_test.go
@@ -7,12 +7,12 @@
 	"github.com/stretchr/testify/assert"
 )
 
-func TestStallWatch(t *testing.T) {
+func TestStallDetector(t *testing.T) {
 	start := time.Unix(1000, 0)
 	at := start.Add
 	const thaw = 4 * time.Second
-	ran := func() *stallWatch {
-		w := &stallWatch{}
+	ran := func() *stallDetector {
+		w := &stallDetector{}
 		for d := time.Duration(0); d <= time.Second; d += expireEvery {
 			w.tick(at(d))
 		}
@@ -20,7 +20,7 @@
 	}
 	t.Run("what a process hears that runs is news", func(t *testing.T) {
 		assert.False(t, ran().doubts(at(time.Second+expireEvery)))
-		assert.False(t, (&stallWatch{}).doubts(start), "before its first tick")
+		assert.False(t, (&stallDetector{}).doubts(start), "before its first tick")
 	})
 	t.Run("what it hears right after a stall is not, before its first tick or after it", func(t *testing.T) {
 		assert.True(t, ran().doubts(at(thaw)))
--- a/localstate/state_test.go
+++ b/localstate/state_test.go
@@ -77,7 +77,7 @@
 	})
 }
 
-func TestLearnNaming(t *testing.T) {
+func TestApplyNaming(t *testing.T) {
 	const model = "m"
 	start := time.Now()
 	begin := func() *State {
@@ -87,37 +87,37 @@
 	}
 	t.Run("another process may know an earlier time", func(t *testing.T) {
 		s := begin()
-		s.LearnNaming(Naming{Model: model, Version: 5, At: start.Add(-time.Minute)})
+		s.ApplyNaming(Naming{Model: model, Version: 5, At: start.Add(-time.Minute)})
 		assert.Equal(t, start.Add(-time.Minute), s.Replaced(model, 4))
 	})
 	t.Run("a later time changes nothing", func(t *testing.T) {
 		s := begin()
 		before := s.Replaced(model, 4)
-		s.LearnNaming(Naming{Model: model, Version: 5, At: start.Add(time.Minute)})
+		s.ApplyNaming(Naming{Model: model, Version: 5, At: start.Add(time.Minute)})
 		assert.Equal(t, before, s.Replaced(model, 4))
 	})
 	t.Run("a version in between replaced those before it, and no other", func(t *testing.T) {
 		s := begin()
-		s.LearnNaming(Naming{Model: model, Version: 3, At: start.Add(-time.Minute)})
+		s.ApplyNaming(Naming{Model: model, Version: 3, At: start.Add(-time.Minute)})
 		assert.Equal(t, start.Add(-time.Minute), s.Replaced(model, 2))
 		assert.False(t, s.Replaced(model, 3).Before(start))
 		assert.Len(t, s.Namings(), 2)
 	})
 	t.Run("a version that the object store has not named is not taken from others", func(t *testing.T) {
 		s := begin()
-		s.LearnNaming(Naming{Model: model, Version: 6, At: start})
-		s.LearnNaming(Naming{Model: "other", Version: 1, At: start})
+		s.ApplyNaming(Naming{Model: model, Version: 6, At: start})
+		s.ApplyNaming(Naming{Model: "other", Version: 1, At: start})
 		assert.Len(t, s.Namings(), 1)
 	})
 }
 
-// TestFoundWeights: weights that are found named at the start may have been named at any time before.
-func TestFoundWeights(t *testing.T) {
+// TestAdoptedWeights: weights that are found named at the start may have been named at any time before.
+func TestAdoptedWeights(t *testing.T) {
 	const model = "m"
 	longAgo := time.Unix(0, 0)
 	found := func() *State {
 		s := state()
-		s.FoundWeights(deployment.NamedWeights{Model: model, Version: 5, Revision: 5})
+		s.AdoptWeights(deployment.NamedWeights{Model: model, Version: 5, Revision: 5})
 		return s
 	}
 	t.Run("others may tell for a while since when they are", func(t *testing.T) {
@@ -129,7 +129,7 @@
 	t.Run("those before them are taken for too old where nobody does", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			s := found()
-			time.Sleep(tellWithin + 1)
+			time.Sleep(reportWithin + 1)
 			assert.Equal(t, longAgo, s.Replaced(model, 4))
 			assert.True(t, s.Replaced(model, 5).IsZero())
 		})
@@ -139,7 +139,7 @@
 			start := time.Now()
 			s := found()
 			time.Sleep(time.Minute)
-			s.LearnNaming(Naming{Model: model, Version: 5, At: start.Add(-time.Second)})
+			s.ApplyNaming(Naming{Model: model, Version: 5, At: start.Add(-time.Second)})
 			assert.Equal(t, start.Add(-time.Second), s.Replaced(model, 4))
 		})
 	})
@@ -163,18 +163,18 @@
 	t.Run("what nobody has told is not told on", func(t *testing.T) {
 		s := found()
 		assert.Empty(t, s.Namings())
-		s.LearnNaming(Naming{Model: model, Version: 5, At: time.Now()})
+		s.ApplyNaming(Naming{Model: model, Version: 5, At: time.Now()})
 		assert.Len(t, s.Namings(), 1)
 	})
 	t.Run("a version between may have been named as well, until somebody tells of it", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			start := time.Now()
 			s := found()
-			s.LearnNaming(Naming{Model: model, Version: 5, At: start.Add(-time.Second)})
-			time.Sleep(tellWithin + 1)
+			s.ApplyNaming(Naming{Model: model, Version: 5, At: start.Add(-time.Second)})
+			time.Sleep(reportWithin + 1)
 			assert.Equal(t, start.Add(-time.Second), s.Replaced(model, 4))
 			assert.Equal(t, longAgo, s.Replaced(model, 3))
-			s.LearnNaming(Naming{Model: model, Version: 4, At: start.Add(-time.Minute)})
+			s.ApplyNaming(Naming{Model: model, Version: 4, At: start.Add(-time.Minute)})
 			assert.Equal(t, start.Add(-time.Minute), s.Replaced(model, 3))
 		})
 	})
--- a/sidecar/news.go
+++ b/sidecar/news.go
@@ -32,8 +32,9 @@
 	load    deployment.Load
 	loadAt  time.Time
 	loading bool
-	// named are the namings as they were told.
-	named []bulletin.Naming
+	// named are the namings as they were told, and namedVersion is that of what the agent knew then.
+	named        []bulletin.Naming
+	namedVersion uint64
 }
 
 // set takes the runner's newest report.
@@ -152,9 +153,13 @@
 	if clock == 0 {
 		return nil
 	}
-	known := n.sidecar.state.Namings()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	version := n.sidecar.state.NamingsVersion()
+	if version == n.namedVersion {
+		return n.named
+	}
+	known := n.sidecar.state.Namings()
 	told := make([]bulletin.Naming, 0, len(known))
 	for _, k := range known {
 		one := bulletin.Naming{Model: k.Model, Version: k.Version, At: clock - time.Since(k.At).Milliseconds()}
@@ -164,7 +169,7 @@
 		}
 		told = append(told, one)
 	}
-	n.named = told
+	n.named, n.namedVersion = told, version
 	return told
 }
 
--- a/weights/window.go
+++ b/weights/window.go
@@ -3,7 +3,7 @@
 import "time"
 
 const (
-	// closeMargin is kept from the bound on replaced weights for the withdrawal of a request that has not begun: the timer fires late on
+	// closeMargin is kept from the bound on replaced weights for the cancellation of a request that has not begun: the timer fires late on
 	// a small share of a core, the close of the connection has to reach the runner (12 ms between regions), and the name of the newer
 	// weights may have reached this process late (0.4 s at the most from an agent that lives).
 	closeMargin = 500 * time.Millisecond
@@ -20,7 +20,7 @@
 	Bound time.Duration
 }
 
-// Close is when a request that has not begun is to be withdrawn, since it might begin too late, the zero time where there is no end.
+// Close is when a request that has not begun is to be cancelled, since it might begin too late, the zero time where there is no end.
 func (w Window) Close() time.Time {
 	if w.Replaced.IsZero() || w.Bound <= 0 {
 		return time.Time{}
--- a/weights/window_test.go
+++ b/weights/window_test.go
@@ -27,7 +27,7 @@
 		assert.True(t, window.Admits(at(5*time.Second), 4*time.Second))
 		assert.False(t, window.Admits(at(6*time.Second), 4*time.Second))
 	})
-	t.Run("what is admitted and waits as expected begins before it would be withdrawn", func(t *testing.T) {
+	t.Run("what is admitted and waits as expected begins before it would be cancelled", func(t *testing.T) {
 		rapid.Check(t, func(t *rapid.T) {
 			now := at(time.Duration(rapid.Int64Range(0, int64(2*bound)).Draw(t, "now")))
 			wait := time.Duration(rapid.Int64Range(0, int64(2*bound)).Draw(t, "wait"))
