Name the rollout of weights by the field's words

Cause: promises, turns and waves stand for what a rollout calls a scheduled start and batches. Ruled out: renaming namings to desired versions in the same commit, which the wire between processes and the logs share. Change: Schedule, StartAfter, Batches, BatchSize, loadOrder; names and comments alone, tests but for the names untouched. Measured: tests of weights and sidecar pass.

--- a/sidecar/loader.go
+++ b/sidecar/loader.go
@@ -16,10 +16,10 @@
 
 // loader brings the runner to the newest weights.
 type loader struct {
-	sidecar *Sidecar
-	turns   turns
-	// promises are the turns that the runner was given, by model.
-	promises map[rillreach.ModelID]*weights.Promise
+	sidecar   *Sidecar
+	loadOrder loadOrder
+	// schedules are the starts that the runner's loads were given, by model.
+	schedules map[rillreach.ModelID]*weights.Schedule
 
 	// given is the last order, for the runner's run that it was meant for.
 	given   platform.Order
@@ -96,7 +96,7 @@
 
 // decide acts on one model's weights, and reports whether entries should send nothing here now.
 func (l *loader) decide(ctx context.Context, self deployment.Runner, load deployment.Load, named deployment.NamedWeights, loaded deployment.WeightVersion, since time.Duration) bool {
-	rank, total := l.turns.rank(l.sidecar.state.Roster.Group(self.Service), named, self.ID)
+	rank, total := l.loadOrder.rank(l.sidecar.state.Roster.Group(self.Service), named, self.ID)
 	situation := weights.Situation{
 		Named: named.Version, Loaded: loaded, Since: since, Bound: l.sidecar.Settings.Bounds.Weights, Rank: rank, Total: total,
 		Busy: load.Busy, Leaving: self.Leaving || load.Leaving,
@@ -117,16 +117,16 @@
 	return action == weights.Order || action == weights.Empty
 }
 
-// earlier is by how much a turn that the runner was given before comes ahead of its turn by rank.
+// earlier is by how much a start that the runner's load was given before comes ahead of its start by rank.
 func (l *loader) earlier(s *weights.Situation, model rillreach.ModelID) time.Duration {
-	if l.promises == nil {
-		l.promises = map[rillreach.ModelID]*weights.Promise{}
+	if l.schedules == nil {
+		l.schedules = map[rillreach.ModelID]*weights.Schedule{}
 	}
-	if l.promises[model] == nil {
-		l.promises[model] = &weights.Promise{}
+	if l.schedules[model] == nil {
+		l.schedules[model] = &weights.Schedule{}
 	}
-	turn := time.Now().Add(weights.Turn(s.Rank, s.Total, s.Bound) - s.Since)
-	return turn.Sub(l.promises[model].Keep(s.Loaded, s.Named, turn))
+	start := time.Now().Add(weights.StartAfter(s.Rank, s.Total, s.Bound) - s.Since)
+	return start.Sub(l.schedules[model].Keep(s.Loaded, s.Named, start))
 }
 
 func (l *loader) order(ctx context.Context, self deployment.Runner, load deployment.Load, named deployment.NamedWeights) {
--- a/sidecar/order.go
+++ b/sidecar/order.go
@@ -10,9 +10,9 @@
 	"github.com/rillreach/rillreach/roster"
 )
 
-// turns is the order in which the runners of a service load a version, as it was when this agent learned of the version:
+// loadOrder is the order in which the runners of a service load a version, as it was when this agent learned of the version:
 // those with the oldest weights first, since theirs expire first.
-type turns struct {
+type loadOrder struct {
 	mu      sync.Mutex
 	model   rillreach.ModelID
 	version deployment.WeightVersion
@@ -20,7 +20,7 @@
 }
 
 // rank is the runner's place among all of them; one that came later is the last.
-func (t *turns) rank(group []*roster.Runner, named deployment.NamedWeights, id rillreach.InstanceID) (rank, total int) {
+func (t *loadOrder) rank(group []*roster.Runner, named deployment.NamedWeights, id rillreach.InstanceID) (rank, total int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.model != named.Model || t.version != named.Version {
--- a/weights/decide.go
+++ b/weights/decide.go
@@ -10,9 +10,8 @@
 )
 
 const (
-	// Waves is in how many groups the runners of a service load: the users' runners load at full speed while a sixth of
-	// them does so.
-	Waves = 6
+	// Batches is in how many batches the runners of a service load: runners load at full speed while a sixth of them does so.
+	Batches = 6
 	// lastMargin is how long before the bound on old weights the last group begins: its requests end, it loads for 0.76 s,
 	// and requests that came before the bound may have waited.
 	lastMargin = 2900 * time.Millisecond
@@ -35,7 +34,7 @@
 	// Rank is the runner's place among the Total of its service, those with the oldest weights first.
 	Rank  int
 	Total int
-	// Earlier is by how much the turn that a Promise keeps comes before the runner's turn by its rank.
+	// Earlier is by how much the start that a Schedule keeps comes before the runner's start by its rank.
 	Earlier time.Duration
 	// Busy says that the runner carries out an order.
 	Busy bool
@@ -62,47 +61,47 @@
 
 // Decide says what to do with the runner now.
 func Decide(s Situation) Action {
-	turn := Turn(s.Rank, s.Total, s.Bound) - s.Earlier
+	start := StartAfter(s.Rank, s.Total, s.Bound) - s.Earlier
 	switch {
 	case s.Named == 0 || s.Loaded >= s.Named || s.Leaving:
 		return Nothing
 	case s.Busy, s.Ordered > 0 && s.Ordered < resend:
 		return Empty
-	case s.Since >= turn:
+	case s.Since >= start:
 		return Order
-	case s.Since >= turn-emptyBefore:
+	case s.Since >= start-emptyBefore:
 		return Empty
 	default:
 		return Wait
 	}
 }
 
-// Promise is the turn that a runner was given when its weights were replaced. A newer name brings it another turn, and never
-// a later one: its weights expire from the first name on.
-type Promise struct {
+// Schedule is the start that a runner's load was given when its weights were replaced. A newer name brings it another one, and never a
+// later one: its weights expire from the first name on.
+type Schedule struct {
 	loaded deployment.WeightVersion
 	at     time.Time
 }
 
-// Keep takes the runner's turn for the newest version over, and returns the turn that counts.
-func (p *Promise) Keep(loaded, named deployment.WeightVersion, turn time.Time) time.Time {
+// Keep takes the start for the newest version over, and returns the start that counts.
+func (s *Schedule) Keep(loaded, named deployment.WeightVersion, start time.Time) time.Time {
 	if loaded >= named {
-		*p = Promise{}
-		return turn
+		*s = Schedule{}
+		return start
 	}
-	if p.at.IsZero() || p.loaded != loaded || turn.Before(p.at) {
-		p.loaded, p.at = loaded, turn
+	if s.at.IsZero() || s.loaded != loaded || start.Before(s.at) {
+		s.loaded, s.at = loaded, start
 	}
-	return p.at
+	return s.at
 }
 
-// AtOnce is how many runners of a service load at the same time.
-func AtOnce(total int) int {
-	return max(1, (total+Waves-1)/Waves)
+// BatchSize is how many runners of a service load at the same time.
+func BatchSize(total int) int {
+	return max(1, (total+Batches-1)/Batches)
 }
 
-// Turn is how long after the naming of a version the runner with the rank loads it.
-func Turn(rank, total int, bound time.Duration) time.Duration {
-	pace := max((bound-lastMargin)/(Waves-1), leastPace)
-	return time.Duration(rank/AtOnce(total)) * pace
+// StartAfter is how long after the naming of a version the runner with the rank loads it.
+func StartAfter(rank, total int, bound time.Duration) time.Duration {
+	pace := max((bound-lastMargin)/(Batches-1), leastPace)
+	return time.Duration(rank/BatchSize(total)) * pace
 }
--- a/weights/decide_test.go
+++ b/weights/decide_test.go
@@ -31,9 +31,9 @@
 		{"an order is under way", func(s *Situation) { s.Busy = true }, Empty},
 		{"an order was given just now", func(s *Situation) { s.Ordered = resend - 1 }, Empty},
 		{"an order had no effect", func(s *Situation) { s.Ordered = resend }, Order},
-		{"it is the turn of a name before", func(s *Situation) { s.Since, s.Earlier = 0, Turn(4, 18, bound) }, Order},
+		{"it is the turn of a name before", func(s *Situation) { s.Since, s.Earlier = 0, StartAfter(4, 18, bound) }, Order},
 		{"the turn is far", func(s *Situation) { s.Since = 0 }, Wait},
-		{"the turn is near", func(s *Situation) { s.Since = Turn(4, 18, bound) - emptyBefore }, Empty},
+		{"the turn is near", func(s *Situation) { s.Since = StartAfter(4, 18, bound) - emptyBefore }, Empty},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) { assert.Equal(t, c.want, at(c.change)) })
@@ -67,7 +67,7 @@
 					ordered[rank] = now
 				}
 			}
-			assert.LessOrEqual(t, loading, AtOnce(total))
+			assert.LessOrEqual(t, loading, BatchSize(total))
 		}
 		for rank := range total {
 			assert.Positive(t, ordered[rank], "rank %d", rank)
@@ -89,7 +89,7 @@
 		for _, gap := range gaps {
 			named = append(named, named[len(named)-1]+time.Duration(gap)*step)
 		}
-		promises := make([]Promise, total)
+		schedules := make([]Schedule, total)
 		loaded, ordered := make([]int, total), make([]time.Duration, total)
 		for rank := range loaded {
 			loaded[rank] = 1
@@ -105,8 +105,8 @@
 					Named: deployment.WeightVersion(newest), Loaded: deployment.WeightVersion(loaded[rank]), Bound: bound,
 					Rank: rank, Total: total, Since: now - named[newest-1], Busy: now < ordered[rank]+load,
 				}
-				turn := start.Add(named[newest-1] + Turn(rank, total, bound))
-				s.Earlier = turn.Sub(promises[rank].Keep(s.Loaded, s.Named, turn))
+				turn := start.Add(named[newest-1] + StartAfter(rank, total, bound))
+				s.Earlier = turn.Sub(schedules[rank].Keep(s.Loaded, s.Named, turn))
 				if Decide(s) == Order {
 					ordered[rank], loaded[rank] = now, newest
 				}
