Show in a test that a list counts as fresh after a stall, which fails

Cause: the age of a list of runners counts from when its answer is processed. Ruled out: nothing yet. Measured: the stall's subtest fails, age 0 s where 5 s is asked; that of a process that runs passes.

--- a/localstate/state_test.go
+++ b/localstate/state_test.go
@@ -1,6 +1,7 @@
 package localstate
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -188,3 +189,55 @@
 		})
 	})
 }
+
+// heldSource answers watches at once, but the answer is only read after the time that it is held for.
+type heldSource struct {
+	held  time.Duration
+	calls int
+}
+
+func (h *heldSource) List(context.Context) ([]rillreach.Update[*deployment.Runner], uint64, error) {
+	return nil, 1, nil
+}
+
+func (h *heldSource) Watch(ctx context.Context, _ uint64, _ time.Duration) ([]rillreach.Update[*deployment.Runner], uint64, error) {
+	h.calls++
+	if h.calls > 1 {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	time.Sleep(h.held)
+	return nil, 1, nil
+}
+
+// TestListAfterStall: an answer that waited for a process that stood still is as old as the question, so that an agent does not speak for
+// stores that another has taken over meanwhile.
+func TestListAfterStall(t *testing.T) {
+	updated := func(t *testing.T, beside func(s *State)) time.Duration {
+		t.Helper()
+		var age time.Duration
+		synctest.Test(t, func(t *testing.T) {
+			s := state()
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			s.stalls.tick(time.Now())
+			source := &heldSource{held: 5 * time.Second}
+			go func() { _ = s.RunnersFollower(source, time.Second, 0, nil).Run(ctx) }()
+			beside(s)
+			synctest.Wait()
+			age = time.Since(s.Roster.Updated())
+		})
+		return age
+	}
+	t.Run("the list of a process that ran is as old as the answer", func(t *testing.T) {
+		assert.Zero(t, updated(t, func(s *State) {
+			for range 5 * time.Second / expireEvery {
+				time.Sleep(expireEvery)
+				s.stalls.tick(time.Now())
+			}
+		}))
+	})
+	t.Run("that of one that stood still is as old as the question", func(t *testing.T) {
+		assert.Equal(t, 5*time.Second, updated(t, func(*State) { time.Sleep(5 * time.Second) }))
+	})
+}
