Count the age of a list from its question where the process stood still since

Cause: an answer may wait for a process that stands still, and was counted as of the moment in which that went on. Ruled out: counting every list from its question, which would make the list of an idle deployment up to a watch older and so have agents speak for stores for less time than they may. Change: the follower of runners notes when it asks; where the stall detector saw a stall since, the list is as old as the question. A changed record alone no longer makes a list fresh, since the answer that it came in is what counts.

--- a/localstate/stall_detector.go
+++ b/localstate/stall_detector.go
@@ -26,43 +26,51 @@
 }
 
 // tick is to be called every expireEvery.
-func (w *stallDetector) tick(now time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.notice(now)
+func (d *stallDetector) tick(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.notice(now)
 }
 
 // notice records that the process runs now; the lock is held.
-func (w *stallDetector) notice(now time.Time) {
-	if !w.ticked.IsZero() && now.Sub(w.ticked) > stallLeast {
-		w.ended, w.behind = now, true
+func (d *stallDetector) notice(now time.Time) {
+	if !d.ticked.IsZero() && now.Sub(d.ticked) > stallLeast {
+		d.ended, d.behind = now, true
 	}
-	w.ticked = now
+	d.ticked = now
 }
 
 // ask records that the source is asked for changes.
-func (w *stallDetector) ask(now time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.notice(now)
-	w.asked = now
+func (d *stallDetector) ask(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.notice(now)
+	d.asked = now
 }
 
 // answer records that a whole answer of the source has been taken over.
-func (w *stallDetector) answer(now time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.notice(now)
-	w.behind = w.behind && w.asked.Before(w.ended)
+func (d *stallDetector) answer(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.notice(now)
+	d.behind = d.behind && d.asked.Before(d.ended)
 }
 
 // doubts reports that a change which is heard of now may have been made a while ago: an answer may have waited for the end of a stall,
 // and the first question after it is answered at once with what was done meanwhile.
-func (w *stallDetector) doubts(now time.Time) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.notice(now)
-	return soonAfter(now, w.ended) || w.behind && soonAfter(now, w.asked)
+func (d *stallDetector) doubts(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.notice(now)
+	return soonAfter(now, d.ended) || d.behind && soonAfter(now, d.asked)
+}
+
+// stalledSince reports that the process stood still after the given moment.
+func (d *stallDetector) stalledSince(then, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.notice(now)
+	return d.ended.After(then)
 }
 
 func soonAfter(now, then time.Time) bool { return !then.IsZero() && now.Sub(then) < deliverWithin }
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -93,13 +93,24 @@
 
 // RunnersFollower keeps the list of runners in step with its source.
 func (s *State) RunnersFollower(source rillreach.Source[*deployment.Runner], wait, gather time.Duration, kick <-chan struct{}) rillreach.Controller {
+	var asked time.Time
 	return &follow.Controller[*deployment.Runner]{
 		Kind: "runners", Kick: kick, Source: source, Wait: wait, Gather: gather, Log: s.Log,
+		Asked:  func() { asked = time.Now() },
 		Listed: s.listRunners, Changed: s.changeRunner,
-		Confirmed: func() { s.Roster.Confirm(time.Now()) },
+		Confirmed: func() { s.Roster.Confirm(s.answeredAt(asked, time.Now())) },
 	}
 }
 
+// answeredAt is when a question that was asked before was answered at the earliest: its answer may have waited for this process to go on
+// after a stall.
+func (s *State) answeredAt(asked, now time.Time) time.Time {
+	if s.stalls.stalledSince(asked, now) {
+		return asked
+	}
+	return now
+}
+
 func (s *State) listRunners(all []rillreach.Update[*deployment.Runner], returned time.Time) {
 	var list []deployment.Runner
 	for _, u := range all {
@@ -122,7 +133,7 @@
 	case u.Err != nil:
 		s.Log.Error(u.Err, "record of a runner refused, the last good one stays", "runner", u.Name, "revision", u.Revision)
 	default:
-		s.logRunners(s.Roster.Put(now, *u.Value))
+		s.logRunners(s.Roster.Put(*u.Value))
 	}
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -42,10 +42,9 @@
 }
 
 // Put sets one runner.
-func (r *Roster) Put(now time.Time, info deployment.Runner) []Change {
+func (r *Roster) Put(info deployment.Runner) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.updated = now
 	return r.put(nil, info)
 }
 
@@ -53,7 +52,6 @@
 func (r *Roster) Remove(now time.Time, id rillreach.InstanceID, doubtful time.Time) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.updated = now
 	runner := r.byID[id]
 	if runner == nil {
 		return nil
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -49,7 +49,7 @@
 		r.Replace(start, []deployment.Runner{info("b")}, back)
 		assert.Empty(t, r.Expire(back))
 		assert.Equal(t, []string{"a", "b"}, ids(&r))
-		r.Put(start, info("a"))
+		r.Put(info("a"))
 		assert.Empty(t, r.Expire(back.Add(time.Second)), "it came back")
 		r.Remove(start, "a", back)
 		r.Expire(back.Add(time.Millisecond))
@@ -76,7 +76,7 @@
 func TestRunner(t *testing.T) {
 	one := func() *Runner {
 		var r Roster
-		r.Put(start, info("a"))
+		r.Put(info("a"))
 		return r.Find("a")
 	}
 	t.Run("failures in a row keep it away for longer and longer, up to a bound", func(t *testing.T) {
--- a/sidecar/news_test.go
+++ b/sidecar/news_test.go
@@ -75,7 +75,7 @@
 	agentOf := func(runners int) *news {
 		s := &Sidecar{Settings: &deployment.Settings{Zone: "z1", Runner: address(0)}}
 		for i := range runners {
-			s.state.Roster.Put(time.Now(), deployment.Runner{ID: rillreach.InstanceID(fmt.Sprint(i)), Service: "s", Address: address(i)})
+			s.state.Roster.Put(deployment.Runner{ID: rillreach.InstanceID(fmt.Sprint(i)), Service: "s", Address: address(i)})
 		}
 		return &news{sidecar: s}
 	}
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -200,7 +200,7 @@
 		Settings: &deployment.Settings{Runner: addressOf(runner.URL)}, Runner: platform.NewRunner(addressOf(runner.URL)), Log: testr.New(t),
 	}
 	s.news = &news{sidecar: s}
-	s.state.Roster.Put(time.Now(), deployment.Runner{ID: "r1", Service: "s", Address: addressOf(runner.URL)})
+	s.state.Roster.Put(deployment.Runner{ID: "r1", Service: "s", Address: addressOf(runner.URL)})
 	ctx, stop := context.WithCancel(context.Background())
 	stop()
 	(&loader{sidecar: s}).look(ctx)
--- a/sidecar/turn_test.go
+++ b/sidecar/turn_test.go
@@ -32,9 +32,9 @@
 		}
 		self := deployment.Runner{ID: "r4", Service: "s", Address: addressOf(runner.URL)}
 		for _, id := range []rillreach.InstanceID{"r1", "r2", "r3"} {
-			s.state.Roster.Put(time.Now(), deployment.Runner{ID: id, Service: "s"})
+			s.state.Roster.Put(deployment.Runner{ID: id, Service: "s"})
 		}
-		s.state.Roster.Put(time.Now(), self)
+		s.state.Roster.Put(self)
 		l := &loader{sidecar: s}
 		do(func(named, loaded deployment.WeightVersion, since time.Duration, busy bool) {
 			l.decide(t.Context(), self, deployment.Load{Busy: busy}, deployment.NamedWeights{Model: "m", Version: named, Revision: uint64(named)}, loaded, since)
