Log until when a fetch may last, and share what a stop knows of the balancer

Cause: no line said which bound a fetch carried, the first question about parts freed under a runner that stood still; the time that a balancer takes to notice a stop stood twice with the same reason, and two tests of stops began alike. Ruled out: a line of its own for each fetch. Change: runner chosen has fetchUntil; node.ReadinessLag; newBusyEntry in the tests, whose checks are as they were.

--- a/e2e/stopping_test.go
+++ b/e2e/stopping_test.go
@@ -15,16 +15,23 @@
 	require.Eventually(t, func() bool { return len(s.ran()) == 1 }, patience, 5*time.Millisecond, "the stream runs")
 }
 
-// TestStopTakesOnlyWhatItCanEnd asks an entry from its SIGTERM to its end for streams that last longer than what is left of
-// its grace towards the end (issue 17: one that was taken 3.06 s after the signal was cut at 7.1 s).
-func TestStopTakesOnlyWhatItCanEnd(t *testing.T) {
-	t.Parallel()
+// newBusyEntry starts an entry before a site, with a stream of six seconds that keeps it alive during a stop.
+func newBusyEntry(t *testing.T) (*stopSite, *stopEntry, *ledger) {
+	t.Helper()
 	const events = 60 // six seconds
 	s := newStopSite(t, events)
 	e := s.entry(t, "127.0.0.1")
 	l := newLedger(t, events)
-	only := func() *stopEntry { return e }
 	l.keepsAlive(t, s, e)
+	return s, e, l
+}
+
+// TestStopTakesOnlyWhatItCanEnd asks an entry from its SIGTERM to its end for streams that last longer than what is left of
+// its grace towards the end (issue 17: one that was taken 3.06 s after the signal was cut at 7.1 s).
+func TestStopTakesOnlyWhatItCanEnd(t *testing.T) {
+	t.Parallel()
+	s, e, l := newBusyEntry(t)
+	only := func() *stopEntry { return e }
 	l.keep(70*time.Millisecond, plainRoute, only)
 	ended := e.terminate()
 	l.everyNew(150*time.Millisecond, 0, streamRoute, only)
@@ -40,12 +47,8 @@
 // refused every connection, and the balancer, which had no other entry, went on sending them).
 func TestStopKeepsItsDoorOpen(t *testing.T) {
 	t.Parallel()
-	const events = 60 // six seconds
-	s := newStopSite(t, events)
-	e := s.entry(t, "127.0.0.1")
-	l := newLedger(t, events)
+	s, e, l := newBusyEntry(t)
 	only := func() *stopEntry { return e }
-	l.keepsAlive(t, s, e)
 	ended := e.terminate()
 	// They come so quickly that some are just being read whenever the entry closes its door; the second ones have come in by then
 	// and say only afterwards what they want, which package http reads and drops once Shutdown was called.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,9 +31,6 @@
 	headerTimeout = 10 * time.Second
 	bodyTimeout   = 60 * time.Second
 	idleTimeout   = 2 * time.Minute
-	// noticeFor is how long a leaving entry refuses at the least, where its grace allows: a balancer that asks for readiness
-	// every second takes an entry out after two misses.
-	noticeFor = 3200 * time.Millisecond
 )
 
 // errEnding is the final answer to what runs when the entry's grace is over.
@@ -122,7 +119,7 @@
 	e.Node.Log.Info("leaving", "instance", e.Node.Self.ID)
 	end := time.Now().Add(e.Grace - node.FinalAnswerTime(e.Grace))
 	e.Node.Leave(ctx)
-	pause.For(ctx, min(noticeFor, time.Until(end)))
+	pause.For(ctx, min(node.ReadinessLag, time.Until(end)))
 	if !e.running.Wait(time.Until(end)) {
 		e.Node.Log.Info("grace is over, requests are given up", "decision", "give-up", "requests", e.running.Count())
 		e.running.GiveUp(errEnding)
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -69,12 +69,23 @@
 		g.bookMoves(t, now)
 		g.reads.add(t.reading)
 	}
-	g.Log.Info("runner chosen", "decision", "send", "request", x.wire.ID, "account", x.accountName(), "route", x.route.Name,
-		"chosen", t.view.ID, "candidates", len(candidates), "cost", choice.Cost, "estimate", choice.Estimate.String(),
-		"attempt", x.sends+1, "weights", t.weights, "replacedFor", g.replacedFor(x, t.weights, now).String(), "missing", t.reading, "again", t.plan.Again, "fetched", t.plan.Fetched, "avoided", t.view.Avoid, "listAge", now.Sub(g.state.Roster.Updated()).String())
+	g.logChoice(x, t, len(candidates), now)
 	return t
 }
 
+// logChoice records what decided on the runner, for whoever has to explain what became of the request.
+func (g *Gateway) logChoice(x *exchange, t *target, candidates int, now time.Time) {
+	fetchUntil := time.Time{}
+	if t.kept != nil && len(t.plan.From) > 0 {
+		fetchUntil = t.kept.until
+	}
+	g.Log.Info("runner chosen", "decision", "send", "request", x.wire.ID, "account", x.accountName(), "route", x.route.Name,
+		"chosen", t.view.ID, "candidates", candidates, "cost", t.choice.Cost, "estimate", t.choice.Estimate.String(), "attempt", x.sends+1,
+		"weights", t.weights, "replacedFor", g.replacedFor(x, t.weights, now).String(),
+		"missing", t.reading, "again", t.plan.Again, "fetched", t.plan.Fetched, "fetchUntil", fetchUntil,
+		"avoided", t.view.Avoid, "listAge", now.Sub(g.state.Roster.Updated()).String())
+}
+
 func (g *Gateway) question(x *exchange) place.Question {
 	q := place.Question{Target: x.route.Target - time.Since(x.arrived), Bytes: len(x.call.Body)}
 	if p := x.wire.Prompt; p != nil && x.service.Engine != nil {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -21,9 +21,6 @@
 	// endShare is the part of a short grace that takes the place of EndMargin: the last sixth of a grace is where the users let a
 	// stop cut what runs too long.
 	endShare = 8
-	// leastStop is how long after a stop's signal an entry without work waits for more: the balancer asks every second and takes an
-	// entry out after two misses.
-	leastStop = 3200 * time.Millisecond
 	// noticeTime is how long after the signal callers cannot know of it: the balancer's next two questions, one second apart, and
 	// three quarters of a second for its time-out, the last connection that it gave and the request on that.
 	noticeTime = 2750 * time.Millisecond
@@ -53,7 +50,7 @@
 	g.plan = g.planStop(signalled)
 	g.leaving.Store(true)
 	g.Log.Info("stopping", "decision", "stop", "running", g.running.Count(), "end", g.plan.End.Sub(signalled).String())
-	time.Sleep(min(leastStop, time.Until(g.plan.End)))
+	time.Sleep(min(node.ReadinessLag, time.Until(g.plan.End)))
 	idle := g.running.Wait(time.Until(g.plan.End))
 	finish()
 	g.Log.Info("taking no more requests", "decision", "stop", "idle", idle, "running", g.running.Count(), "after", time.Since(signalled).String())
@@ -100,7 +97,7 @@
 // connection is so new that the balancer has no other: then the caller does best to wait until this one is back.
 func (g *Gateway) refuseLeaving(x *exchange) *refusal {
 	r := *leavingNow
-	if opened := openedAt(x.request.Context()); opened.After(g.plan.Signalled.Add(leastStop)) {
+	if opened := openedAt(x.request.Context()); opened.After(g.plan.Signalled.Add(node.ReadinessLag)) {
 		r.after = max(time.Until(g.plan.End.Add(answerMargin+restartTime)), restartTime)
 	}
 	return &r
--- a/node/listener.go
+++ b/node/listener.go
@@ -13,6 +13,10 @@
 // a loopback or between zones, and much less than a process takes to end and be started again.
 const LastRequestTime = 20 * time.Millisecond
 
+// ReadinessLag is how long after its signal a stopping process still counts with new connections: a balancer asks for readiness every second
+// and takes a process out after two misses.
+const ReadinessLag = 3200 * time.Millisecond
+
 // Listener is a listener that a planned stop shuts, while the connections that it has let in go on. http.Server.Shutdown does not
 // serve for that: it still reads requests on open connections, and drops them without a word.
 type Listener struct {
