--- /dev/null
+++ b/localstate/namings_test.go
@@ -0,0 +1,135 @@
+package localstate
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rillreach/rillreach/deployment"
+)
+
+func TestReplaced(t *testing.T) {
+	s := state()
+	s.SetWeights(deployment.NamedWeights{Model: "m", Version: 1, Revision: 1})
+	assert.True(t, s.Replaced("m", 1).IsZero(), "the newest is not replaced")
+	s.SetWeights(deployment.NamedWeights{Model: "m", Version: 2, Revision: 2})
+	first := s.Replaced("m", 1)
+	assert.False(t, first.IsZero())
+	s.SetWeights(deployment.NamedWeights{Model: "m", Version: 3, Revision: 3})
+	assert.Equal(t, first, s.Replaced("m", 1), "each version is judged by its own successor")
+	assert.False(t, s.Replaced("m", 2).IsZero())
+}
+
+func TestApplyNaming(t *testing.T) {
+	const model = "m"
+	start := time.Now()
+	begin := func() *State {
+		s := state()
+		s.SetWeights(deployment.NamedWeights{Model: model, Version: 5, Revision: 5})
+		return s
+	}
+	t.Run("another process may know an earlier time", func(t *testing.T) {
+		s := begin()
+		s.ApplyNaming(Naming{Model: model, Version: 5, At: start.Add(-time.Minute)})
+		assert.Equal(t, start.Add(-time.Minute), s.Replaced(model, 4))
+	})
+	t.Run("a later time changes nothing", func(t *testing.T) {
+		s := begin()
+		before := s.Replaced(model, 4)
+		s.ApplyNaming(Naming{Model: model, Version: 5, At: start.Add(time.Minute)})
+		assert.Equal(t, before, s.Replaced(model, 4))
+	})
+	t.Run("a version in between replaced those before it, and no other", func(t *testing.T) {
+		s := begin()
+		s.ApplyNaming(Naming{Model: model, Version: 3, At: start.Add(-time.Minute)})
+		assert.Equal(t, start.Add(-time.Minute), s.Replaced(model, 2))
+		assert.False(t, s.Replaced(model, 3).Before(start))
+		assert.Len(t, s.Namings(), 2)
+	})
+	t.Run("a version that the object store has not named is not taken from others", func(t *testing.T) {
+		s := begin()
+		s.ApplyNaming(Naming{Model: model, Version: 6, At: start})
+		s.ApplyNaming(Naming{Model: "other", Version: 1, At: start})
+		assert.Len(t, s.Namings(), 1)
+	})
+}
+
+// TestAdoptedWeights: weights that are found named at the start may have been named at any time before.
+func TestAdoptedWeights(t *testing.T) {
+	const model = "m"
+	longAgo := time.Unix(0, 0)
+	found := func() *State {
+		s := state()
+		s.AdoptWeights(deployment.NamedWeights{Model: model, Version: 5, Revision: 5})
+		return s
+	}
+	t.Run("others may tell for a while since when they are", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			assert.Equal(t, start, found().Replaced(model, 4))
+		})
+	})
+	t.Run("those before them are taken for too old where nobody does", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := found()
+			time.Sleep(reportWithin + 1)
+			assert.Equal(t, longAgo, s.Replaced(model, 4))
+			assert.True(t, s.Replaced(model, 5).IsZero())
+		})
+	})
+	t.Run("what is told counts, also late", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			s := found()
+			time.Sleep(time.Minute)
+			s.ApplyNaming(Naming{Model: model, Version: 5, At: start.Add(-time.Second)})
+			assert.Equal(t, start.Add(-time.Second), s.Replaced(model, 4))
+		})
+	})
+	t.Run("what another process told first is news where the object store tells of it, too", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			s := found()
+			s.SetWeights(deployment.NamedWeights{Model: model, Version: 5, Revision: 5})
+			time.Sleep(time.Minute)
+			assert.Equal(t, start, s.Replaced(model, 4))
+		})
+	})
+	t.Run("weights that are named later need nobody's word", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := found()
+			time.Sleep(time.Minute)
+			s.SetWeights(deployment.NamedWeights{Model: model, Version: 6, Revision: 6})
+			assert.Equal(t, time.Now(), s.Replaced(model, 5))
+		})
+	})
+	t.Run("what nobody has told is not told on", func(t *testing.T) {
+		s := found()
+		assert.Empty(t, s.Namings())
+		s.ApplyNaming(Naming{Model: model, Version: 5, At: time.Now()})
+		assert.Len(t, s.Namings(), 1)
+	})
+	t.Run("a version between may have been named as well, until somebody tells of it", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			s := found()
+			s.ApplyNaming(Naming{Model: model, Version: 5, At: start.Add(-time.Second)})
+			time.Sleep(reportWithin + 1)
+			assert.Equal(t, start.Add(-time.Second), s.Replaced(model, 4))
+			assert.Equal(t, longAgo, s.Replaced(model, 3))
+			s.ApplyNaming(Naming{Model: model, Version: 4, At: start.Add(-time.Minute)})
+			assert.Equal(t, start.Add(-time.Minute), s.Replaced(model, 3))
+		})
+	})
+	t.Run("one that was heard of replaced all before it", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			s := state()
+			s.SetWeights(deployment.NamedWeights{Model: model, Version: 5, Revision: 5})
+			time.Sleep(time.Minute)
+			assert.Equal(t, start, s.Replaced(model, 1))
+		})
+	})
+}
