--- a/localstate/namings_test.go
+++ b/localstate/namings_test.go
@@ -6,7 +6,10 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/controller/follow"
 	"github.com/rillreach/rillreach/deployment"
 )
 
@@ -132,4 +135,18 @@
 			assert.Equal(t, start, s.Replaced(model, 1))
 		})
 	})
+	t.Run("a list that is asked for again tells nothing of the time", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := state()
+			c, ok := s.WeightsFollower(nil, time.Second).(*follow.Controller[deployment.NamedWeights])
+			require.True(t, ok)
+			list := []rillreach.Update[deployment.NamedWeights]{{
+				Name: model, Revision: 5, Value: deployment.NamedWeights{Model: model, Version: 5, Revision: 5},
+			}}
+			c.Listed(list, time.Time{})
+			c.Listed(list, time.Time{})
+			time.Sleep(reportWithin + 1)
+			assert.Equal(t, longAgo, s.Replaced(model, 4))
+		})
+	})
 }
