Take nothing from a list about the time of what is known already

Cause: the names of a list went the way of changes, so that one that was known as found counted as heard. Ruled out: keeping no time for any name of a list; where the store drops its history all processes list again at once, and a name that comes in just that second must be news to them. Change: a list passes over what is known; what is new in the first list of a process is found, in a later one heard.

--- a/localstate/namings.go
+++ b/localstate/namings.go
@@ -177,6 +177,8 @@
 			s.setWeights(u.Value, found)
 		}
 	}
+	// A list that is asked for again, since changes are missing, tells of what came in the moment between; the first one does not.
+	first := true
 	return &follow.Controller[deployment.NamedWeights]{
 		Kind: "weights", Source: source, Wait: wait, Log: s.Log,
 		Asked:     func() { s.stalls.ask(time.Now()) },
@@ -184,17 +186,19 @@
 		Confirmed: func() { s.stalls.answer(time.Now()) },
 		Listed: func(all []rillreach.Update[deployment.NamedWeights], _ time.Time) {
 			for _, u := range all {
-				take(u, !s.knowsModel(u.Value.Model) || s.stalls.doubts(time.Now()))
+				if u.Err == nil && u.Value.Revision <= s.revisionOf(u.Value.Model) {
+					continue // nothing new, and nobody's word on its time
+				}
+				take(u, first || s.stalls.doubts(time.Now()))
 			}
+			first = false
 		},
 	}
 }
 
-// knowsModel reports that weights of the model were named as far as this process knows, so that it has followed their names since: a list
-// that it asks for again, since changes are missing, tells of what came in the moment between.
-func (s *State) knowsModel(model rillreach.ModelID) bool {
+// revisionOf is that of the newest name of a model's weights which this process knows, zero where it knows none.
+func (s *State) revisionOf(model rillreach.ModelID) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, known := s.weights[model]
-	return known
+	return s.weights[model].Revision
 }
--- a/localstate/namings_test.go
+++ b/localstate/namings_test.go
@@ -63,6 +63,10 @@
 func TestAdoptedWeights(t *testing.T) {
 	const model = "m"
 	longAgo := time.Unix(0, 0)
+	named := func(version uint64) []rillreach.Update[deployment.NamedWeights] {
+		w := deployment.NamedWeights{Model: model, Version: deployment.WeightVersion(version), Revision: version}
+		return []rillreach.Update[deployment.NamedWeights]{{Name: model, Revision: version, Value: w}}
+	}
 	found := func() *State {
 		s := state()
 		s.AdoptWeights(deployment.NamedWeights{Model: model, Version: 5, Revision: 5})
@@ -140,13 +144,23 @@
 			s := state()
 			c, ok := s.WeightsFollower(nil, time.Second).(*follow.Controller[deployment.NamedWeights])
 			require.True(t, ok)
-			list := []rillreach.Update[deployment.NamedWeights]{{
-				Name: model, Revision: 5, Value: deployment.NamedWeights{Model: model, Version: 5, Revision: 5},
-			}}
-			c.Listed(list, time.Time{})
-			c.Listed(list, time.Time{})
+			c.Listed(named(5), time.Time{})
+			c.Listed(named(5), time.Time{})
 			time.Sleep(reportWithin + 1)
 			assert.Equal(t, longAgo, s.Replaced(model, 4))
 		})
 	})
+	t.Run("what a second list tells of for the first time is news", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := state()
+			c, ok := s.WeightsFollower(nil, time.Second).(*follow.Controller[deployment.NamedWeights])
+			require.True(t, ok)
+			c.Listed(nil, time.Time{})
+			time.Sleep(time.Minute)
+			c.Listed(named(5), time.Time{})
+			start := time.Now()
+			time.Sleep(reportWithin + 1)
+			assert.Equal(t, start, s.Replaced(model, 4))
+		})
+	})
 }
