Leave requests of entries without an object store out of the soak's bound on weights

Ruled out: leaving out every disturbed call, which would also leave out those beside faults of runners' links. Change: an outage of the store, or of an entry's path to it, leaves out requests up to 3 s after its end, as the users do; both sides of that bound are in TestJudgeFindsBrokenPromises.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -141,6 +141,14 @@
 			r.Runs[0].Weights = 1
 			r.entry(func(h *history) { h.Lives[0].Started = at(7 * time.Second) })
 		}, "began on weights 1"},
+		"replaced weights without a store": {func(r *record) {
+			r.Runs[0].Weights = 1
+			r.CutOff = map[int][]span{0: {{at(6 * time.Second), at(7*time.Second + 1)}}}
+		}, ""},
+		"replaced weights 3 s after an outage": {func(r *record) {
+			r.Runs[0].Weights = 1
+			r.CutOff = map[int][]span{0: {{at(6 * time.Second), at(7 * time.Second)}}}
+		}, "began on weights 1"},
 		"replaced weights where the entry froze": {func(r *record) {
 			r.Runs[0].Weights = 1
 			r.entry(func(h *history) { h.Struck = []span{{at(9 * time.Second), at(9 * time.Second)}} })
--- a/soak/strike.go
+++ b/soak/strike.go
@@ -247,10 +247,14 @@
 		w.store.Forget()
 	case faultStoreDown:
 		w.disturbAll(a.For)
+		for _, one := range w.entries {
+			w.cutOff(one, a.For)
+		}
 		w.store.Fail(http.StatusServiceUnavailable)
 		w.later(a.For, func() { w.store.Fail(0) })
 	case faultStoreMute:
 		w.disturb(e, a.For)
+		w.cutOff(e, a.For)
 		w.mute(a, &e.process)
 	}
 }
--- a/soak/world.go
+++ b/soak/world.go
@@ -45,6 +45,7 @@
 	removed   map[string]time.Time
 	left      map[string]time.Time
 	disturbed map[int][]span
+	cutOffs   map[int][]span
 	harmed    map[string][]span
 	last      time.Time
 	work      sync.WaitGroup
@@ -56,7 +57,7 @@
 func newWorld(binary, dir string, n size, report func(string, ...any)) (*world, error) {
 	w := &world{
 		store: site.NewStore(), report: report, removed: map[string]time.Time{}, left: map[string]time.Time{}, disturbed: map[int][]span{},
-		named: map[uint64]time.Time{}, harmed: map[string][]span{},
+		cutOffs: map[int][]span{}, named: map[uint64]time.Time{}, harmed: map[string][]span{},
 	}
 	w.server = httptest.NewServer(w.store)
 	for i := range n.Runners {
@@ -175,6 +176,14 @@
 	w.disturbed[e.number] = append(w.disturbed[e.number], span{From: now, To: now.Add(d)})
 }
 
+// cutOff notes that an entry has no path to the object store, or that the store serves nobody, for a time.
+func (w *world) cutOff(e *entry, d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.cutOffs[e.number] = append(w.cutOffs[e.number], span{From: now, To: now.Add(d)})
+}
+
 // harm notes that the runners of a place, or their links, are under a fault for a time.
 func (w *world) harm(place string, d time.Duration) {
 	w.mu.Lock()
@@ -221,7 +230,7 @@
 	r := &record{
 		Runs: slices.Clone(w.ledger.runs), Orders: slices.Clone(w.ledger.orders), Disturbed: w.disturbed, Left: maps.Clone(w.left),
 		Removed: w.removed, Quiet: w.last, Named: maps.Clone(w.named), Loaded: map[string]uint64{}, Ended: time.Now(),
-		Harmed: w.harmed, Entries: map[int]history{},
+		Harmed: w.harmed, CutOff: maps.Clone(w.cutOffs), Entries: map[int]history{},
 	}
 	for _, n := range w.engines {
 		id, weights := n.run()
