Show that parts are freed under a runner that stands still, in a test that fails

Cause: an agent frees parts of replaced weights once nobody can have begun a fetch that is still allowed. A runner that stands still does not end its fetch then. Measured: freed once where 0 is asked; where all runners answer, or one has ended, it is freed as it should be.

--- /dev/null
+++ b/sidecar/readers_test.go
@@ -0,0 +1,94 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr/testr"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/holdings"
+	"github.com/rillreach/rillreach/platform"
+)
+
+// freeing is an agent that looks after a store with a part of replaced weights, which everybody has been told of for long enough.
+type freeing struct {
+	caretaker *caretaker
+	kept      *kept
+	frees     atomic.Int64
+}
+
+const dyingSalt = "1/m"
+
+func newFreeing(t *testing.T, runners ...netip.AddrPort) *freeing {
+	t.Helper()
+	f := &freeing{}
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/kv-free" {
+			f.frees.Add(1)
+		}
+		w.WriteHeader(http.StatusOK)
+	}))
+	t.Cleanup(store.Close)
+	s := &Sidecar{Log: testr.New(t)}
+	s.state.Log = s.Log
+	s.state.SetWeights(deployment.NamedWeights{Model: "m", Version: 2, Revision: 2})
+	for _, at := range runners {
+		s.state.Roster.Put(deployment.Runner{
+			ID: rillreach.InstanceID(at.String()), Service: "s", Address: at, Weights: map[rillreach.ModelID]deployment.WeightVersion{"m": 2},
+		})
+	}
+	f.caretaker = &caretaker{sidecar: s}
+	f.kept = &kept{holder: &holder{place: addressOf(store.URL), store: true, client: platform.NewRunner(addressOf(store.URL)), log: s.Log}}
+	f.kept.tracker.Apply([]holdings.Change{{Key: holdings.Key{Salt: dyingSalt, Part: "p"}, Tokens: 10}})
+	f.kept.dying.Free(dyingSalt, time.Now().Add(-time.Hour), 0)
+	return f
+}
+
+// look looks at the store several times.
+func (f *freeing) look(t *testing.T) {
+	t.Helper()
+	for range 3 {
+		f.caretaker.free(context.Background(), f.kept)
+	}
+}
+
+// TestFreeingWaitsForReaders: a runner that stands still may end a fetch long after the time that this was given.
+func TestFreeingWaitsForReaders(t *testing.T) {
+	well := func(t *testing.T) netip.AddrPort {
+		t.Helper()
+		runner := httptest.NewServer(&engine{version: 2})
+		t.Cleanup(runner.Close)
+		return addressOf(runner.URL)
+	}
+	t.Run("parts are freed where every runner answers", func(t *testing.T) {
+		f := newFreeing(t, well(t), well(t))
+		f.look(t)
+		assert.Equal(t, int64(1), f.frees.Load())
+	})
+	t.Run("a runner that stands still is waited for", func(t *testing.T) {
+		still, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = still.Close() })
+		f := newFreeing(t, well(t), netip.MustParseAddrPort(still.Addr().String()))
+		f.look(t)
+		assert.Zero(t, f.frees.Load())
+	})
+	t.Run("one that has ended reads nothing any more", func(t *testing.T) {
+		ended := httptest.NewServer(&engine{version: 2})
+		at := addressOf(ended.URL)
+		ended.Close()
+		f := newFreeing(t, well(t), at)
+		f.look(t)
+		assert.Equal(t, int64(1), f.frees.Load())
+	})
+}
