Free parts of replaced weights once every runner that may read them has answered

Cause: parts were freed because enough time had passed, not because nobody could read them any more; a runner that stands still ends its fetch when it goes on. Change: the agent that looks after a store remembers the engines' runs that were listed in the last 20 s; once no fetch under a salt is allowed any more it asks each of them for its report, again each second, and frees when all have answered or ended, or after 20 s.

--- a/sidecar/caretaker.go
+++ b/sidecar/caretaker.go
@@ -41,6 +41,8 @@
 type caretaker struct {
 	sidecar *Sidecar
 	wg      conc.WaitGroup
+	// runs are those that may read from stores; only look and what it calls use them.
+	runs map[rillreach.InstanceID]*listedRun
 
 	mu     sync.Mutex
 	stores map[netip.AddrPort]*kept
@@ -51,6 +53,8 @@
 	*holder
 	stop  context.CancelFunc
 	dying holdings.Dying
+	// readers are those who may still read parts under a dying salt.
+	readers map[string]*readers
 	// since is when this agent took the store over.
 	since time.Time
 }
@@ -162,8 +166,9 @@
 // free frees the salts of replaced weights, once entries have been told long enough that they are dying.
 func (c *caretaker) free(ctx context.Context, k *kept) {
 	now := time.Now()
+	c.noteRuns(now)
 	for salt := range k.tracker.Salts() {
-		if !c.replaced(salt, now) || !k.mayFree(salt, now) {
+		if !c.replaced(salt, now) || !c.unread(ctx, k, salt, now) {
 			continue
 		}
 		if err := c.freeAll(ctx, k, k.tracker.Under(salt)); err != nil {
@@ -174,6 +179,25 @@
 	}
 }
 
+// unread reports that nobody may read the parts under a salt of replaced weights any more: all who fetch have been told for long enough, and
+// all runners that may have begun a fetch before go on.
+func (c *caretaker) unread(ctx context.Context, k *kept, text string, now time.Time) bool {
+	if k.readers == nil {
+		k.readers = map[string]*readers{}
+	}
+	r := k.readers[text]
+	if r == nil {
+		r = &readers{}
+		r.add(c.runs)
+		k.readers[text] = r
+	}
+	if !k.mayFree(text, now) {
+		r.add(c.runs)
+		return false
+	}
+	return r.done(ctx, now)
+}
+
 func (c *caretaker) freeAll(ctx context.Context, k *kept, parts []holdings.Key) error {
 	for batch := range slices.Chunk(parts, freeBatch) {
 		if err := k.free(ctx, batch); err != nil {
--- /dev/null
+++ b/sidecar/readers.go
@@ -0,0 +1,101 @@
+package sidecar
+
+import (
+	"context"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/iter"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/platform"
+)
+
+const (
+	// askReadersEvery is how often runners that have not answered are asked again.
+	askReadersEvery = time.Second
+	// readersMost is how long an agent waits for runners that do not answer: the longest stall that has been seen is 12 s, and parts that
+	// nobody may fetch any more take the place of others meanwhile.
+	readersMost = 20 * time.Second
+)
+
+// readers are the runs of engines that may still read parts of replaced weights: each is to answer once after the last fetch that was
+// allowed is over, since one that stands still neither reads nor gives up before it goes on.
+type readers struct {
+	waiting map[rillreach.InstanceID]netip.AddrPort
+	// askedAt is when they were asked first, and askedLast when they were last.
+	askedAt   time.Time
+	askedLast time.Time
+}
+
+// add has the runs be waited for as well.
+func (r *readers) add(runs map[rillreach.InstanceID]*listedRun) {
+	if r.waiting == nil {
+		r.waiting = map[rillreach.InstanceID]netip.AddrPort{}
+	}
+	for id, run := range runs {
+		r.waiting[id] = run.address
+	}
+}
+
+// done asks those that have not answered, and reports whether nobody is waited for any more.
+func (r *readers) done(ctx context.Context, now time.Time) bool {
+	if len(r.waiting) == 0 {
+		return true
+	}
+	if r.askedAt.IsZero() {
+		r.askedAt = now
+	}
+	if now.Sub(r.askedAt) > readersMost {
+		return true
+	}
+	if !r.askedLast.IsZero() && now.Sub(r.askedLast) < askReadersEvery {
+		return false
+	}
+	r.askedLast = now
+	runs := make([]rillreach.InstanceID, 0, len(r.waiting))
+	for id := range r.waiting {
+		runs = append(runs, id)
+	}
+	heard := iter.Map(runs, func(id *rillreach.InstanceID) bool { return answers(ctx, r.waiting[*id]) })
+	for i, id := range runs {
+		if heard[i] {
+			delete(r.waiting, id)
+		}
+	}
+	return len(r.waiting) == 0
+}
+
+// listedRun is a run of an engine that is listed, or was until lately: the record of one that stands still lapses after some seconds.
+type listedRun struct {
+	address netip.AddrPort
+	// last is when it was last listed.
+	last time.Time
+}
+
+// noteRuns keeps the runs of engines that are listed now, and those that were while a fetch of theirs may be waited for.
+func (c *caretaker) noteRuns(now time.Time) {
+	if c.runs == nil {
+		c.runs = map[rillreach.InstanceID]*listedRun{}
+	}
+	for _, runner := range c.sidecar.state.Roster.All() {
+		if info := runner.Info(); len(info.Weights) > 0 {
+			c.runs[info.ID] = &listedRun{address: info.Address, last: now}
+		}
+	}
+	for id, run := range c.runs {
+		if now.Sub(run.last) > readersMost {
+			delete(c.runs, id)
+		}
+	}
+}
+
+// answers reports that the runner at the address goes on, or that none is there any more.
+func answers(ctx context.Context, at netip.AddrPort) bool {
+	runner := platform.NewRunner(at)
+	defer runner.Close()
+	_, err := runner.Report(ctx)
+	return err == nil || errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/sidecar/readers_test.go
+++ b/sidecar/readers_test.go
@@ -83,6 +83,17 @@
 		f.look(t)
 		assert.Zero(t, f.frees.Load())
 	})
+	t.Run("also one whose record has lapsed since", func(t *testing.T) {
+		still, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = still.Close() })
+		at := netip.MustParseAddrPort(still.Addr().String())
+		f := newFreeing(t, well(t), at)
+		f.caretaker.noteRuns(time.Now())
+		f.caretaker.sidecar.state.Roster.Remove(time.Now(), rillreach.InstanceID(at.String()), time.Time{})
+		f.look(t)
+		assert.Zero(t, f.frees.Load())
+	})
 	t.Run("one that has ended reads nothing any more", func(t *testing.T) {
 		ended := httptest.NewServer(&engine{version: 2})
 		at := addressOf(ended.URL)
