--- a/sidecar/caretaker.go
+++ b/sidecar/caretaker.go
@@ -94,6 +94,7 @@
 		}
 	}
 	c.mu.Unlock()
+	c.noteRuns(time.Now())
 	for _, k := range c.all() {
 		c.free(ctx, k)
 	}
@@ -166,7 +167,6 @@
 // free frees the salts of replaced weights, once entries have been told long enough that they are dying.
 func (c *caretaker) free(ctx context.Context, k *kept) {
 	now := time.Now()
-	c.noteRuns(now)
 	for salt := range k.tracker.Salts() {
 		if !c.replaced(salt, now) || !c.unread(ctx, k, salt, now) {
 			continue
--- a/sidecar/readers.go
+++ b/sidecar/readers.go
@@ -81,9 +81,14 @@
 		c.runs = map[rillreach.InstanceID]*listedRun{}
 	}
 	for _, runner := range c.sidecar.state.Roster.All() {
-		if info := runner.Info(); len(info.Weights) > 0 {
-			c.runs[info.ID] = &listedRun{address: info.Address, last: now}
+		info := runner.Info()
+		if len(info.Weights) == 0 {
+			continue // no engine
 		}
+		if c.runs[info.ID] == nil {
+			c.runs[info.ID] = &listedRun{address: info.Address}
+		}
+		c.runs[info.ID].last = now
 	}
 	for id, run := range c.runs {
 		if now.Sub(run.last) > readersMost {
--- a/sidecar/readers_test.go
+++ b/sidecar/readers_test.go
@@ -58,6 +58,7 @@
 func (f *freeing) look(t *testing.T) {
 	t.Helper()
 	for range 3 {
+		f.caretaker.noteRuns(time.Now())
 		f.caretaker.free(context.Background(), f.kept)
 	}
 }
