Wait for no runner that has left, or is long off the list, before parts are freed

Change: 12 s from when a run was listed last instead of 20, and none for those that said they leave.

--- a/sidecar/caretaker.go
+++ b/sidecar/caretaker.go
@@ -195,7 +195,7 @@
 		r.add(c.runs)
 		return false
 	}
-	return r.done(ctx, now)
+	return r.done(ctx, now, c.runs)
 }
 
 func (c *caretaker) freeAll(ctx context.Context, k *kept, parts []holdings.Key) error {
--- a/sidecar/readers.go
+++ b/sidecar/readers.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"syscall"
 	"time"
 
@@ -16,9 +18,9 @@
 const (
 	// askReadersEvery is how often runners that have not answered are asked again.
 	askReadersEvery = time.Second
-	// readersMost is how long an agent waits for runners that do not answer: the longest stall that has been seen is 12 s, and parts that
-	// nobody may fetch any more take the place of others meanwhile.
-	readersMost = 20 * time.Second
+	// readersMost is how long an agent waits for a runner that does not answer, from when it was asked first, and from when it was listed last:
+	// the longest stall that has been seen is 12 s, and parts that nobody may fetch any more take the place of others meanwhile.
+	readersMost = 12 * time.Second
 )
 
 // readers are the runs of engines that may still read parts of replaced weights: each is to answer once after the last fetch that was
@@ -40,8 +42,9 @@
 	}
 }
 
-// done asks those that have not answered, and reports whether nobody is waited for any more.
-func (r *readers) done(ctx context.Context, now time.Time) bool {
+// done asks those of the runs that have not answered, and reports whether nobody is waited for any more.
+func (r *readers) done(ctx context.Context, now time.Time, runs map[rillreach.InstanceID]*listedRun) bool {
+	maps.DeleteFunc(r.waiting, func(id rillreach.InstanceID, _ netip.AddrPort) bool { return runs[id] == nil })
 	if len(r.waiting) == 0 {
 		return true
 	}
@@ -55,13 +58,10 @@
 		return false
 	}
 	r.askedLast = now
-	runs := make([]rillreach.InstanceID, 0, len(r.waiting))
-	for id := range r.waiting {
-		runs = append(runs, id)
-	}
-	heard := iter.Map(runs, func(id *rillreach.InstanceID) bool { return answers(ctx, r.waiting[*id]) })
-	for i, id := range runs {
-		if heard[i] {
+	asked := slices.Collect(maps.Keys(r.waiting))
+	answered := iter.Map(asked, func(id *rillreach.InstanceID) bool { return answers(ctx, r.waiting[*id]) })
+	for i, id := range asked {
+		if answered[i] {
 			delete(r.waiting, id)
 		}
 	}
@@ -71,8 +71,9 @@
 // listedRun is a run of an engine that is listed, or was until lately: the record of one that stands still lapses after some seconds.
 type listedRun struct {
 	address netip.AddrPort
-	// last is when it was last listed.
-	last time.Time
+	// last is when it was last listed, and leaving that it had said that it ends: once it is off the list, it has.
+	last    time.Time
+	leaving bool
 }
 
 // noteRuns keeps the runs of engines that are listed now, and those that were while a fetch of theirs may be waited for.
@@ -88,10 +89,10 @@
 		if c.runs[info.ID] == nil {
 			c.runs[info.ID] = &listedRun{address: info.Address}
 		}
-		c.runs[info.ID].last = now
+		c.runs[info.ID].last, c.runs[info.ID].leaving = now, info.Leaving
 	}
 	for id, run := range c.runs {
-		if now.Sub(run.last) > readersMost {
+		if run.leaving && run.last.Before(now) || now.Sub(run.last) > readersMost {
 			delete(c.runs, id)
 		}
 	}
