Count any answer at a runner's address before parts are freed

Cause: an answer that was no report (another process at the address, a status) counted as silence, so that parts stayed for 12 s. Ruled out: the time-out of 0.3 s (the subtest failed within 0.00 s). Change: only a call that runs out of time is silence; a subtest has another process at the address.

--- a/sidecar/readers.go
+++ b/sidecar/readers.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"net/netip"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -98,10 +98,13 @@
 	}
 }
 
-// answers reports that the runner at the address goes on, or that none is there any more.
+// answers reports that the run at the address goes on or has ended: whatever comes back, be it a refusal or another process's answer, does
+// not come from a run that stands still.
 func answers(ctx context.Context, at netip.AddrPort) bool {
 	runner := platform.NewRunner(at)
 	defer runner.Close()
 	_, err := runner.Report(ctx)
-	return err == nil || errors.Is(err, syscall.ECONNREFUSED)
+	var failure net.Error
+	silent := errors.Is(err, context.DeadlineExceeded) || errors.As(err, &failure) && failure.Timeout()
+	return ctx.Err() == nil && !silent
 }
--- a/sidecar/readers_test.go
+++ b/sidecar/readers_test.go
@@ -120,6 +120,13 @@
 		f.look(t)
 		assert.Equal(t, int64(1), f.frees.Load())
 	})
+	t.Run("nor is one whose address another process has taken", func(t *testing.T) {
+		other := httptest.NewServer(http.NotFoundHandler())
+		t.Cleanup(other.Close)
+		f := newFreeing(t, well(t), addressOf(other.URL))
+		f.look(t)
+		assert.Equal(t, int64(1), f.frees.Load())
+	})
 	t.Run("one that has ended reads nothing any more", func(t *testing.T) {
 		ended := httptest.NewServer(&engine{version: 2})
 		at := addressOf(ended.URL)
