Have prompts wait at the entry until an engine has room

Change: package admission (room at an engine, order of waiting requests, rate of admissions) and gateway's line. A request goes out where it fits into three quarters of an engine's memory and nothing waits there; the first that finds no room keeps the engine with the most for itself; room is shared among entries while requests wait. Waits at the entry end where the caller's patience does.

--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,98 @@
+package admission
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func TestRoom(t *testing.T) {
+	t.Run("what fits beside the running requests is admitted", func(t *testing.T) {
+		assert.True(t, Room{Capacity: 1000, Used: 500}.Admits(250))
+		assert.False(t, Room{Capacity: 1000, Used: 500}.Admits(251))
+	})
+	t.Run("what was sent since the report counts, for each entry that sends", func(t *testing.T) {
+		assert.True(t, Room{Capacity: 1000, Used: 100, Sent: 100, Senders: 4}.Admits(250))
+		assert.False(t, Room{Capacity: 1000, Used: 100, Sent: 100, Senders: 5}.Admits(250))
+	})
+	t.Run("nothing is admitted where requests wait already", func(t *testing.T) {
+		assert.False(t, Room{Capacity: 1000, Waiting: true}.Admits(1))
+	})
+	t.Run("an engine that does nothing admits a request of any size", func(t *testing.T) {
+		assert.True(t, Room{Capacity: 1000}.Admits(5000))
+	})
+	t.Run("memory of unknown size doesn't count", func(t *testing.T) {
+		assert.True(t, Room{Used: 5000}.Admits(5000))
+	})
+}
+
+func TestOrder(t *testing.T) {
+	now := at(10 * time.Second)
+	soon := Request{Arrived: at(9 * time.Second), Due: at(11 * time.Second)}
+	later := Request{Arrived: at(8 * time.Second), Due: at(12 * time.Second)}
+	late := Request{Arrived: at(time.Second), Due: at(2 * time.Second)}
+	later2 := Request{Arrived: at(3 * time.Second), Due: at(4 * time.Second)}
+	begun := Request{Arrived: at(0), Due: at(time.Second), Begun: true}
+	list := []Request{later2, late, later, soon, begun}
+	slices.SortFunc(list, func(a, b Request) int { return Compare(a, b, now) })
+	assert.Equal(t, []Request{begun, soon, later, late, later2}, list)
+}
+
+// TestOrderIsTotal: sorting needs an order that doesn't contradict itself.
+func TestOrderIsTotal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		drawn := func(name string) Request {
+			arrived := at(time.Duration(rapid.IntRange(0, 5).Draw(t, name+" arrived")) * time.Second)
+			return Request{Arrived: arrived, Due: arrived.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, name+" target")) * time.Second), Begun: rapid.Bool().Draw(t, name+" begun")}
+		}
+		now := at(4 * time.Second)
+		a, b, c := drawn("a"), drawn("b"), drawn("c")
+		assert.Equal(t, Compare(a, b, now), -Compare(b, a, now))
+		if Compare(a, b, now) <= 0 && Compare(b, c, now) <= 0 {
+			assert.LessOrEqual(t, Compare(a, c, now), 0)
+		}
+	})
+}
+
+func TestLost(t *testing.T) {
+	r := Request{End: at(2 * time.Second), Need: 100 * time.Millisecond}
+	assert.False(t, r.Lost(at(1900*time.Millisecond)))
+	assert.True(t, r.Lost(at(1901*time.Millisecond)))
+}
+
+func TestBacklog(t *testing.T) {
+	t.Run("nothing is said before anything was admitted", func(t *testing.T) {
+		var b Backlog
+		_, known := b.Wait(start, 1000)
+		assert.False(t, known)
+	})
+	t.Run("a steady rate is found", func(t *testing.T) {
+		var b Backlog
+		for i := range 1000 {
+			b.Admitted(at(time.Duration(i)*10*time.Millisecond), 100)
+		}
+		wait, known := b.Wait(at(10*time.Second), 20000)
+		assert.True(t, known)
+		assert.InDelta(t, 2, wait.Seconds(), 0.1)
+	})
+	t.Run("an old rate is forgotten", func(t *testing.T) {
+		var b Backlog
+		b.Admitted(start, 1000)
+		_, known := b.Wait(at(rateMemory), 1000)
+		assert.False(t, known)
+	})
+}
+
+func TestRetryAfter(t *testing.T) {
+	assert.Equal(t, time.Second, RetryAfter(2*time.Second, 0))
+	assert.Equal(t, 2*time.Second, RetryAfter(2*time.Second, 0.5))
+	assert.Equal(t, leastRetry, RetryAfter(0, 0.5))
+	assert.Equal(t, mostRetry, RetryAfter(time.Hour, 0.5))
+}
--- /dev/null
+++ b/admission/order.go
@@ -0,0 +1,56 @@
+package admission
+
+import (
+	"cmp"
+	"time"
+)
+
+// Request is what is known of a request that waits.
+type Request struct {
+	// Arrived is when it came.
+	Arrived time.Time
+	// Due is when its first token is still in time.
+	Due time.Time
+	// End is when its caller takes no first token any more.
+	End time.Time
+	// Need is the least time from the send to the first token.
+	Need time.Duration
+	// Tokens is the memory that it takes.
+	Tokens int
+	// Begun says that its caller has a part of the answer already.
+	Begun bool
+}
+
+// Lost reports that the first token can't come before the caller has gone.
+func (r Request) Lost(now time.Time) bool {
+	return now.Add(r.Need).After(r.End)
+}
+
+// late reports that the first token can't be in time.
+func (r Request) late(now time.Time) bool {
+	return now.Add(r.Need).After(r.Due)
+}
+
+// Compare orders requests by which goes first, negative where that is a: answers that have begun, then those that can be in time
+// by when they are due, then the late ones by when they came. A late one before others would make these late, too.
+func Compare(a, b Request, now time.Time) int {
+	if a.Begun != b.Begun {
+		return first(a.Begun)
+	}
+	aLate, bLate := a.late(now), b.late(now)
+	if aLate != bLate {
+		return first(bLate)
+	}
+	if aLate {
+		return a.Arrived.Compare(b.Arrived)
+	}
+	return cmp.Or(a.Due.Compare(b.Due), a.Arrived.Compare(b.Arrived))
+}
+
+// first is the result of a comparison that puts a first where that is so, else last.
+func first(a bool) int {
+	if a {
+		return -1
+	}
+	return 1
+}
--- /dev/null
+++ b/admission/room.go
@@ -0,0 +1,40 @@
+package admission
+
+// fillShare is the part of an engine's memory that admitted requests may take. The rest is for answers, which grow, and for what
+// other entries send between two reports: about one prompt for each engine.
+const fillShare = 0.75
+
+// Room is what is known of an engine's memory, in tokens.
+type Room struct {
+	// Capacity is the engine's memory; zero means that it isn't known, and doesn't count.
+	Capacity int
+	// Used is what running requests take, by the engine's report.
+	Used int
+	// Sent is what this entry's requests take that were sent since the report was made.
+	Sent int
+	// Senders is how many entries are taken to send as much meanwhile: all of them while requests wait, since each sees the same
+	// room come back, and each would fill it.
+	Senders int
+	// Waiting says that requests wait at the engine itself.
+	Waiting bool
+}
+
+// Admits reports that a request that takes the tokens fits now. An engine that does nothing admits any request, since waiting
+// brings no more room.
+func (r Room) Admits(tokens int) bool {
+	taken := r.taken()
+	if r.Capacity <= 0 || taken <= 0 && !r.Waiting {
+		return true
+	}
+	return !r.Waiting && float64(taken+tokens) <= fillShare*float64(r.Capacity)
+}
+
+// Free is how many tokens an engine admits beside what it has; it may be negative.
+func (r Room) Free() int {
+	return int(fillShare*float64(r.Capacity)) - r.taken()
+}
+
+// taken is what all requests are expected to take.
+func (r Room) taken() int {
+	return r.Used + r.Sent*max(r.Senders, 1)
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -13,25 +13,24 @@
 
 // attempt sends the request to one runner; it reports whether the request is done with.
 func (g *Gateway) attempt(ctx context.Context, x *exchange) bool {
-	t := g.choose(x)
+	t, verdict := g.target(ctx, x)
 	if t == nil {
-		x.reason = "no-runner"
+		x.reason = verdict
 		x.exhausted = true
 		return false
 	}
+	defer t.work.end()
 	x.tried = append(x.tried, t.view.ID)
 	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
 	bound := g.boundSilence(x, t, cancel)
 	defer bound.stop()
-	begun := g.begin(x, t)
-	defer begun.end()
 	deadline := g.boundStart(x, t, cancel)
 	defer deadline.stop()
 	heard := func() {
 		deadline.stop()
 		bound.heard()
-		begun.first()
+		t.work.first()
 	}
 	x.call.Header = g.directions(x, t).Header(x.request.Header)
 	var head platform.Answer
@@ -55,6 +54,17 @@
 	return g.relay(ctx, x, t, answer, head, heard)
 }
 
+// target finds a runner for the next attempt, or says why there is none.
+func (g *Gateway) target(ctx context.Context, x *exchange) (*target, string) {
+	if x.needsEngine() {
+		return g.line.admit(ctx, x)
+	}
+	if t := g.choose(x, time.Now()); t != nil {
+		return t, ""
+	}
+	return nil, verdictNoRunner
+}
+
 // maxConns is how many connections this entry may have to one runner.
 func (g *Gateway) maxConns(x *exchange) int {
 	if x.service.MaxConns == 0 {
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -28,48 +28,74 @@
 	// kept and plan say which parts of the prompt are where, and how the runner comes to them.
 	kept *promptState
 	plan fetch.Plan
+	// work counts the request as running at the runner until it ends.
+	work *work
 	// cancelled says that the request was cancelled at the runner, since it had not begun when that was still allowed.
 	cancelled atomic.Bool
 }
 
-// choose decides on the runner for the next attempt, or returns nil where there is none.
-func (g *Gateway) choose(x *exchange) *target {
-	now := time.Now()
-	var views []roster.View
-	var runners []*roster.Runner
+// options are the runners that may take a request, and what each would do for it.
+type options struct {
+	question   place.Question
+	views      []roster.View
+	runners    []*roster.Runner
+	candidates []place.Candidate
+	plans      []fetch.Plan
+	states     map[deployment.WeightVersion]*promptState
+}
+
+// options looks at all runners of the request's service.
+func (g *Gateway) options(x *exchange, now time.Time) *options {
+	o := &options{question: g.question(x, now), states: map[deployment.WeightVersion]*promptState{}}
 	for _, r := range g.state.Roster.Group(x.service.Name) {
 		v := r.View(now)
 		if !g.fits(x, &v, now) {
 			continue
 		}
-		views = append(views, v)
-		runners = append(runners, r)
+		o.views = append(o.views, v)
+		o.runners = append(o.runners, r)
 	}
-	if len(views) == 0 {
-		return nil
-	}
-	question := g.question(x)
 	conversation := hash.String(conversation(x))
-	candidates := make([]place.Candidate, len(views))
-	plans := make([]fetch.Plan, len(views))
-	states := map[deployment.WeightVersion]*promptState{}
-	for i := range views {
-		candidates[i] = g.candidate(x, &views[i], conversation)
-		if question.Tokens > 0 {
-			plans[i] = g.planAt(x, &views[i], views, states, now).plan(&views[i])
-			addPlan(&candidates[i], x.wire.Prompt, &plans[i])
+	o.candidates = make([]place.Candidate, len(o.views))
+	o.plans = make([]fetch.Plan, len(o.views))
+	for i := range o.views {
+		o.candidates[i] = g.candidate(x, &o.views[i], conversation, now)
+		if x.needsEngine() {
+			o.plans[i] = g.planAt(x, &o.views[i], o.views, o.states, now).plan(&o.views[i])
+			addPlan(&o.candidates[i], x.wire.Prompt, &o.plans[i])
 		}
 	}
-	choice := place.Choose(question, candidates, int(g.seq.Add(1)%uint64(len(views))))
-	t := &target{runner: runners[choice.Index], view: views[choice.Index], choice: choice, held: question.Tokens, plan: plans[choice.Index]}
-	t.reading = candidates[choice.Index].Missing
-	if question.Tokens > 0 {
+	return o
+}
+
+// choose decides on the runner for the next attempt, or returns nil where there is none.
+func (g *Gateway) choose(x *exchange, now time.Time) *target {
+	o := g.options(x, now)
+	if len(o.views) == 0 {
+		return nil
+	}
+	choice := place.Choose(o.question, o.candidates, g.offset(len(o.views)))
+	return g.assign(x, o, choice, now)
+}
+
+// offset is where among so many candidates a choice begins to look.
+func (g *Gateway) offset(n int) int { return int(g.seq.Add(1) % uint64(n)) }
+
+// assign makes a choice the target of the next attempt, and counts the request as running there.
+func (g *Gateway) assign(x *exchange, o *options, choice place.Choice, now time.Time) *target {
+	i := choice.Index
+	t := &target{
+		runner: o.runners[i], view: o.views[i], choice: choice, held: o.question.Tokens, plan: o.plans[i],
+		reading: o.candidates[i].Missing,
+	}
+	if x.needsEngine() {
 		t.weights = t.view.Weights[x.wire.Prompt.Model]
-		t.kept = states[t.weights]
+		t.kept = o.states[t.weights]
 		g.bookMoves(t, now)
 		g.reads.add(t.reading)
 	}
-	g.logChoice(x, t, len(candidates), now)
+	t.work = g.begin(x, t)
+	g.logChoice(x, t, len(o.candidates), now)
 	return t
 }
 
@@ -86,16 +112,16 @@
 		"avoided", t.view.Avoid, "listAge", now.Sub(g.state.Roster.Updated()).String())
 }
 
-func (g *Gateway) question(x *exchange) place.Question {
-	q := place.Question{Target: x.route.Target - time.Since(x.arrived), Bytes: len(x.call.Body)}
-	if p := x.wire.Prompt; p != nil && x.service.Engine != nil {
-		q.Tokens = p.Tokens + p.MaxOut
+func (g *Gateway) question(x *exchange, now time.Time) place.Question {
+	q := place.Question{Target: x.route.Target - now.Sub(x.arrived), Bytes: len(x.call.Body)}
+	if x.needsEngine() {
+		q.Tokens = x.wire.Prompt.Tokens + x.wire.Prompt.MaxOut
 	}
 	return q
 }
 
 // candidate is a runner as the choice sees it, for a conversation by its hash.
-func (g *Gateway) candidate(x *exchange, v *roster.View, conversation uint64) place.Candidate {
+func (g *Gateway) candidate(x *exchange, v *roster.View, conversation uint64, now time.Time) place.Candidate {
 	c := place.Candidate{
 		Running:      v.Running,
 		Slots:        v.Slots,
@@ -106,16 +132,16 @@
 		Tried:        slices.Contains(x.tried, v.ID),
 		FailureShare: v.Failures,
 	}
-	if p := x.wire.Prompt; p != nil && x.service.Engine != nil {
+	if x.needsEngine() {
 		c.Capacity = x.service.Engine.CapacityTokens
 		if v.Reported {
 			c.Running = max(c.Running, v.Load.Running+v.Load.Waiting)
-			c.Reading = max(c.Reading, (v.Load.Unread+v.Load.Waiting)*g.reads.mean())
-			c.Held = max(c.Held, v.Load.Used)
+			c.Reading = max(c.Reading, (v.Load.Unread+v.Load.Waiting)*g.reads.mean()+v.SentReading)
+			c.Held = max(c.Held, v.Load.Used+v.SentHeld)
 		}
 		c.Avoid = avoided(v)
 		c.Distance = distance(conversation, v.ID)
-		c.Old = g.replacedFor(x, v.Weights[p.Model], time.Now()) > oldFrom
+		c.Old = g.replacedFor(x, v.Weights[x.wire.Prompt.Model], now) > oldFrom
 	}
 	return c
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -46,6 +46,11 @@
 	reason string
 }
 
+// needsEngine reports that the request has a prompt for a model engine.
+func (x *exchange) needsEngine() bool {
+	return x.wire.Prompt != nil && x.service.Engine != nil
+}
+
 func (x *exchange) priority() *int {
 	p := x.route.Priority
 	if x.account != nil && x.account.Priority != nil {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,6 +71,7 @@
 	state   localstate.State
 	stores  storeBook
 	reads   sizeMean
+	line    *line
 	pool    forward.Pool
 	budgets retry.Shares
 	running node.Inflight
@@ -91,6 +92,7 @@
 func (g *Gateway) Run(ctx context.Context) error {
 	g.state.Log = g.Log
 	g.restarted = make(chan struct{}, 1)
+	g.line = newLine(g)
 	g.budgets = retry.Shares{Ratio: g.Settings.Bounds.RetryRatio, Window: g.Settings.Bounds.RetryWindow, Slack: g.Settings.Bounds.RetrySlack}
 	g.server = g.newServer()
 	g.listener = &callerListener{Listener: node.Listener{Listener: g.Callers}, idles: g.idles, log: g.Log}
@@ -121,6 +123,7 @@
 		&serverController{name: "callers", server: g.server, listener: g.listener},
 		&serverController{name: "readiness", server: &http.Server{Handler: http.HandlerFunc(g.ready), ReadHeaderTimeout: mostHeaderTimeout}, listener: g.Readiness},
 		&sweeper{pool: &g.pool},
+		g.line,
 		peers,
 		&agents{gateway: g, pool: peers},
 	)
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -195,6 +195,11 @@
 	verdictStopping = "stopping"
 	verdictLeft     = "caller-left"
 	verdictTimedOut = "timed-out"
+	verdictNoRunner = "no-runner"
+	// verdictNoRoom says that no engine had room in time, verdictLeftLine that the request's time or its caller's patience ended
+	// before one had.
+	verdictNoRoom   = "no-room"
+	verdictLeftLine = "left-while-waiting"
 )
 
 // again decides whether another attempt may follow; it returns why not, or nothing.
@@ -210,7 +215,7 @@
 	case x.maybeRan && (x.route.Once() || x.began && !x.route.Resumable):
 		return "may-have-run"
 	case x.exhausted:
-		return "no-runner"
+		return x.reason
 	case x.ends.Sub(now) < leastTime:
 		return "no-time-left"
 	default:
--- /dev/null
+++ b/gateway/line.go
@@ -0,0 +1,233 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rillreach/rillreach/admission"
+	"github.com/rillreach/rillreach/internal/pause"
+	"github.com/rillreach/rillreach/place"
+	"github.com/rillreach/rillreach/roster"
+)
+
+const (
+	// linePause is the least time between two looks at the waiting requests, which bounds what they cost.
+	linePause = 5 * time.Millisecond
+	// lineIdle is the longest time between two looks while requests wait, in case no report comes.
+	lineIdle = 20 * time.Millisecond
+	// mostBlocked is how many requests in a row may find no room before a look ends.
+	mostBlocked = 8
+)
+
+// waitingRequest is one request that waits for room at an engine.
+type waitingRequest struct {
+	exchange *exchange
+	request  admission.Request
+	// decided is told once what becomes of it.
+	decided chan decision
+}
+
+// decision is what became of a waiting request: a target, or why it has none.
+type decision struct {
+	target  *target
+	verdict string
+}
+
+// line holds the requests that wait at this entry for room at a model engine.
+type line struct {
+	gateway *Gateway
+
+	mu      sync.Mutex
+	waiting []*waitingRequest
+	backlog admission.Backlog
+	wake    chan struct{}
+}
+
+func newLine(g *Gateway) *line {
+	return &line{gateway: g, wake: make(chan struct{}, 1)}
+}
+
+// Name is the controller's name.
+func (l *line) Name() string { return "admit-waiting" }
+
+// Run admits waiting requests as room comes back, until the context ends.
+func (l *line) Run(ctx context.Context) error {
+	ticker := time.NewTicker(lineIdle)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-l.wake:
+		case <-ticker.C:
+		}
+		l.look(time.Now())
+		pause.For(ctx, linePause)
+	}
+}
+
+// changed has the waiting requests looked at soon, since something is known anew of an engine.
+func (l *line) changed() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// admit waits until the request may go to an engine, and says why where it may not.
+func (l *line) admit(ctx context.Context, x *exchange) (*target, string) {
+	w := &waitingRequest{exchange: x, request: x.admission(), decided: make(chan decision, 1)}
+	if d, done := l.enter(w, time.Now()); done {
+		return d.target, d.verdict
+	}
+	l.changed()
+	select {
+	case d := <-w.decided:
+		return d.target, d.verdict
+	case <-ctx.Done():
+	}
+	if l.leave(w) {
+		return nil, verdictLeftLine
+	}
+	d := <-w.decided // it was decided just now
+	return d.target, d.verdict
+}
+
+// enter decides on a request that nobody waits before, or has it wait.
+func (l *line) enter(w *waitingRequest, now time.Time) (decision, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.waiting) == 0 || w.request.Begun {
+		if d, done := l.decide(w, nil, now); done {
+			return d, true
+		}
+	}
+	l.waiting = append(l.waiting, w)
+	return decision{}, false
+}
+
+// leave takes a request off the line; it reports whether that was still there.
+func (l *line) leave(w *waitingRequest) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	i := slices.Index(l.waiting, w)
+	if i < 0 {
+		return false
+	}
+	l.waiting = slices.Delete(l.waiting, i, i+1)
+	return true
+}
+
+// look admits those that wait in their order. One that finds no room keeps the engine that has the most for itself, so that those
+// behind it, which may be smaller, don't take room there as it comes back.
+func (l *line) look(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.waiting) == 0 {
+		return
+	}
+	slices.SortStableFunc(l.waiting, func(a, b *waitingRequest) int { return admission.Compare(a.request, b.request, now) })
+	claimed := map[*roster.Runner]bool{}
+	blocked := 0
+	l.waiting = slices.DeleteFunc(l.waiting, func(w *waitingRequest) bool {
+		if blocked >= mostBlocked && !w.request.Lost(now) {
+			return false
+		}
+		d, done := l.decide(w, claimed, now)
+		if !done {
+			blocked++
+			return false
+		}
+		if d.target != nil {
+			l.backlog.Admitted(now, w.request.Tokens)
+		}
+		w.decided <- d
+		return true
+	})
+}
+
+// decide admits a request, or ends its wait; it reports whether it did either.
+func (l *line) decide(w *waitingRequest, claimed map[*roster.Runner]bool, now time.Time) (decision, bool) {
+	g, x := l.gateway, w.exchange
+	o := g.options(x, now)
+	if len(o.views) == 0 {
+		return decision{verdict: verdictNoRunner}, true
+	}
+	choice, room := g.chooseWithRoom(o, claimed, l.senders(claimed))
+	switch {
+	case choice.Index >= 0:
+		return decision{target: g.assign(x, o, choice, now)}, true
+	case w.request.Lost(now):
+		return decision{verdict: verdictNoRoom}, true
+	case room >= 0 && claimed != nil:
+		claimed[o.runners[room]] = true
+	}
+	return decision{}, false
+}
+
+// senders is how many entries are taken to send at the same time.
+func (l *line) senders(claimed map[*roster.Runner]bool) int {
+	if claimed == nil {
+		return 1 // nobody waits here
+	}
+	return l.gateway.budgets.Entries()
+}
+
+// chooseWithRoom chooses among the engines that have room, and gives the one with the most where none has enough.
+func (g *Gateway) chooseWithRoom(o *options, claimed map[*roster.Runner]bool, senders int) (choice place.Choice, most int) {
+	admitted := make([]place.Candidate, 0, len(o.views))
+	index := make([]int, 0, len(o.views))
+	most = -1
+	good := o.anyGood()
+	for i := range o.views {
+		if good && (o.candidates[i].Avoid || o.candidates[i].Tried) || claimed[o.runners[i]] {
+			continue
+		}
+		room := roomOf(&o.views[i], &o.candidates[i], senders)
+		if room.Admits(o.question.Tokens) {
+			admitted = append(admitted, o.candidates[i])
+			index = append(index, i)
+		}
+		if most < 0 || room.Free() > roomOf(&o.views[most], &o.candidates[most], senders).Free() {
+			most = i
+		}
+	}
+	if len(admitted) == 0 {
+		return place.Choice{Index: -1}, most
+	}
+	choice = place.Choose(o.question, admitted, g.offset(len(admitted)))
+	choice.Index = index[choice.Index]
+	return choice, most
+}
+
+// anyGood reports that an engine is there that nothing speaks against.
+func (o *options) anyGood() bool {
+	return slices.ContainsFunc(o.candidates, func(c place.Candidate) bool { return !c.Avoid && !c.Tried })
+}
+
+// roomOf is the room at an engine, by its report where there is one, else by this entry's own requests.
+func roomOf(v *roster.View, c *place.Candidate, senders int) admission.Room {
+	if !v.Reported {
+		return admission.Room{Capacity: c.Capacity, Used: v.Held}
+	}
+	return admission.Room{Capacity: c.Capacity, Used: max(v.Load.Used, 0), Sent: v.SentHeld, Senders: senders, Waiting: v.Load.Waiting > 0}
+}
+
+// admission is what the line has to know of the request.
+func (x *exchange) admission() admission.Request {
+	r := admission.Request{
+		Arrived: x.arrived, Due: x.arrived.Add(x.route.Target), End: x.ends, Need: leastFirst,
+		Tokens: x.wire.Prompt.Tokens + x.wire.Prompt.MaxOut, Begun: x.began,
+	}
+	if quiet := x.route.Quiet(); quiet > 0 && !x.began {
+		if left := x.arrived.Add(quiet); left.Before(r.End) {
+			r.End = left
+		}
+	}
+	return r
+}
+
+// leastFirst is the least time from the send of a prompt to its first token.
+const leastFirst = 50 * time.Millisecond
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -97,6 +97,7 @@
 			Running: b.Load.Running, Waiting: b.Load.Waiting, Used: b.Load.Used,
 			Unread: b.Load.Unread, Silent: b.Load.Silent, Busy: b.Load.Loading, Leaving: b.Load.Leaving, Weights: b.Load.Weights,
 		}})
+		g.line.changed()
 	}
 	for _, w := range b.Named {
 		g.state.AdoptWeights(w)
--- a/gateway/work.go
+++ b/gateway/work.go
@@ -36,6 +36,7 @@
 		w.target.runner.Drop(w.sent, w.target.reading)
 	}
 	w.target.runner.End(w.target.held)
+	w.gateway.line.changed()
 }
 
 // noteWait records how long the request waited at its runner for its first token. One that begins on weights replaced longer ago than
--- a/retry/shares.go
+++ b/retry/shares.go
@@ -44,6 +44,21 @@
 	s.entries = n
 }
 
+// Entries is how many entries share the slack, as far as is known.
+func (s *Shares) Entries() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sharing()
+}
+
+// sharing is the number of entries, or a guess while nobody has said it.
+func (s *Shares) sharing() int {
+	if s.entries == 0 {
+		return DefaultEntries
+	}
+	return s.entries
+}
+
 // Request counts a caller's request for the service.
 func (s *Shares) Request(now time.Time, service rillreach.ServiceID) {
 	s.mu.Lock()
@@ -100,11 +115,7 @@
 		requests += w.requests[k]
 		repeats += w.repeats[k]
 	}
-	entries := s.entries
-	if entries == 0 {
-		entries = DefaultEntries
-	}
-	return repeats, shareOf * (s.Ratio*float64(requests) + s.Slack/float64(entries))
+	return repeats, shareOf * (s.Ratio*float64(requests) + s.Slack/float64(s.sharing()))
 }
 
 // window gives the counts of a service and the index of the current span, with those that are over emptied.
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -18,6 +18,9 @@
 	failureMemory = 0.15
 	// reportAge is how old a runner's own report may be and still count.
 	reportAge = 2 * time.Second
+	// reportLag is how long before its arrival a report was made at the most: an agent asks its runner every 40 ms, and its word
+	// takes some milliseconds from another zone.
+	reportLag = 60 * time.Millisecond
 )
 
 // Report is what a runner's agent says of it.
@@ -46,6 +49,8 @@
 	// weights were told by the runner's own answers; they go before the list where they are newer.
 	weights map[rillreach.ModelID]deployment.WeightVersion
 	leaving bool
+	// sent are this process's latest requests, which the report may not show yet.
+	sent recentSends
 }
 
 // View is a copy of what is known of a runner at one moment.
@@ -65,6 +70,9 @@
 	Load     deployment.Load
 	Reported bool
 	Heard    time.Time
+	// SentHeld and SentReading are what this process's requests take and read that the report may not show yet, in tokens.
+	SentHeld    int
+	SentReading int
 }
 
 // View copies what is known.
@@ -75,6 +83,7 @@
 		Runner: r.info, Running: r.running, Reading: r.reading, Held: r.held, Avoid: now.Before(r.avoid), Failures: r.failures,
 		Wait: r.wait.expected(now), Load: r.report.Load, Reported: !r.report.At.IsZero() && now.Sub(r.report.At) < reportAge, Heard: r.heard,
 	}
+	v.SentHeld, v.SentReading = r.sent.since(r.report.At.Add(-reportLag))
 	v.Leaving = v.Leaving || r.leaving || v.Reported && r.report.Load.Leaving
 	if len(r.weights) > 0 || v.Reported {
 		v.Weights = maps.Clone(v.Weights)
@@ -97,6 +106,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.wait.sent(now)
+	r.sent.add(now, reading, held)
 	r.running++
 	r.reading += reading
 	r.held += held
@@ -181,6 +191,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.report = report
+	r.sent.forget(report.At.Add(-reportLag))
 }
 
 // Info is the runner as the platform lists it.
