Learn how long prompts take to their first token

Cause: the estimate of the first token had one customer's engine in it (45,000 tokens a second, 16 ms, 1.5 ms a running request, 600 ms for a whole memory), which is half of the truth on other machines. Change: package predict fits a line (time beside reading, time for each token) to the waits of an entry's own requests, a hundred back, with a prior, bounds, and no absurd observations; place takes the speed with the question, and memory that has to be given back as a cost of its own.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -21,8 +21,10 @@
 	runner *roster.Runner
 	view   roster.View
 	choice place.Choice
-	// reading is how many tokens the runner is expected to read, held how many the request takes there.
+	// reading is how many tokens the runner is expected to read for the request, before how many it reads before that, and held how
+	// many the request takes there.
 	reading int
+	before  int
 	held    int
 	weights deployment.WeightVersion
 	// kept and plan say which parts of the prompt are where, and how the runner comes to them.
@@ -86,7 +88,7 @@
 	i := choice.Index
 	t := &target{
 		runner: o.runners[i], view: o.views[i], choice: choice, held: o.question.Tokens, plan: o.plans[i],
-		reading: o.candidates[i].Missing,
+		reading: o.candidates[i].Missing, before: o.candidates[i].Reading,
 	}
 	if x.needsEngine() {
 		t.weights = t.view.Weights[x.wire.Prompt.Model]
@@ -116,6 +118,7 @@
 	q := place.Question{Target: x.route.Target - now.Sub(x.arrived), Bytes: len(x.call.Body)}
 	if x.needsEngine() {
 		q.Tokens = x.wire.Prompt.Tokens + x.wire.Prompt.MaxOut
+		q.Speed = g.firsts.of(x.service.Name)
 	}
 	return q
 }
--- /dev/null
+++ b/gateway/firsts.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/predict"
+)
+
+// firstTokens learns for each service how long prompts take to their first token; its zero value knows nothing.
+type firstTokens struct {
+	mu        sync.Mutex
+	byService map[rillreach.ServiceID]*predict.FirstToken
+}
+
+// of is how fast the service's engines are.
+func (f *firstTokens) of(service rillreach.ServiceID) predict.Speed {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if known := f.byService[service]; known != nil {
+		return known.Speed()
+	}
+	return predict.Prior()
+}
+
+// observe learns from a request that had its first token after the wait.
+func (f *firstTokens) observe(x *exchange, t *target, wait time.Duration) {
+	if !x.needsEngine() {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.byService == nil {
+		f.byService = map[rillreach.ServiceID]*predict.FirstToken{}
+	}
+	known := f.byService[x.service.Name]
+	if known == nil {
+		known = &predict.FirstToken{}
+		f.byService[x.service.Name] = known
+	}
+	known.Observe(t.before+t.reading, wait-t.plan.Time)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,6 +71,7 @@
 	state   localstate.State
 	stores  storeBook
 	reads   sizeMean
+	firsts  firstTokens
 	line    *line
 	pool    forward.Pool
 	budgets retry.Shares
--- a/gateway/work.go
+++ b/gateway/work.go
@@ -26,6 +26,7 @@
 	w.read = true
 	now := time.Now()
 	w.target.runner.First(now, w.sent, w.target.reading)
+	w.gateway.firsts.observe(w.exchange, w.target, now.Sub(w.sent))
 	w.gateway.noteWait(w.exchange, w.target, now.Sub(w.sent), now)
 }
 
--- a/place/choose.go
+++ b/place/choose.go
@@ -1,6 +1,10 @@
 package place
 
-import "time"
+import (
+	"time"
+
+	"github.com/rillreach/rillreach/predict"
+)
 
 // Candidate is a runner that may take a request.
 type Candidate struct {
@@ -37,6 +41,8 @@
 	Bytes int
 	// Target is the time to the first event that the caller expects.
 	Target time.Duration
+	// Speed is how fast engines have been of late.
+	Speed predict.Speed
 }
 
 // Weights of the costs, in shares of the worth of one request of the long kind. They come from the users' prices: reading
@@ -47,6 +53,8 @@
 	costPerByteAfar     = 7400e-9 / 2.6
 	costLate            = 0.8
 	costOld             = 0.2
+	// costFull is for a runner whose whole memory has to be given back before the request begins.
+	costFull = 1.0
 	// costFailure is for a runner that fails every request.
 	costFailure = 1.0
 	// costTie keeps the runner that does the least ahead where nothing else tells runners apart.
@@ -59,35 +67,17 @@
 	costAvoid = 100
 )
 
-// Speeds of an engine, as the users' sheet gives them.
-const (
-	// readPerSecond is below the sheet's 56,900 by the steps for other requests' tokens between the pieces of 1,024.
-	readPerSecond = 45000
-	// firstStep is the time from the end of reading to the first event.
-	firstStep = 16 * time.Millisecond
-	// stepShare is what each request that runs adds to the first event's time.
-	stepShare = 1500 * time.Microsecond
-)
-
 // Estimate is the expected time to the first event at a candidate.
 func Estimate(q Question, c Candidate) time.Duration {
-	reading := time.Duration(float64(c.Reading+c.Missing) / readPerSecond * float64(time.Second))
-	wait := reading + c.FetchTime + firstStep + time.Duration(c.Running)*stepShare
-	if over := c.Held + q.Tokens - c.Capacity; c.Capacity > 0 && over > 0 {
-		wait += time.Duration(float64(over) / float64(c.Capacity) * float64(memoryWait))
-	}
-	return wait
+	return c.FetchTime + q.Speed.Time(c.Reading+c.Missing)
 }
 
-// memoryWait is how long a request waits for a runner's whole memory to be given back: some four long prompts in a row.
-const memoryWait = 600 * time.Millisecond
-
 // Cost is what a candidate costs; the least is chosen.
 func Cost(q Question, c Candidate) float64 {
 	cost := costTie * float64(c.Running)
 	if q.Tokens > 0 {
 		cost += costPerMissingToken*float64(c.Again) + costPerFetchedToken*float64(c.Fetched+2*c.FetchedAfar)
-		cost += costLate*lateness(Estimate(q, c), q.Target) + costDistance*c.Distance
+		cost += costLate*lateness(Estimate(q, c), q.Target) + costFull*overfull(q, c) + costDistance*c.Distance
 	} else if c.Slots > 0 {
 		full := float64(c.Running+1) / float64(c.Slots)
 		cost += costLate * full * full / 2
@@ -108,6 +98,14 @@
 	return cost
 }
 
+// overfull is the part of a candidate's memory that the request lacks there.
+func overfull(q Question, c Candidate) float64 {
+	if c.Capacity <= 0 {
+		return 0
+	}
+	return max(0, float64(c.Held+q.Tokens-c.Capacity)/float64(c.Capacity))
+}
+
 // lateness is how likely an answer is late: nothing up to a third of the target, certain at half more than the target.
 func lateness(estimate, target time.Duration) float64 {
 	if target <= 0 {
--- a/place/choose_test.go
+++ b/place/choose_test.go
@@ -5,10 +5,15 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/rillreach/rillreach/predict"
 )
 
+// speed is that of engines in these tests.
+var speed = predict.Speed{PerToken: 22 * time.Microsecond, Base: 16 * time.Millisecond}
+
 func TestChoose(t *testing.T) {
-	prompt := Question{Tokens: 9200, Bytes: 18000, Target: 500 * time.Millisecond}
+	prompt := Question{Tokens: 9200, Bytes: 18000, Target: 500 * time.Millisecond, Speed: speed}
 	plain := Question{Target: 150 * time.Millisecond}
 	cases := []struct {
 		name       string
--- /dev/null
+++ b/predict/predict_test.go
@@ -0,0 +1,54 @@
+package predict
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+func TestFirstToken(t *testing.T) {
+	t.Run("nothing seen gives the prior", func(t *testing.T) {
+		var f FirstToken
+		assert.Equal(t, Prior(), f.Speed())
+	})
+	t.Run("the first observations change little", func(t *testing.T) {
+		var f FirstToken
+		f.Observe(8000, 80*time.Millisecond)
+		assert.Greater(t, f.Speed().Time(8000), 300*time.Millisecond)
+	})
+	t.Run("the line behind noisy times is found, and found again after it has changed", func(t *testing.T) {
+		var f FirstToken
+		random := rand.New(rand.NewPCG(1, 1))
+		for _, truth := range []Speed{{PerToken: 20 * time.Microsecond, Base: 40 * time.Millisecond}, {PerToken: 80 * time.Microsecond, Base: 10 * time.Millisecond}} {
+			for range 600 {
+				tokens := random.IntN(12000)
+				noise := 0.5 + random.Float64()
+				f.Observe(tokens, time.Duration(noise*float64(truth.Time(tokens))))
+			}
+			assert.InEpsilon(t, truth.Time(10000).Seconds(), f.Speed().Time(10000).Seconds(), 0.2)
+		}
+	})
+	t.Run("absurd observations are not taken", func(t *testing.T) {
+		var f FirstToken
+		f.Observe(-1, time.Second)
+		f.Observe(100, -time.Second)
+		f.Observe(100, time.Hour)
+		assert.Equal(t, Prior(), f.Speed())
+	})
+	t.Run("what is learned stays within its bounds", func(t *testing.T) {
+		rapid.Check(t, func(t *rapid.T) {
+			var f FirstToken
+			for range rapid.IntRange(1, 50).Draw(t, "observations") {
+				f.Observe(rapid.IntRange(-10, 100000).Draw(t, "tokens"), time.Duration(rapid.Int64Range(-1, int64(time.Minute)).Draw(t, "wait")))
+			}
+			s := f.Speed()
+			assert.GreaterOrEqual(t, s.PerToken, leastPerToken)
+			assert.LessOrEqual(t, s.PerToken, mostPerToken)
+			assert.GreaterOrEqual(t, s.Base, time.Duration(0))
+			assert.LessOrEqual(t, s.Base, mostBase)
+		})
+	})
+}
