Bound what an engine has ahead by time instead of an empty queue

Cause: an engine reads prompts one after the other, so that one waits there while its memory has room; the line took that for a full engine, and sent nothing until the next report (40 to 150 ms). Change: admission.Room counts what waits at the engine as tokens, and admits up to 250 ms of reading ahead by the learned speed.

--- a/admission/room.go
+++ b/admission/room.go
@@ -1,32 +1,39 @@
 package admission
 
+import "time"
+
 // fillShare is the part of an engine's memory that admitted requests may take. The rest is for answers, which grow, and for what
 // other entries send between two reports: about one prompt for each engine.
 const fillShare = 0.75
 
-// Room is what is known of an engine's memory, in tokens.
+// mostAhead is how long an engine may already have to read before it is sent another prompt: for two of the times after which an
+// entry hears of it again, so that it has work until then, and waiting requests can still go elsewhere.
+const mostAhead = 250 * time.Millisecond
+
+// Room is what is known of an engine's memory, in tokens, and of its work.
 type Room struct {
 	// Capacity is the engine's memory; zero means that it isn't known, and doesn't count.
 	Capacity int
-	// Used is what running requests take, by the engine's report.
-	Used int
+	// Used is what running requests take, Queued what those take that wait at the engine, by its report.
+	Used   int
+	Queued int
 	// Sent is what this entry's requests take that were sent since the report was made.
 	Sent int
 	// Senders is how many entries are taken to send as much meanwhile: all of them while requests wait, since each sees the same
 	// room come back, and each would fill it.
 	Senders int
-	// Waiting says that requests wait at the engine itself.
-	Waiting bool
+	// Ahead is how long the engine reads what it has.
+	Ahead time.Duration
 }
 
 // Admits reports that a request that takes the tokens fits now. An engine that does nothing admits any request, since waiting
 // brings no more room.
 func (r Room) Admits(tokens int) bool {
 	taken := r.taken()
-	if r.Capacity <= 0 || taken <= 0 && !r.Waiting {
+	if r.Capacity <= 0 || taken <= 0 {
 		return true
 	}
-	return !r.Waiting && float64(taken+tokens) <= fillShare*float64(r.Capacity)
+	return r.Ahead <= mostAhead && float64(taken+tokens) <= fillShare*float64(r.Capacity)
 }
 
 // Free is how many tokens an engine admits beside what it has; it may be negative.
@@ -36,5 +43,5 @@
 
 // taken is what all requests are expected to take.
 func (r Room) taken() int {
-	return r.Used + r.Sent*max(r.Senders, 1)
+	return r.Used + r.Queued + r.Sent*max(r.Senders, 1)
 }
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -95,6 +95,7 @@
 		t.kept = o.states[t.weights]
 		g.bookMoves(t, now)
 		g.reads.add(t.reading)
+		g.sizes.add(t.held)
 	}
 	t.work = g.begin(x, t)
 	g.logChoice(x, t, len(o.candidates), now)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,6 +71,7 @@
 	state   localstate.State
 	stores  storeBook
 	reads   sizeMean
+	sizes   sizeMean
 	firsts  firstTokens
 	line    *line
 	pool    forward.Pool
--- a/gateway/line.go
+++ b/gateway/line.go
@@ -185,12 +185,12 @@
 		if good && (o.candidates[i].Avoid || o.candidates[i].Tried) || claimed[o.runners[i]] {
 			continue
 		}
-		room := roomOf(&o.views[i], &o.candidates[i], senders)
+		room := g.roomOf(o, i, senders)
 		if room.Admits(o.question.Tokens) {
 			admitted = append(admitted, o.candidates[i])
 			index = append(index, i)
 		}
-		if most < 0 || room.Free() > roomOf(&o.views[most], &o.candidates[most], senders).Free() {
+		if most < 0 || room.Free() > g.roomOf(o, most, senders).Free() {
 			most = i
 		}
 	}
@@ -208,11 +208,15 @@
 }
 
 // roomOf is the room at an engine, by its report where there is one, else by this entry's own requests.
-func roomOf(v *roster.View, c *place.Candidate, senders int) admission.Room {
+func (g *Gateway) roomOf(o *options, i, senders int) admission.Room {
+	v, c := &o.views[i], &o.candidates[i]
 	if !v.Reported {
 		return admission.Room{Capacity: c.Capacity, Used: v.Held}
 	}
-	return admission.Room{Capacity: c.Capacity, Used: max(v.Load.Used, 0), Sent: v.SentHeld, Senders: senders, Waiting: v.Load.Waiting > 0}
+	return admission.Room{
+		Capacity: c.Capacity, Used: max(v.Load.Used, 0), Queued: v.Load.Waiting * g.sizes.mean(), Sent: v.SentHeld, Senders: senders,
+		Ahead: time.Duration(c.Reading) * o.question.Speed.PerToken,
+	}
 }
 
 // admission is what the line has to know of the request.
