--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -48,7 +48,7 @@
 
 // options looks at all runners of the request's service.
 func (g *Gateway) options(x *exchange, now time.Time) *options {
-	o := &options{question: g.question(x, now), states: map[deployment.WeightVersion]*promptState{}}
+	o := &options{question: g.question(x), states: map[deployment.WeightVersion]*promptState{}}
 	for _, r := range g.state.Roster.Group(x.service.Name) {
 		v := r.View(now)
 		if !g.fits(x, &v, now) {
@@ -115,8 +115,8 @@
 		"avoided", t.view.Avoid, "listAge", now.Sub(g.state.Roster.Updated()).String())
 }
 
-func (g *Gateway) question(x *exchange, now time.Time) place.Question {
-	q := place.Question{Target: x.route.Target - now.Sub(x.arrived), Bytes: len(x.call.Body)}
+func (g *Gateway) question(x *exchange) place.Question {
+	q := place.Question{Target: x.route.Target}
 	if x.needsEngine() {
 		q.Tokens = x.wire.Prompt.Tokens + x.wire.Prompt.MaxOut
 		q.Speed = g.firsts.of(x.service.Name)
@@ -207,8 +207,6 @@
 	}
 	c.Missing = max(0, own) + plan.Missing
 	c.Again = plan.Again
-	c.Fetched = plan.Fetched - plan.Afar
-	c.FetchedAfar = plan.Afar
 	c.FetchTime = plan.Time
 }
 
--- a/place/choose.go
+++ b/place/choose.go
@@ -16,13 +16,11 @@
 	// Held is how many tokens of memory they take, of Capacity; a capacity of zero means that memory doesn't count.
 	Held     int
 	Capacity int
-	// Missing is how many tokens of the request's prompt the runner would have to read, Fetched how many it would take from
-	// elsewhere, over links of its own zone or of others.
+	// Missing is how many tokens of the request's prompt the runner would have to read.
 	Missing int
 	// Again is how many of the missing tokens are of shared parts, which may have been read before.
-	Again        int
-	Fetched      int
-	FetchedAfar  int
+	Again int
+	// FetchTime is how long it takes to have the rest from elsewhere.
 	FetchTime    time.Duration
 	OtherZone    bool
 	Old          bool
@@ -37,22 +35,23 @@
 type Question struct {
 	// Tokens is the length of the prompt and of the longest answer; zero where the service is no engine.
 	Tokens int
-	// Bytes is what the request would send to another zone.
-	Bytes int
-	// Target is the time to the first event that the caller expects.
+	// Target is the time to the first event that callers expect, also for a request that is late already: engines that come to it
+	// soon are as much better for it.
 	Target time.Duration
 	// Speed is how fast engines have been of late.
 	Speed predict.Speed
 }
 
-// Weights of the costs, in shares of the worth of one request of the long kind. They come from the users' prices: reading
-// 1,000 tokens again 0.35, moving a gigabyte 0.35, a gigabyte between zones 7,400, each over a worth of 2.6.
+// Weights of the costs, against that of a late answer. What takes an engine's time is measured by the time that callers expect
+// for the first event, so that none of them depends on what an operator's machines cost.
 const (
-	costPerMissingToken = 0.35e-3 / 2.6
-	costPerFetchedToken = 0.35 * 18.4e-6 / 2.6
-	costPerByteAfar     = 7400e-9 / 2.6
-	costLate            = 0.8
-	costOld             = 0.2
+	// costAgain is for reading, for the whole of the expected time, what some runner has read already: that work is all in vain.
+	costAgain = 3.0
+	// costOtherZone is for the bytes and the delay between zones where nothing else tells runners apart.
+	costOtherZone = 0.02
+	// costLate is for an answer that is late for sure, costOld for one on replaced weights, which callers have less of.
+	costLate = 0.8
+	costOld  = 0.2
 	// costFull is for a runner whose whole memory has to be given back before the request begins.
 	costFull = 1.0
 	// costFailure is for a runner that fails every request.
@@ -76,14 +75,14 @@
 func Cost(q Question, c Candidate) float64 {
 	cost := costTie * float64(c.Running)
 	if q.Tokens > 0 {
-		cost += costPerMissingToken*float64(c.Again) + costPerFetchedToken*float64(c.Fetched+2*c.FetchedAfar)
+		cost += costAgain * share(time.Duration(c.Again)*q.Speed.PerToken, q.Target)
 		cost += costLate*lateness(Estimate(q, c), q.Target) + costFull*overfull(q, c) + costDistance*c.Distance
 	} else if c.Slots > 0 {
 		full := float64(c.Running+1) / float64(c.Slots)
 		cost += costLate * full * full / 2
 	}
 	if c.OtherZone {
-		cost += costPerByteAfar * float64(q.Bytes)
+		cost += costOtherZone
 	}
 	if c.Old {
 		cost += costOld
@@ -108,14 +107,15 @@
 
 // lateness is how likely an answer is late: nothing up to a third of the target, certain at half more than the target.
 func lateness(estimate, target time.Duration) float64 {
+	return max(0, (share(estimate, target)-lateFrom)/(lateSure-lateFrom))
+}
+
+// share is a time as a part of the target; nothing where there is no target.
+func share(d, target time.Duration) float64 {
 	if target <= 0 {
 		return 0
 	}
-	x := (float64(estimate)/float64(target) - lateFrom) / (lateSure - lateFrom)
-	if x <= 0 {
-		return 0
-	}
-	return x
+	return float64(d) / float64(target)
 }
 
 const (
