Shed requests that the backlog keeps from an engine, and move streams only where there is room

Cause: in an overload that lasts, requests that can be in time overtake late ones, which were held until their caller's patience ended and refused then; and a stream left its runner whenever another was listed, whether that had room or not, spent its last runner on it, and was cut. Ruled out: refusing whatever can't be in time as it comes (a late answer serves its caller where the load passes; not run). Change: at each look a request whose predecessors won't be admitted before its caller has gone is refused, with a time to come back by the backlog; a stream moves on only where an engine that nothing speaks against admits it, counting what all entries may send there.

--- a/gateway/line.go
+++ b/gateway/line.go
@@ -104,9 +104,8 @@
 			return d, true
 		}
 	}
-	if wait, known := l.backlog.Wait(now, l.tokensBefore(w, now)); known && w.request.Lost(now.Add(wait)) {
-		w.exchange.comeBack = wait
-		return decision{verdict: verdictBacklog}, true
+	if d, done := l.shed(w, l.tokensBefore(w, now), now); done {
+		return d, true
 	}
 	l.waiting = append(l.waiting, w)
 	return decision{}, false
@@ -145,14 +144,18 @@
 	}
 	slices.SortStableFunc(l.waiting, func(a, b *waitingRequest) int { return admission.Compare(a.request, b.request, now) })
 	claimed := map[*roster.Runner]bool{}
-	blocked := 0
+	blocked, before := 0, 0
 	l.waiting = slices.DeleteFunc(l.waiting, func(w *waitingRequest) bool {
-		if blocked >= mostBlocked && !w.request.Lost(now) {
-			return false
+		d, done := decision{}, false
+		if blocked < mostBlocked {
+			d, done = l.decide(w, claimed, now)
+		}
+		if !done {
+			d, done = l.shed(w, before, now)
 		}
-		d, done := l.decide(w, claimed, now)
 		if !done {
 			blocked++
+			before += w.request.Tokens
 			return false
 		}
 		if d.target != nil {
@@ -163,6 +166,18 @@
 	})
 }
 
+// shed ends the wait of a request that those before it keep from an engine until its caller has gone; it reports whether it did.
+// Under a load that lasts, requests that can be in time overtake those that are late: each of these would be held until the end of
+// its caller's patience, and take the room of others at last.
+func (l *line) shed(w *waitingRequest, before int, now time.Time) (decision, bool) {
+	wait, known := l.backlog.Wait(now, before)
+	if !known || !w.request.Lost(now.Add(wait)) {
+		return decision{}, false
+	}
+	w.exchange.comeBack = wait
+	return decision{verdict: verdictBacklog}, true
+}
+
 // decide admits a request, or ends its wait; it reports whether it did either.
 func (l *line) decide(w *waitingRequest, claimed map[*roster.Runner]bool, now time.Time) (decision, bool) {
 	g, x := l.gateway, w.exchange
@@ -208,7 +223,7 @@
 	most = -1
 	good := o.anyGood()
 	for i := range o.views {
-		if good && (o.candidates[i].Avoid || o.candidates[i].Tried) || claimed[o.runners[i]] {
+		if good && !o.candidates[i].Suits() || claimed[o.runners[i]] {
 			continue
 		}
 		room := g.roomOf(o, i, senders)
@@ -230,7 +245,7 @@
 
 // anyGood reports that an engine is there that nothing speaks against.
 func (o *options) anyGood() bool {
-	return slices.ContainsFunc(o.candidates, func(c place.Candidate) bool { return !c.Avoid && !c.Tried })
+	return slices.ContainsFunc(o.candidates, func(c place.Candidate) bool { return c.Suits() })
 }
 
 // roomOf is the room at an engine, by its report where there is one, else by this entry's own requests.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -183,7 +183,7 @@
 	if !x.route.Resumable || x.lastEvent == "" || !x.mayMove() || x.ends.Sub(now) < x.route.Target {
 		return false
 	}
-	if v := t.runner.View(now); !v.Reported || !v.Load.Busy || !g.budgets.Allows(now, x.service.Name) || !g.hasOther(x, t, now) {
+	if v := t.runner.View(now); !v.Reported || !v.Load.Busy || !g.budgets.Allows(now, x.service.Name) || !g.hasOther(x, t, now) || !g.hasRoomElsewhere(x, now) {
 		return false
 	}
 	x.maybeRan, x.reason = true, "runner-empties"
@@ -191,6 +191,17 @@
 	return true
 }
 
+// hasRoomElsewhere reports that an engine that nothing speaks against would begin on the request now. A stream that leaves for one that
+// refuses it has no runner left, and its answer is cut.
+func (g *Gateway) hasRoomElsewhere(x *exchange, now time.Time) bool {
+	if !x.needsEngine() {
+		return true
+	}
+	o := g.options(x, now)
+	choice, _ := g.chooseWithRoom(o, nil, g.budgets.Entries())
+	return choice.Index >= 0 && o.candidates[choice.Index].Suits()
+}
+
 // hasOther reports that another runner than the target may well take the request now.
 func (g *Gateway) hasOther(x *exchange, t *target, now time.Time) bool {
 	for _, r := range g.state.Roster.Group(x.service.Name) {
--- a/place/choose.go
+++ b/place/choose.go
@@ -31,6 +31,9 @@
 	Distance float64
 }
 
+// Suits reports that nothing speaks against the candidate.
+func (c *Candidate) Suits() bool { return !c.Avoid && !c.Tried }
+
 // Question is what a request needs.
 type Question struct {
 	// Tokens is the length of the prompt and of the longest answer; zero where the service is no engine.
