Say in logs and metrics how requests wait, and use no report that can't be true

Cause: nothing told how many prompts wait at an entry, how far off its expectations were, or on what speed a choice rested; a report with negative or impossible numbers would have counted. Ruled out: failing the whole message for one such number (the weights and stores that it tells of are still true).

--- a/deployment/runner.go
+++ b/deployment/runner.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/rillreach/rillreach"
 )
 
@@ -54,3 +56,19 @@
 	// Clock is the runners' common clock at the time of the report.
 	Clock time.Time
 }
+
+// mostReported is more requests, or tokens, than any runner can have; a report beyond it was misread or made up.
+const mostReported = 1 << 30
+
+// Check reports why the load can't be true.
+func (l *Load) Check() error {
+	for _, n := range []int{l.Waiting, l.Running, l.Unread, l.Used, l.Capacity} {
+		if n < 0 || n > mostReported {
+			return errors.Newf("runner reports a number of %d", n)
+		}
+	}
+	if l.Unread > l.Running {
+		return errors.Newf("runner reports %d unread requests of %d", l.Unread, l.Running)
+	}
+	return nil
+}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -1,16 +1,12 @@
 package gateway
 
 import (
-	"math"
 	"net/netip"
-	"slices"
 	"sync/atomic"
 	"time"
 
-	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/fetch"
-	"github.com/rillreach/rillreach/internal/hash"
 	"github.com/rillreach/rillreach/place"
 	"github.com/rillreach/rillreach/platform"
 	"github.com/rillreach/rillreach/roster"
@@ -36,40 +32,6 @@
 	cancelled atomic.Bool
 }
 
-// options are the runners that may take a request, and what each would do for it.
-type options struct {
-	question   place.Question
-	views      []roster.View
-	runners    []*roster.Runner
-	candidates []place.Candidate
-	plans      []fetch.Plan
-	states     map[deployment.WeightVersion]*promptState
-}
-
-// options looks at all runners of the request's service.
-func (g *Gateway) options(x *exchange, now time.Time) *options {
-	o := &options{question: g.question(x), states: map[deployment.WeightVersion]*promptState{}}
-	for _, r := range g.state.Roster.Group(x.service.Name) {
-		v := r.View(now)
-		if !g.fits(x, &v, now) {
-			continue
-		}
-		o.views = append(o.views, v)
-		o.runners = append(o.runners, r)
-	}
-	conversation := hash.String(conversation(x))
-	o.candidates = make([]place.Candidate, len(o.views))
-	o.plans = make([]fetch.Plan, len(o.views))
-	for i := range o.views {
-		o.candidates[i] = g.candidate(x, &o.views[i], conversation, now)
-		if x.needsEngine() {
-			o.plans[i] = g.planAt(x, &o.views[i], o.views, o.states, now).plan(&o.views[i])
-			addPlan(&o.candidates[i], x.wire.Prompt, &o.plans[i])
-		}
-	}
-	return o
-}
-
 // choose decides on the runner for the next attempt, or returns nil where there is none.
 func (g *Gateway) choose(x *exchange, now time.Time) *target {
 	o := g.options(x, now)
@@ -98,73 +60,24 @@
 		g.sizes.add(t.held)
 	}
 	t.work = g.begin(x, t)
-	g.logChoice(x, t, len(o.candidates), now)
+	g.logChoice(x, t, o, now)
 	return t
 }
 
 // logChoice records what decided on the runner, for whoever has to explain what became of the request.
-func (g *Gateway) logChoice(x *exchange, t *target, candidates int, now time.Time) {
+func (g *Gateway) logChoice(x *exchange, t *target, o *options, now time.Time) {
 	fetchUntil := time.Time{}
 	if t.kept != nil && len(t.plan.From) > 0 {
 		fetchUntil = t.kept.until
 	}
 	g.Log.Info("runner chosen", "decision", "send", "request", x.wire.ID, "account", x.accountName(), "route", x.route.Name,
-		"chosen", t.view.ID, "candidates", candidates, "cost", t.choice.Cost, "estimate", t.choice.Estimate.String(), "attempt", x.sends+1,
+		"chosen", t.view.ID, "candidates", len(o.candidates), "cost", t.choice.Cost, "estimate", t.choice.Estimate.String(), "attempt", x.sends+1,
 		"weights", t.weights, "replacedFor", g.replacedFor(x, t.weights, now).String(),
+		"held", now.Sub(x.arrived).String(), "before", t.before, "perToken", o.question.Speed.PerToken.String(), "base", o.question.Speed.Base.String(),
 		"missing", t.reading, "again", t.plan.Again, "fetched", t.plan.Fetched, "fetchUntil", fetchUntil,
 		"avoided", t.view.Avoid, "listAge", now.Sub(g.state.Roster.Updated()).String())
 }
 
-func (g *Gateway) question(x *exchange) place.Question {
-	q := place.Question{Target: x.route.Target}
-	if x.needsEngine() {
-		q.Tokens = x.wire.Prompt.Tokens + x.wire.Prompt.MaxOut
-		q.Speed = g.firsts.of(x.service.Name)
-	}
-	return q
-}
-
-// candidate is a runner as the choice sees it, for a conversation by its hash.
-func (g *Gateway) candidate(x *exchange, v *roster.View, conversation uint64, now time.Time) place.Candidate {
-	c := place.Candidate{
-		Running:      v.Running,
-		Slots:        v.Slots,
-		Reading:      v.Reading,
-		Held:         v.Held,
-		OtherZone:    v.Zone != g.Settings.Zone,
-		Avoid:        v.Avoid,
-		Tried:        slices.Contains(x.tried, v.ID),
-		FailureShare: v.Failures,
-	}
-	if x.needsEngine() {
-		c.Capacity = x.service.Engine.CapacityTokens
-		if v.Reported {
-			c.Running = max(c.Running, v.Load.Running+v.Load.Waiting)
-			c.Reading = max(c.Reading, (v.Load.Unread+v.Load.Waiting)*g.reads.mean()+v.SentReading)
-			c.Held = max(c.Held, v.Load.Used+v.SentHeld)
-		}
-		c.Avoid = avoided(v)
-		c.Distance = distance(conversation, v.ID)
-		c.Old = g.replacedFor(x, v.Weights[x.wire.Prompt.Model], now) > oldFrom
-	}
-	return c
-}
-
-// fits reports that the runner may take the request.
-func (g *Gateway) fits(x *exchange, v *roster.View, now time.Time) bool {
-	return !v.Leaving && !g.expired(x, v, now)
-}
-
-// avoided reports that a runner of engines gets a request only where there is no other.
-func avoided(v *roster.View) bool {
-	return v.Avoid || v.Reported && (v.Load.Busy || v.Load.Silent)
-}
-
-// distance is where a hash puts a runner for a conversation, between 0 and 1.
-func distance(conversation uint64, runner rillreach.InstanceID) float64 {
-	return float64(hash.Mix(conversation, hash.String(string(runner)))) / math.MaxUint64
-}
-
 // replacedFor is for how long a newer version than the given weights of the request's model has been named, as far as this entry
 // knows; zero where there is none.
 func (g *Gateway) replacedFor(x *exchange, weights deployment.WeightVersion, now time.Time) time.Duration {
@@ -190,26 +103,6 @@
 	return s.String()
 }
 
-// planAt gives what is known of the prompt's parts under the weights of a runner.
-func (g *Gateway) planAt(x *exchange, v *roster.View, views []roster.View, states map[deployment.WeightVersion]*promptState, now time.Time) *promptState {
-	weights := v.Weights[x.wire.Prompt.Model]
-	if states[weights] == nil {
-		states[weights] = g.promptStateOf(x, weights, views, now)
-	}
-	return states[weights]
-}
-
-// addPlan adds to a candidate what it would read and fetch.
-func addPlan(c *place.Candidate, p *deployment.Prompt, plan *fetch.Plan) {
-	own := p.Tokens
-	for _, part := range p.Shared() {
-		own -= part.Tokens
-	}
-	c.Missing = max(0, own) + plan.Missing
-	c.Again = plan.Again
-	c.FetchTime = plan.Time
-}
-
 // bookMoves records which links the chosen runner's fetches take.
 func (g *Gateway) bookMoves(t *target, now time.Time) {
 	for _, m := range t.plan.Moves {
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -16,6 +16,7 @@
 		{Name: "rillreach.runners.avoided", Description: "listed runners that are left alone for their answers", Read: func() float64 { return float64(g.countRunners(false)) }},
 		{Name: "rillreach.runners.age", Description: "seconds since the list of runners was known to be complete", Read: func() float64 { return time.Since(g.state.Roster.Updated()).Seconds() }},
 		{Name: "rillreach.requests.running", Description: "requests that run", Read: func() float64 { return float64(g.running.Count()) }},
+		{Name: "rillreach.requests.waiting", Description: "prompts that wait at the entry for room at a model engine", Read: func() float64 { return float64(g.line.len()) }},
 		{Name: "rillreach.repeats.left", Description: "share of the retry budget that is left, for the service with the least", Read: func() float64 { return g.budgets.Left(time.Now()) }},
 		{Name: "rillreach.connections.opened", Description: "connections to runners that were made", Read: func() float64 { return float64(g.pool.Opened.Load()) }},
 		{Name: "rillreach.stores.usable", Description: "stores of KV cache that may be asked now", Read: func() float64 { return float64(g.stores.count(time.Now())) }},
--- a/gateway/line.go
+++ b/gateway/line.go
@@ -8,7 +8,6 @@
 
 	"github.com/rillreach/rillreach/admission"
 	"github.com/rillreach/rillreach/internal/pause"
-	"github.com/rillreach/rillreach/place"
 	"github.com/rillreach/rillreach/roster"
 )
 
@@ -76,6 +75,13 @@
 	}
 }
 
+// len is how many requests wait.
+func (l *line) len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waiting)
+}
+
 // admit waits until the request may go to an engine, and says why where it may not.
 func (l *line) admit(ctx context.Context, x *exchange) (*target, string) {
 	w := &waitingRequest{exchange: x, request: x.admission(), decided: make(chan decision, 1)}
@@ -216,53 +222,6 @@
 	return wait
 }
 
-// chooseWithRoom chooses among the engines that have room, and gives the one with the most where none has enough.
-func (g *Gateway) chooseWithRoom(o *options, claimed map[*roster.Runner]bool, senders int) (choice place.Choice, most int) {
-	admitted := make([]place.Candidate, 0, len(o.views))
-	index := make([]int, 0, len(o.views))
-	most = -1
-	good := o.anyGood()
-	for i := range o.views {
-		if good && !o.candidates[i].Suits() || claimed[o.runners[i]] {
-			continue
-		}
-		room := g.roomOf(o, i, senders)
-		if room.Admits(o.question.Tokens) {
-			admitted = append(admitted, o.candidates[i])
-			index = append(index, i)
-		}
-		if most < 0 || room.Free() > g.roomOf(o, most, senders).Free() {
-			most = i
-		}
-	}
-	if len(admitted) == 0 {
-		return place.Choice{Index: -1}, most
-	}
-	choice = place.Choose(o.question, admitted, g.offset(len(admitted)))
-	choice.Index = index[choice.Index]
-	return choice, most
-}
-
-// anyGood reports that an engine is there that nothing speaks against.
-func (o *options) anyGood() bool {
-	return slices.ContainsFunc(o.candidates, func(c place.Candidate) bool { return c.Suits() })
-}
-
-// roomOf is the room at an engine, by its report where there is one, else by this entry's own requests.
-func (g *Gateway) roomOf(o *options, i, senders int) admission.Room {
-	v, c := &o.views[i], &o.candidates[i]
-	if !v.Reported {
-		// A runner that has just started is empty for every entry, so that each takes the others to send as much as itself.
-		entries := g.budgets.Entries()
-		ahead := time.Duration(v.Reading*entries) * o.question.Speed.PerToken
-		return admission.Room{Capacity: c.Capacity, Used: v.Held * entries, Ahead: ahead}
-	}
-	return admission.Room{
-		Capacity: c.Capacity, Used: max(v.Load.Used, 0), Queued: v.Load.Waiting * g.sizes.mean(), Sent: v.SentHeld, Senders: senders,
-		Ahead: time.Duration(c.Reading) * o.question.Speed.PerToken,
-	}
-}
-
 // admission is what the line has to know of the request.
 func (x *exchange) admission() admission.Request {
 	r := admission.Request{
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -92,13 +92,7 @@
 
 // learn takes a bulletin over.
 func (g *Gateway) learn(b *bulletin.Bulletin, now time.Time) {
-	if r := g.state.Roster.Find(b.Runner); r != nil {
-		r.SetReport(roster.Report{At: now, Load: deployment.Load{
-			Running: b.Load.Running, Waiting: b.Load.Waiting, Used: b.Load.Used,
-			Unread: b.Load.Unread, Silent: b.Load.Silent, Busy: b.Load.Loading, Leaving: b.Load.Leaving, Weights: b.Load.Weights,
-		}})
-		g.line.changed()
-	}
+	g.learnLoad(b, now)
 	for _, w := range b.Named {
 		g.state.AdoptWeights(w)
 	}
@@ -110,6 +104,25 @@
 	}
 }
 
+// learnLoad takes over how the runner is. A report that can't be true is not used: the runner counts as one without a report.
+func (g *Gateway) learnLoad(b *bulletin.Bulletin, now time.Time) {
+	r := g.state.Roster.Find(b.Runner)
+	if r == nil {
+		return
+	}
+	load := deployment.Load{
+		Running: b.Load.Running, Waiting: b.Load.Waiting, Used: b.Load.Used,
+		Unread: b.Load.Unread, Silent: b.Load.Silent, Busy: b.Load.Loading, Leaving: b.Load.Leaving, Weights: b.Load.Weights,
+	}
+	if err := load.Check(); err != nil {
+		g.Log.Error(err, "report not used", "decision", "ignore", "runner", b.Runner, "running", load.Running, "waiting", load.Waiting, "used", load.Used)
+		g.Metrics.InvalidReport()
+		return
+	}
+	r.SetReport(roster.Report{At: now, Load: load})
+	g.line.changed()
+}
+
 // learnNamings takes over when versions of weights were named: an entry that has just started knows only that they are.
 func (g *Gateway) learnNamings(b *bulletin.Bulletin, now time.Time) {
 	if b.Clock == 0 {
--- /dev/null
+++ b/gateway/news_test.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rillreach/rillreach/bulletin"
+	"github.com/rillreach/rillreach/deployment"
+)
+
+// TestReportThatCannotBeTrue: a runner whose report makes no sense is one without a report, and still serves.
+func TestReportThatCannotBeTrue(t *testing.T) {
+	now := time.Now()
+	loads := map[string]bulletin.Load{
+		"a negative number of requests":    {Running: -1},
+		"negative memory":                  {Used: -5},
+		"more memory than there can be":    {Used: 1 << 40},
+		"more unread requests than it has": {Running: 1, Unread: 2},
+	}
+	for name, load := range loads {
+		t.Run(name, func(t *testing.T) {
+			g, x := beforeEngines(0)
+			g.state.Roster.Put(deployment.Runner{ID: "r", Service: "s"})
+			g.learn(&bulletin.Bulletin{Runner: "r", Load: load}, now)
+			assert.False(t, g.state.Roster.Find("r").View(now).Reported)
+			choice, _ := g.chooseWithRoom(g.options(x, now), nil, 1)
+			assert.Equal(t, 0, choice.Index)
+		})
+	}
+	t.Run("one that makes sense counts", func(t *testing.T) {
+		g, _ := beforeEngines(0)
+		g.state.Roster.Put(deployment.Runner{ID: "r", Service: "s"})
+		g.learn(&bulletin.Bulletin{Runner: "r", Load: bulletin.Load{Running: 2, Unread: 1, Used: 100}}, now)
+		assert.Equal(t, 100, g.state.Roster.Find("r").View(now).Load.Used)
+	})
+}
--- a/gateway/work.go
+++ b/gateway/work.go
@@ -49,6 +49,7 @@
 		return
 	}
 	g.Metrics.RunnerWait(waited)
+	g.Metrics.PredictionError((waited - t.choice.Estimate).Abs())
 	replacedFor := g.replacedFor(x, t.weights, now)
 	if bound := g.Settings.Bounds.Weights; bound <= 0 || replacedFor <= bound {
 		return
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -85,20 +85,35 @@
 	}
 	v.SentHeld, v.SentReading = r.sent.since(r.report.At.Add(-reportLag))
 	v.Leaving = v.Leaving || r.leaving || v.Reported && r.report.Load.Leaving
-	if len(r.weights) > 0 || v.Reported {
-		v.Weights = maps.Clone(v.Weights)
-		newest(v.Weights, r.weights)
-		if v.Reported {
-			newest(v.Weights, r.report.Load.Weights)
-		}
+	v.Weights = newest(v.Weights, r.weights)
+	if v.Reported {
+		v.Weights = newest(v.Weights, r.report.Load.Weights)
 	}
 	return v
 }
 
-func newest(into, from map[rillreach.ModelID]deployment.WeightVersion) {
-	for model, version := range from {
-		into[model] = max(into[model], version)
+// newest is the newer of both versions of each model; it is the known map itself where the other says nothing newer, since a view
+// is made of each runner for each request.
+func newest(known, other map[rillreach.ModelID]deployment.WeightVersion) map[rillreach.ModelID]deployment.WeightVersion {
+	copied := false
+	for model, version := range other {
+		if version <= known[model] {
+			continue
+		}
+		if !copied {
+			known = cloneOrMake(known)
+			copied = true
+		}
+		known[model] = version
+	}
+	return known
+}
+
+func cloneOrMake(weights map[rillreach.ModelID]deployment.WeightVersion) map[rillreach.ModelID]deployment.WeightVersion {
+	if weights == nil {
+		return map[rillreach.ModelID]deployment.WeightVersion{}
 	}
+	return maps.Clone(weights)
 }
 
 // Begin counts a request that is sent to the runner, with the tokens that it has to read and those that it holds.
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -26,6 +26,8 @@
 	steps    metric.Float64Histogram
 	first    metric.Float64Histogram
 	wait     metric.Float64Histogram
+	error    metric.Float64Histogram
+	reports  metric.Int64Counter
 }
 
 // New makes the instruments of one process.
@@ -57,6 +59,12 @@
 	if m.wait, err = m.meter.Float64Histogram("rillreach.runner_wait.duration", metric.WithUnit("s"), metric.WithDescription("time from the send of a prompt to a model runner to its first token"), buckets); err != nil {
 		return errors.Wrap(err, "make histogram of waits at runners")
 	}
+	if m.error, err = m.meter.Float64Histogram("rillreach.first_token.error", metric.WithUnit("s"), metric.WithDescription("difference between the expected and the real time from a prompt's send to its first token"), buckets); err != nil {
+		return errors.Wrap(err, "make histogram of prediction errors")
+	}
+	if m.reports, err = m.meter.Int64Counter("rillreach.reports.invalid", metric.WithDescription("reports of runners that can't be true and were not used")); err != nil {
+		return errors.Wrap(err, "make counter of invalid reports")
+	}
 	return nil
 }
 
@@ -105,6 +113,22 @@
 	m.wait.Record(context.Background(), took.Seconds())
 }
 
+// PredictionError records by how much the expected time to a first token was wrong.
+func (m *Metrics) PredictionError(by time.Duration) {
+	if m == nil {
+		return
+	}
+	m.error.Record(context.Background(), by.Seconds())
+}
+
+// InvalidReport counts a runner's report that can't be true.
+func (m *Metrics) InvalidReport() {
+	if m == nil {
+		return
+	}
+	m.reports.Add(context.Background(), 1)
+}
+
 // Gauge is a figure that is read whenever the metrics are.
 type Gauge struct {
 	Name        string
