--- a/sidecar/caretaker.go
+++ b/sidecar/collector.go
@@ -35,10 +35,10 @@
 	oldMost = 6 * time.Second
 )
 
-// caretaker follows the stores that are this agent's to look after, and frees what was made by weights that are replaced.
+// collector is the garbage collector of the stores that are this agent's to look after: it follows them, and frees what was made by weights that are replaced.
 // Each store has one such agent, by rank among the listed runners; an agent that takes a store over frees nothing before
 // every fetch that another may have allowed has ended.
-type caretaker struct {
+type collector struct {
 	sidecar *Sidecar
 	wg      conc.WaitGroup
 	// runs are those that may read from stores; only look and what it calls use them.
@@ -66,16 +66,16 @@
 }
 
 // Name is the controller's name.
-func (c *caretaker) Name() string { return "look-after-stores" }
+func (c *collector) Name() string { return "look-after-stores" }
 
 // Run looks after stores until the context ends.
-func (c *caretaker) Run(ctx context.Context) error {
+func (c *collector) Run(ctx context.Context) error {
 	pause.Every(ctx, careEvery, c.look)
 	c.wg.Wait()
 	return nil
 }
 
-func (c *caretaker) look(ctx context.Context) {
+func (c *collector) look(ctx context.Context) {
 	mine := c.mine()
 	c.mu.Lock()
 	if c.stores == nil {
@@ -100,7 +100,7 @@
 	}
 }
 
-func (c *caretaker) begin(ctx context.Context, place netip.AddrPort) *kept {
+func (c *collector) begin(ctx context.Context, place netip.AddrPort) *kept {
 	c.sidecar.Log.Info("store is this agent's", "decision", "follow", "store", place)
 	ctx, stop := context.WithCancel(ctx)
 	k := &kept{
@@ -113,7 +113,7 @@
 }
 
 // spoken are the stores that this agent may speak for.
-func (c *caretaker) spoken(now time.Time) []*kept {
+func (c *collector) spoken(now time.Time) []*kept {
 	if now.Sub(c.sidecar.state.Roster.Updated()) > listMost {
 		return nil // another agent may have them by now
 	}
@@ -121,7 +121,7 @@
 }
 
 // all are the stores that this agent looks after.
-func (c *caretaker) all() []*kept {
+func (c *collector) all() []*kept {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	all := make([]*kept, 0, len(c.stores))
@@ -132,7 +132,7 @@
 }
 
 // mine are the addresses of the stores whose first rank this agent's runner has.
-func (c *caretaker) mine() map[netip.AddrPort]bool {
+func (c *collector) mine() map[netip.AddrPort]bool {
 	s := c.sidecar
 	config, self := s.state.Config(), s.state.Roster.At(s.Settings.Runner)
 	mine := map[netip.AddrPort]bool{}
@@ -149,7 +149,7 @@
 }
 
 // first is the runner of the service whose agent looks after the store.
-func (c *caretaker) first(store netip.AddrPort, service rillreach.ServiceID) netip.AddrPort {
+func (c *collector) first(store netip.AddrPort, service rillreach.ServiceID) netip.AddrPort {
 	var best netip.AddrPort
 	var most uint64
 	for _, r := range c.sidecar.state.Roster.Group(service) {
@@ -165,7 +165,7 @@
 }
 
 // free frees the salts of replaced weights, once entries have been told long enough that they are dying.
-func (c *caretaker) free(ctx context.Context, k *kept) {
+func (c *collector) free(ctx context.Context, k *kept) {
 	now := time.Now()
 	for salt := range k.tracker.Salts() {
 		if !c.replaced(salt, now) || !c.unread(ctx, k, salt, now) {
@@ -181,7 +181,7 @@
 
 // unread reports that nobody may read the parts under a salt of replaced weights any more: all who fetch have been told for long enough, and
 // all runners that may have begun a fetch before go on.
-func (c *caretaker) unread(ctx context.Context, k *kept, text string, now time.Time) bool {
+func (c *collector) unread(ctx context.Context, k *kept, text string, now time.Time) bool {
 	if k.readers == nil {
 		k.readers = map[string]*readers{}
 	}
@@ -198,7 +198,7 @@
 	return r.done(ctx, now, c.runs)
 }
 
-func (c *caretaker) freeAll(ctx context.Context, k *kept, parts []holdings.Key) error {
+func (c *collector) freeAll(ctx context.Context, k *kept, parts []holdings.Key) error {
 	for batch := range slices.Chunk(parts, freeBatch) {
 		if err := k.free(ctx, batch); err != nil {
 			return err
@@ -209,7 +209,7 @@
 }
 
 // forget takes freed parts off at once, so that they are not freed again before the store tells of them.
-func (c *caretaker) forget(k *kept, parts []holdings.Key) {
+func (c *collector) forget(k *kept, parts []holdings.Key) {
 	changes := make([]holdings.Change, len(parts))
 	for i, p := range parts {
 		changes[i] = holdings.Change{Key: p}
@@ -219,7 +219,7 @@
 
 // replaced reports that the weights of a salt are no longer worth keeping parts for: newer ones are named, and two thirds of
 // the runners have them, or enough time has passed.
-func (c *caretaker) replaced(text string, now time.Time) bool {
+func (c *collector) replaced(text string, now time.Time) bool {
 	salt, ok := deployment.ParseSalt(text)
 	if !ok {
 		return false
--- a/sidecar/news_test.go
+++ b/sidecar/news_test.go
@@ -97,7 +97,7 @@
 }
 
 func TestFollowersOfOtherZones(t *testing.T) {
-	s := &Sidecar{own: &holder{place: netip.MustParseAddrPort("10.0.0.1:1")}, stores: &caretaker{stores: map[netip.AddrPort]*kept{}}}
+	s := &Sidecar{own: &holder{place: netip.MustParseAddrPort("10.0.0.1:1")}, stores: &collector{stores: map[netip.AddrPort]*kept{}}}
 	s.stores.sidecar = s
 	s.state.Roster.Confirm(time.Now())
 	s.own.listed.Store(true)
@@ -134,7 +134,7 @@
 
 // TestOldListSpeaksForNoStore has an agent that was frozen or cut off wake with an old list of runners.
 func TestOldListSpeaksForNoStore(t *testing.T) {
-	s := &Sidecar{stores: &caretaker{stores: map[netip.AddrPort]*kept{}}}
+	s := &Sidecar{stores: &collector{stores: map[netip.AddrPort]*kept{}}}
 	s.stores.sidecar = s
 	s.stores.stores[netip.MustParseAddrPort("10.0.0.2:1")] = &kept{}
 	now := time.Unix(1000, 0)
--- a/sidecar/readers.go
+++ b/sidecar/readers.go
@@ -77,7 +77,7 @@
 }
 
 // noteRuns keeps the runs of engines that are listed now, and those that were while a fetch of theirs may be waited for.
-func (c *caretaker) noteRuns(now time.Time) {
+func (c *collector) noteRuns(now time.Time) {
 	if c.runs == nil {
 		c.runs = map[rillreach.InstanceID]*listedRun{}
 	}
--- a/sidecar/readers_test.go
+++ b/sidecar/readers_test.go
@@ -22,7 +22,7 @@
 
 // freeing is an agent that looks after a store with a part of replaced weights, which everybody has been told of for long enough.
 type freeing struct {
-	caretaker *caretaker
+	collector *collector
 	kept      *kept
 	frees     atomic.Int64
 }
@@ -47,7 +47,7 @@
 			ID: rillreach.InstanceID(at.String()), Service: "s", Address: at, Weights: map[rillreach.ModelID]deployment.WeightVersion{"m": 2},
 		})
 	}
-	f.caretaker = &caretaker{sidecar: s}
+	f.collector = &collector{sidecar: s}
 	f.kept = &kept{holder: &holder{place: addressOf(store.URL), store: true, client: platform.NewRunner(addressOf(store.URL)), log: s.Log}}
 	f.kept.tracker.Apply([]holdings.Change{{Key: holdings.Key{Salt: dyingSalt, Part: "p"}, Tokens: 10}})
 	f.kept.dying.Free(dyingSalt, time.Now().Add(-time.Hour), 0)
@@ -56,11 +56,11 @@
 
 // unlist takes a runner off the list, after it has been noted, and has perhaps said that it leaves.
 func (f *freeing) unlist(at netip.AddrPort, leaving bool) {
-	roster := &f.caretaker.sidecar.state.Roster
+	roster := &f.collector.sidecar.state.Roster
 	info := roster.At(at).Info()
 	info.Leaving = leaving
 	roster.Put(info)
-	f.caretaker.noteRuns(time.Now())
+	f.collector.noteRuns(time.Now())
 	roster.Remove(time.Now(), info.ID, time.Time{})
 }
 
@@ -68,8 +68,8 @@
 func (f *freeing) look(t *testing.T) {
 	t.Helper()
 	for range 3 {
-		f.caretaker.noteRuns(time.Now())
-		f.caretaker.free(context.Background(), f.kept)
+		f.collector.noteRuns(time.Now())
+		f.collector.free(context.Background(), f.kept)
 	}
 }
 
@@ -109,7 +109,7 @@
 		at := silent(t)
 		f := newFreeing(t, well(t), at)
 		f.unlist(at, false)
-		f.caretaker.runs[rillreach.InstanceID(at.String())].last = time.Now().Add(-readersMost)
+		f.collector.runs[rillreach.InstanceID(at.String())].last = time.Now().Add(-readersMost)
 		f.look(t)
 		assert.Equal(t, int64(1), f.frees.Load())
 	})
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -51,7 +51,7 @@
 	state  localstate.State
 	news   *news
 	own    *holder
-	stores *caretaker
+	stores *collector
 	pool   *peer.Pool
 	// restarted is told when the runner beside the agent may be another run.
 	restarted chan struct{}
@@ -63,7 +63,7 @@
 	s.restarted = make(chan struct{}, 1)
 	s.news = &news{sidecar: s}
 	s.own = &holder{place: s.Settings.Runner, client: s.Runner, log: s.Log}
-	s.stores = &caretaker{sidecar: s}
+	s.stores = &collector{sidecar: s}
 	mux := &peer.Mux{Log: s.Log}
 	mux.Handle(peer.MethodFollow, s.news.serve)
 	self, err := fleet.Self(rillreach.RoleAgent, s.Settings)
