--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -22,6 +22,39 @@
 		ArgsUsage: "REQUEST [FILE...], or standard input where no file is named",
 		Flags:     []cli.Flag{&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: "text", Usage: "text or json"}},
 		Action:    runExplain,
+		Commands:  []*cli.Command{newExplainLoadCommand()},
+	}
+}
+
+func newExplainLoadCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "load",
+		Usage:     "count by second what became of prompts: how long they were held, what was expected and what came, tokens to be read",
+		ArgsUsage: "[FILE...], or standard input where no file is named",
+		Flags:     []cli.Flag{&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: "text", Usage: "text or json"}},
+		Action:    runExplainLoad,
+	}
+}
+
+func runExplainLoad(_ context.Context, c *cli.Command) error {
+	lines, err := readLogs(c.Args().Slice())
+	if err != nil {
+		return err
+	}
+	seconds := explain.Load(lines)
+	if c.String("output") == "json" {
+		return errors.Wrap(json.NewEncoder(c.Root().Writer).Encode(seconds), "write load")
+	}
+	writeLoad(c.Root().Writer, seconds)
+	return nil
+}
+
+func writeLoad(w io.Writer, seconds []explain.Second) {
+	_, _ = fmt.Fprintln(w, "time      sent  missing    again  fetched      held  expected    waited  failed  left  refused")
+	for i := range seconds {
+		s := &seconds[i]
+		_, _ = fmt.Fprintf(w, "%s  %4d  %7d  %7d  %7d  %7dms %7dms %7dms  %6d  %4d  %7d\n", s.At.Format("15:04:05"), s.Sent, s.Missing, s.Again, s.Fetched,
+			s.Held.Milliseconds(), s.Expected.Milliseconds(), s.Waited.Milliseconds(), s.Failed, s.Left, s.Refused)
 	}
 }
 
