Let a large prompt fill an engine's memory

Cause: a prompt of more than three quarters of a memory, or nearly that, was admitted only by an engine that does nothing; smaller prompts of other entries keep one from it for as long as they come. Ruled out: the whole memory for all prompts (what is fetched finds no room then). Change: one of more than half of the limit may fill the memory; the time until all that wait are admitted is taken once for each look.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -30,6 +30,12 @@
 		assert.True(t, Room{Capacity: 1000, Used: 1, Ahead: mostAhead}.Admits(1))
 		assert.False(t, Room{Capacity: 1000, Used: 1, Ahead: mostAhead + 1}.Admits(1))
 	})
+	t.Run("a prompt of more than half of that may fill the memory", func(t *testing.T) {
+		assert.False(t, Room{Capacity: 1000, Used: 376}.Admits(375))
+		assert.True(t, Room{Capacity: 1000, Used: 600}.Admits(400))
+		assert.True(t, Room{Capacity: 1000, Used: 100}.Admits(900))
+		assert.False(t, Room{Capacity: 1000, Used: 101}.Admits(900))
+	})
 	t.Run("an engine that does nothing admits a request of any size", func(t *testing.T) {
 		assert.True(t, Room{Capacity: 1000}.Admits(5000))
 	})
--- a/admission/room.go
+++ b/admission/room.go
@@ -33,7 +33,17 @@
 	if r.Capacity <= 0 || taken <= 0 {
 		return true
 	}
-	return r.Ahead <= mostAhead && float64(taken+tokens) <= fillShare*float64(r.Capacity)
+	return r.Ahead <= mostAhead && float64(taken+tokens) <= r.limit(tokens)
+}
+
+// limit is how much of the memory may be taken with a prompt of the tokens. A large one may fill it: else it would wait for an
+// engine that does nothing, which smaller prompts of other entries keep from it for as long as they come.
+func (r Room) limit(tokens int) float64 {
+	most := fillShare * float64(r.Capacity)
+	if float64(tokens) > most/2 {
+		return float64(r.Capacity)
+	}
+	return most
 }
 
 // Free is how many tokens an engine admits beside what it has; it may be negative.
--- a/gateway/line.go
+++ b/gateway/line.go
@@ -106,7 +106,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.waiting) == 0 || w.request.Begun {
-		if d, done := l.decide(w, nil, now); done {
+		if d, done := l.decide(w, nil, l.drainTime(now), now); done {
 			return d, true
 		}
 	}
@@ -150,11 +150,12 @@
 	}
 	slices.SortStableFunc(l.waiting, func(a, b *waitingRequest) int { return admission.Compare(a.request, b.request, now) })
 	claimed := map[*roster.Runner]bool{}
+	drain := l.drainTime(now)
 	blocked, before := 0, 0
 	l.waiting = slices.DeleteFunc(l.waiting, func(w *waitingRequest) bool {
 		d, done := decision{}, false
 		if blocked < mostBlocked {
-			d, done = l.decide(w, claimed, now)
+			d, done = l.decide(w, claimed, drain, now)
 		}
 		if !done {
 			d, done = l.shed(w, before, now)
@@ -184,8 +185,9 @@
 	return decision{verdict: verdictBacklog}, true
 }
 
-// decide admits a request, or ends its wait; it reports whether it did either.
-func (l *line) decide(w *waitingRequest, claimed map[*roster.Runner]bool, now time.Time) (decision, bool) {
+// decide admits a request, or ends its wait, with drain as the time to come back; it reports whether it did either. Claimed are the
+// engines that requests before it keep, nil where nobody waits.
+func (l *line) decide(w *waitingRequest, claimed map[*roster.Runner]bool, drain time.Duration, now time.Time) (decision, bool) {
 	g, x := l.gateway, w.exchange
 	o := g.options(x, now)
 	if len(o.views) == 0 {
@@ -196,7 +198,7 @@
 	case choice.Index >= 0:
 		return decision{target: g.assign(x, o, choice, now)}, true
 	case w.request.Lost(now):
-		x.comeBack = l.drainTime(now)
+		x.comeBack = drain
 		return decision{verdict: verdictNoRoom}, true
 	case room >= 0 && claimed != nil:
 		claimed[o.runners[room]] = true
