Log how old the word is by which a stream leaves its runner

Cause: the logs can't tell a runner that is chosen by old word from one that refuses for another reason.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -183,11 +183,12 @@
 	if !x.route.Resumable || x.lastEvent == "" || !x.mayMove() || x.ends.Sub(now) < x.route.Target {
 		return false
 	}
-	if v := t.runner.View(now); !v.Reported || !v.Load.Busy || !g.budgets.Allows(now, x.service.Name) || !g.hasOther(x, t, now) || !g.hasRoomElsewhere(x, now) {
+	v := t.runner.View(now)
+	if !v.Reported || !v.Load.Busy || !g.budgets.Allows(now, x.service.Name) || !g.hasOther(x, t, now) || !g.hasRoomElsewhere(x, now) {
 		return false
 	}
 	x.maybeRan, x.reason = true, "runner-empties"
-	g.Log.Info("stream moves on", "decision", "move", "request", x.wire.ID, "runner", t.view.ID, "lastEvent", x.lastEvent)
+	g.Log.Info("stream moves on", "decision", "move", "request", x.wire.ID, "runner", t.view.ID, "lastEvent", x.lastEvent, "reportAge", v.ReportAge.String())
 	return true
 }
 
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -66,10 +66,11 @@
 	Avoid bool
 	// Failures is the share of requests that it lately failed.
 	Failures float64
-	// Load is the runner's own report, and Reported says that it is recent.
-	Load     deployment.Load
-	Reported bool
-	Heard    time.Time
+	// Load is the runner's own report, ReportAge how old that is, and Reported says that it is recent.
+	Load      deployment.Load
+	ReportAge time.Duration
+	Reported  bool
+	Heard     time.Time
 	// SentHeld and SentReading are what this process's requests take and read that the report may not show yet, in tokens.
 	SentHeld    int
 	SentReading int
@@ -83,6 +84,9 @@
 		Runner: r.info, Running: r.running, Reading: r.reading, Held: r.held, Avoid: now.Before(r.avoid), Failures: r.failures,
 		Wait: r.wait.expected(now), Load: r.report.Load, Reported: !r.report.At.IsZero() && now.Sub(r.report.At) < reportAge, Heard: r.heard,
 	}
+	if !r.report.At.IsZero() {
+		v.ReportAge = now.Sub(r.report.At)
+	}
 	v.SentHeld, v.SentReading = r.sent.since(r.report.At.Add(-reportLag))
 	v.Leaving = v.Leaving || r.leaving || v.Reported && r.report.Load.Leaving
 	v.Weights = newest(v.Weights, r.weights)
