--- a/internal/standin/site/runner.go
+++ b/internal/standin/site/runner.go
@@ -135,5 +135,8 @@
 	}
 }
 
+// EventID is the id of the event with the number.
+func EventID(number int) string { return strconv.Itoa(number) }
+
 // Piece is one event of a paced stream.
 func Piece(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
