Decode the run that a runner speaks for

Cause: a runner is known by its id alone, and may start again under it. Ruled out: one more identifier beside the id, since starts of one runner are ordered and those of different ones are not.

--- a/deployment/runner.go
+++ b/deployment/runner.go
@@ -14,12 +14,13 @@
 
 // Runner is one run of a backend server, as the platform lists it.
 type Runner struct {
-	// ID names this run; a restart takes a new one.
-	ID      rillreach.InstanceID
-	Service rillreach.ServiceID
-	Address netip.AddrPort
-	Zone    rillreach.ZoneID
-	Slots   int
+	// ID names the runner, Generation its run: a restart keeps the one and raises the other.
+	ID         rillreach.InstanceID
+	Generation rillreach.Generation
+	Service    rillreach.ServiceID
+	Address    netip.AddrPort
+	Zone       rillreach.ZoneID
+	Slots      int
 	// Revision is that of the record's last change.
 	Revision uint64
 	// Leaving says that the runner is about to end and takes nothing new.
@@ -28,6 +29,11 @@
 	Weights map[rillreach.ModelID]WeightVersion
 }
 
+// Run is the run that the record is of.
+func (r *Runner) Run() rillreach.InstanceRun {
+	return rillreach.InstanceRun{ID: r.ID, Generation: r.Generation}
+}
+
 // NamedWeights is the newest version of a model's weights that the operators want.
 type NamedWeights struct {
 	Model   rillreach.ModelID `cbor:"1,keyasint"`
@@ -38,6 +44,8 @@
 
 // Load is what a runner reports of itself.
 type Load struct {
+	// Generation is that of the run which reports.
+	Generation rillreach.Generation
 	// Waiting requests have not begun, Running ones have, Unread ones of these have no event yet.
 	Waiting int
 	Running int
--- a/sidecar/loader.go
+++ b/sidecar/loader.go
@@ -135,11 +135,11 @@
 		Holder: l.sidecar.Settings.Name, Fence: named.Revision, After: load.Orders,
 	}
 	l.givenAt = time.Now()
-	verdict, err := l.sidecar.Runner.Order(ctx, l.given)
+	answer, err := l.sidecar.Runner.Order(ctx, l.given)
 	if err != nil {
 		l.sidecar.Log.Error(err, "order without answer", "decision", "wait", "runner", self.ID, "weights", named.Version, "after", load.Orders)
 		return
 	}
-	l.sidecar.Log.Info("order given", "decision", verdict, "runner", self.ID, "model", named.Model, "weights", named.Version,
+	l.sidecar.Log.Info("order given", "decision", answer.Verdict, "runner", self.ID, "model", named.Model, "weights", named.Version,
 		"fence", named.Revision, "after", load.Orders)
 }
