Forget what was believed of a runner's earlier run

Cause: the roster kept one object per id, so that load, ejection, failures and weights of a crashed run counted for the next one. Ruled out: resetting the fields of the object: requests that wait at the earlier run would be counted off the later one. Ruled out: ending a run that is no longer listed or whose address another record names: it may go on until it has drained. Change: one object per run; a later run replaces it at the word of the store's list or watch or of the runner itself (Observe), Over is closed on the earlier one; what an earlier run says is late. Records without a start are logged once per revision and counted.

--- /dev/null
+++ b/localstate/runs.go
@@ -0,0 +1,39 @@
+package localstate
+
+import (
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/roster"
+	"github.com/rillreach/rillreach/telemetry"
+)
+
+// Observe takes over what a run of a runner says of itself, through whomever. It returns the runner, or nil where that is not listed
+// or a later run of it is known, so that this word is late.
+func (s *State) Observe(run rillreach.InstanceRun) *roster.Runner {
+	runner, changes := s.Roster.Observe(run)
+	s.noteRunners(changes)
+	return runner
+}
+
+// noteRunners logs what changed, and tells of the runners that were started anew.
+func (s *State) noteRunners(changes []roster.Change) {
+	s.logRunners(changes)
+	for _, c := range changes {
+		if c.Event == roster.EventRestarted && s.Restarted != nil {
+			s.Restarted(c.Runner)
+		}
+	}
+}
+
+// noteUnstarted tells once of each record that does not say when its runner started. Only the runners' follower calls it.
+func (s *State) noteUnstarted(info *deployment.Runner) {
+	if told, ok := s.unstarted[info.ID]; info.Generation != 0 || ok && told == info.Revision {
+		return
+	}
+	if s.unstarted == nil {
+		s.unstarted = map[rillreach.InstanceID]uint64{}
+	}
+	s.unstarted[info.ID] = info.Revision
+	s.Log.Info("record of a runner tells no start", "decision", "use", "runner", info.ID, "revision", info.Revision)
+	s.Metrics.UnknownStart(telemetry.StartInRecord)
+}
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -13,6 +13,7 @@
 	"github.com/rillreach/rillreach/controller/follow"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/roster"
+	"github.com/rillreach/rillreach/telemetry"
 )
 
 const (
@@ -27,16 +28,22 @@
 type State struct {
 	// Log takes a line for each change of what the process believes.
 	Log logr.Logger
+	// Metrics count what is odd; they may be nil.
+	Metrics *telemetry.Metrics
 	// Roster is the list of runners.
 	Roster roster.Roster
 	// ConfigChanged and WeightsChanged are told of each newer value; they may be nil.
 	ConfigChanged  func(*deployment.Config)
 	WeightsChanged func(deployment.NamedWeights)
+	// Restarted is told of each later run that takes an earlier one's place; it may be nil.
+	Restarted func(deployment.Runner)
 
 	stalls   stallDetector
 	config   atomic.Pointer[deployment.Config]
 	configAt atomic.Int64
 	listed   atomic.Bool
+	// unstarted are the revisions of the records that tell no start and have been told of.
+	unstarted map[rillreach.InstanceID]uint64
 
 	mu      sync.Mutex
 	weights map[rillreach.ModelID]deployment.NamedWeights
@@ -118,10 +125,11 @@
 			s.Log.Error(u.Err, "record of a runner refused", "runner", u.Name, "revision", u.Revision)
 			continue
 		}
+		s.noteUnstarted(u.Value)
 		list = append(list, *u.Value)
 	}
 	now := time.Now()
-	s.logRunners(s.Roster.Replace(now, list, doubtfulUntil(returned)))
+	s.noteRunners(s.Roster.Replace(now, list, doubtfulUntil(returned)))
 	s.listed.Store(true)
 }
 
@@ -133,7 +141,8 @@
 	case u.Err != nil:
 		s.Log.Error(u.Err, "record of a runner refused, the last good one stays", "runner", u.Name, "revision", u.Revision)
 	default:
-		s.logRunners(s.Roster.Put(*u.Value))
+		s.noteUnstarted(u.Value)
+		s.noteRunners(s.Roster.Put(*u.Value))
 	}
 }
 
@@ -147,7 +156,7 @@
 
 func (s *State) logRunners(changes []roster.Change) {
 	for _, c := range changes {
-		s.Log.Info("runner "+string(c.Event), "decision", c.Event, "runner", c.Runner.ID, "service", c.Runner.Service,
+		s.Log.Info("runner "+string(c.Event), "decision", c.Event, "runner", c.Runner.ID, "generation", c.Runner.Generation, "service", c.Runner.Service,
 			"zone", c.Runner.Zone, "leaving", c.Runner.Leaving, "weights", c.Runner.Weights)
 	}
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -17,7 +17,9 @@
 	byID      map[rillreach.InstanceID]*Runner
 	byService map[rillreach.ServiceID][]*Runner
 	byAddress map[netip.AddrPort]*Runner
-	updated   time.Time
+	// latest are the latest runs that are known, also of runners that are no longer listed.
+	latest  map[rillreach.InstanceID]rillreach.Generation
+	updated time.Time
 }
 
 // Replace sets the whole list; a runner that is no longer listed stays until the given moment, and is removed at once
@@ -35,7 +37,7 @@
 		if listed[id] {
 			continue
 		}
-		changes = append(changes, r.lapse(id, runner, now, doubtful))
+		changes = append(changes, r.lapse(runner, now, doubtful))
 	}
 	r.updated = now
 	return changes
@@ -56,7 +58,7 @@
 	if runner == nil {
 		return nil
 	}
-	return []Change{r.lapse(id, runner, now, doubtful)}
+	return []Change{r.lapse(runner, now, doubtful)}
 }
 
 // Confirm records that the list is known to be complete at this moment.
@@ -71,12 +73,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var changes []Change
-	for id, runner := range r.byID {
+	for _, runner := range r.byID {
 		runner.mu.Lock()
 		over := !runner.gone.IsZero() && now.After(runner.gone)
 		runner.mu.Unlock()
 		if over {
-			changes = append(changes, r.lapse(id, runner, now, time.Time{}))
+			changes = append(changes, r.lapse(runner, now, time.Time{}))
 		}
 	}
 	return changes
@@ -91,6 +93,8 @@
 	EventChanged  Event = "changed"
 	EventDoubtful Event = "doubtful"
 	EventRemoved  Event = "removed"
+	// EventRestarted says that a later run has taken the place of the one that was known, of which nothing holds any more.
+	EventRestarted Event = "restarted"
 )
 
 // Change is an event of one runner.
@@ -102,22 +106,49 @@
 func (r *Roster) put(changes []Change, info deployment.Runner) []Change {
 	if r.byID == nil {
 		r.byID, r.byService = map[rillreach.InstanceID]*Runner{}, map[rillreach.ServiceID][]*Runner{}
-		r.byAddress = map[netip.AddrPort]*Runner{}
+		r.byAddress, r.latest = map[netip.AddrPort]*Runner{}, map[rillreach.InstanceID]rillreach.Generation{}
 	}
-	if runner := r.byID[info.ID]; runner != nil {
-		runner.mu.Lock()
-		runner.info, runner.gone = info, time.Time{}
-		runner.mu.Unlock()
+	runner, latest := r.byID[info.ID], r.latestOf(info.ID)
+	if latest.Supersedes(info.Run()) {
+		if runner != nil {
+			runner.listAgain() // the record is late, and yet it is there
+		}
+		return changes
+	}
+	restarted := info.Run().Supersedes(latest)
+	info.Generation = max(info.Generation, latest.Generation)
+	r.latest[info.ID] = info.Generation
+	switch {
+	case restarted:
+		return append(changes, r.restart(runner, info, time.Time{}))
+	case runner == nil:
+		r.add(newRunner(info, time.Time{}))
+		return append(changes, Change{Event: EventAdded, Runner: info})
+	default:
+		runner.relist(info)
 		r.settle(runner, info)
 		return append(changes, Change{Event: EventChanged, Runner: info})
 	}
-	runner := &Runner{info: info}
+}
+
+// add lists a runner.
+func (r *Roster) add(runner *Runner) {
+	info := runner.Info()
 	r.byID[info.ID] = runner
 	r.settle(runner, info)
 	group := append(slices.Clone(r.byService[info.Service]), runner)
 	slices.SortFunc(group, func(a, b *Runner) int { return strings.Compare(string(a.info.ID), string(b.info.ID)) })
 	r.byService[info.Service] = group
-	return append(changes, Change{Event: EventAdded, Runner: info})
+}
+
+// drop takes a runner off the list.
+func (r *Roster) drop(runner *Runner) {
+	info := runner.Info()
+	delete(r.byID, info.ID)
+	if r.byAddress[info.Address] == runner {
+		delete(r.byAddress, info.Address)
+	}
+	r.byService[info.Service] = slices.DeleteFunc(slices.Clone(r.byService[info.Service]), func(other *Runner) bool { return other == runner })
 }
 
 // settle decides which run has the address: of two records the one that was written last; the other's run is over, and its
@@ -137,7 +168,7 @@
 }
 
 // lapse removes a runner, or marks when it is to be removed.
-func (r *Roster) lapse(id rillreach.InstanceID, runner *Runner, now, doubtful time.Time) Change {
+func (r *Roster) lapse(runner *Runner, now, doubtful time.Time) Change {
 	runner.mu.Lock()
 	info := runner.info
 	if now.Before(doubtful) {
@@ -147,12 +178,7 @@
 	if now.Before(doubtful) {
 		return Change{Event: EventDoubtful, Runner: info}
 	}
-	delete(r.byID, id)
-	if r.byAddress[info.Address] == runner {
-		delete(r.byAddress, info.Address)
-	}
-	group := slices.DeleteFunc(slices.Clone(r.byService[info.Service]), func(other *Runner) bool { return other == runner })
-	r.byService[info.Service] = group
+	r.drop(runner)
 	return Change{Event: EventRemoved, Runner: info}
 }
 
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -32,6 +32,9 @@
 
 // Runner is one listed runner and what is known of it.
 type Runner struct {
+	over     chan struct{}
+	overOnce sync.Once
+
 	mu     sync.Mutex
 	info   deployment.Runner
 	gone   time.Time
@@ -76,6 +79,21 @@
 	SentReading int
 }
 
+// newRunner is a run of which nothing is known but its record, which lapses at the given moment unless that is zero.
+func newRunner(info deployment.Runner, gone time.Time) *Runner {
+	return &Runner{over: make(chan struct{}), info: info, gone: gone}
+}
+
+// Over is closed once the run is known to have ended, since a later one of the same runner is known. One that is no longer listed
+// may go on until it has drained, and so may one whose address another record names.
+func (r *Runner) Over() <-chan struct{} { return r.over }
+
+// end records that the run is over.
+func (r *Runner) end() {
+	r.Leaves()
+	r.overOnce.Do(func() { close(r.over) })
+}
+
 // View copies what is known.
 func (r *Runner) View(now time.Time) View {
 	r.mu.Lock()
@@ -219,3 +237,31 @@
 	defer r.mu.Unlock()
 	return r.info
 }
+
+// listing is the runner as the platform lists it, and when that lapses.
+func (r *Runner) listing() (info deployment.Runner, gone time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.info, r.gone
+}
+
+// relist takes over a record of the run.
+func (r *Runner) relist(info deployment.Runner) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.info, r.gone = info, time.Time{}
+}
+
+// setInfo takes over what is known anew of the run, which may be listed or not.
+func (r *Runner) setInfo(info deployment.Runner) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.info = info
+}
+
+// listAgain records that the runner is listed.
+func (r *Runner) listAgain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gone = time.Time{}
+}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -28,6 +28,8 @@
 	wait     metric.Float64Histogram
 	error    metric.Float64Histogram
 	reports  metric.Int64Counter
+	starts   metric.Int64Counter
+	restarts metric.Float64Histogram
 }
 
 // New makes the instruments of one process.
@@ -65,7 +67,7 @@
 	if m.reports, err = m.meter.Int64Counter("rillreach.reports.invalid", metric.WithDescription("reports of runners that can't be true and were not used")); err != nil {
 		return errors.Wrap(err, "make counter of invalid reports")
 	}
-	return nil
+	return m.makeStarts()
 }
 
 // Handler answers with all metrics in Prometheus's text form.
