Hear of a runner's new start in entries and agents

Cause: agents and entries told a runner's runs apart by its id alone: holdings, reports, orders and awaited readers of a crashed run were taken for those of the next one. Ruled out: clearing each of them in a callback alone: a bulletin may come between the list and the callback, so what is kept carries the run that it is of, and is compared where it is used. Change: bulletins carry the run; an entry's index of holdings, an agent's tracker, report, order and readers are each of one run. A histogram tells the time from a new start to an entry's knowing it, on the runners' clock.

--- a/bulletin/bulletin.go
+++ b/bulletin/bulletin.go
@@ -38,8 +38,9 @@
 // Bulletin is one message of an agent. On its way it leaves out what the follower knows from the one before; Complete puts
 // that back.
 type Bulletin struct {
-	// Runner is the run that the agent stands beside.
-	Runner rillreach.InstanceID `cbor:"1,keyasint,omitempty"`
+	// Runner is the one that the agent stands beside, Generation its run; on their way both are left out together.
+	Runner     rillreach.InstanceID `cbor:"1,keyasint,omitempty"`
+	Generation rillreach.Generation `cbor:"8,keyasint,omitempty"`
 	// Clock is the runners' clock when the bulletin was made, in milliseconds.
 	Clock int64 `cbor:"2,keyasint"`
 	// Load is the runner's own report.
@@ -54,10 +55,15 @@
 	Followers int `cbor:"6,keyasint,omitempty"`
 }
 
+// Run is the run that the agent speaks for.
+func (b *Bulletin) Run() rillreach.InstanceRun {
+	return rillreach.InstanceRun{ID: b.Runner, Generation: b.Generation}
+}
+
 // Without is the bulletin as it goes to a follower that knows the one before.
 func (b Bulletin) Without(before *Bulletin) Bulletin {
-	if b.Runner == before.Runner {
-		b.Runner = ""
+	if b.Run() == before.Run() {
+		b.Runner, b.Generation = "", 0
 	}
 	if slices.Equal(b.Named, before.Named) {
 		b.Named = nil
@@ -77,7 +83,7 @@
 // Complete adds what a bulletin has left out since the one before had it, and reports what is missing in both.
 func (b *Bulletin) Complete(before *Bulletin) error {
 	if b.Runner == "" {
-		b.Runner = before.Runner
+		b.Runner, b.Generation = before.Runner, before.Generation
 	}
 	if b.Named == nil {
 		b.Named = before.Named
--- a/bulletin/bulletin_test.go
+++ b/bulletin/bulletin_test.go
@@ -15,8 +15,9 @@
 // drawn is any bulletin that an agent may make: it always has a runner, and counts the follower that it is for.
 func drawn(t *rapid.T) Bulletin {
 	b := Bulletin{
-		Runner: rillreach.InstanceID(rapid.SampledFrom([]string{"r1", "r2"}).Draw(t, "runner")),
-		Clock:  rapid.Int64Range(0, 1e12).Draw(t, "clock"), Followers: rapid.IntRange(1, 3).Draw(t, "followers"),
+		Runner:     rillreach.InstanceID(rapid.SampledFrom([]string{"r1", "r2"}).Draw(t, "runner")),
+		Generation: rillreach.Generation(rapid.IntRange(0, 2).Draw(t, "generation")),
+		Clock:      rapid.Int64Range(0, 1e12).Draw(t, "clock"), Followers: rapid.IntRange(1, 3).Draw(t, "followers"),
 	}
 	b.Load = Load{
 		Running: rapid.IntRange(0, 2).Draw(t, "running"), Waiting: rapid.IntRange(0, 2).Draw(t, "waiting"), Silent: rapid.Bool().Draw(t, "silent"),
--- a/deployment/runner.go
+++ b/deployment/runner.go
@@ -30,7 +30,7 @@
 }
 
 // Run is the run that the record is of.
-func (r *Runner) Run() rillreach.InstanceRun {
+func (r Runner) Run() rillreach.InstanceRun {
 	return rillreach.InstanceRun{ID: r.ID, Generation: r.Generation}
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -92,7 +92,7 @@
 
 // Run serves until the context ends, then stops in order within the grace.
 func (g *Gateway) Run(ctx context.Context) error {
-	g.state.Log = g.Log
+	g.state.Log, g.state.Metrics, g.state.Restarted = g.Log, g.Metrics, g.runnerRestarted
 	g.restarted = make(chan struct{}, 1)
 	g.line = newLine(g)
 	g.budgets = retry.Shares{Ratio: g.Settings.Bounds.RetryRatio, Window: g.Settings.Bounds.RetryWindow, Slack: g.Settings.Bounds.RetrySlack}
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -92,7 +92,8 @@
 
 // learn takes a bulletin over.
 func (g *Gateway) learn(b *bulletin.Bulletin, now time.Time) {
-	g.learnLoad(b, now)
+	runner := g.state.Observe(b.Run())
+	g.learnLoad(runner, b, now)
 	for _, w := range b.Named {
 		g.state.AdoptWeights(w)
 	}
@@ -100,13 +101,16 @@
 	g.budgets.SetEntries(b.Followers)
 	g.stores.clock.hear(b.Clock, now)
 	for i := range b.Holders {
-		g.stores.learn(b.Runner, b.Clock, &b.Holders[i], now)
+		if h := &b.Holders[i]; h.Store {
+			g.stores.learn(b.Runner, b.Clock, h, now)
+		} else {
+			g.stores.learnRunner(b.Run(), h)
+		}
 	}
 }
 
-// learnLoad takes over how the runner is. A report that can't be true is not used: the runner counts as one without a report.
-func (g *Gateway) learnLoad(b *bulletin.Bulletin, now time.Time) {
-	r := g.state.Roster.Find(b.Runner)
+// learnLoad takes over how the runner is, which is nil where it is not listed or the bulletin is late. A report that can't be true is not used: the runner counts as one without a report.
+func (g *Gateway) learnLoad(r *roster.Runner, b *bulletin.Bulletin, now time.Time) {
 	if r == nil {
 		return
 	}
--- a/gateway/stores.go
+++ b/gateway/stores.go
@@ -50,9 +50,14 @@
 	busyUntil time.Time
 }
 
-// learn takes over what an agent says of one holder.
+// learnRunner takes over what a run holds, as its agent says.
+func (b *storeBook) learnRunner(run rillreach.InstanceRun, h *bulletin.Holder) {
+	b.index.Update(holdings.Update{Place: h.Place, Run: run, Whole: h.Whole, Changes: h.Changes})
+}
+
+// learn takes over what an agent says of a store.
 func (b *storeBook) learn(agent rillreach.InstanceID, clock int64, h *bulletin.Holder, now time.Time) {
-	if h.Store && !b.learnStore(agent, clock, h, now) {
+	if !b.learnStore(agent, clock, h, now) {
 		return
 	}
 	if h.Whole {
--- a/holdings/index.go
+++ b/holdings/index.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"sync"
+
+	"github.com/rillreach/rillreach"
 )
 
 // Index is what an entry knows of all holders; its zero value is empty.
@@ -11,6 +13,8 @@
 	byKey   map[Key]map[netip.AddrPort]int
 	byPlace map[netip.AddrPort]map[Key]int
 	total   map[netip.AddrPort]int
+	// runs are the latest runs of runners that are known by address.
+	runs map[netip.AddrPort]rillreach.InstanceRun
 }
 
 // Replace sets everything that the holder at the address holds.
@@ -35,6 +39,53 @@
 	x.forget(place)
 }
 
+// Update is what one run of a runner tells that it holds.
+type Update struct {
+	Place netip.AddrPort
+	Run   rillreach.InstanceRun
+	// Whole says that the changes are everything that is held.
+	Whole   bool
+	Changes []Change
+}
+
+// Update takes over what a run holds. What an earlier run than the latest one tells is late and changes nothing.
+func (x *Index) Update(u Update) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.renew(u.Place, u.Run) {
+		return
+	}
+	if u.Whole {
+		x.forget(u.Place)
+	}
+	x.apply(u.Place, u.Changes)
+}
+
+// Renew drops what runs before this one held at the address.
+func (x *Index) Renew(place netip.AddrPort, run rillreach.InstanceRun) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.renew(place, run)
+}
+
+// renew notes which run is at the address, and forgets what another one held there; it reports whether the run is the latest.
+func (x *Index) renew(place netip.AddrPort, run rillreach.InstanceRun) bool {
+	known, ok := x.runs[place]
+	if known.Supersedes(run) {
+		return false
+	}
+	if run.Supersedes(known) || ok && run.ID != known.ID {
+		x.forget(place)
+	}
+	if x.runs == nil {
+		x.runs = map[netip.AddrPort]rillreach.InstanceRun{}
+	}
+	if run.ID != known.ID || run.Generation != 0 {
+		x.runs[place] = run
+	}
+	return true
+}
+
 // Holders returns how many tokens of a part each holder has.
 func (x *Index) Holders(key Key) map[netip.AddrPort]int {
 	x.mu.RLock()
--- a/instance_run.go
+++ b/instance_run.go
@@ -1,9 +1,14 @@
 package rillreach
 
-// Generation orders the runs of one instance: that of a later run is greater. Zero says that it is unknown. Those of different
-// instances, and a clock, tell nothing about one another.
+import "time"
+
+// Generation orders the runs of one instance: it is the millisecond of a run's start by that instance's clock, and that of a later
+// run is greater. Zero says that it is unknown. Those of different instances tell nothing about one another.
 type Generation int64
 
+// Started is the start by the instance's own clock.
+func (g Generation) Started() time.Time { return time.UnixMilli(int64(g)) }
+
 // InstanceRun names one run of an instance by its identifier, which a restart keeps, and its generation, which a restart raises.
 type InstanceRun struct {
 	ID         InstanceID
--- a/sidecar/holder.go
+++ b/sidecar/holder.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 
+	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/holdings"
 	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/platform"
@@ -31,6 +33,13 @@
 	log     logr.Logger
 	tracker holdings.Tracker
 
+	// observe is told of each run that the runner says it is; it is nil at a store.
+	observe func(rillreach.Generation)
+
+	mu sync.Mutex
+	// generation is that of the run whose parts the tracker holds, unknown at a store.
+	generation rillreach.Generation
+
 	epoch atomic.Uint64
 	down  atomic.Bool
 	// listed says that the tracker holds everything that was there when following began.
@@ -62,10 +71,13 @@
 	if err != nil {
 		return since, err
 	}
-	if before := h.epoch.Load(); before != 0 && before != events.Epoch {
-		h.log.Info("holder started anew", "decision", "forget", "holder", h.place, "epoch", events.Epoch, "before", before)
-		h.epoch.Store(events.Epoch)
-		h.tracker.Replace(nil)
+	h.tell(&events)
+	switch h.judge(&events) {
+	case pageLate:
+		return since, nil
+	case pageOfNewRun:
+		h.log.Info("holder started anew", "decision", "forget", "holder", h.place, "epoch", events.Epoch, "before", h.epoch.Load(), "generation", events.Generation)
+		h.renew(&events, nil)
 		return 0, nil
 	}
 	h.epoch.Store(events.Epoch)
@@ -83,8 +95,11 @@
 	if err != nil {
 		return 0, err
 	}
-	h.epoch.Store(all.Epoch)
-	h.tracker.Replace(all.Changes)
+	h.tell(&all)
+	if h.judge(&all) == pageLate {
+		return 0, nil
+	}
+	h.renew(&all, all.Changes)
 	h.listed.Store(true)
 	h.log.Info("holder listed", "decision", "replace", "holder", h.place, "epoch", all.Epoch, "parts", len(all.Changes))
 	return all.Next, nil
--- a/sidecar/loader.go
+++ b/sidecar/loader.go
@@ -8,6 +8,7 @@
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/platform"
+	"github.com/rillreach/rillreach/telemetry"
 	"github.com/rillreach/rillreach/weights"
 )
 
@@ -23,6 +24,7 @@
 
 	// given is the last order, for the runner's run that it was meant for.
 	given   platform.Order
+	givenTo rillreach.InstanceRun
 	givenAt time.Time
 	said    weights.Action
 	silent  bool
@@ -40,11 +42,9 @@
 // look compares what the runner has with what is wanted, and acts on the difference.
 func (l *loader) look(ctx context.Context) {
 	s := l.sidecar
-	self := s.state.Roster.At(s.Settings.Runner)
-	if self == nil {
+	if s.state.Roster.At(s.Settings.Runner) == nil {
 		return
 	}
-	info := self.Info()
 	load, err := s.Runner.Report(ctx)
 	l.note(ctx, err)
 	if err != nil {
@@ -53,6 +53,11 @@
 		}
 		return
 	}
+	self := s.observe(telemetry.StartInReport, load.Generation)
+	if self == nil {
+		return // it is an earlier run's
+	}
+	info := self.Info()
 	loading := load.Busy
 	for model, loaded := range load.Weights {
 		named, since := s.state.Weights(model)
@@ -102,7 +107,7 @@
 		Busy: load.Busy, Leaving: self.Leaving || load.Leaving,
 	}
 	situation.Earlier = l.earlier(&situation, named.Model)
-	if l.given.Runner == self.ID && l.given.Weights == named.Version {
+	if l.givenTo == self.Run() && l.given.Weights == named.Version {
 		situation.Ordered = time.Since(l.givenAt)
 	}
 	action := weights.Decide(situation)
@@ -134,12 +139,13 @@
 		Runner: self.ID, Model: named.Model, Weights: named.Version,
 		Holder: l.sidecar.Settings.Name, Fence: named.Revision, After: load.Orders,
 	}
-	l.givenAt = time.Now()
+	l.givenTo, l.givenAt = self.Run(), time.Now()
 	answer, err := l.sidecar.Runner.Order(ctx, l.given)
 	if err != nil {
 		l.sidecar.Log.Error(err, "order without answer", "decision", "wait", "runner", self.ID, "weights", named.Version, "after", load.Orders)
 		return
 	}
-	l.sidecar.Log.Info("order given", "decision", answer.Verdict, "runner", self.ID, "model", named.Model, "weights", named.Version,
+	l.sidecar.Log.Info("order given", "decision", answer.Verdict, "runner", self.ID, "generation", answer.Generation, "model", named.Model, "weights", named.Version,
 		"fence", named.Revision, "after", load.Orders)
+	l.sidecar.state.Observe(rillreach.InstanceRun{ID: self.ID, Generation: answer.Generation})
 }
--- a/sidecar/news.go
+++ b/sidecar/news.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/bulletin"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/holdings"
@@ -126,8 +127,12 @@
 	if self == nil || at.IsZero() {
 		return b, false
 	}
+	run := self.Info().Run()
+	if present := loadOf(run, load); present.Generation != load.Generation {
+		load, loading = present, false
+	}
 	b = bulletin.Bulletin{
-		Runner: self.Info().ID, Named: s.state.AllWeights(), Followers: int(f.news.followers.Load()),
+		Runner: run.ID, Generation: run.Generation, Named: s.state.AllWeights(), Followers: int(f.news.followers.Load()),
 		Load: bulletin.Load{
 			Running: load.Running, Waiting: load.Waiting, Used: load.Used, Unread: load.Unread, Silent: load.Silent,
 			Loading: loading, Leaving: load.Leaving, Weights: load.Weights,
@@ -175,7 +180,7 @@
 // sameLoad reports that the runner is as the follower was told.
 func (f *follower) sameLoad(b *bulletin.Bulletin) bool {
 	was, is := f.told.Load, b.Load
-	return f.told.Runner == b.Runner && was.Running == is.Running && was.Waiting == is.Waiting && was.Loading == is.Loading &&
+	return f.told.Run() == b.Run() && was.Running == is.Running && was.Waiting == is.Waiting && was.Loading == is.Loading &&
 		was.Unread == is.Unread && was.Silent == is.Silent &&
 		was.Leaving == is.Leaving && len(f.told.Named) == len(b.Named) && f.told.Followers == b.Followers
 }
@@ -214,7 +219,10 @@
 		return false
 	}
 	told := bulletin.Holder{Place: h.place, Store: h.store, Down: h.down.Load(), Dying: dying}
-	rest := f.unheard(h)
+	rest, ok := f.unheard(h, b.Generation)
+	if !ok {
+		return false
+	}
 	news := rest.whole || len(rest.changes) > 0
 	if !news && !h.store {
 		return false // of a store it matters that its agent still speaks of it
@@ -229,20 +237,23 @@
 	return news
 }
 
-// unheard is what the follower has not been told of a holder.
-func (f *follower) unheard(h *holder) backlog {
+// unheard is what the follower has not been told of a holder; it reports whether that is of the run that the bulletin speaks for.
+func (f *follower) unheard(h *holder, generation rillreach.Generation) (backlog, bool) {
 	before, known := f.positions[h]
 	if !known {
 		before = ^uint64(0) // a position that no tracker has reached, so that everything is told
 	}
-	changes, next, whole := h.tracker.Since(before)
+	changes, next, whole, ok := h.since(before, generation)
+	if !ok {
+		return backlog{}, false
+	}
 	f.positions[h] = next
 	if whole {
-		return backlog{whole: true, changes: changes}
+		return backlog{whole: true, changes: changes}, true
 	}
 	rest := f.untold[h]
 	rest.changes = append(rest.changes, changes...)
-	return rest
+	return rest, true
 }
 
 // fitting is how many of the changes fit.
--- a/sidecar/readers.go
+++ b/sidecar/readers.go
@@ -26,25 +26,31 @@
 // readers are the runs of engines that may still read parts of replaced weights. Each has to answer once after the end of the last fetch that
 // was allowed: one that stands still ends its fetch only when it goes on.
 type readers struct {
-	waiting map[rillreach.InstanceID]netip.AddrPort
+	waiting map[rillreach.InstanceID]reader
 	// askedAt is when they were asked first, and askedLast when they were last.
 	askedAt   time.Time
 	askedLast time.Time
 }
 
+// reader is a run that is waited for.
+type reader struct {
+	address    netip.AddrPort
+	generation rillreach.Generation
+}
+
 // add has the runs be waited for as well.
 func (r *readers) add(runs map[rillreach.InstanceID]*listedRun) {
 	if r.waiting == nil {
-		r.waiting = map[rillreach.InstanceID]netip.AddrPort{}
+		r.waiting = map[rillreach.InstanceID]reader{}
 	}
 	for id, run := range runs {
-		r.waiting[id] = run.address
+		r.waiting[id] = reader{address: run.address, generation: run.generation}
 	}
 }
 
 // done asks those of the runs that have not answered, and reports whether nobody is waited for any more.
 func (r *readers) done(ctx context.Context, now time.Time, runs map[rillreach.InstanceID]*listedRun) bool {
-	maps.DeleteFunc(r.waiting, func(id rillreach.InstanceID, _ netip.AddrPort) bool { return runs[id] == nil })
+	maps.DeleteFunc(r.waiting, func(id rillreach.InstanceID, one reader) bool { return hasEnded(id, one, runs[id]) })
 	if len(r.waiting) == 0 {
 		return true
 	}
@@ -59,7 +65,7 @@
 	}
 	r.askedLast = now
 	asked := slices.Collect(maps.Keys(r.waiting))
-	answered := iter.Map(asked, func(id *rillreach.InstanceID) bool { return answers(ctx, r.waiting[*id]) })
+	answered := iter.Map(asked, func(id *rillreach.InstanceID) bool { return answers(ctx, r.waiting[*id].address) })
 	for i, id := range asked {
 		if answered[i] {
 			delete(r.waiting, id)
@@ -68,9 +74,19 @@
 	return len(r.waiting) == 0
 }
 
+// hasEnded reports that a run that is waited for reads no more: it is off the list for good, or a later run of the same runner is there.
+func hasEnded(id rillreach.InstanceID, one reader, listed *listedRun) bool {
+	if listed == nil {
+		return true
+	}
+	later := rillreach.InstanceRun{ID: id, Generation: listed.generation}
+	return later.Supersedes(rillreach.InstanceRun{ID: id, Generation: one.generation})
+}
+
 // listedRun is a run of an engine that is listed, or was until lately: the record of one that stands still lapses after some seconds.
 type listedRun struct {
-	address netip.AddrPort
+	address    netip.AddrPort
+	generation rillreach.Generation
 	// last is when it was last listed, and leaving that it had said that it ends: once it is off the list, it has.
 	last    time.Time
 	leaving bool
@@ -86,10 +102,7 @@
 		if len(info.Weights) == 0 {
 			continue // no engine
 		}
-		if c.runs[info.ID] == nil {
-			c.runs[info.ID] = &listedRun{address: info.Address}
-		}
-		c.runs[info.ID].last, c.runs[info.ID].leaving = now, info.Leaving
+		c.runs[info.ID] = &listedRun{address: info.Address, generation: info.Generation, last: now, leaving: info.Leaving}
 	}
 	for id, run := range c.runs {
 		if run.leaving && run.last.Before(now) || now.Sub(run.last) > readersMost {
--- /dev/null
+++ b/sidecar/runner_run.go
@@ -0,0 +1,58 @@
+package sidecar
+
+import (
+	"sync"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/roster"
+	"github.com/rillreach/rillreach/telemetry"
+)
+
+// observe takes over which run the runner beside the agent says it is. It returns the runner, or nil where that is not listed or a
+// later run of it is known.
+func (s *Sidecar) observe(source telemetry.StartSource, generation rillreach.Generation) *roster.Runner {
+	self := s.state.Roster.At(s.Settings.Runner)
+	if self == nil {
+		return nil
+	}
+	s.noteStart(source, generation)
+	return s.state.Observe(rillreach.InstanceRun{ID: self.Info().ID, Generation: generation})
+}
+
+// noteStart counts a word of the runner that tells no start, and logs the first of several in a row.
+func (s *Sidecar) noteStart(source telemetry.StartSource, generation rillreach.Generation) {
+	if generation == 0 {
+		s.Metrics.UnknownStart(source)
+	}
+	if s.starts.set(source, generation == 0) {
+		s.Log.Info("runner tells no start", "decision", "use", "source", source, "address", s.Settings.Runner)
+	}
+}
+
+// startLog is which sources last told no start; its zero value is ready.
+type startLog struct {
+	mu      sync.Mutex
+	unknown map[telemetry.StartSource]bool
+}
+
+// set notes whether a source tells no start, and reports whether it has just ceased to tell it.
+func (l *startLog) set(source telemetry.StartSource, unknown bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.unknown == nil {
+		l.unknown = map[telemetry.StartSource]bool{}
+	}
+	ceased := unknown && !l.unknown[source]
+	l.unknown[source] = unknown
+	return ceased
+}
+
+// loadOf is how a run is by the runner's last report. What an earlier run reported says nothing of it, but for the clock that all
+// runners share: it counts as silent until it reports itself.
+func loadOf(run rillreach.InstanceRun, last deployment.Load) deployment.Load {
+	if last.Generation == 0 || run.Generation == 0 || last.Generation == run.Generation {
+		return last
+	}
+	return deployment.Load{Generation: run.Generation, Clock: last.Clock, Silent: true}
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -53,16 +53,20 @@
 	own    *holder
 	stores *collector
 	pool   *peer.Pool
+	starts startLog
 	// restarted is told when the runner beside the agent may be another run.
 	restarted chan struct{}
 }
 
 // Run works until the context ends.
 func (s *Sidecar) Run(ctx context.Context) error {
-	s.state.Log = s.Log
+	s.state.Log, s.state.Metrics = s.Log, s.Metrics
 	s.restarted = make(chan struct{}, 1)
 	s.news = &news{sidecar: s}
-	s.own = &holder{place: s.Settings.Runner, client: s.Runner, log: s.Log}
+	s.own = &holder{
+		place: s.Settings.Runner, client: s.Runner, log: s.Log,
+		observe: func(generation rillreach.Generation) { s.observe(telemetry.StartInEvents, generation) },
+	}
 	s.stores = &collector{sidecar: s}
 	mux := &peer.Mux{Log: s.Log}
 	mux.Handle(peer.MethodFollow, s.news.serve)
