--- a/bulletin/bulletin_test.go
+++ b/bulletin/bulletin_test.go
@@ -69,3 +69,22 @@
 	b := Bulletin{Clock: 1}
 	assert.Error(t, b.Complete(&Bulletin{}))
 }
+
+func TestRunOfABulletin(t *testing.T) {
+	next := func(before, b Bulletin) rillreach.InstanceRun {
+		slim := b.Without(&before)
+		assert.NoError(t, slim.Complete(&before))
+		return slim.Run()
+	}
+	for name, b := range map[string]Bulletin{
+		"the same run":                                  {Runner: "r1", Generation: 5},
+		"a later run":                                   {Runner: "r1", Generation: 6},
+		"another runner of the same start":              {Runner: "r2", Generation: 5},
+		"another runner whose start is not known":       {Runner: "r2"},
+		"the runner, whose start is not known any more": {Runner: "r1"},
+	} {
+		t.Run("a follower hears that the bulletin is of "+name, func(t *testing.T) {
+			assert.Equal(t, b.Run(), next(Bulletin{Runner: "r1", Generation: 5}, b))
+		})
+	}
+}
--- /dev/null
+++ b/gateway/restart_test.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/bulletin"
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/holdings"
+	"github.com/rillreach/rillreach/internal/standin/site"
+)
+
+const (
+	earlier = 1_790_000_000_000
+	later   = earlier + 5000
+)
+
+var (
+	enginePlace = netip.MustParseAddrPort("10.0.0.1:80")
+	storePlace  = netip.MustParseAddrPort("10.0.0.9:80")
+	partKey     = holdings.Key{Salt: "1/m", Part: "p"}
+)
+
+// told is a bulletin of a run of the runner "r", with a load and a part that it holds.
+func told(generation rillreach.Generation, waiting, tokens int, whole bool) *bulletin.Bulletin {
+	return &bulletin.Bulletin{
+		Runner: "r", Generation: generation, Clock: later + 100, Load: bulletin.Load{Waiting: waiting},
+		Holders: []bulletin.Holder{{Place: enginePlace, Whole: whole, Changes: []holdings.Change{{Key: partKey, Tokens: tokens}}}},
+	}
+}
+
+// hearing is an entry that has heard of an earlier run of the runner "r", and left it alone since.
+func hearing(t *testing.T) *Gateway {
+	t.Helper()
+	g, _ := beforeEngines(0)
+	g.state.Restarted = g.runnerRestarted
+	g.state.Roster.Put(deployment.Runner{ID: "r", Service: "s", Address: enginePlace, Generation: earlier})
+	g.learn(told(earlier, 7, 800, true), time.Now())
+	g.state.Roster.Find("r").Strike(time.Now())
+	require.Equal(t, map[netip.AddrPort]int{enginePlace: 800}, g.stores.index.Holders(partKey))
+	return g
+}
+
+// assertForgotten asserts that nothing of the earlier run is believed.
+func assertForgotten(t *testing.T, g *Gateway) {
+	t.Helper()
+	v := g.state.Roster.Find("r").View(time.Now())
+	assert.Equal(t, rillreach.Generation(later), v.Generation)
+	assert.Zero(t, v.Load.Waiting)
+	assert.False(t, v.Avoid)
+	assert.Empty(t, g.stores.index.Holders(partKey))
+	assert.Zero(t, g.stores.index.Total(enginePlace))
+}
+
+func TestRunnerStartsAgain(t *testing.T) {
+	record := deployment.Runner{ID: "r", Service: "s", Address: enginePlace, Generation: later}
+	empty := &bulletin.Bulletin{Runner: "r", Generation: later, Clock: later + 100}
+	t.Run("the word of its agent is enough", func(t *testing.T) {
+		g := hearing(t)
+		over := g.state.Roster.Find("r").Over()
+		g.learn(empty, time.Now())
+		assertForgotten(t, g)
+		<-over
+	})
+	t.Run("a new start that is heard of twice does nothing the second time", func(t *testing.T) {
+		g := hearing(t)
+		g.learn(told(later, 3, 500, true), time.Now())
+		one := g.state.Roster.Find("r")
+		g.learn(&bulletin.Bulletin{Runner: "r", Generation: later, Load: bulletin.Load{Waiting: 3}}, time.Now())
+		assert.Same(t, one, g.state.Roster.Find("r"))
+		assert.Equal(t, map[netip.AddrPort]int{enginePlace: 500}, g.stores.index.Holders(partKey))
+	})
+	t.Run("what its agent still says of the earlier run is late", func(t *testing.T) {
+		for name, whole := range map[string]bool{"everything": true, "a change": false} {
+			t.Run(name, func(t *testing.T) {
+				g := hearing(t)
+				g.learn(empty, time.Now())
+				g.learn(told(earlier, 9, 900, whole), time.Now())
+				assertForgotten(t, g)
+			})
+		}
+	})
+	t.Run("what it says of a store counts all the same", func(t *testing.T) {
+		g := hearing(t)
+		g.learn(empty, time.Now())
+		late := told(earlier, 9, 900, true)
+		late.Holders[0].Place, late.Holders[0].Store = storePlace, true
+		g.learn(late, time.Now())
+		assert.Equal(t, map[netip.AddrPort]int{storePlace: 900}, g.stores.index.Holders(partKey))
+	})
+	t.Run("the list may come after the agent's word, and leaves what the later run holds", func(t *testing.T) {
+		g := hearing(t)
+		g.learn(told(later, 3, 500, true), time.Now())
+		g.state.Roster.Put(record)
+		g.runnerRestarted(record) // as though the list had been the first to tell, and were only now done with
+		assert.Equal(t, map[netip.AddrPort]int{enginePlace: 500}, g.stores.index.Holders(partKey))
+	})
+	t.Run("an unknown start is no new one", func(t *testing.T) {
+		g := hearing(t)
+		g.learn(&bulletin.Bulletin{Runner: "r", Load: bulletin.Load{Waiting: 4}}, time.Now())
+		v := g.state.Roster.Find("r").View(time.Now())
+		assert.Equal(t, 4, v.Load.Waiting)
+		assert.True(t, v.Avoid)
+		assert.Equal(t, 800, g.stores.index.Total(enginePlace))
+	})
+}
+
+func TestRestartDelay(t *testing.T) {
+	now := time.Now()
+	delayAt := func(clock int64) (time.Duration, bool) {
+		var g Gateway
+		g.stores.clock.hear(clock, now)
+		return g.restartDelay(later, now)
+	}
+	t.Run("it is told by the runners' clock", func(t *testing.T) {
+		delay, known := delayAt(later + 250)
+		assert.True(t, known)
+		assert.Equal(t, 250*time.Millisecond, delay)
+	})
+	for name, clock := range map[string]int64{"before that clock is known": 0, "where the start lies ahead": later - 1, "where it lies far back": later + 3_600_000} {
+		t.Run("it is not told "+name, func(t *testing.T) {
+			_, known := delayAt(clock)
+			assert.False(t, known)
+		})
+	}
+}
+
+// TestStoreTellsOfNewStart has an entry at work hear of an engine's new start from the store alone.
+func TestStoreTellsOfNewStart(t *testing.T) {
+	e := &site.Engine{Model: site.Model, Version: 1, Born: earlier}
+	e.ID = "e1"
+	w := enginesWorld(t)
+	e.Start()
+	t.Cleanup(e.Stop)
+	w.store.Put("servers", e.ID, e.Record("ready"))
+	w.eventually(t, func() bool { return w.gateway.state.Roster.Find("e1") != nil })
+	g := w.gateway
+	first := g.state.Roster.Find("e1")
+	g.stores.learnRunner(first.Info().Run(), &bulletin.Holder{Place: e.Address(), Whole: true, Changes: []holdings.Change{{Key: partKey, Tokens: 800}}})
+	require.Equal(t, 800, g.stores.index.Total(e.Address()))
+	e.Restart(later)
+	w.store.Put("servers", e.ID, e.Record("ready"))
+	w.eventually(t, func() bool { return g.stores.index.Total(e.Address()) == 0 })
+	assert.NotSame(t, first, g.state.Roster.Find("e1"))
+	<-first.Over()
+}
--- a/holdings/holdings_test.go
+++ b/holdings/holdings_test.go
@@ -9,6 +9,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"github.com/rillreach/rillreach"
 )
 
 var (
@@ -117,3 +119,51 @@
 		assert.Equal(t, before.Total(placeA), after.Total(placeA))
 	})
 }
+
+func TestIndexOfRuns(t *testing.T) {
+	first, second := rillreach.InstanceRun{ID: "a", Generation: 1}, rillreach.InstanceRun{ID: "a", Generation: 2}
+	of := func(run rillreach.InstanceRun, whole bool, changes ...Change) Update {
+		return Update{Place: placeA, Run: run, Whole: whole, Changes: changes}
+	}
+	held := func(updates ...Update) map[string]int {
+		var x Index
+		for _, u := range updates {
+			x.Update(u)
+		}
+		held := map[string]int{}
+		for _, part := range []string{"p", "q"} {
+			if tokens := x.Holders(key(part))[placeA]; tokens != 0 {
+				held[part] = tokens
+			}
+		}
+		return held
+	}
+	t.Run("changes of one run add up", func(t *testing.T) {
+		assert.Equal(t, map[string]int{"p": 10, "q": 5}, held(of(first, true, change("p", 10)), of(first, false, change("q", 5))))
+	})
+	t.Run("a later run holds nothing of an earlier one", func(t *testing.T) {
+		assert.Equal(t, map[string]int{"q": 5}, held(of(first, true, change("p", 10)), of(second, false, change("q", 5))))
+	})
+	t.Run("what an earlier run tells is late", func(t *testing.T) {
+		assert.Equal(t, map[string]int{"q": 5}, held(of(second, true, change("q", 5)), of(first, true, change("p", 10)), of(first, false, change("p", 7))))
+	})
+	t.Run("an unknown run is taken for the one that is known", func(t *testing.T) {
+		unknown := rillreach.InstanceRun{ID: "a"}
+		assert.Equal(t, map[string]int{"p": 10, "q": 5}, held(of(second, true, change("p", 10)), of(unknown, false, change("q", 5))))
+		assert.Equal(t, map[string]int{"q": 5}, held(of(second, true, change("q", 5)), of(unknown, false), of(first, false, change("p", 10))))
+	})
+	t.Run("another runner at the address holds nothing of the one before, whichever of their starts is greater", func(t *testing.T) {
+		other := rillreach.InstanceRun{ID: "b", Generation: 1}
+		assert.Equal(t, map[string]int{"q": 5}, held(of(second, true, change("p", 10)), of(other, false, change("q", 5))))
+	})
+	t.Run("a run that is renewed twice keeps what it holds", func(t *testing.T) {
+		var x Index
+		x.Update(of(first, true, change("p", 10)))
+		x.Renew(placeA, second)
+		assert.Zero(t, x.Total(placeA))
+		x.Update(of(second, true, change("q", 5)))
+		x.Renew(placeA, second)
+		x.Renew(placeA, first)
+		assert.Equal(t, 5, x.Total(placeA))
+	})
+}
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -115,33 +115,41 @@
 func begin(t *testing.T, e *engine) *fixture {
 	t.Helper()
 	f := &fixture{store: site.NewStore(), engine: e}
-	store, runner := httptest.NewServer(f.store), httptest.NewServer(e)
-	t.Cleanup(store.Close)
+	runner := httptest.NewServer(e)
 	t.Cleanup(runner.Close)
 	f.store.Put("config", "main", map[string]any{"version": 1})
 	f.store.Put("servers", "r1", map[string]any{
 		"service": "s", "address": addressOf(runner.URL).String(), "zone": "z", "state": "ready", "models": []map[string]any{{"name": "m", "version": e.version}},
 	})
+	f.agent = beginAgent(t, f.store, addressOf(runner.URL))
+	return f
+}
+
+// beginAgent starts an agent beside the runner at the address.
+func beginAgent(t *testing.T, store http.Handler, runner netip.AddrPort) *Sidecar {
+	t.Helper()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	own := netip.MustParseAddrPort(listener.Addr().String())
-	client := platform.NewStore(addressOf(store.URL))
-	f.agent = &Sidecar{
+	client := platform.NewStore(addressOf(server.URL))
+	agent := &Sidecar{
 		Settings: &deployment.Settings{
-			Name: "side-1", Zone: "z", Host: own.Addr(), FirstPort: own.Port(), LastPort: own.Port(), Runner: addressOf(runner.URL),
+			Name: "side-1", Zone: "z", Host: own.Addr(), FirstPort: own.Port(), LastPort: own.Port(), Runner: runner,
 			Bounds: deployment.Bounds{Weights: 10 * time.Second},
 		},
 		Configs: platform.Configs(client), Runners: platform.Runners(client), Weights: platform.Weights(client),
-		Runner: platform.NewRunner(addressOf(runner.URL)), Listener: listener, Log: testr.New(t),
+		Runner: platform.NewRunner(runner), Listener: listener, Log: testr.New(t),
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- f.agent.Run(ctx) }()
+	go func() { ended <- agent.Run(ctx) }()
 	t.Cleanup(func() {
 		stop()
 		assert.NoError(t, <-ended)
 	})
-	return f
+	return agent
 }
 
 func (f *fixture) name(version uint64) uint64 {
