Test that an earlier run's order is not waited for

Cause: a trial without the run in the loader's memory of its order passed, since orders are given again after 0.6 s. Ruled out: - Change: a test of the decision itself; and a part that comes late in the test of bulletins, whose trial passed as well.

--- a/sidecar/restart_test.go
+++ b/sidecar/restart_test.go
@@ -105,6 +105,29 @@
 	assert.Len(t, b.given(), 2, "one order is enough")
 }
 
+// TestOrderOfAnEarlierRun: the order went with the run that had it, and is not waited for.
+func TestOrderOfAnEarlierRun(t *testing.T) {
+	ordered := func(t *testing.T, runs ...rillreach.Generation) []order {
+		t.Helper()
+		e := &engine{version: 1}
+		runner := httptest.NewServer(e)
+		t.Cleanup(runner.Close)
+		s := &Sidecar{Settings: &deployment.Settings{Runner: addressOf(runner.URL)}, Runner: platform.NewRunner(addressOf(runner.URL)), Log: testr.New(t)}
+		l := &loader{sidecar: s}
+		for i, generation := range runs {
+			self := deployment.Runner{ID: "r1", Service: "s", Address: addressOf(runner.URL), Generation: generation}
+			l.decide(t.Context(), self, deployment.Load{Orders: uint64(i)}, deployment.NamedWeights{Model: "m", Version: 2, Revision: 5}, 1, time.Hour)
+		}
+		return e.given()
+	}
+	t.Run("a later run is ordered at once, by its own count of orders", func(t *testing.T) {
+		given := ordered(t, earlier, later)
+		if assert.Len(t, given, 2) {
+			assert.Equal(t, uint64(1), given[1].Expected)
+		}
+	})
+}
+
 func TestRunnerWithoutAStart(t *testing.T) {
 	b := beginBeside(t)
 	eventually(t, func() bool { return b.known() == earlier })
@@ -147,6 +170,7 @@
 	require.Len(t, before.Holders, 1)
 	require.Equal(t, 7, before.Load.Running)
 
+	s.own.tracker.Apply([]holdings.Change{{Key: holdings.Key{Salt: "1/m", Part: "late"}, Tokens: 400}})
 	s.state.Roster.Put(deployment.Runner{ID: "r1", Address: place, Generation: later})
 	b, worth := f.next()
 	t.Run("the new start is told at once", func(t *testing.T) {
