--- a/bulletin/bulletin_test.go
+++ b/bulletin/bulletin_test.go
@@ -73,7 +73,7 @@
 func TestRunOfABulletin(t *testing.T) {
 	next := func(before, b Bulletin) rillreach.InstanceRun {
 		slim := b.Without(&before)
-		assert.NoError(t, slim.Complete(&before))
+		require.NoError(t, slim.Complete(&before))
 		return slim.Run()
 	}
 	for name, b := range map[string]Bulletin{
