Log a runner that tells no start once, not at each record

Ruled out: leaving the line out: it is the only sign that new starts can't be told. Change: one line a runner until it tells a start again; the counter counts each changed record. Measured: go test -race ./localstate green.

--- a/localstate/runs.go
+++ b/localstate/runs.go
@@ -25,15 +25,23 @@
 	}
 }
 
-// noteUnstarted tells once of each record that does not say when its runner started. Only the runners' follower calls it.
-func (s *State) noteUnstarted(info *deployment.Runner) {
-	if told, ok := s.unstarted[info.ID]; info.Generation != 0 || ok && told == info.Revision {
+// noteStart counts each record that does not say when its runner started, and logs the first of several in a row. Only the runners'
+// follower calls it.
+func (s *State) noteStart(info *deployment.Runner) {
+	if info.Generation != 0 {
+		delete(s.unstarted, info.ID)
 		return
 	}
+	revision, known := s.unstarted[info.ID]
+	if !known {
+		s.Log.Info("record of a runner tells no start", "decision", "use", "runner", info.ID, "revision", info.Revision)
+	}
+	if known && revision == info.Revision {
+		return // it was listed again
+	}
 	if s.unstarted == nil {
 		s.unstarted = map[rillreach.InstanceID]uint64{}
 	}
 	s.unstarted[info.ID] = info.Revision
-	s.Log.Info("record of a runner tells no start", "decision", "use", "runner", info.ID, "revision", info.Revision)
 	s.Metrics.UnknownStart(telemetry.StartInRecord)
 }
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -42,7 +42,7 @@
 	config   atomic.Pointer[deployment.Config]
 	configAt atomic.Int64
 	listed   atomic.Bool
-	// unstarted are the revisions of the records that tell no start and have been told of.
+	// unstarted are the revisions of the last records of runners that tell no start.
 	unstarted map[rillreach.InstanceID]uint64
 
 	mu      sync.Mutex
@@ -125,7 +125,7 @@
 			s.Log.Error(u.Err, "record of a runner refused", "runner", u.Name, "revision", u.Revision)
 			continue
 		}
-		s.noteUnstarted(u.Value)
+		s.noteStart(u.Value)
 		list = append(list, *u.Value)
 	}
 	now := time.Now()
@@ -141,7 +141,7 @@
 	case u.Err != nil:
 		s.Log.Error(u.Err, "record of a runner refused, the last good one stays", "runner", u.Name, "revision", u.Revision)
 	default:
-		s.noteUnstarted(u.Value)
+		s.noteStart(u.Value)
 		s.noteRunners(s.Roster.Put(*u.Value))
 	}
 }
