Take a new start from an order's answer, and from no refusal

Cause: a refusal may come from another runner that has the address, whose start says nothing of this one; a list without a start left the run of the agent's tracker unknown. Ruled out: - Change: refusals are left out; a page of the same epoch leaves the run as it is known.

--- a/gateway/news.go
+++ b/gateway/news.go
@@ -109,7 +109,8 @@
 	}
 }
 
-// learnLoad takes over how the runner is, which is nil where it is not listed or the bulletin is late. A report that can't be true is not used: the runner counts as one without a report.
+// learnLoad takes over how the runner is, which is nil where it is not listed or the bulletin is late. A report that can't be true is
+// not used: the runner counts as one without a report.
 func (g *Gateway) learnLoad(r *roster.Runner, b *bulletin.Bulletin, now time.Time) {
 	if r == nil {
 		return
--- a/sidecar/holder_run.go
+++ b/sidecar/holder_run.go
@@ -38,8 +38,9 @@
 func (h *holder) renew(page *platform.CacheEvents, held []holdings.Change) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.epoch.Store(page.Epoch)
-	h.generation = page.Generation
+	if h.epoch.Swap(page.Epoch) != page.Epoch || page.Generation != 0 {
+		h.generation = page.Generation // of the same epoch it is known from other pages where this one does not tell it
+	}
 	h.tracker.Replace(held)
 }
 
--- a/sidecar/loader.go
+++ b/sidecar/loader.go
@@ -147,5 +147,7 @@
 	}
 	l.sidecar.Log.Info("order given", "decision", answer.Verdict, "runner", self.ID, "generation", answer.Generation, "model", named.Model, "weights", named.Version,
 		"fence", named.Revision, "after", load.Orders)
-	l.sidecar.state.Observe(rillreach.InstanceRun{ID: self.ID, Generation: answer.Generation})
+	if answer.Verdict != platform.OrderRefused { // a refusal may be another runner's at the address
+		l.sidecar.state.Observe(rillreach.InstanceRun{ID: self.ID, Generation: answer.Generation})
+	}
 }
--- a/sidecar/news.go
+++ b/sidecar/news.go
@@ -128,8 +128,8 @@
 		return b, false
 	}
 	run := self.Info().Run()
-	if present := loadOf(run, load); present.Generation != load.Generation {
-		load, loading = present, false
+	if !reports(run, load) {
+		load, loading = unreported(load), false
 	}
 	b = bulletin.Bulletin{
 		Runner: run.ID, Generation: run.Generation, Named: s.state.AllWeights(), Followers: int(f.news.followers.Load()),
--- a/sidecar/restart_test.go
+++ b/sidecar/restart_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -128,6 +129,31 @@
 	})
 }
 
+// TestAnswerToAnOrder has a runner answer an order with a later start than is known.
+func TestAnswerToAnOrder(t *testing.T) {
+	known := func(t *testing.T, status int) rillreach.Generation {
+		t.Helper()
+		runner := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(status)
+			_, _ = fmt.Fprintf(w, `{"born":%d}`, later)
+		}))
+		t.Cleanup(runner.Close)
+		s := &Sidecar{Settings: &deployment.Settings{Runner: addressOf(runner.URL)}, Runner: platform.NewRunner(addressOf(runner.URL)), Log: testr.New(t)}
+		self := deployment.Runner{ID: "r1", Service: "s", Address: addressOf(runner.URL), Generation: earlier}
+		s.state.Roster.Put(self)
+		(&loader{sidecar: s}).order(t.Context(), self, deployment.Load{}, deployment.NamedWeights{Model: "m", Version: 2})
+		return s.state.Roster.Find("r1").Info().Generation
+	}
+	for _, status := range []int{http.StatusOK, http.StatusAccepted, http.StatusConflict} {
+		t.Run("it tells the new start: "+http.StatusText(status), func(t *testing.T) {
+			assert.Equal(t, rillreach.Generation(later), known(t, status))
+		})
+	}
+	t.Run("a refusal may be another runner's and tells none", func(t *testing.T) {
+		assert.Equal(t, rillreach.Generation(earlier), known(t, http.StatusMisdirectedRequest))
+	})
+}
+
 func TestRunnerWithoutAStart(t *testing.T) {
 	b := beginBeside(t)
 	eventually(t, func() bool { return b.known() == earlier })
@@ -218,6 +244,12 @@
 			assert.Equal(t, c.want, h.judge(&platform.CacheEvents{Epoch: c.epoch, Generation: c.generation}))
 		})
 	}
+	t.Run("a list of the same run that tells no start is of that run", func(t *testing.T) {
+		h := follow(t, 1, earlier)
+		h.renew(&platform.CacheEvents{Epoch: 1}, nil)
+		_, _, _, ok := h.since(0, later)
+		assert.False(t, ok, "a bulletin of the later run does not tell of it")
+	})
 	t.Run("a start that becomes known is no new one", func(t *testing.T) {
 		assert.Equal(t, pagePresent, follow(t, 1, 0).judge(&platform.CacheEvents{Epoch: 1, Generation: later}))
 	})
--- a/sidecar/runner_run.go
+++ b/sidecar/runner_run.go
@@ -48,11 +48,13 @@
 	return ceased
 }
 
-// loadOf is how a run is by the runner's last report. What an earlier run reported says nothing of it, but for the clock that all
-// runners share: it counts as silent until it reports itself.
-func loadOf(run rillreach.InstanceRun, last deployment.Load) deployment.Load {
-	if last.Generation == 0 || run.Generation == 0 || last.Generation == run.Generation {
-		return last
-	}
-	return deployment.Load{Generation: run.Generation, Clock: last.Clock, Silent: true}
+// reports says whether the load is the run's own, as far as is known.
+func reports(run rillreach.InstanceRun, load deployment.Load) bool {
+	return load.Generation == 0 || run.Generation == 0 || load.Generation == run.Generation
+}
+
+// unreported is the load of a run that has not reported itself: it counts as silent. Of another run's report only the clock holds,
+// which all runners share.
+func unreported(other deployment.Load) deployment.Load {
+	return deployment.Load{Clock: other.Clock, Silent: true}
 }
