Give a run up only once another runner answers

Cause: an entry closed a run that its runner was answering, before a load of weights or for its silence, and then asked another with the last send that the route allows; any refusal cut the caller's answer. Change: a second attempt beside the first, which takes its place with its first event and leaves it alone when refused; one mechanism for loads and silence. The tests of the silence bound count second attempts where they counted ended ones; the exchange of the benchmark has the new parts.

--- a/forward/conn.go
+++ b/forward/conn.go
@@ -80,9 +80,9 @@
 	return done, nil
 }
 
-// watchUntil has every read and write of the connection fail once the context ends.
+// watchUntil closes the connection once the context ends, so that the runner hears of it though nobody reads or writes just then.
 func (c *conn) watchUntil(ctx context.Context) (stop func() bool) {
-	return context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	return context.AfterFunc(ctx, func() { _ = c.Close() })
 }
 
 // maxStray is how many answers of earlier requests are read over before a connection is given up.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,7 +14,33 @@
 	"github.com/rillreach/rillreach/platform"
 )
 
-// attempt sends the request to one runner; it reports whether the request is done with.
+// attempt is one send of a request to one runner, until the end of that runner's answer.
+type attempt struct {
+	gateway  *Gateway
+	exchange *exchange
+	target   *target
+	// parent is the context of the request's attempts, and waiting that of this one, which cancel ends.
+	parent  context.Context
+	waiting context.Context
+	cancel  context.CancelFunc
+	silence *silenceBound
+	start   *startDeadline
+
+	answer *forward.Answer
+	head   platform.Answer
+	// ahead is what was read of the answer before it is passed on, had the last event that the caller has from another attempt.
+	ahead bytes.Buffer
+	had   string
+
+	// spared says that the entry ended the attempt for a reason that doesn't speak against the runner.
+	spared atomic.Bool
+	// mu guards the attempt that was begun beside this one, and whether another may still be.
+	mu     sync.Mutex
+	hedge  *hedge
+	closed bool
+}
+
+// attempt sends the request to one runner, and where need be to another beside it; it reports whether the request is done with.
 func (g *Gateway) attempt(ctx context.Context, x *exchange) bool {
 	t, verdict := g.target(ctx, x)
 	if t == nil {
@@ -19,39 +48,106 @@
 		x.exhausted = true
 		return false
 	}
-	defer t.work.end()
-	x.tried = append(x.tried, t.view.ID)
-	waiting, cancel := context.WithCancel(ctx)
-	defer cancel()
-	bound := g.boundSilence(x, t, cancel)
-	defer bound.stop()
-	deadline := g.boundStart(x, t, cancel)
-	defer deadline.stop()
-	heard := func() {
-		deadline.stop()
-		bound.heard()
-		t.work.first()
-	}
-	x.call.Header = g.directions(x, t).Header(x.request.Header)
-	var head platform.Answer
-	answer, err := g.pool.Do(waiting, t.view.Address, g.maxConns(x), &x.call, func(resp *http.Response) bool {
-		head = platform.DecodeAnswer(resp.StatusCode, resp.Header)
-		return head.Request == x.wire.ID || head.Request == "" && x.wire.ID == ""
+	a := g.newAttempt(ctx, x, t)
+	defer func() { a.close() }()
+	for {
+		if a.run() {
+			return true
+		}
+		next := a.replacement()
+		if next == nil {
+			return false
+		}
+		a.close()
+		a = next
+	}
+}
+
+// newAttempt prepares a send to the target.
+func (g *Gateway) newAttempt(ctx context.Context, x *exchange, t *target) *attempt {
+	a := &attempt{gateway: g, exchange: x, target: t, parent: ctx}
+	a.waiting, a.cancel = context.WithCancel(ctx)
+	a.silence = g.boundSilence(a)
+	a.start = g.boundStart(x, t, a.cancel)
+	return a
+}
+
+// run sends the request, unless that is done already, and passes the answer on; it reports whether the request is done with.
+func (a *attempt) run() bool {
+	if a.answer == nil {
+		a.awaitFirstWord()
+		if !a.send() {
+			return false
+		}
+	}
+	return a.relay()
+}
+
+// awaitFirstWord bounds the wait for the runner's answer where another runner may be asked beside it.
+func (a *attempt) awaitFirstWord() {
+	x := a.exchange
+	if !x.route.Once() && len(x.sends.used())+1 < x.route.MaxRunners {
+		a.silence.begin(max(silenceTargets*x.route.Target, leastSilence))
+	}
+}
+
+// send sends the request and reads the head of the answer; it reports whether the runner took it.
+func (a *attempt) send() bool {
+	g, x, t := a.gateway, a.exchange, a.target
+	call := x.call
+	call.Header = g.directions(x, t).Header(x.request.Header)
+	x.sends.add(t.view.ID)
+	answer, err := g.pool.Do(a.waiting, t.view.Address, g.maxConns(x), &call, func(resp *http.Response) bool {
+		a.head = platform.DecodeAnswer(resp.StatusCode, resp.Header)
+		return a.head.Request == x.wire.ID || a.head.Request == "" && x.wire.ID == ""
 	})
 	if err != nil {
-		if !errors.Is(err, forward.ErrNotSent) {
-			x.noteRunner(t.view.ID)
+		if errors.Is(err, forward.ErrNotSent) {
+			x.sends.drop(t.view.ID)
 		}
-		return g.failed(ctx, x, t, err)
+		a.failed(err)
+		return false
 	}
-	defer answer.Close()
-	answer.Rest = head.Rest
-	x.noteRunner(t.view.ID)
-	if head.NotRun {
-		g.notRun(x, t, answer, head)
+	a.answer = answer
+	answer.Rest = a.head.Rest
+	if a.head.NotRun {
+		g.notRun(x, t, answer, a.head)
 		return false
 	}
-	return g.relay(ctx, x, t, answer, head, heard)
+	return true
+}
+
+// Read reads the answer's body.
+func (a *attempt) Read(buf []byte) (int, error) {
+	if a.ahead.Len() > 0 {
+		return a.ahead.Read(buf)
+	}
+	n, err := a.answer.Read(buf)
+	if n > 0 {
+		a.heard()
+	}
+	return n, err
+}
+
+// heard records that the runner has said something of its answer.
+func (a *attempt) heard() {
+	a.start.stop()
+	a.silence.heard()
+	a.target.work.first()
+}
+
+// close ends the attempt, and the one that was begun beside it.
+func (a *attempt) close() {
+	if h := a.releaseHedge(); h != nil {
+		h.end()
+	}
+	a.silence.stop()
+	a.start.stop()
+	a.cancel()
+	if a.answer != nil {
+		a.answer.Close()
+	}
+	a.target.work.end()
 }
 
 // target finds a runner for the next attempt, or says why there is none.
@@ -81,7 +177,8 @@
 )
 
 // failed judges an attempt that brought no answer.
-func (g *Gateway) failed(ctx context.Context, x *exchange, t *target, err error) bool {
+func (a *attempt) failed(err error) {
+	g, x, t := a.gateway, a.exchange, a.target
 	now := time.Now()
 	notSent := errors.Is(err, forward.ErrNotSent)
 	if !notSent {
@@ -91,19 +188,18 @@
 		x.reason = errStartTooLate.Error()
 		g.Log.Info("request cancelled before it began", "decision", "cancel", "request", x.wire.ID, "runner", t.view.ID, "weights", t.weights,
 			"replacedFor", g.replacedFor(x, t.weights, now).String(), "notSent", notSent, "after", now.Sub(x.arrived).String())
-		return false
+		return
 	}
 	x.reason = err.Error()
 	callerLeft := x.request.Context().Err() != nil
 	pause := time.Duration(0)
-	if !callerLeft && !errors.Is(err, forward.ErrFull) {
+	if !callerLeft && !a.spared.Load() && !errors.Is(err, forward.ErrFull) {
 		pause = t.runner.Strike(now)
 		g.pool.Forget(t.view.Address)
 	}
 	g.Log.Info("attempt failed", "decision", "judge", "request", x.wire.ID, "runner", t.view.ID, "notSent", notSent,
-		"callerLeft", callerLeft, "timedOut", ctx.Err() != nil, "cause", err.Error(), "avoidedFor", pause.String(),
+		"callerLeft", callerLeft, "spared", a.spared.Load(), "timedOut", a.parent.Err() != nil, "cause", err.Error(), "avoidedFor", pause.String(),
 		"after", now.Sub(x.arrived).String())
-	return false
 }
 
 // notRun judges a runner's word that it has not run the request.
@@ -133,7 +229,5 @@
 		version = named.Version
 	}
 	t.runner.SetWeights(x.wire.Prompt.Model, version)
-	if len(x.runners) == 1 && x.sends == 1 {
-		x.runners = nil // the same runner may be asked again for its own weights
-	}
+	x.sends.allowAgain() // the same runner may be asked again for its own weights
 }
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -71,7 +71,7 @@
 		fetchUntil = t.kept.until
 	}
 	g.Log.Info("runner chosen", "decision", "send", "request", x.wire.ID, "account", x.accountName(), "route", x.route.Name,
-		"chosen", t.view.ID, "candidates", len(o.candidates), "cost", t.choice.Cost, "estimate", t.choice.Estimate.String(), "attempt", x.sends+1,
+		"chosen", t.view.ID, "candidates", len(o.candidates), "cost", t.choice.Cost, "estimate", t.choice.Estimate.String(), "attempt", x.sends.sent()+1,
 		"weights", t.weights, "replacedFor", g.replacedFor(x, t.weights, now).String(),
 		"held", now.Sub(x.arrived).String(), "before", t.before, "perToken", o.question.Speed.PerToken.String(), "base", o.question.Speed.Base.String(),
 		"missing", t.reading, "again", t.plan.Again, "fetched", t.plan.Fetched, "fetchUntil", fetchUntil,
--- a/gateway/choose_bench_test.go
+++ b/gateway/choose_bench_test.go
@@ -32,6 +32,7 @@
 		g.state.Roster.Find(info.ID).SetReport(roster.Report{At: now.Add(time.Hour), Load: load})
 	}
 	x := &exchange{
+		sends: &sends{}, progress: &progress{},
 		service: &deployment.Service{Name: "s", Engine: &deployment.Engine{CapacityTokens: 70000, TokenBytes: 18432, LinkBitsPerSecond: 3e11}},
 		route:   &deployment.Route{Name: "r", Target: time.Second, Kind: deployment.EventStream},
 		config:  &deployment.Config{}, arrived: now, ends: now.Add(10 * time.Second),
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"slices"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 )
@@ -22,6 +23,8 @@
 type eventReader struct {
 	from  io.Reader
 	whole bool
+	// had is the id of the last event that the caller has from another run of the same request, empty where the stream begins after it.
+	had string
 	// last is the id of the last event given.
 	last string
 
@@ -37,8 +40,8 @@
 	}
 	r.held = append(r.held, r.buf[:n]...)
 	end := bytes.LastIndex(r.held, eventEnd)
-	if errors.Is(err, io.EOF) { // the stream is whole, and so its rest goes out
-		part := r.held
+	if isEnd(err) { // the stream is whole, and so its rest goes out
+		part := r.unseen(r.held)
 		r.held = nil
 		r.note(part)
 		return part, err
@@ -49,17 +52,55 @@
 		}
 		return nil, err
 	}
-	part := slices.Clone(r.held[:end+len(eventEnd)])
+	part := r.unseen(slices.Clone(r.held[:end+len(eventEnd)]))
 	r.held = append(r.held[:0], r.held[end+len(eventEnd):]...)
 	r.note(part)
 	return part, err
 }
 
+// unseen leaves out the events that the caller has from another run.
+func (r *eventReader) unseen(part []byte) []byte {
+	for r.had != "" && len(part) > 0 {
+		event, rest, _ := bytes.Cut(part, eventEnd)
+		if id := eventID(event); id != "" && follows(id, r.had) {
+			r.had = ""
+			break
+		}
+		part = rest
+	}
+	return part
+}
+
 // note keeps the id of the last event in the part.
 func (r *eventReader) note(part []byte) {
-	for line := range bytes.SplitSeq(part, []byte("\n")) {
+	if id := eventID(part); id != "" {
+		r.last = id
+	}
+}
+
+// eventID is the last id in the events, empty where there is none.
+func eventID(events []byte) string {
+	last := ""
+	for line := range bytes.SplitSeq(events, []byte("\n")) {
 		if id, ok := bytes.CutPrefix(line, idField); ok {
-			r.last = string(bytes.TrimSpace(id))
+			last = string(bytes.TrimSpace(id))
 		}
 	}
+	return last
+}
+
+// follows reports that an event comes after another, by their ids, which rise.
+func follows(id, other string) bool {
+	a, errA := strconv.ParseUint(id, 10, 64)
+	b, errB := strconv.ParseUint(other, 10, 64)
+	return errA != nil || errB != nil || a > b
 }
+
+// isNumber reports that ids like this one tell which of two events comes first.
+func isNumber(id string) bool {
+	_, err := strconv.ParseUint(id, 10, 64)
+	return err == nil
+}
+
+// isEnd reports that an answer is whole.
+func isEnd(err error) bool { return errors.Is(err, io.EOF) }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rillreach/rillreach"
@@ -23,30 +24,72 @@
 	arrived time.Time
 	// ends is when the final answer is due.
 	ends time.Time
-	// sends counts how often the request went out, runners where to; maybeRan says that one of these may have run it.
-	sends int
-	// tried are the runners that were asked, also those that could not be reached.
-	tried    []rillreach.InstanceID
-	runners  []rillreach.InstanceID
+	// sends are where the request went, maybeRan says that one of these may have run it.
+	sends    *sends
 	maybeRan bool
 	// exhausted says that no runner is left to be asked.
 	exhausted bool
-	// began says that the head of an answer has gone to the caller, first when the first event did.
-	began bool
-	first time.Time
 	// waited is how long the last runner that began on the request took from the send to its first token.
 	waited time.Duration
+	// first is when the first event went to the caller.
+	first time.Time
 	// buffered says that nothing of the answer goes out before it is whole; keepPastEnd lets a stream go on past the time at which the entry
 	// gives those without an answer their last one, and reports whether that was not too late.
 	buffered    bool
 	keepPastEnd func() bool
-	// lastEvent is the last whole event that the caller has.
-	lastEvent string
 	// reason is why the last attempt failed, comeBack how long the requests that wait take to be admitted, where that was why.
 	reason   string
 	comeBack time.Duration
+
+	*progress
+}
+
+// newExchange is a request that has just come.
+func newExchange(w http.ResponseWriter, r *http.Request) *exchange {
+	return &exchange{
+		writer: w, request: r, wire: platform.DecodeRequest(r.Header), arrived: time.Now(), sends: &sends{}, progress: &progress{},
+	}
+}
+
+// progress is how much of its answer a caller has. Its own goroutine alone changes it, others may copy it.
+type progress struct {
+	mu sync.Mutex
+	// began says that the head of an answer has gone to the caller, lastEvent is the last whole event that the caller has.
+	began     bool
+	lastEvent string
 }
 
+// fork is the request as a second attempt takes it; where both are sent is recorded in one place.
+func (x *exchange) fork() *exchange {
+	return &exchange{
+		request: x.request, wire: x.wire, call: x.call, config: x.config, route: x.route, account: x.account, service: x.service,
+		arrived: x.arrived, ends: x.ends, sends: x.sends, buffered: x.buffered, progress: x.snapshot(),
+	}
+}
+
+func (p *progress) snapshot() *progress {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return &progress{began: p.began, lastEvent: p.lastEvent}
+}
+
+// begin records that the head of an answer goes to the caller.
+func (p *progress) begin() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.began = true
+}
+
+// passed records the last event that went to the caller.
+func (p *progress) passed(event string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastEvent = event
+}
+
+// mayMove reports whether the route allows the request one more runner.
+func (x *exchange) mayMove() bool { return len(x.sends.used()) < x.route.MaxRunners }
+
 // needsEngine reports that the request has a prompt for a model engine.
 func (x *exchange) needsEngine() bool {
 	return x.wire.Prompt != nil && x.service.Engine != nil
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -5,7 +5,6 @@
 	"io"
 	"math"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -21,7 +20,7 @@
 func (g *Gateway) handle(w http.ResponseWriter, r *http.Request) {
 	g.running.Add()
 	defer g.running.Done()
-	x := &exchange{writer: w, request: r, wire: platform.DecodeRequest(r.Header), arrived: time.Now()}
+	x := newExchange(w, r)
 	refusal := g.admit(x)
 	if refusal == nil {
 		refusal = g.take(x)
@@ -227,9 +226,9 @@
 // allowed decides whether route and budget leave room for another attempt; it returns why not, or nothing.
 func (g *Gateway) allowed(x *exchange, now time.Time) string {
 	switch {
-	case x.sends == 0 && (now.Sub(x.arrived) > connectFor || len(x.tried) >= maxTried):
+	case x.sends.sent() == 0 && (now.Sub(x.arrived) > connectFor || len(x.sends.asked()) >= maxTried):
 		return "no-connection"
-	case x.sends == 0:
+	case x.sends.sent() == 0:
 		return ""
 	case !x.mayMove():
 		return "runners-used"
@@ -249,17 +248,6 @@
 	maxTried = 6
 )
 
-// mayMove reports whether the route allows the request one more runner.
-func (x *exchange) mayMove() bool { return len(x.runners) < x.route.MaxRunners }
-
-// noteRunner records that the request went to the runner.
-func (x *exchange) noteRunner(id rillreach.InstanceID) {
-	x.sends++
-	if !slices.Contains(x.runners, id) {
-		x.runners = append(x.runners, id)
-	}
-}
-
 // directions are what goes to the runner beside the caller's own header.
 func (g *Gateway) directions(x *exchange, t *target) *platform.Directions {
 	d := &platform.Directions{
--- /dev/null
+++ b/gateway/hedge.go
@@ -0,0 +1,232 @@
+package gateway
+
+import (
+	"bytes"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/rillreach/rillreach/place"
+	"github.com/rillreach/rillreach/roster"
+)
+
+// hedge is a second attempt that begins while the first still runs, since the first's runner is about to load weights or says nothing.
+// The first goes on until the second answers, and beyond where that is refused or fails: a runner that works is given up for one that has
+// taken the request, never for one that is expected to.
+type hedge struct {
+	// first is the attempt that runs, attempt the one beside it, which works on a copy of the request.
+	first   *attempt
+	attempt *attempt
+	reason  hedgeReason
+	// patience ends the second attempt where it takes too long; nil where the first isn't known to work.
+	patience *time.Timer
+
+	wg    conc.WaitGroup
+	state atomic.Int32
+}
+
+// hedgeReason is why a second attempt is begun.
+type hedgeReason string
+
+// The reasons for a second attempt.
+const (
+	// hedgeLoading says that the first runner waits for its requests to end before it loads weights.
+	hedgeLoading hedgeReason = "runner-loads"
+	// hedgeSilent says that the first runner says nothing, and isn't known to live.
+	hedgeSilent hedgeReason = "runner-silent"
+)
+
+// The states of a second attempt: it is being made, it answers, or it is given up.
+const (
+	hedgePending int32 = iota
+	hedgeWon
+	hedgeDropped
+)
+
+// hedgePatience is how long a stream that its runner works on waits for the first event of another runner. One with room reads a prompt in
+// some 0.1 s; one that has not begun by then has a queue, and would have the request worked on twice meanwhile.
+const hedgePatience = 350 * time.Millisecond
+
+// beginHedge begins another attempt beside this one, and reports whether it did: not where one was begun already, where the route or the
+// retry budget allows none, or where no other runner would begin on the request now.
+func (a *attempt) beginHedge(reason hedgeReason) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed || a.hedge != nil {
+		return false
+	}
+	g, now := a.gateway, time.Now()
+	x := a.exchange.fork()
+	if !x.mayMove() {
+		return false
+	}
+	o := g.options(x, now)
+	choice := g.chooseFree(x, o)
+	if choice.Index < 0 || !g.budgets.Spend(now, x.service.Name) {
+		return false
+	}
+	h := &hedge{first: a, reason: reason, attempt: g.newAttempt(a.parent, x, g.assign(x, o, choice, now))}
+	if reason == hedgeLoading {
+		h.patience = time.AfterFunc(hedgePatience, h.drop)
+	}
+	a.hedge = h
+	g.Log.Info("second attempt begins", "decision", "hedge", "reason", reason, "request", x.wire.ID, "runner", a.target.view.ID,
+		"chosen", h.attempt.target.view.ID, "lastEvent", x.lastEvent)
+	h.wg.Go(h.run)
+	return true
+}
+
+// chooseFree chooses a runner that would begin on the request now and that nothing speaks against, an index of -1 where there is none.
+func (g *Gateway) chooseFree(x *exchange, o *options) place.Choice {
+	choice := place.Choice{Index: -1}
+	switch {
+	case len(o.views) == 0:
+		return choice
+	case x.needsEngine():
+		choice, _ = g.chooseWithRoom(o, map[*roster.Runner]bool{}, g.budgets.Entries())
+	default:
+		choice = place.Choose(o.question, o.candidates, g.offset(len(o.views)))
+	}
+	if choice.Index >= 0 && !o.candidates[choice.Index].Suits() {
+		choice.Index = -1
+	}
+	return choice
+}
+
+// run makes the second attempt, and ends the first once the second answers.
+func (h *hedge) run() {
+	answers := h.attempt.send() && h.attempt.answers()
+	if !answers || !h.state.CompareAndSwap(hedgePending, hedgeWon) {
+		h.state.CompareAndSwap(hedgePending, hedgeDropped)
+		return
+	}
+	if h.reason == hedgeLoading {
+		h.first.spared.Store(true)
+	}
+	h.first.cancel()
+}
+
+// drop gives the second attempt up, unless it answers already.
+func (h *hedge) drop() {
+	if !h.state.CompareAndSwap(hedgePending, hedgeDropped) {
+		return
+	}
+	h.attempt.spared.Store(true)
+	h.attempt.cancel()
+}
+
+// wait returns once the second attempt answers or is given up; it reports whether it answers.
+func (h *hedge) wait() bool {
+	if h.patience != nil {
+		h.patience.Stop()
+	}
+	h.wg.Wait()
+	return h.state.Load() == hedgeWon
+}
+
+// end closes a second attempt that the request does not go on with.
+func (h *hedge) end() {
+	h.drop()
+	h.wait()
+	h.note("unused")
+	h.attempt.close()
+}
+
+// note records what became of the second attempt.
+func (h *hedge) note(outcome string) {
+	x := h.attempt.exchange
+	h.first.gateway.Log.Info("second attempt ended", "decision", outcome, "reason", h.reason, "request", x.wire.ID,
+		"runner", h.first.target.view.ID, "chosen", h.attempt.target.view.ID, "cause", x.reason)
+	h.first.gateway.Metrics.Hedge(string(h.reason), outcome)
+}
+
+// releaseHedge takes the second attempt away, and lets none be begun any more.
+func (a *attempt) releaseHedge() *hedge {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	h := a.hedge
+	a.hedge, a.closed = nil, true
+	return h
+}
+
+// replacement is the second attempt where that goes on in place of this one, which has failed; nil where there is none.
+func (a *attempt) replacement() *attempt {
+	h := a.releaseHedge()
+	if h == nil {
+		return nil
+	}
+	x, next := a.exchange, h.attempt
+	won := h.wait()
+	x.maybeRan = x.maybeRan || next.exchange.maybeRan
+	if !won || !next.joins(x) {
+		h.end()
+		return nil
+	}
+	h.note("used")
+	next.takeOver(x)
+	return next
+}
+
+// commit lets no other attempt take this one's place any more; it reports false where one has done so already.
+func (a *attempt) commit() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.closed = true
+	if a.hedge == nil {
+		return true
+	}
+	a.hedge.drop()
+	return a.hedge.state.Load() == hedgeDropped
+}
+
+// answers reads as much of the answer as shows that it can be passed on in place of another: the first whole event of a stream, any other
+// answer whole, or as much as is held of one. It reports whether it can.
+func (a *attempt) answers() bool {
+	x, status := a.exchange, a.answer.Response.StatusCode
+	if status >= failureStatus || x.began && !a.goesOn() {
+		x.maybeRan, x.reason = true, "runner-failed"
+		return false
+	}
+	buf := make([]byte, relayBuffer)
+	for !a.readEnough() {
+		n, err := a.answer.Read(buf)
+		if n > 0 {
+			a.heard()
+			a.ahead.Write(buf[:n])
+		}
+		if isEnd(err) {
+			break
+		}
+		if err != nil {
+			a.failed(err)
+			return false
+		}
+	}
+	return true
+}
+
+// readEnough reports that what was read of the answer shows that it can be passed on.
+func (a *attempt) readEnough() bool {
+	if a.passesEvents() {
+		return bytes.Contains(a.ahead.Bytes(), eventEnd)
+	}
+	return a.ahead.Len() > maxHeld
+}
+
+// joins reports that the stream can go on with this attempt's events: it is known which of them the caller has.
+func (a *attempt) joins(x *exchange) bool {
+	return a.exchange.lastEvent == x.lastEvent || isNumber(x.lastEvent)
+}
+
+// takeOver has the attempt answer the request that it worked on a copy of.
+func (a *attempt) takeOver(x *exchange) {
+	if a.exchange.lastEvent != x.lastEvent {
+		a.had = x.lastEvent
+	}
+	x.waited = a.exchange.waited
+	a.exchange = x
+	if x.mayMove() {
+		a.silence.begin(a.silence.allowed)
+	}
+}
--- a/gateway/hedge_test.go
+++ b/gateway/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,6 +96,106 @@
 	}
 }
 
+// A second attempt costs a place at its runner, which nobody must hold in vain.
+func TestSecondAttemptEnds(t *testing.T) {
+	left := make(chan struct{}, 2)
+	waits := func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		left <- struct{}{}
+	}
+	assertLeft := func(t *testing.T, runners int) {
+		t.Helper()
+		for range runners {
+			select {
+			case <-left:
+			case <-time.After(wait):
+				t.Fatal("a runner still holds the request")
+			}
+		}
+	}
+	t.Run("where the first one's answer is whole before", func(t *testing.T) {
+		w, loads, other := loadingWorld(t, waits)
+		defer w.stop()
+		assertWholeBeside(t, w, loads, other)
+		assertLeft(t, 1)
+	})
+	t.Run("where its runner takes longer than a stream that is being answered waits", func(t *testing.T) {
+		w, loads, _ := loadingWorld(t, waits)
+		defer w.stop()
+		holds := make(chan struct{})
+		loads.Handle = func(rw http.ResponseWriter, r *http.Request) {
+			site.Events(rw, r, 4, 0)
+			report(w, "loads", deployment.Load{Running: 1, Used: 1540, Busy: true})
+			r.Header.Set("Last-Event-Id", "4")
+			time.Sleep(eventPace)
+			site.Events(rw, r, 5, 0)
+			<-holds
+			r.Header.Set("Last-Event-Id", "5")
+			site.Events(rw, r, streamed, 0)
+		}
+		conn := w.prompt(t, "/prompt/x")
+		assertLeft(t, 1)
+		close(holds)
+		got := read(t, conn, "POST")
+		require.NoError(t, got.err)
+		assert.Equal(t, pieces(streamed), got.body)
+	})
+	t.Run("at both runners, where the caller leaves", func(t *testing.T) {
+		var asked atomic.Int64
+		w := silentWorld(t, waits, func(rw http.ResponseWriter, r *http.Request) {
+			asked.Add(1)
+			waits(rw, r)
+		})
+		defer w.stop()
+		conn := w.dial(t)
+		w.ask(t, conn, "/stream/x")
+		w.eventually(t, func() bool { return asked.Load() == 1 })
+		require.NoError(t, conn.Close())
+		assertLeft(t, 2)
+	})
+}
+
+// A request gets no second attempt that its route or the retry budget doesn't allow, and only one.
+func TestSecondAttemptIsBounded(t *testing.T) {
+	t.Run("one that was refused is the last", func(t *testing.T) {
+		w, loads, other := loadingWorld(t, site.Refuse)
+		defer w.stop()
+		third := &site.Engine{Model: site.Model, Version: 1}
+		third.ID, third.Handle = "third", site.Refuse
+		w.addEngine(t, third)
+		report(w, "third", deployment.Load{Running: 60, Used: 3000})
+		got := read(t, w.prompt(t, "/prompt/x"), "POST")
+		require.NoError(t, got.err)
+		assert.Equal(t, pieces(streamed), got.body)
+		assert.Len(t, loads.Runs(), 1)
+		assert.LessOrEqual(t, len(other.Runs())+len(third.Runs()), 1, "the route allows two runners")
+	})
+	t.Run("none is begun with the budget spent", func(t *testing.T) {
+		w, loads, other := loadingWorld(t, site.Refuse)
+		defer w.stop()
+		for w.gateway.budgets.Spend(time.Now(), "e") {
+			continue
+		}
+		got := read(t, w.prompt(t, "/prompt/x"), "POST")
+		require.NoError(t, got.err)
+		assert.Len(t, loads.Runs(), 1)
+		assert.Empty(t, other.Runs())
+	})
+	t.Run("none is begun for a request that must not run twice", func(t *testing.T) {
+		late := func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(3 * leastSilence)
+			site.Answer(w, r, "once")
+		}
+		var second atomic.Int64
+		w := silentWorld(t, late, func(http.ResponseWriter, *http.Request) { second.Add(1) })
+		defer w.stop()
+		got := w.call(t, "POST", "/once/x", "order")
+		require.NoError(t, got.err)
+		assert.Equal(t, "once", got.body)
+		assert.Zero(t, second.Load())
+	})
+}
+
 const (
 	// streamed is how many events the streams of these tests have.
 	streamed = 9
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -37,11 +37,13 @@
 		o.views = append(o.views, v)
 		o.runners = append(o.runners, r)
 	}
+	asked := x.sends.asked()
 	conversation := hash.String(conversation(x))
 	o.candidates = make([]place.Candidate, len(o.views))
 	o.plans = make([]fetch.Plan, len(o.views))
 	for i := range o.views {
 		o.candidates[i] = g.candidate(x, &o.views[i], conversation, now)
+		o.candidates[i].Tried = slices.Contains(asked, o.views[i].ID)
 		if x.needsEngine() {
 			o.plans[i] = g.planAt(x, &o.views[i], o.views, o.states, now).plan(&o.views[i])
 			addPlan(&o.candidates[i], x.wire.Prompt, &o.plans[i])
@@ -69,7 +71,6 @@
 		Held:         v.Held,
 		OtherZone:    v.Zone != g.Settings.Zone,
 		Avoid:        v.Avoid,
-		Tried:        slices.Contains(x.tried, v.ID),
 		FailureShare: v.Failures,
 	}
 	if x.needsEngine() {
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -60,7 +60,7 @@
 		verdict = verdictLeft
 	}
 	g.Log.Error(ctx.Err(), "request given up", "decision", verdict, "request", x.wire.ID, "account", x.accountName(), "route", x.route.Name,
-		"reason", x.reason, "outcome", outcome, "status", status, "began", x.began, "sends", x.sends, "runners", x.runners,
+		"reason", x.reason, "outcome", outcome, "status", status, "began", x.began, "sends", x.sends.sent(), "runners", x.sends.used(),
 		"config", x.config.Version, "listAge", time.Since(g.state.Roster.Updated()).String(), "after", time.Since(x.arrived).String())
 	g.Metrics.Request(outcome, verdict)
 	if verdict == verdictTimedOut {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"io"
 	"maps"
 	"net/http"
@@ -25,47 +24,58 @@
 	failureStatus = 500
 )
 
-// relay passes a runner's answer on; it reports whether the request is done with.
-func (g *Gateway) relay(ctx context.Context, x *exchange, t *target, answer *forward.Answer, head platform.Answer, heard func()) bool {
-	if head.Weights != 0 && x.wire.Prompt != nil {
-		t.runner.SetWeights(x.wire.Prompt.Model, head.Weights)
+// relay passes the runner's answer on; it reports whether the request is done with.
+func (a *attempt) relay() bool {
+	g, x, t := a.gateway, a.exchange, a.target
+	if a.head.Weights != 0 && x.wire.Prompt != nil {
+		t.runner.SetWeights(x.wire.Prompt.Model, a.head.Weights)
 	}
-	status := answer.Response.StatusCode
+	status := a.answer.Response.StatusCode
 	if status >= failureStatus {
 		share := t.runner.Failed(time.Now())
 		g.Log.Info("runner failed the request", "decision", "judge", "request", x.wire.ID, "runner", t.view.ID, "status", status, "failures", share)
 	}
-	if x.began && status != http.StatusOK {
+	if x.began && !a.goesOn() {
 		x.reason = "resumed-elsewhere-refused"
 		return false
 	}
-	if x.route.Kind == deployment.EventStream && status < failureStatus && !x.buffered {
-		return g.relayStream(ctx, x, t, answer, heard)
+	if a.passesEvents() {
+		return a.relayStream()
 	}
-	return g.relayWhole(ctx, x, t, answer, head, heard)
+	return a.relayWhole()
+}
+
+// goesOn reports that the answer can go on with one that has begun.
+func (a *attempt) goesOn() bool { return a.answer.Response.StatusCode == http.StatusOK }
+
+// passesEvents reports that the answer's events are passed on as they come.
+func (a *attempt) passesEvents() bool {
+	x := a.exchange
+	return x.route.Kind == deployment.EventStream && a.answer.Response.StatusCode < failureStatus && !x.buffered
 }
 
 // relayWhole holds an answer until it is whole, so that a broken one can still be replaced.
-func (g *Gateway) relayWhole(ctx context.Context, x *exchange, t *target, answer *forward.Answer, head platform.Answer, heard func()) bool {
-	body, err := io.ReadAll(io.LimitReader(&heardReader{from: answer, heard: heard}, maxHeld+1))
+func (a *attempt) relayWhole() bool {
+	g, x, t := a.gateway, a.exchange, a.target
+	body, err := io.ReadAll(io.LimitReader(a, maxHeld+1))
 	if err == nil && len(body) > maxHeld {
-		return g.relayLarge(ctx, x, t, answer, body)
+		return a.relayLarge(body)
 	}
 	if err != nil {
-		return g.failed(ctx, x, t, errors.Wrap(err, "answer broke off"))
+		return a.brokeOff(errors.Wrap(err, "answer broke off"))
 	}
-	status := answer.Response.StatusCode
-	if status >= failureStatus && g.replaceFailure(ctx, x) {
+	status := a.answer.Response.StatusCode
+	if status >= failureStatus && a.replaceFailure() {
 		return false
 	}
 	if status < failureStatus {
 		t.runner.Well(time.Now())
 	}
-	if !head.Sealed && status == http.StatusServiceUnavailable {
+	if !a.head.Sealed && status == http.StatusServiceUnavailable {
 		x.maybeRan, x.reason = true, "runner-unavailable"
 		return false // it promises nothing, while the same status from us would
 	}
-	h := g.beginAnswer(x, answer)
+	h := g.beginAnswer(x, a.answer)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	x.writer.WriteHeader(status)
 	if _, err := x.writer.Write(body); err != nil {
@@ -76,9 +86,16 @@
 	return true
 }
 
+// brokeOff records that the answer broke off; the request isn't done with.
+func (a *attempt) brokeOff(cause error) bool {
+	a.failed(cause)
+	return false
+}
+
 // replaceFailure decides whether a runner's failure is answered by another runner instead.
-func (g *Gateway) replaceFailure(ctx context.Context, x *exchange) bool {
-	if x.route.Once() || !x.mayMove() || ctx.Err() != nil || !g.budgets.Allows(time.Now(), x.service.Name) {
+func (a *attempt) replaceFailure() bool {
+	x := a.exchange
+	if x.route.Once() || !x.mayMove() || a.parent.Err() != nil || !a.gateway.budgets.Allows(time.Now(), x.service.Name) {
 		return false
 	}
 	x.maybeRan, x.reason = true, "runner-failed"
@@ -86,23 +103,27 @@
 }
 
 // relayLarge passes on an answer that is too large to be held.
-func (g *Gateway) relayLarge(ctx context.Context, x *exchange, t *target, answer *forward.Answer, begun []byte) bool {
+func (a *attempt) relayLarge(begun []byte) bool {
+	g, x, t := a.gateway, a.exchange, a.target
+	if !a.commit() {
+		return a.brokeOff(errors.New("another attempt has answered"))
+	}
 	if !x.keepPastEnd() {
-		return g.failed(ctx, x, t, errStopping)
+		return a.brokeOff(errStopping)
 	}
-	h := g.beginAnswer(x, answer)
-	if length := answer.Response.ContentLength; length >= 0 {
+	h := g.beginAnswer(x, a.answer)
+	if length := a.answer.Response.ContentLength; length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	x.writer.WriteHeader(answer.Response.StatusCode)
+	x.writer.WriteHeader(a.answer.Response.StatusCode)
 	_, err := x.writer.Write(begun)
 	if err == nil {
-		_, err = io.Copy(x.writer, answer)
+		_, err = io.Copy(x.writer, a)
 	}
 	if err != nil {
 		g.cut(x, t, err)
 	}
-	g.answered(x, t, answer.Response.StatusCode)
+	g.answered(x, t, a.answer.Response.StatusCode)
 	return true
 }
 
@@ -111,7 +132,7 @@
 	h := x.writer.Header()
 	maps.Copy(h, platform.PassedHeader(answer.Response.Header))
 	g.sayLeaving(h)
-	x.began = true
+	x.begin()
 	return h
 }
 
@@ -122,96 +143,60 @@
 	}
 }
 
-// heardReader tells of each part of an answer that comes.
-type heardReader struct {
-	from  io.Reader
-	heard func()
-}
-
-// Read reads the next part.
-func (r *heardReader) Read(buf []byte) (int, error) {
-	n, err := r.from.Read(buf)
-	if n > 0 {
-		r.heard()
-	}
-	return n, err
-}
-
 // relayStream passes events on as they come, whole ones only where the stream may go on elsewhere.
-func (g *Gateway) relayStream(ctx context.Context, x *exchange, t *target, answer *forward.Answer, heard func()) bool {
+func (a *attempt) relayStream() bool {
+	g, x, t := a.gateway, a.exchange, a.target
 	if !x.began {
 		if !x.keepPastEnd() {
-			return g.failed(ctx, x, t, errStopping) // the entry is just giving it its last answer
+			return a.brokeOff(errStopping) // the entry is just giving it its last answer
 		}
-		g.beginAnswer(x, answer)
-		x.writer.WriteHeader(answer.Response.StatusCode)
+		g.beginAnswer(x, a.answer)
+		x.writer.WriteHeader(a.answer.Response.StatusCode)
 	}
-	events := eventReader{from: answer, whole: x.route.Resumable}
+	events := eventReader{from: a, whole: x.route.Resumable, had: a.had}
 	for {
 		part, err := events.next()
 		if len(part) > 0 {
-			heard()
 			t.runner.Well(time.Now())
-			if x.first.IsZero() {
-				x.first = time.Now()
-				g.Metrics.FirstToken(x.first.Sub(x.arrived))
-			}
-			if werr := x.write(part); werr != nil {
-				g.cut(x, t, errors.Wrap(werr, "caller takes no more"))
-			}
-			if events.last != "" {
-				x.lastEvent = events.last
-			}
-		}
-		if err == nil && g.movesOn(x, t) {
-			return false
+			a.pass(part, events.last)
 		}
-		if errors.Is(err, io.EOF) {
-			g.answered(x, t, answer.Response.StatusCode)
+		if isEnd(err) {
+			g.answered(x, t, a.answer.Response.StatusCode)
 			return true
 		}
 		if err != nil {
-			return g.failed(ctx, x, t, errors.Wrap(err, "stream broke off"))
+			return a.brokeOff(errors.Wrap(err, "stream broke off"))
+		}
+		if a.shouldMove(time.Now()) {
+			a.beginHedge(hedgeLoading)
 		}
 	}
 }
 
-// movesOn decides whether a stream that may go on elsewhere leaves its runner, which is about to load weights and waits for
-// its requests to end.
-func (g *Gateway) movesOn(x *exchange, t *target) bool {
-	now := time.Now()
-	if !x.route.Resumable || x.lastEvent == "" || !x.mayMove() || x.ends.Sub(now) < x.route.Target {
-		return false
+// pass passes events on to the caller, up to the one with the given id.
+func (a *attempt) pass(part []byte, last string) {
+	g, x := a.gateway, a.exchange
+	if x.first.IsZero() {
+		x.first = time.Now()
+		g.Metrics.FirstToken(x.first.Sub(x.arrived))
 	}
-	v := t.runner.View(now)
-	if !v.Reported || !v.Load.Busy || !g.budgets.Allows(now, x.service.Name) || !g.hasOther(x, t, now) || !g.hasRoomElsewhere(x, now) {
-		return false
+	if err := x.write(part); err != nil {
+		g.cut(x, a.target, errors.Wrap(err, "caller takes no more"))
 	}
-	x.maybeRan, x.reason = true, "runner-empties"
-	g.Log.Info("stream moves on", "decision", "move", "request", x.wire.ID, "runner", t.view.ID, "lastEvent", x.lastEvent, "reportAge", v.ReportAge.String())
-	return true
-}
-
-// hasRoomElsewhere reports that an engine that nothing speaks against would begin on the request now. A stream that leaves for one that
-// refuses it has no runner left, and its answer is cut.
-func (g *Gateway) hasRoomElsewhere(x *exchange, now time.Time) bool {
-	if !x.needsEngine() {
-		return true
+	if last != "" {
+		x.passed(last)
 	}
-	o := g.options(x, now)
-	choice, _ := g.chooseWithRoom(o, nil, g.budgets.Entries())
-	return choice.Index >= 0 && o.candidates[choice.Index].Suits()
 }
 
-// hasOther reports that another runner than the target may well take the request now.
-func (g *Gateway) hasOther(x *exchange, t *target, now time.Time) bool {
-	for _, r := range g.state.Roster.Group(x.service.Name) {
-		v := r.View(now)
-		if v.ID != t.view.ID && g.fits(x, &v, now) && !avoided(&v) {
-			return true
-		}
+// shouldMove reports that it is worth having another runner go on with a stream, since its own waits for its requests to end before it
+// loads weights: it takes nothing new meanwhile.
+func (a *attempt) shouldMove(now time.Time) bool {
+	x := a.exchange
+	if !x.route.Resumable || x.lastEvent == "" || x.ends.Sub(now) < x.route.Target {
+		return false
 	}
-	return false
+	v := a.target.runner.View(now)
+	return v.Reported && v.Load.Busy
 }
 
 func (x *exchange) write(part []byte) error {
--- /dev/null
+++ b/gateway/sends.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/rillreach/rillreach"
+)
+
+// sends records where a request was sent. Two attempts of one request may run at the same time, so that it has a lock of its own.
+type sends struct {
+	mu    sync.Mutex
+	count int
+	// tried are the runners that were asked, also those that could not be reached, and runners those that the request was sent to.
+	tried   []rillreach.InstanceID
+	runners []rillreach.InstanceID
+}
+
+// add records that the request goes to the runner.
+func (s *sends) add(id rillreach.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count++
+	s.tried = append(s.tried, id)
+	s.runners = append(s.runners, id)
+}
+
+// drop records that the request that goes to the runner has not reached it.
+func (s *sends) drop(id rillreach.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count--
+	if i := slices.Index(s.runners, id); i >= 0 {
+		s.runners = slices.Delete(s.runners, i, i+1)
+	}
+}
+
+// allowAgain lets the request's only runner be asked once more.
+func (s *sends) allowAgain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.count == 1 {
+		s.runners = nil
+	}
+}
+
+// sent is how often the request was sent.
+func (s *sends) sent() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.count
+}
+
+// used are the runners that the request was sent to, each once.
+func (s *sends) used() []rillreach.InstanceID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Compact(slices.Sorted(slices.Values(s.runners)))
+}
+
+// asked are the runners that were asked, also those that could not be reached.
+func (s *sends) asked() []rillreach.InstanceID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.tried)
+}
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// silenceTargets times what callers expect, of the first event or of a pause, is how long a request that may move on
-	// waits for its runner before it is asked whether that lives.
+	// silenceTargets times what callers expect, of the first event or of a pause, is how long a request that another runner may
+	// begin on waits for its runner before it is asked whether that lives.
 	silenceTargets = 2
 	// leastSilence keeps a short target from moving requests that are merely a little late.
 	leastSilence = 300 * time.Millisecond
@@ -16,47 +16,41 @@
 	askEvery = 50 * time.Millisecond
 )
 
-// silenceBound ends an attempt whose runner says nothing for too long and is not known to live.
+// silenceBound has another runner asked beside one that says nothing for too long and is not known to live.
 type silenceBound struct {
 	// allowed is how long a pause may be before it is asked whether the runner lives.
 	allowed time.Duration
-	// lives says whether the runner is known to live, replaced whether another may go on in its place; end ends the attempt.
-	lives    func() bool
-	replaced func() bool
-	end      func()
+	// lives says whether the runner is known to live; hedge has another one asked, and reports whether there is one.
+	lives func() bool
+	hedge func() bool
 
 	mu      sync.Mutex
 	timer   *time.Timer
 	stopped bool
 }
 
-// boundSilence begins to wait for the runner's first word; where the request may not move on there is no bound.
-func (g *Gateway) boundSilence(x *exchange, t *target, end func()) *silenceBound {
-	b := &silenceBound{allowed: max(silenceTargets*x.route.PauseTarget, leastSilence), end: end}
-	b.lives = func() bool {
-		v := t.runner.View(time.Now())
-		return v.Reported && !v.Load.Silent // its agent speaks, and says that the runner answers
+// boundSilence prepares the wait for the words of the attempt's runner.
+func (g *Gateway) boundSilence(a *attempt) *silenceBound {
+	return &silenceBound{
+		allowed: max(silenceTargets*a.exchange.route.PauseTarget, leastSilence),
+		lives: func() bool {
+			v := a.target.runner.View(time.Now())
+			return v.Reported && !v.Load.Silent // its agent speaks, and says that the runner answers
+		},
+		hedge: func() bool { return a.beginHedge(hedgeSilent) },
 	}
-	b.replaced = func() bool {
-		now := time.Now()
-		return g.budgets.Allows(now, x.service.Name) && g.hasOther(x, t, now)
-	}
-	if !x.route.Once() && len(x.runners)+1 < x.route.MaxRunners {
-		b.begin(max(silenceTargets*x.route.Target, leastSilence))
-	}
-	return b
 }
 
+// begin begins to wait for the runner's first word.
 func (b *silenceBound) begin(first time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.timer = time.AfterFunc(first, b.ask)
 }
 
-// ask ends the attempt where another can follow, or asks again soon: the runner may only be slow.
+// ask has another runner asked where there is one, or looks again soon: the runner may only be slow.
 func (b *silenceBound) ask() {
-	if !b.lives() && b.replaced() {
-		b.end()
+	if !b.lives() && b.hedge() {
 		return
 	}
 	b.wait(askEvery)
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -14,7 +14,7 @@
 	t.Run("nothing is asked once the bound is lifted, also where it was being asked just then", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			asked := 0
-			b := &silenceBound{end: func() {}, replaced: yes}
+			b := &silenceBound{hedge: yes}
 			b.lives = func() bool {
 				asked++
 				b.stop() // the answer comes while the runner is being looked at
@@ -26,10 +26,13 @@
 			assert.Equal(t, 1, asked)
 		})
 	})
-	t.Run("a runner that lives is asked again, one that does not ends the attempt", func(t *testing.T) {
+	t.Run("a runner that lives is asked again, beside one that does not another is asked once", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			asked, ended := 0, 0
-			b := &silenceBound{end: func() { ended++ }, replaced: yes}
+			asked, hedged := 0, 0
+			b := &silenceBound{hedge: func() bool {
+				hedged++
+				return true
+			}}
 			b.lives = func() bool {
 				asked++
 				return asked < 5
@@ -38,12 +41,15 @@
 			time.Sleep(time.Second + 4*askEvery + time.Millisecond)
 			synctest.Wait()
 			assert.Equal(t, 5, asked)
-			assert.Equal(t, 1, ended)
+			assert.Equal(t, 1, hedged)
 		})
 	})
 	t.Run("each word of the runner begins the wait anew", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			b := &silenceBound{allowed: time.Second, end: func() { t.Error("ended") }, lives: func() bool { return false }, replaced: yes}
+			b := &silenceBound{allowed: time.Second, lives: func() bool { return false }, hedge: func() bool {
+				t.Error("another was asked")
+				return true
+			}}
 			b.begin(time.Second)
 			for range 10 {
 				time.Sleep(900 * time.Millisecond)
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -28,6 +28,7 @@
 	wait     metric.Float64Histogram
 	error    metric.Float64Histogram
 	reports  metric.Int64Counter
+	hedges   metric.Int64Counter
 }
 
 // New makes the instruments of one process.
@@ -65,6 +66,9 @@
 	if m.reports, err = m.meter.Int64Counter("rillreach.reports.invalid", metric.WithDescription("reports of runners that can't be true and were not used")); err != nil {
 		return errors.Wrap(err, "make counter of invalid reports")
 	}
+	if m.hedges, err = m.meter.Int64Counter("rillreach.hedges", metric.WithDescription("second attempts that were begun beside a running one, by reason and by what became of them")); err != nil {
+		return errors.Wrap(err, "make counter of second attempts")
+	}
 	return nil
 }
 
@@ -129,6 +133,14 @@
 	m.reports.Add(context.Background(), 1)
 }
 
+// Hedge counts a second attempt that has ended.
+func (m *Metrics) Hedge(reason, outcome string) {
+	if m == nil {
+		return
+	}
+	m.hedges.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason), attribute.String("outcome", outcome)))
+}
+
 // Gauge is a figure that is read whenever the metrics are.
 type Gauge struct {
 	Name        string
