Have another runner asked at once where a run is known to be over

Cause: a runner that starts again behind a cut resets no connection, so that a request that waits at its earlier run waits for the bound on silence. Ruled out: ending these requests (one that was sent just before the new start was heard of may be at the new run, and works). Change: the word of a later run has the second attempt begun without waiting, and the earlier run counts as not living.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -25,6 +25,8 @@
 	cancel  context.CancelFunc
 	silence *silenceBound
 	start   *startDeadline
+	// unwatch takes back what is to be done when the runner's run turns out to be over.
+	unwatch func() bool
 
 	answer *forward.Answer
 	head   platform.Answer
@@ -69,6 +71,7 @@
 	a.waiting, a.cancel = context.WithCancel(ctx)
 	a.silence = g.boundSilence(a)
 	a.start = g.boundStart(x, t, a.cancel)
+	a.unwatch = t.runner.AfterOver(a.silence.askNow)
 	return a
 }
 
@@ -141,6 +144,7 @@
 	if h := a.releaseHedge(); h != nil {
 		h.end()
 	}
+	a.unwatch()
 	a.silence.stop()
 	a.start.stop()
 	a.cancel()
--- a/gateway/restart_test.go
+++ b/gateway/restart_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"net/netip"
 	"testing"
 	"time"
@@ -149,3 +150,34 @@
 	assert.NotSame(t, first, g.state.Roster.Find("e1"))
 	<-first.Over()
 }
+
+// TestStreamOfRunThatIsOver: a runner starts again behind a cut, so that its callers' connections are not reset, and nothing comes on them.
+func TestStreamOfRunThatIsOver(t *testing.T) {
+	hangs := func(w http.ResponseWriter, r *http.Request) {
+		site.Events(w, r, 4, 0)
+		<-r.Context().Done()
+	}
+	a, b := &site.Runner{ID: "a", Handle: hangs}, &site.Runner{ID: "b", Handle: cutAfter(0)}
+	patient := routeOf("stream", "streaming", "plain", jsonMap{"resumable": true, "gap_aim_ms": 60000})
+	w := begin(t, configOf(1, patient), a)
+	defer w.stop()
+	startedAt := func(start int) jsonMap {
+		entry := record(a, "ready")
+		entry["born"] = start
+		return entry
+	}
+	w.store.Put("servers", "a", startedAt(earlier))
+	w.eventually(t, func() bool { return w.gateway.state.Roster.Find("a").Info().Generation == earlier })
+	conn := w.dial(t)
+	w.ask(t, conn, "/stream/x")
+	w.eventually(t, func() bool { return len(a.Runs()) == 1 })
+	b.Start()
+	t.Cleanup(b.Stop)
+	w.store.Put("servers", "b", record(b, "ready"))
+	w.eventually(t, func() bool { return w.gateway.state.Roster.Find("b") != nil })
+	w.store.Put("servers", "a", startedAt(later))
+	got := read(t, conn, "GET")
+	require.NoError(t, got.err)
+	assert.Equal(t, pieces(9), got.body)
+	assert.Len(t, b.Runs(), 1)
+}
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/rillreach/rillreach/roster"
 )
 
 const (
@@ -33,14 +35,22 @@
 func (g *Gateway) boundSilence(a *attempt) *silenceBound {
 	return &silenceBound{
 		allowed: max(silenceTargets*a.exchange.route.PauseTarget, leastSilence),
-		lives: func() bool {
-			v := a.target.runner.View(time.Now())
-			return v.Reported && !v.Load.Silent // its agent speaks, and says that the runner answers
-		},
+		lives: func() bool { return lives(a.target.runner) },
 		hedge: func() bool { return a.beginHedge(hedgeSilent) },
 	}
 }
 
+// lives reports that a runner's agent speaks, and says that the run that the request went to answers.
+func lives(r *roster.Runner) bool {
+	select {
+	case <-r.Over():
+		return false
+	default:
+	}
+	v := r.View(time.Now())
+	return v.Reported && !v.Load.Silent
+}
+
 // begin begins to wait for the runner's first word.
 func (b *silenceBound) begin(first time.Duration) {
 	b.mu.Lock()
@@ -56,6 +66,10 @@
 	b.wait(askEvery)
 }
 
+// askNow asks without waiting any longer, since a later run is known to have taken the place of the one that was asked: a runner that
+// starts again behind a cut does not reset its callers' connections.
+func (b *silenceBound) askNow() { b.wait(0) }
+
 // heard records that the runner has said something, and waits for the next.
 func (b *silenceBound) heard() { b.wait(b.allowed) }
 
--- a/roster/restart.go
+++ b/roster/restart.go
@@ -48,6 +48,7 @@
 func (r *Roster) restart(old *Runner, info deployment.Runner, gone time.Time) Change {
 	if old != nil {
 		r.drop(old)
+		old.Leaves()
 		old.end()
 	}
 	r.add(newRunner(info, gone))
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"context"
 	"maps"
 	"sync"
 	"time"
@@ -32,8 +33,9 @@
 
 // Runner is one listed runner and what is known of it.
 type Runner struct {
-	over     chan struct{}
-	overOnce sync.Once
+	// over ends with the run, once end says so.
+	over context.Context
+	end  context.CancelFunc
 
 	mu     sync.Mutex
 	info   deployment.Runner
@@ -81,18 +83,17 @@
 
 // newRunner is a run of which nothing is known but its record, which lapses at the given moment unless that is zero.
 func newRunner(info deployment.Runner, gone time.Time) *Runner {
-	return &Runner{over: make(chan struct{}), info: info, gone: gone}
+	r := &Runner{info: info, gone: gone}
+	r.over, r.end = context.WithCancel(context.Background())
+	return r
 }
 
 // Over is closed once the run is known to have ended, since a later one of the same runner is known. One that is no longer listed
 // may go on until it has drained, and so may one whose address another record names.
-func (r *Runner) Over() <-chan struct{} { return r.over }
+func (r *Runner) Over() <-chan struct{} { return r.over.Done() }
 
-// end records that the run is over.
-func (r *Runner) end() {
-	r.Leaves()
-	r.overOnce.Do(func() { close(r.over) })
-}
+// AfterOver calls the function once the run is known to have ended; stop takes that back.
+func (r *Runner) AfterOver(f func()) (stop func() bool) { return context.AfterFunc(r.over, f) }
 
 // View copies what is known.
 func (r *Runner) View(now time.Time) View {
