--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -35,8 +35,8 @@
 func (g *Gateway) boundSilence(a *attempt) *silenceBound {
 	return &silenceBound{
 		allowed: max(silenceTargets*a.exchange.route.PauseTarget, leastSilence),
-		lives: func() bool { return lives(a.target.runner) },
-		hedge: func() bool { return a.beginHedge(hedgeSilent) },
+		lives:   func() bool { return lives(a.target.runner) },
+		hedge:   func() bool { return a.beginHedge(hedgeSilent) },
 	}
 }
 
