Announce every load before its order, the first batch's too

Cause: the first batch of a rollout got its order the moment the agent heard of the name, so that entries, which hear of it 40 to 400 ms later, went on sending to these runners and were refused. Ruled out: a later last start (the bound on old weights). Change: the first batch starts after the announcement that later batches had already; the pace is spread over what is left.

--- a/weights/decide.go
+++ b/weights/decide.go
@@ -15,9 +15,10 @@
 	// lastMargin is how long before the bound on old weights the last group begins: its requests end, it loads for 0.76 s,
 	// and requests that came before the bound may have waited.
 	lastMargin = 2900 * time.Millisecond
-	// leastPace is the shortest time from one group to the next, however short the bound.
+	// leastPace is the shortest time from one group to the next, but for the announcement of the first, however short the bound.
 	leastPace = 900 * time.Millisecond
-	// emptyBefore is how long before its turn a runner is sent nothing more, so that fewer requests have to end.
+	// emptyBefore is how long before its load, the first batch's too, a runner is announced as loading and is sent nothing more: entries
+	// hear of it first, and fewer requests have to end.
 	emptyBefore = 300 * time.Millisecond
 	// resend is how long an order may stay without effect before it is given again.
 	resend = 600 * time.Millisecond
@@ -100,8 +101,10 @@
 	return max(1, (total+Batches-1)/Batches)
 }
 
-// StartAfter is how long after the naming of a version the runner with the rank loads it.
+// StartAfter is how long after the naming of a version the runner with the rank loads it: the first batch once it has been announced,
+// the others spread over what is left until the last start.
 func StartAfter(rank, total int, bound time.Duration) time.Duration {
-	pace := max((bound-lastMargin)/(Batches-1), leastPace)
-	return time.Duration(rank/BatchSize(total)) * pace
+	last := max(bound-lastMargin, (Batches-1)*leastPace)
+	pace := (last - emptyBefore) / (Batches - 1)
+	return emptyBefore + time.Duration(rank/BatchSize(total))*pace
 }
--- a/weights/decide_test.go
+++ b/weights/decide_test.go
@@ -34,6 +34,8 @@
 		{"it is the turn of a name before", func(s *Situation) { s.Since, s.Earlier = 0, StartAfter(4, 18, bound) }, Order},
 		{"the turn is far", func(s *Situation) { s.Since = 0 }, Wait},
 		{"the turn is near", func(s *Situation) { s.Since = StartAfter(4, 18, bound) - emptyBefore }, Empty},
+		{"the first batch's turn is announced at once", func(s *Situation) { s.Rank, s.Since = 0, 0 }, Empty},
+		{"the first batch's turn comes after the announcement", func(s *Situation) { s.Rank, s.Since = 0, emptyBefore }, Order},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) { assert.Equal(t, c.want, at(c.change)) })
@@ -76,6 +78,38 @@
 	})
 }
 
+// TestEveryLoadIsAnnounced plays a whole service in virtual time: whatever its batch, a runner takes nothing new for some time before
+// its order is given, or entries that have not heard of the load yet go on sending to it and are refused.
+func TestEveryLoadIsAnnounced(t *testing.T) {
+	const step = 40 * time.Millisecond
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.IntRange(1, 200).Draw(t, "runners")
+		bound := time.Duration(rapid.IntRange(2000, 14000).Draw(t, "bound")) * time.Millisecond
+		for rank := range total {
+			announced := time.Duration(-1)
+			now := time.Duration(0)
+			for ; ; now += step {
+				action := Decide(Situation{Named: 2, Loaded: 1, Bound: bound, Rank: rank, Total: total, Since: now})
+				if action == Empty && announced < 0 {
+					announced = now
+				}
+				if action == Order {
+					break
+				}
+			}
+			assert.GreaterOrEqual(t, announced, time.Duration(0), "rank %d", rank)
+			assert.GreaterOrEqual(t, now-announced, emptyBefore-step, "rank %d", rank)
+		}
+	})
+}
+
+// TestAnnouncementsPutNoLastStartOff: the last batch starts when it would without announcements.
+func TestAnnouncementsPutNoLastStartOff(t *testing.T) {
+	for _, bound := range []time.Duration{2 * time.Second, 5 * time.Second, bound, 14 * time.Second} {
+		assert.LessOrEqual(t, StartAfter(17, 18, bound), max(bound-lastMargin, (Batches-1)*leastPace), "bound %v", bound)
+	}
+}
+
 // TestNewNamesPutNoTurnOff names one version after another in virtual time, with an order of ranks that does not follow what
 // the runners have: whatever the names, each runner's weights are gone before they expire.
 func TestNewNamesPutNoTurnOff(t *testing.T) {
