Tell entries when a runner's load of weights is scheduled

Cause: an entry that looks for a runner to move a stream to knows only who loads now. Change: an agent tells the start of its load as soon as it hears of the name, as bulletin.Load.LoadsAt on the runners' clock; roster.View gives LoadScheduled and LoadIn. Ordinary requests are placed as before.

--- a/bulletin/bulletin.go
+++ b/bulletin/bulletin.go
@@ -117,6 +117,8 @@
 	Unread int `cbor:"7,keyasint,omitempty"`
 	// Silent says that the runner does not answer its agent.
 	Silent bool `cbor:"8,keyasint,omitempty"`
+	// LoadsAt is when the runner's next load of weights is scheduled, on the runners' clock, in milliseconds; zero where none is.
+	LoadsAt int64 `cbor:"9,keyasint,omitempty"`
 	// Weights are what the runner has loaded.
 	Weights map[rillreach.ModelID]deployment.WeightVersion `cbor:"6,keyasint,omitempty"`
 }
@@ -136,6 +138,9 @@
 
 // Check reports what is wrong with the message.
 func (b Bulletin) Check() error {
+	if b.Load.LoadsAt < 0 {
+		return errors.Newf("bulletin names a load at %d ms", b.Load.LoadsAt)
+	}
 	for _, h := range b.Holders {
 		if !h.Place.IsValid() {
 			return errors.New("bulletin names a holder without an address")
--- a/bulletin/bulletin_test.go
+++ b/bulletin/bulletin_test.go
@@ -20,6 +20,7 @@
 	}
 	b.Load = Load{
 		Running: rapid.IntRange(0, 2).Draw(t, "running"), Waiting: rapid.IntRange(0, 2).Draw(t, "waiting"), Silent: rapid.Bool().Draw(t, "silent"),
+		LoadsAt: rapid.Int64Range(0, 1e12).Draw(t, "loadsAt"),
 		Weights: map[rillreach.ModelID]deployment.WeightVersion{"m": deployment.WeightVersion(rapid.IntRange(1, 2).Draw(t, "weights"))},
 	}
 	for version := range rapid.IntRange(0, 2).Draw(t, "named") {
@@ -68,3 +69,7 @@
 	b := Bulletin{Clock: 1}
 	assert.Error(t, b.Complete(&Bulletin{}))
 }
+
+func TestImpossibleStart(t *testing.T) {
+	assert.Error(t, Bulletin{Load: Load{LoadsAt: -1}}.Check())
+}
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -119,10 +119,18 @@
 		g.Metrics.InvalidReport()
 		return
 	}
-	r.SetReport(roster.Report{At: now, Load: load})
+	r.SetReport(roster.Report{At: now, Load: load, LoadsAt: loadsAt(b, now)})
 	g.line.changed()
 }
 
+// loadsAt is when the runner's next load of weights is scheduled, by this process's clock; zero where the bulletin does not tell.
+func loadsAt(b *bulletin.Bulletin, now time.Time) time.Time {
+	if b.Clock == 0 || b.Load.LoadsAt == 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(b.Load.LoadsAt-b.Clock) * time.Millisecond)
+}
+
 // learnNamings takes over when versions of weights were named: an entry that has just started knows only that they are.
 func (g *Gateway) learnNamings(b *bulletin.Bulletin, now time.Time) {
 	if b.Clock == 0 {
--- a/gateway/news_test.go
+++ b/gateway/news_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/rillreach/rillreach/bulletin"
 	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/roster"
 )
 
 // TestReportThatCannotBeTrue: a runner whose report makes no sense is one without a report, and still serves.
@@ -36,3 +37,26 @@
 		assert.Equal(t, 100, g.state.Roster.Find("r").View(now).Load.Used)
 	})
 }
+
+// TestScheduledLoads: an agent tells on the runners' clock when its runner loads; the entry's own clock may say anything.
+func TestScheduledLoads(t *testing.T) {
+	now := time.Now()
+	viewAfter := func(b *bulletin.Bulletin) roster.View {
+		g, _ := beforeEngines(0)
+		g.state.Roster.Put(deployment.Runner{ID: "r", Service: "s"})
+		b.Runner = "r"
+		g.learn(b, now)
+		return g.state.Roster.Find("r").View(now)
+	}
+	t.Run("a load that is told of is scheduled", func(t *testing.T) {
+		v := viewAfter(&bulletin.Bulletin{Clock: 5000, Load: bulletin.Load{LoadsAt: 6500}})
+		assert.True(t, v.LoadScheduled)
+		assert.Equal(t, 1500*time.Millisecond, v.LoadIn)
+	})
+	t.Run("without one none is", func(t *testing.T) {
+		assert.False(t, viewAfter(&bulletin.Bulletin{Clock: 5000}).LoadScheduled)
+	})
+	t.Run("nor is it where the runners' clock is not told", func(t *testing.T) {
+		assert.False(t, viewAfter(&bulletin.Bulletin{Load: bulletin.Load{LoadsAt: 6500}}).LoadScheduled)
+	})
+}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -125,6 +125,23 @@
 		assert.True(t, r.View(start).Leaving)
 		assert.False(t, r.View(start.Add(reportAge)).Leaving)
 	})
+	t.Run("the time until a scheduled load falls to zero, where it stays until the load ends", func(t *testing.T) {
+		r := one()
+		assert.False(t, r.View(start).LoadScheduled)
+		r.SetReport(Report{At: start, LoadsAt: start.Add(time.Second)})
+		assert.True(t, r.View(start).LoadScheduled)
+		assert.Equal(t, time.Second, r.View(start).LoadIn)
+		assert.Equal(t, 400*time.Millisecond, r.View(start.Add(600*time.Millisecond)).LoadIn)
+		assert.True(t, r.View(start.Add(1200*time.Millisecond)).LoadScheduled)
+		assert.Zero(t, r.View(start.Add(1200*time.Millisecond)).LoadIn)
+		r.SetReport(Report{At: start})
+		assert.False(t, r.View(start).LoadScheduled)
+	})
+	t.Run("a load that an old report tells of is not scheduled", func(t *testing.T) {
+		r := one()
+		r.SetReport(Report{At: start, LoadsAt: start.Add(time.Hour)})
+		assert.False(t, r.View(start.Add(reportAge)).LoadScheduled)
+	})
 	t.Run("what begins and ends leaves nothing behind", func(t *testing.T) {
 		r := one()
 		r.Begin(start, 100, 200)
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -28,6 +28,8 @@
 	Load deployment.Load
 	// At is when the report arrived, by this process's clock.
 	At time.Time
+	// LoadsAt is when the runner's next load of weights is scheduled, by this process's clock; zero where none is known.
+	LoadsAt time.Time
 }
 
 // Runner is one listed runner and what is known of it.
@@ -71,6 +73,10 @@
 	ReportAge time.Duration
 	Reported  bool
 	Heard     time.Time
+	// LoadScheduled says that the runner's agent has told when its next load of weights begins, and LoadIn how long it is until then;
+	// that is zero from the start of the load until its end.
+	LoadScheduled bool
+	LoadIn        time.Duration
 	// SentHeld and SentReading are what this process's requests take and read that the report may not show yet, in tokens.
 	SentHeld    int
 	SentReading int
@@ -90,6 +96,9 @@
 	v.SentHeld, v.SentReading = r.sent.since(r.report.At.Add(-reportLag))
 	v.Leaving = v.Leaving || r.leaving || v.Reported && r.report.Load.Leaving
 	v.Weights = newest(v.Weights, r.weights)
+	if v.Reported && !r.report.LoadsAt.IsZero() {
+		v.LoadScheduled, v.LoadIn = true, max(0, r.report.LoadsAt.Sub(now))
+	}
 	if v.Reported {
 		v.Weights = newest(v.Weights, r.report.Load.Weights)
 	}
--- a/sidecar/loader.go
+++ b/sidecar/loader.go
@@ -53,17 +53,15 @@
 		}
 		return
 	}
-	loading := load.Busy
+	next := rollout{loading: load.Busy}
 	for model, loaded := range load.Weights {
 		named, since := s.state.Weights(model)
 		if named.Version == 0 {
 			continue // nobody has named weights yet
 		}
-		if l.decide(ctx, info, load, named, loaded, time.Since(since)) {
-			loading = true
-		}
+		next = next.and(l.decide(ctx, info, load, named, loaded, time.Since(since)))
 	}
-	s.news.set(load, loading)
+	s.news.set(load, next)
 }
 
 // kick has the list of runners asked for at once, and again a little later, since a new run is listed only then.
@@ -94,14 +92,16 @@
 	}
 }
 
-// decide acts on one model's weights, and reports whether entries should send nothing here now.
-func (l *loader) decide(ctx context.Context, self deployment.Runner, load deployment.Load, named deployment.NamedWeights, loaded deployment.WeightVersion, since time.Duration) bool {
+// decide acts on one model's weights, and returns what entries should know of it.
+func (l *loader) decide(ctx context.Context, self deployment.Runner, load deployment.Load, named deployment.NamedWeights, loaded deployment.WeightVersion, since time.Duration) rollout {
 	rank, total := l.loadOrder.rank(l.sidecar.state.Roster.Group(self.Service), named, self.ID)
 	situation := weights.Situation{
 		Named: named.Version, Loaded: loaded, Since: since, Bound: l.sidecar.Settings.Bounds.Weights, Rank: rank, Total: total,
 		Busy: load.Busy, Leaving: self.Leaving || load.Leaving,
 	}
-	situation.Earlier = l.earlier(&situation, named.Model)
+	byRank := time.Now().Add(weights.StartAfter(rank, total, situation.Bound) - since)
+	start := l.schedule(named.Model).Keep(loaded, named.Version, byRank)
+	situation.Earlier = byRank.Sub(start)
 	if l.given.Runner == self.ID && l.given.Weights == named.Version {
 		situation.Ordered = time.Since(l.givenAt)
 	}
@@ -114,19 +114,18 @@
 	if action == weights.Order {
 		l.order(ctx, self, load, named)
 	}
-	return action == weights.Order || action == weights.Empty
+	return rolloutOf(action, start)
 }
 
-// earlier is by how much a start that the runner's load was given before comes ahead of its start by rank.
-func (l *loader) earlier(s *weights.Situation, model rillreach.ModelID) time.Duration {
+// schedule is the one of a model.
+func (l *loader) schedule(model rillreach.ModelID) *weights.Schedule {
 	if l.schedules == nil {
 		l.schedules = map[rillreach.ModelID]*weights.Schedule{}
 	}
 	if l.schedules[model] == nil {
 		l.schedules[model] = &weights.Schedule{}
 	}
-	start := time.Now().Add(weights.StartAfter(s.Rank, s.Total, s.Bound) - s.Since)
-	return start.Sub(l.schedules[model].Keep(s.Loaded, s.Named, start))
+	return l.schedules[model]
 }
 
 func (l *loader) order(ctx context.Context, self deployment.Runner, load deployment.Load, named deployment.NamedWeights) {
--- a/sidecar/news.go
+++ b/sidecar/news.go
@@ -21,6 +21,9 @@
 	// seventh of a core, spend a tenth of it on them; farSlower is by how much seldomer those of other zones are told.
 	eachTakes = time.Millisecond
 	farSlower = 2
+	// startMoved is how far the start of a load has to move for followers to be told: the runners' clock is read some milliseconds
+	// early or late.
+	startMoved = 50 * time.Millisecond
 )
 
 // news tells the entries how the runner is and what the stores hold.
@@ -33,20 +36,20 @@
 	mu      sync.Mutex
 	load    deployment.Load
 	loadAt  time.Time
-	loading bool
+	rollout rollout
 	// named are the namings as they were told, and namedVersion is that of what the agent knew then.
 	named        []bulletin.Naming
 	namedVersion uint64
 }
 
 // set takes the runner's newest report, and wakes the followers where the runner is no longer fit for new requests or is so again.
-func (n *news) set(load deployment.Load, loading bool) {
+func (n *news) set(load deployment.Load, next rollout) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if loading != n.loading || load.Leaving != n.load.Leaving || load.Silent != n.load.Silent {
+	if next.loading != n.rollout.loading || load.Leaving != n.load.Leaving || load.Silent != n.load.Silent {
 		n.urgent.wake()
 	}
-	n.load, n.loadAt, n.loading = load, time.Now(), loading
+	n.load, n.loadAt, n.rollout = load, time.Now(), next
 }
 
 // silence records that the runner does not answer.
@@ -59,10 +62,10 @@
 	n.load.Silent = true
 }
 
-func (n *news) get() (load deployment.Load, at time.Time, loading bool) {
+func (n *news) get() (load deployment.Load, at time.Time, next rollout) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.load, n.loadAt, n.loading
+	return n.load, n.loadAt, n.rollout
 }
 
 // serve sends bulletins to one follower until it leaves.
@@ -129,7 +132,7 @@
 func (f *follower) next() (b bulletin.Bulletin, worth bool) {
 	s := f.news.sidecar
 	self := s.state.Roster.At(s.Settings.Runner)
-	load, at, loading := f.news.get()
+	load, at, next := f.news.get()
 	if self == nil || at.IsZero() {
 		return b, false
 	}
@@ -137,11 +140,14 @@
 		Runner: self.Info().ID, Named: s.state.AllWeights(), Followers: int(f.news.followers.Load()),
 		Load: bulletin.Load{
 			Running: load.Running, Waiting: load.Waiting, Used: load.Used, Unread: load.Unread, Silent: load.Silent,
-			Loading: loading, Leaving: load.Leaving, Weights: load.Weights,
+			Loading: next.loading, Leaving: load.Leaving, Weights: load.Weights,
 		},
 	}
 	if !load.Clock.IsZero() {
 		b.Clock = load.Clock.Add(time.Since(at)).UnixMilli()
+		if !next.start.IsZero() {
+			b.Load.LoadsAt = b.Clock + time.Until(next.start).Milliseconds()
+		}
 	}
 	b.Namings = f.news.namings(b.Clock)
 	changed := f.addHolders(&b)
@@ -183,10 +189,16 @@
 func (f *follower) sameLoad(b *bulletin.Bulletin) bool {
 	was, is := f.told.Load, b.Load
 	return f.told.Runner == b.Runner && was.Running == is.Running && was.Waiting == is.Waiting && was.Loading == is.Loading &&
+		sameStart(was.LoadsAt, is.LoadsAt) &&
 		was.Unread == is.Unread && was.Silent == is.Silent &&
 		was.Leaving == is.Leaving && len(f.told.Named) == len(b.Named) && f.told.Followers == b.Followers
 }
 
+// sameStart reports that two starts on the runners' clock are one, which is worked out anew each time.
+func sameStart(was, is int64) bool {
+	return time.Duration(max(was, is)-min(was, is))*time.Millisecond < startMoved
+}
+
 func (f *follower) addHolders(b *bulletin.Bulletin) (changed bool) {
 	s := f.news.sidecar
 	// An entry of any zone may fetch from the runner: its link is faster than a store's, and reading a part again takes far longer
--- a/sidecar/wake_test.go
+++ b/sidecar/wake_test.go
@@ -79,23 +79,23 @@
 		change func(*news)
 		urgent bool
 	}{
-		{"a load is announced", func(n *news) { n.set(calm, true) }, true},
-		{"the runner leaves", func(n *news) { n.set(deployment.Load{Running: 2, Leaving: true}, false) }, true},
+		{"a load is announced", func(n *news) { n.set(calm, rollout{loading: true}) }, true},
+		{"the runner leaves", func(n *news) { n.set(deployment.Load{Running: 2, Leaving: true}, rollout{}) }, true},
 		{"the runner does not answer", func(n *news) { n.silence() }, true},
-		{"more requests run", func(n *news) { n.set(deployment.Load{Running: 3}, false) }, false},
-		{"nothing changes", func(n *news) { n.set(calm, false) }, false},
+		{"more requests run", func(n *news) { n.set(deployment.Load{Running: 3}, rollout{}) }, false},
+		{"nothing changes", func(n *news) { n.set(calm, rollout{}) }, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			var n news
-			n.set(calm, false)
+			n.set(calm, rollout{})
 			assertUrgent(t, &n, func() { c.change(&n) }, c.urgent)
 		})
 	}
 	t.Run("a load ends", func(t *testing.T) {
 		var n news
-		n.set(calm, true)
-		assertUrgent(t, &n, func() { n.set(calm, false) }, true)
+		n.set(calm, rollout{loading: true})
+		assertUrgent(t, &n, func() { n.set(calm, rollout{}) }, true)
 	})
 	t.Run("the runner still does not answer", func(t *testing.T) {
 		var n news
