Leave runners that load soon out when a stream moves

Cause: between the announcement of a load and its start a runner still takes requests, and a moved stream that waits there for its first token is refused when the load begins. Change: a stream that moves avoids runners whose load may begin before the stream does, and those with replaced weights whose agent has not told its start yet. Requests that have not begun are placed as before.

--- /dev/null
+++ b/gateway/loads_soon.go
@@ -0,0 +1,20 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rillreach/rillreach/roster"
+)
+
+// beginsWithin is the least that a stream that moves is taken to wait at its new runner for its first token: streams waited up to 1.3 s
+// there before a load began and refused them.
+const beginsWithin = 1500 * time.Millisecond
+
+// loadsSoon reports that the runner may begin to load newer weights before a stream that moves there has begun, and would then refuse it.
+// Where newer weights are named and the runner's agent has not told its start yet, that may be at any moment.
+func (g *Gateway) loadsSoon(x *exchange, v *roster.View) bool {
+	if v.LoadScheduled {
+		return v.LoadIn < max(v.Wait, beginsWithin)
+	}
+	return !g.state.Replaced(x.wire.Prompt.Model, v.Weights[x.wire.Prompt.Model]).IsZero()
+}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -79,7 +79,7 @@
 			c.Reading = max(c.Reading, (v.Load.Unread+v.Load.Waiting)*g.reads.mean()+v.SentReading)
 			c.Held = max(c.Held, v.Load.Used+v.SentHeld)
 		}
-		c.Avoid = avoided(v)
+		c.Avoid = avoided(v) || x.began && g.loadsSoon(x, v)
 		c.Distance = distance(conversation, v.ID)
 		c.Old = g.replacedFor(x, v.Weights[x.wire.Prompt.Model], now) > oldFrom
 	}
