--- a/bulletin/bulletin_test.go
+++ b/bulletin/bulletin_test.go
@@ -63,6 +63,12 @@
 	body, err := peer.Encode(next.Without(&b))
 	require.NoError(t, err)
 	assert.LessOrEqual(t, len(body), 32)
+	t.Run("also while a load is scheduled", func(t *testing.T) {
+		next.Load.LoadsAt = next.Clock + 5000
+		told, err := peer.Encode(next.Without(&b))
+		require.NoError(t, err)
+		assert.LessOrEqual(t, len(told)-len(body), 10)
+	})
 }
 
 func TestFirstBulletinNamesItsRunner(t *testing.T) {
