Merge the announcement of loads

Cause: two parts of the work touch what an agent tells. Ruled out: - Change: a load's start and the run of a runner stand side by side in bulletins; what is told of another run's report says nothing of a load.

--- a/bulletin/bulletin_test.go
+++ b/bulletin/bulletin_test.go
@@ -21,6 +21,7 @@
 	}
 	b.Load = Load{
 		Running: rapid.IntRange(0, 2).Draw(t, "running"), Waiting: rapid.IntRange(0, 2).Draw(t, "waiting"), Silent: rapid.Bool().Draw(t, "silent"),
+		LoadsAt: rapid.Int64Range(0, 1e12).Draw(t, "loadsAt"),
 		Weights: map[rillreach.ModelID]deployment.WeightVersion{"m": deployment.WeightVersion(rapid.IntRange(1, 2).Draw(t, "weights"))},
 	}
 	for version := range rapid.IntRange(0, 2).Draw(t, "named") {
@@ -63,6 +64,12 @@
 	body, err := peer.Encode(next.Without(&b))
 	require.NoError(t, err)
 	assert.LessOrEqual(t, len(body), 32)
+	t.Run("also while a load is scheduled", func(t *testing.T) {
+		next.Load.LoadsAt = next.Clock + 5000
+		told, err := peer.Encode(next.Without(&b))
+		require.NoError(t, err)
+		assert.LessOrEqual(t, len(told)-len(body), 10)
+	})
 }
 
 func TestFirstBulletinNamesItsRunner(t *testing.T) {
@@ -88,3 +95,7 @@
 		})
 	}
 }
+
+func TestImpossibleStart(t *testing.T) {
+	assert.Error(t, Bulletin{Load: Load{LoadsAt: -1}}.Check())
+}
--- a/sidecar/restart_test.go
+++ b/sidecar/restart_test.go
@@ -190,7 +190,7 @@
 	}
 	s.own.renew(page(1, earlier), []holdings.Change{{Key: holdings.Key{Salt: "1/m", Part: "old"}, Tokens: 800}})
 	s.state.Roster.Put(deployment.Runner{ID: "r1", Address: place, Generation: earlier})
-	s.news.set(deployment.Load{Generation: earlier, Running: 7, Clock: time.UnixMilli(5000)}, true)
+	s.news.set(deployment.Load{Generation: earlier, Running: 7, Clock: time.UnixMilli(5000)}, rollout{loading: true})
 	f := newFollower(s.news)
 	before, _ := f.next()
 	require.Len(t, before.Holders, 1)
