Leave a working attempt only for an answer that can go on

Cause: a second attempt won with answers that the stream can't go on with (a 404, events whose ids don't tell what the caller has), and the first was closed then; a refused one counted as running at its runner, and barred another, until the first ended; a failure of the first ended the request beside a second that was answering; a caller who takes nothing made its runner count as silent. Ruled out: a check at the join alone, since the first is closed by then; a shorter patience for held streams, since both runners would still work on them. Change: whether the stream can go on is asked before the first is closed; a second attempt that is over closes at once, and makes room for another beside a runner that says nothing; the first's failure waits for the second; a held stream's second attempt answers with its first event; an event without end is bounded as elsewhere; what is being written to the caller is no silence.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,6 +38,10 @@
 	mu     sync.Mutex
 	hedge  *hedge
 	closed bool
+	// ranBeside says that an earlier second attempt may have run.
+	ranBeside bool
+	// passing says that what the runner said is being written to the caller.
+	passing atomic.Bool
 }
 
 // attempt sends the request to one runner, and where need be to another beside it; it reports whether the request is done with.
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -37,23 +37,25 @@
 	hedgeSilent hedgeReason = "runner-silent"
 )
 
-// The states of a second attempt: it is being made, it answers, or it is given up.
+// The states of a second attempt: it is being made, it answers, it is given up, or nothing is left of it.
 const (
 	hedgePending int32 = iota
 	hedgeWon
 	hedgeDropped
+	hedgeOver
 )
 
 // hedgePatience is how long a stream that its runner works on waits for the first event of another runner. One with room reads a prompt in
 // some 0.1 s; one that has not begun by then has a queue, and would have the request worked on twice meanwhile.
 const hedgePatience = 350 * time.Millisecond
 
-// beginHedge begins another attempt beside this one, and reports whether it did: not where one was begun already, where the route or the
-// retry budget allows none, or where no other runner would begin on the request now.
+// beginHedge begins another attempt beside this one, and reports whether it did: not where one is being made, where the route or the
+// retry budget allows none, or where no other runner would begin on the request now. A runner that works has one other asked, one that
+// says nothing each that the route allows.
 func (a *attempt) beginHedge(reason hedgeReason) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.closed || a.hedge != nil {
+	if a.closed || a.hedge != nil && (reason == hedgeLoading || !a.hedge.over()) {
 		return false
 	}
 	g, now := a.gateway, time.Now()
@@ -70,6 +72,7 @@
 	if reason == hedgeLoading {
 		h.patience = time.AfterFunc(hedgePatience, h.drop)
 	}
+	a.retireHedge()
 	a.hedge = h
 	g.Log.Info("second attempt begins", "decision", "hedge", "reason", reason, "request", x.wire.ID, "runner", a.target.view.ID,
 		"chosen", h.attempt.target.view.ID, "lastEvent", x.lastEvent)
@@ -96,9 +99,11 @@
 
 // run makes the second attempt, and ends the first once the second answers.
 func (h *hedge) run() {
-	answers := h.attempt.send() && h.attempt.answers()
+	answers := h.attempt.send() && h.attempt.answers() && h.attempt.joins(h.first.exchange.snapshot().lastEvent)
 	if !answers || !h.state.CompareAndSwap(hedgePending, hedgeWon) {
-		h.state.CompareAndSwap(hedgePending, hedgeDropped)
+		h.drop()
+		h.attempt.close() // at once: its runner is kept from others for as long as the request counts there
+		h.state.Store(hedgeOver)
 		return
 	}
 	if h.reason == hedgeLoading {
@@ -125,12 +130,16 @@
 	return h.state.Load() == hedgeWon
 }
 
+// over reports that nothing is left of the second attempt.
+func (h *hedge) over() bool { return h.state.Load() == hedgeOver }
+
 // end closes a second attempt that the request does not go on with.
 func (h *hedge) end() {
 	h.drop()
-	h.wait()
+	if h.wait() {
+		h.attempt.close()
+	}
 	h.note("unused")
-	h.attempt.close()
 }
 
 // note records what became of the second attempt.
@@ -141,6 +150,24 @@
 	h.first.gateway.Metrics.Hedge(string(h.reason), outcome)
 }
 
+// retireHedge makes room for another second attempt where one is over; the lock is held.
+func (a *attempt) retireHedge() {
+	if a.hedge == nil {
+		return
+	}
+	a.hedge.note("unused")
+	a.ranBeside = a.ranBeside || a.hedge.attempt.exchange.maybeRan
+}
+
+// awaitHedge waits for the second attempt, lets no other be begun, and reports whether it answers.
+func (a *attempt) awaitHedge() bool {
+	a.mu.Lock()
+	h := a.hedge
+	a.closed = true
+	a.mu.Unlock()
+	return h != nil && h.wait()
+}
+
 // releaseHedge takes the second attempt away, and lets none be begun any more.
 func (a *attempt) releaseHedge() *hedge {
 	a.mu.Lock()
@@ -152,14 +179,15 @@
 
 // replacement is the second attempt where that goes on in place of this one, which has failed; nil where there is none.
 func (a *attempt) replacement() *attempt {
-	h := a.releaseHedge()
+	h, x := a.releaseHedge(), a.exchange
+	x.maybeRan = x.maybeRan || a.ranBeside
 	if h == nil {
 		return nil
 	}
-	x, next := a.exchange, h.attempt
+	next := h.attempt
 	won := h.wait()
 	x.maybeRan = x.maybeRan || next.exchange.maybeRan
-	if !won || !next.joins(x) {
+	if !won || !next.joins(x.lastEvent) {
 		h.end()
 		return nil
 	}
@@ -177,14 +205,14 @@
 		return true
 	}
 	a.hedge.drop()
-	return a.hedge.state.Load() == hedgeDropped
+	return a.hedge.state.Load() != hedgeWon
 }
 
 // answers reads as much of the answer as shows that it can be passed on in place of another: the first whole event of a stream, any other
 // answer whole, or as much as is held of one. It reports whether it can.
 func (a *attempt) answers() bool {
 	x, status := a.exchange, a.answer.Response.StatusCode
-	if status >= failureStatus || x.began && !a.goesOn() {
+	if status >= failureStatus || a.isStream() && !a.goesOn() {
 		x.maybeRan, x.reason = true, "runner-failed"
 		return false
 	}
@@ -198,6 +226,9 @@
 		if isEnd(err) {
 			break
 		}
+		if err == nil && a.ahead.Len() > maxEvent && !a.readEnough() {
+			err = errEventTooLarge
+		}
 		if err != nil {
 			a.failed(err)
 			return false
@@ -206,17 +237,18 @@
 	return true
 }
 
-// readEnough reports that what was read of the answer shows that it can be passed on.
+// readEnough reports that what was read of the answer shows that it can be passed on. A stream's first event does, also where nothing
+// goes out before the stream is whole: two runners must not work on it for long.
 func (a *attempt) readEnough() bool {
-	if a.passesEvents() {
+	if a.isStream() {
 		return bytes.Contains(a.ahead.Bytes(), eventEnd)
 	}
 	return a.ahead.Len() > maxHeld
 }
 
-// joins reports that the stream can go on with this attempt's events: it is known which of them the caller has.
-func (a *attempt) joins(x *exchange) bool {
-	return a.exchange.lastEvent == x.lastEvent || isNumber(x.lastEvent)
+// joins reports that the stream can go on with this attempt's events: it is known which of them a caller has who has those up to the given.
+func (a *attempt) joins(lastEvent string) bool {
+	return a.exchange.lastEvent == lastEvent || isNumber(lastEvent)
 }
 
 // takeOver has the attempt answer the request that it worked on a copy of.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -50,10 +50,12 @@
 
 // passesEvents reports that the answer's events are passed on as they come.
 func (a *attempt) passesEvents() bool {
-	x := a.exchange
-	return x.route.Kind == deployment.EventStream && a.answer.Response.StatusCode < failureStatus && !x.buffered
+	return a.isStream() && a.answer.Response.StatusCode < failureStatus && !a.exchange.buffered
 }
 
+// isStream reports that the route's answers are streams of events.
+func (a *attempt) isStream() bool { return a.exchange.route.Kind == deployment.EventStream }
+
 // relayWhole holds an answer until it is whole, so that a broken one can still be replaced.
 func (a *attempt) relayWhole() bool {
 	g, x, t := a.gateway, a.exchange, a.target
@@ -94,14 +96,19 @@
 
 // replaceFailure decides whether a runner's failure is answered by another runner instead.
 func (a *attempt) replaceFailure() bool {
-	x := a.exchange
-	if x.route.Once() || !x.mayMove() || a.parent.Err() != nil || !a.gateway.budgets.Allows(time.Now(), x.service.Name) {
+	if !a.awaitHedge() && !a.mayAskAnother() {
 		return false
 	}
-	x.maybeRan, x.reason = true, "runner-failed"
+	a.exchange.maybeRan, a.exchange.reason = true, "runner-failed"
 	return true
 }
 
+// mayAskAnother reports that another runner may be asked once this one has ended.
+func (a *attempt) mayAskAnother() bool {
+	x := a.exchange
+	return !x.route.Once() && x.mayMove() && a.parent.Err() == nil && a.gateway.budgets.Allows(time.Now(), x.service.Name)
+}
+
 // relayLarge passes on an answer that is too large to be held.
 func (a *attempt) relayLarge(begun []byte) bool {
 	g, x, t := a.gateway, a.exchange, a.target
@@ -180,7 +187,10 @@
 		x.first = time.Now()
 		g.Metrics.FirstToken(x.first.Sub(x.arrived))
 	}
-	if err := x.write(part); err != nil {
+	a.passing.Store(true)
+	err := x.write(part)
+	a.passing.Store(false)
+	if err != nil {
 		g.cut(x, a.target, errors.Wrap(err, "caller takes no more"))
 	}
 	if last != "" {
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -34,6 +34,9 @@
 	return &silenceBound{
 		allowed: max(silenceTargets*a.exchange.route.PauseTarget, leastSilence),
 		lives: func() bool {
+			if a.passing.Load() {
+				return true // the caller is slow, not the runner
+			}
 			v := a.target.runner.View(time.Now())
 			return v.Reported && !v.Load.Silent // its agent speaks, and says that the runner answers
 		},
@@ -48,9 +51,10 @@
 	b.timer = time.AfterFunc(first, b.ask)
 }
 
-// ask has another runner asked where there is one, or looks again soon: the runner may only be slow.
+// ask has another runner asked where there is one, and looks again later, since that may refuse, or soon: the runner may only be slow.
 func (b *silenceBound) ask() {
 	if !b.lives() && b.hedge() {
+		b.wait(leastSilence)
 		return
 	}
 	b.wait(askEvery)
