Test a stop of the entry during a second attempt

Cause: nothing showed that a stop leaves both attempts of a stream alone. Ruled out: a fault there; the test passes on the code as it was. Change: a test alone.

--- a/gateway/second_attempt_test.go
+++ b/gateway/second_attempt_test.go
@@ -247,3 +247,27 @@
 	assert.Equal(t, events, strings.Count(got.body, "\n\n"))
 	assert.Zero(t, second.Load(), "another runner was asked, though the first one's events were there")
 }
+
+// A stop of the entry ends neither attempt of a stream: the second goes on where the first breaks off.
+func TestStopDuringSecondAttempt(t *testing.T) {
+	asked, leaving := make(chan struct{}), make(chan struct{})
+	w := silentWorld(t, func(w http.ResponseWriter, r *http.Request) {
+		site.Events(w, r, 4, 0)
+		<-leaving
+		panic(http.ErrAbortHandler)
+	}, func(w http.ResponseWriter, r *http.Request) {
+		close(asked)
+		<-leaving
+		time.Sleep(leastSilence)
+		site.Events(w, r, streamed, 0)
+	})
+	conn := w.dial(t)
+	w.ask(t, conn, "/stream/x")
+	<-asked
+	w.stop()
+	w.eventually(t, w.gateway.leaving.Load)
+	close(leaving)
+	got := read(t, conn, "GET")
+	require.NoError(t, got.err)
+	assert.Equal(t, pieces(streamed), got.body)
+}
