--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -35,8 +35,9 @@
 func (g *Gateway) boundSilence(a *attempt) *silenceBound {
 	return &silenceBound{
 		allowed: max(silenceTargets*a.exchange.route.PauseTarget, leastSilence),
-		lives:   func() bool { return lives(a.target.runner) },
-		hedge:   func() bool { return a.beginHedge(hedgeSilent) },
+		// While an event is being written to the caller it is the caller who is slow, and not the runner.
+		lives: func() bool { return a.passing.Load() || lives(a.target.runner) },
+		hedge: func() bool { return a.beginHedge(hedgeSilent) },
 	}
 }
 
@@ -58,9 +59,10 @@
 	b.timer = time.AfterFunc(first, b.ask)
 }
 
-// ask has another runner asked where there is one, or looks again soon: the runner may only be slow.
+// ask has another runner asked where there is one, and looks again later, since that may refuse, or soon: the runner may only be slow.
 func (b *silenceBound) ask() {
 	if !b.lives() && b.hedge() {
+		b.wait(leastSilence)
 		return
 	}
 	b.wait(askEvery)
