--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -75,6 +75,9 @@
 			listed = false
 		default:
 			c.lost(ctx, err)
+			if errors.Is(err, rillreach.ErrAnswerUnreadable) {
+				listed = false // the same watch would be given the same answer
+			}
 			pause.For(ctx, wait)
 			wait = min(2*wait, mostPause)
 		}
--- a/controller/follow/follow_test.go
+++ b/controller/follow/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -94,6 +95,20 @@
 		assert.Equal(t, 2, got.listed)
 		assert.Equal(t, []uint64{5, 20, 21}, s.from)
 	})
+	unreadable := step{err: errors.Mark(errors.New("no JSON"), rillreach.ErrAnswerUnreadable)}
+	t.Run("after an answer that cannot be read all is listed anew, since the same watch would be given it again", func(t *testing.T) {
+		s, got := play(t, step{revision: 5}, unreadable, unreadable, step{revision: 20}, one("a", 21))
+		assert.Equal(t, 3, s.lists)
+		assert.Equal(t, 2, got.listed)
+		assert.Equal(t, []uint64{5, 20, 21}, s.from)
+	})
+	t.Run("it pauses after each answer that cannot be read", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			play(t, unreadable, unreadable, step{revision: 5}, unreadable)
+			assert.Equal(t, firstPause+2*firstPause+firstPause, time.Since(start))
+		})
+	})
 	t.Run("a list that fails is asked for again", func(t *testing.T) {
 		s, got := play(t, down, down, step{revision: 5})
 		assert.Equal(t, 3, s.lists)
--- a/deployment/runner.go
+++ b/deployment/runner.go
@@ -28,6 +28,25 @@
 	Weights map[rillreach.ModelID]WeightVersion
 }
 
+// mostSlots is more than any engine's batch holds; a record that names more was misread or made up.
+const mostSlots = 1 << 20
+
+// Check reports why the runner can't be used.
+func (r *Runner) Check() error {
+	switch {
+	case r.ID == "" || r.Service == "" || r.Zone == "":
+		return errors.New("runner has no identifier, service or zone")
+	case !r.Address.IsValid() || r.Address.Port() == 0:
+		return errors.Newf("runner has address %q", r.Address)
+	case r.Address.Addr().IsUnspecified() || r.Address.Addr().IsMulticast():
+		return errors.Newf("runner has address %q, which is nobody's", r.Address)
+	case r.Slots < 1 || r.Slots > mostSlots:
+		return errors.Newf("runner has %d slots", r.Slots)
+	default:
+		return nil
+	}
+}
+
 // NamedWeights is the newest version of a model's weights that the operators want.
 type NamedWeights struct {
 	Model   rillreach.ModelID `cbor:"1,keyasint"`
--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -119,7 +119,7 @@
 		"services": []map[string]any{{"name": "s"}},
 		"limits":   map[string]any{"max_body_bytes": 1000},
 	})
-	store.Put("servers", "r1", map[string]any{"service": "s", "address": runner.Address().String(), "zone": "z", "state": "ready"})
+	store.Put("servers", "r1", site.RecordOf(runner.Address(), "ready"))
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
 	e := startPlatformEntry(t, strings.TrimPrefix(server.URL, "http://"))
--- a/e2e/stopping_judge_test.go
+++ b/e2e/stopping_judge_test.go
@@ -49,7 +49,7 @@
 	s.runner.Start()
 	t.Cleanup(s.runner.Stop)
 	s.configure(1)
-	s.store.Put("servers", "r1", map[string]any{"service": "s", "address": s.runner.Address().String(), "zone": "z", "state": "ready"})
+	s.store.Put("servers", "r1", site.RecordOf(s.runner.Address(), "ready"))
 	server := httptest.NewServer(s.store)
 	t.Cleanup(server.Close)
 	s.address = strings.TrimPrefix(server.URL, "http://")
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -75,7 +75,10 @@
 }
 
 func record(r *site.Runner, state string) jsonMap {
-	return jsonMap{"service": "plain", "address": r.Address().String(), "zone": "z1", "slots": 6, "state": state}
+	return jsonMap{
+		"service": "plain", "address": r.Address().String(), "zone": "z1", "slots": 6, "state": state,
+		"version": "1.7.3", "cold_remaining_ms": 0, "sequence": 1,
+	}
 }
 
 // begin starts an entry before the runners.
--- a/internal/standin/site/specs.go
+++ b/internal/standin/site/specs.go
@@ -11,6 +11,9 @@
 // Model is the one that engines serve.
 const Model = "m"
 
+// runnerVersion is that of the runners' software.
+const runnerVersion = "1.7.3"
+
 // services of the configurations.
 const (
 	plainService  = "s"
@@ -39,7 +42,7 @@
 
 // ConfigOf is a configuration with one client account that has the keys.
 func ConfigOf(version int, keys []string, routes ...Route) any {
-	var specs []any
+	specs := []any{}
 	for _, r := range routes {
 		service := plainService
 		if r.Engines {
@@ -65,13 +68,17 @@
 
 // RecordOf is the record of a plain runner.
 func RecordOf(address netip.AddrPort, state string) any {
-	return map[string]any{"service": plainService, "address": address.String(), "zone": "z", "slots": 64, "state": state}
+	return map[string]any{
+		"service": plainService, "address": address.String(), "zone": "z", "slots": 64, "state": state,
+		"version": runnerVersion, "cold_remaining_ms": 0, "sequence": 1,
+	}
 }
 
 // EngineRecordOf is the record of an engine with the weights.
 func EngineRecordOf(address netip.AddrPort, state string, weights uint64) any {
 	return map[string]any{
 		"service": engineService, "address": address.String(), "zone": "z", "slots": 64, "state": state,
+		"version": runnerVersion, "cold_remaining_ms": 0, "sequence": 1,
 		"models": []any{map[string]any{"name": Model, "version": weights}},
 	}
 }
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -118,9 +118,12 @@
 	store, runner := httptest.NewServer(f.store), httptest.NewServer(e)
 	t.Cleanup(store.Close)
 	t.Cleanup(runner.Close)
-	f.store.Put("config", "main", map[string]any{"version": 1})
+	f.store.Put("config", "main", map[string]any{
+		"version": 1, "routes": []any{}, "services": []any{map[string]any{"name": "s"}}, "limits": map[string]any{},
+	})
 	f.store.Put("servers", "r1", map[string]any{
-		"service": "s", "address": addressOf(runner.URL).String(), "zone": "z", "state": "ready", "models": []map[string]any{{"name": "m", "version": e.version}},
+		"service": "s", "address": addressOf(runner.URL).String(), "zone": "z", "slots": 64, "state": "ready",
+		"version": "1.7.3", "cold_remaining_ms": 0, "sequence": 1, "models": []map[string]any{{"name": "m", "version": e.version}},
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/source.go
+++ b/source.go
@@ -10,6 +10,9 @@
 // ErrHistoryGone says that a watch cannot go on from where it stood, so that everything has to be listed again.
 var ErrHistoryGone = errors.New("history of the objects is gone")
 
+// ErrAnswerUnreadable says that nothing of a source's answer can be read, so that a watch may be given the same answer again and again.
+var ErrAnswerUnreadable = errors.New("answer of the source cannot be read")
+
 // Update is one object as a source gives it.
 type Update[T any] struct {
 	Name  string
@@ -18,7 +21,7 @@
 	Revision uint64
 	// Gone says that the object no longer exists.
 	Gone bool
-	// Err says why the object cannot be understood; Value is then empty.
+	// Err says why the object cannot be understood; Value is then empty, and so is the name where that cannot be read either.
 	Err error
 }
 
