Give a runner its address back once the later record of it goes

Cause: of two records with one address the earlier one's runner was told for good that it leaves, so that a record of another writer, or one that is mended, took a runner out of use until the end. A record that named another service or address than before stayed in the look-ups under the old ones. Ruled out: the lower revision as the true one: a run that ended leaves its record behind for some seconds, and its successor is written later. Change: the roster keeps all records of an address; which has it is worked out from the revisions alone, whatever the order, and again whenever one comes, goes or moves. What the runner itself says (Leaves) stays. Tests: TestRecordsThatChangePlaces; its first subtest failed before and the next one ended the test by a nil runner.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -16,7 +16,8 @@
 	mu        sync.RWMutex
 	byID      map[rillreach.InstanceID]*Runner
 	byService map[rillreach.ServiceID][]*Runner
-	byAddress map[netip.AddrPort]*Runner
+	// byAddress are the runners whose records name an address: one, but for records that are left over or another's.
+	byAddress map[netip.AddrPort][]*Runner
 	updated   time.Time
 }
 
@@ -102,38 +103,78 @@
 func (r *Roster) put(changes []Change, info deployment.Runner) []Change {
 	if r.byID == nil {
 		r.byID, r.byService = map[rillreach.InstanceID]*Runner{}, map[rillreach.ServiceID][]*Runner{}
-		r.byAddress = map[netip.AddrPort]*Runner{}
+		r.byAddress = map[netip.AddrPort][]*Runner{}
 	}
 	if runner := r.byID[info.ID]; runner != nil {
 		runner.mu.Lock()
+		before := runner.info
 		runner.info, runner.gone = info, time.Time{}
 		runner.mu.Unlock()
-		r.settle(runner, info)
+		r.reindex(runner, &before, &info)
 		return append(changes, Change{Event: EventChanged, Runner: info})
 	}
 	runner := &Runner{info: info}
 	r.byID[info.ID] = runner
-	r.settle(runner, info)
+	r.join(runner, &info)
+	return append(changes, Change{Event: EventAdded, Runner: info})
+}
+
+// reindex keeps the look-ups right where a record names another service or address than before.
+func (r *Roster) reindex(runner *Runner, before, info *deployment.Runner) {
+	if before.Service == info.Service && before.Address == info.Address {
+		r.settle(info.Address)
+		return
+	}
+	r.leave(runner, before)
+	r.join(runner, info)
+}
+
+// join adds a runner to the look-ups by service and address.
+func (r *Roster) join(runner *Runner, info *deployment.Runner) {
 	group := append(slices.Clone(r.byService[info.Service]), runner)
 	slices.SortFunc(group, func(a, b *Runner) int { return strings.Compare(string(a.info.ID), string(b.info.ID)) })
 	r.byService[info.Service] = group
-	return append(changes, Change{Event: EventAdded, Runner: info})
+	r.byAddress[info.Address] = append(r.byAddress[info.Address], runner)
+	r.settle(info.Address)
 }
 
-// settle decides which run has the address: of two records the one that was written last; the other's run is over, and its
-// record is left over.
-func (r *Roster) settle(runner *Runner, info deployment.Runner) {
-	other := r.byAddress[info.Address]
-	if other == nil || other == runner {
-		r.byAddress[info.Address] = runner
-		return
+// leave takes a runner off the look-ups by service and address.
+func (r *Roster) leave(runner *Runner, info *deployment.Runner) {
+	is := func(other *Runner) bool { return other == runner }
+	r.byService[info.Service] = slices.DeleteFunc(slices.Clone(r.byService[info.Service]), is)
+	r.byAddress[info.Address] = slices.DeleteFunc(r.byAddress[info.Address], is)
+	if len(r.byAddress[info.Address]) == 0 {
+		delete(r.byAddress, info.Address)
 	}
-	if other.Info().Revision > info.Revision {
-		runner.Leaves()
-		return
+	r.settle(info.Address)
+}
+
+// settle decides which run has the address: of several records the one that was written last; the others' runs are over, and their
+// records are left over, until that one goes or names another address.
+func (r *Roster) settle(address netip.AddrPort) {
+	present := r.present(address)
+	for _, runner := range r.byAddress[address] {
+		runner.setDisplaced(runner != present)
+	}
+}
+
+// present is the runner that has the address, or nil.
+func (r *Roster) present(address netip.AddrPort) *Runner {
+	var present *Runner
+	for _, runner := range r.byAddress[address] {
+		if present == nil || later(runner.Info(), present.Info()) {
+			present = runner
+		}
 	}
-	other.Leaves()
-	r.byAddress[info.Address] = runner
+	return present
+}
+
+// later reports that one record was written after the other, whichever was heard of first.
+func later(one, other deployment.Runner) bool {
+	if one.Revision != other.Revision {
+		return one.Revision > other.Revision
+	}
+	return one.ID > other.ID
 }
 
 // lapse removes a runner, or marks when it is to be removed.
@@ -148,11 +189,7 @@
 		return Change{Event: EventDoubtful, Runner: info}
 	}
 	delete(r.byID, id)
-	if r.byAddress[info.Address] == runner {
-		delete(r.byAddress, info.Address)
-	}
-	group := slices.DeleteFunc(slices.Clone(r.byService[info.Service]), func(other *Runner) bool { return other == runner })
-	r.byService[info.Service] = group
+	r.leave(runner, &info)
 	return Change{Event: EventRemoved, Runner: info}
 }
 
@@ -174,7 +211,7 @@
 func (r *Roster) At(address netip.AddrPort) *Runner {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.byAddress[address]
+	return r.present(address)
 }
 
 // All returns all listed runners.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -73,6 +73,47 @@
 	}
 }
 
+func TestRecordsThatChangePlaces(t *testing.T) {
+	one, other := info("one"), info("other")
+	one.Revision, other.Revision = 5, 9
+	t.Run("a runner has its address again once the later record goes", func(t *testing.T) {
+		var r Roster
+		r.Replace(start, []deployment.Runner{one, other}, time.Time{})
+		r.Remove(start, other.ID, time.Time{})
+		assert.Equal(t, one.ID, r.At(one.Address).Info().ID)
+		assert.False(t, r.Find(one.ID).View(start).Leaving)
+	})
+	t.Run("a runner has its address again once the later record names another", func(t *testing.T) {
+		var r Roster
+		r.Replace(start, []deployment.Runner{one, other}, time.Time{})
+		moved := other
+		moved.Address = netip.MustParseAddrPort("10.0.0.2:80")
+		r.Put(moved)
+		assert.Equal(t, one.ID, r.At(one.Address).Info().ID)
+		assert.Equal(t, other.ID, r.At(moved.Address).Info().ID)
+		assert.False(t, r.Find(one.ID).View(start).Leaving)
+		assert.False(t, r.Find(other.ID).View(start).Leaving)
+	})
+	t.Run("a runner that says itself that it ends leaves, whoever has the address", func(t *testing.T) {
+		var r Roster
+		r.Replace(start, []deployment.Runner{one, other}, time.Time{})
+		r.Find(one.ID).Leaves()
+		r.Remove(start, other.ID, time.Time{})
+		assert.True(t, r.Find(one.ID).View(start).Leaving)
+	})
+	t.Run("a runner that changes its service is in that group alone", func(t *testing.T) {
+		var r Roster
+		r.Put(one)
+		moved := one
+		moved.Service = "another"
+		r.Put(moved)
+		assert.Empty(t, r.Group(one.Service))
+		assert.Len(t, r.Group("another"), 1)
+		r.Remove(start, one.ID, time.Time{})
+		assert.Empty(t, r.Group("another"))
+	})
+}
+
 func TestRunner(t *testing.T) {
 	one := func() *Runner {
 		var r Roster
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -49,6 +49,8 @@
 	// weights were told by the runner's own answers; they go before the list where they are newer.
 	weights map[rillreach.ModelID]deployment.WeightVersion
 	leaving bool
+	// displaced says that a record which was written later names the runner's address.
+	displaced bool
 	// sent are this process's latest requests, which the report may not show yet.
 	sent recentSends
 }
@@ -88,7 +90,7 @@
 		v.ReportAge = now.Sub(r.report.At)
 	}
 	v.SentHeld, v.SentReading = r.sent.since(r.report.At.Add(-reportLag))
-	v.Leaving = v.Leaving || r.leaving || v.Reported && r.report.Load.Leaving
+	v.Leaving = v.Leaving || r.leaving || r.displaced || v.Reported && r.report.Load.Leaving
 	v.Weights = newest(v.Weights, r.weights)
 	if v.Reported {
 		v.Weights = newest(v.Weights, r.report.Load.Weights)
@@ -195,6 +197,12 @@
 	r.leaving = true
 }
 
+func (r *Runner) setDisplaced(displaced bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.displaced = displaced
+}
+
 // SetWeights records the weights that the runner itself says it has.
 func (r *Runner) SetWeights(model rillreach.ModelID, version deployment.WeightVersion) {
 	r.mu.Lock()
