Use no runner whose record is bad or whose service is unknown

Cause: a record that turned bad left its runner in use, as it was last known, for as long as the process ran; a record of a service that no configuration names took its address from the runner that has it; a bad object was logged with each list. Ruled out: keeping the last good record (nobody knows what was to be said; it may have been that the runner leaves); taking a runner out when a newer configuration drops its service (requests run there still, and no route leads there); judging the service in the decoder (the configuration may come later). Change: a bad record takes its runner out of use at once, also right after the store's return, and a good one brings it back. A runner of an unknown service is kept aside until a configuration names the service; the first configuration sets those aside that came before it. An object that can't be read changes nothing of configuration and weights, and is logged once for each revision. Gauges rillreach.objects.unreadable (with .config, .runners, .weights) and rillreach.runners.unknown_service in both daemons. The handling of runners moves out of state.go, unchanged but for this.

--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -8,7 +8,7 @@
 
 // gauges are what the entry knows, and how old that is.
 func (g *Gateway) gauges() []telemetry.Gauge {
-	return []telemetry.Gauge{
+	return append(g.state.Gauges(), []telemetry.Gauge{
 		{Name: "rillreach.config.version", Description: "version of the configuration in force", Read: g.configVersion},
 		{Name: "rillreach.config.age", Description: "seconds since the configuration was known to be the newest", Read: func() float64 { return time.Since(g.state.ConfigConfirmed()).Seconds() }},
 		{Name: "rillreach.runners", Description: "runners that are listed", Read: func() float64 { return float64(g.state.Roster.Len()) }},
@@ -20,7 +20,7 @@
 		{Name: "rillreach.repeats.left", Description: "share of the retry budget that is left, for the service with the least", Read: func() float64 { return g.budgets.Left(time.Now()) }},
 		{Name: "rillreach.connections.opened", Description: "connections to runners that were made", Read: func() float64 { return float64(g.pool.Opened.Load()) }},
 		{Name: "rillreach.stores.usable", Description: "stores of KV cache that may be asked now", Read: func() float64 { return float64(g.stores.count(time.Now())) }},
-	}
+	}...)
 }
 
 func (g *Gateway) configVersion() float64 {
--- /dev/null
+++ b/gateway/records_test.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rillreach/rillreach/internal/standin/site"
+)
+
+// foreign are records of another writer, some of which name the runner's address.
+func foreign(r *site.Runner) map[string]any {
+	without := record(r, "ready")
+	delete(without, "slots")
+	unknownService := record(r, "ready")
+	unknownService["service"] = "another"
+	return map[string]any{"0": 7, "a0": without, "b0": record(r, "resting"), "c0": unknownService, "z": nil, "zz": "text", "": map[string]any{}}
+}
+
+func TestRecordsOfOtherWriters(t *testing.T) {
+	good, turns := &site.Runner{ID: "good"}, &site.Runner{ID: "turns"}
+	w := begin(t, defaultConfig(), good, turns)
+	defer w.stop()
+	used := func() int { return len(w.gateway.state.Roster.Group("plain")) }
+	assertServed := func(t *testing.T) {
+		t.Helper()
+		for range 6 {
+			assert.Equal(t, http.StatusOK, w.call(t, "POST", "/once/x", "body").status)
+		}
+	}
+	t.Run("the others serve where the store holds records that name no runner", func(t *testing.T) {
+		for name, spec := range foreign(good) {
+			w.store.Put("servers", name, spec)
+		}
+		last := w.store.Put("servers", "turns", record(turns, "ready"))
+		w.eventually(t, func() bool { return w.gateway.state.Roster.Find("turns").Info().Revision == last })
+		assert.Equal(t, 2, used())
+		assertServed(t)
+	})
+	t.Run("a runner whose record turns bad gets nothing", func(t *testing.T) {
+		w.store.Put("servers", "turns", map[string]any{"service": "plain"})
+		w.eventually(t, func() bool { return used() == 1 })
+		before := len(turns.Runs())
+		assertServed(t)
+		assert.Len(t, turns.Runs(), before)
+	})
+	t.Run("it gets requests again once its record is good", func(t *testing.T) {
+		w.store.Put("servers", "turns", record(turns, "ready"))
+		w.eventually(t, func() bool { return used() == 2 })
+		before := len(turns.Runs())
+		w.eventually(t, func() bool {
+			return w.call(t, "GET", "/repeat/x", "").status == http.StatusOK && len(turns.Runs()) > before
+		})
+	})
+	t.Run("a list that holds such records gives the others", func(t *testing.T) {
+		w.store.Forget()
+		last := w.store.Put("servers", "good", record(good, "ready"))
+		w.eventually(t, func() bool { return w.gateway.state.Roster.Find("good").Info().Revision == last })
+		assert.Equal(t, 2, used())
+		assertServed(t)
+	})
+}
--- a/localstate/namings.go
+++ b/localstate/namings.go
@@ -171,10 +171,7 @@
 // WeightsFollower keeps the named weights in step with their source.
 func (s *State) WeightsFollower(source rillreach.Source[deployment.NamedWeights], wait time.Duration) rillreach.Controller {
 	take := func(u rillreach.Update[deployment.NamedWeights], found bool) {
-		switch {
-		case u.Err != nil:
-			s.Log.Error(u.Err, "name of weights refused, the last good one stays", "revision", u.Revision)
-		case !u.Gone:
+		if admit(s.Log, "weights", &s.badWeights, u) && !u.Gone {
 			s.setWeights(u.Value, found)
 		}
 	}
@@ -186,8 +183,10 @@
 		Changed:   func(u rillreach.Update[deployment.NamedWeights], _ time.Time) { take(u, s.stalls.doubts(time.Now())) },
 		Confirmed: func() { s.stalls.answer(time.Now()) },
 		Listed: func(all []rillreach.Update[deployment.NamedWeights], _ time.Time) {
+			s.badWeights.retain(namesOf(all))
 			for _, u := range all {
 				if u.Err == nil && u.Value.Revision <= s.revisionOf(u.Value.Model) {
+					s.badWeights.remove(u.Name)
 					continue // a list says nothing about the time of what is known already
 				}
 				take(u, first || s.stalls.doubts(time.Now()))
--- /dev/null
+++ b/localstate/runners.go
@@ -0,0 +1,110 @@
+package localstate
+
+import (
+	"maps"
+	"time"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/controller/follow"
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/roster"
+)
+
+const (
+	// returnTime is how long after the store's return a runner whose record lapsed meanwhile may take to be listed again;
+	// the users name about two seconds, and this stays within the shortest bound on leaving runners.
+	returnTime = 1800 * time.Millisecond
+	// expireEvery is how often doubtful runners are looked at.
+	expireEvery = 200 * time.Millisecond
+)
+
+// RunnersFollower keeps the list of runners in step with its source.
+func (s *State) RunnersFollower(source rillreach.Source[*deployment.Runner], wait, gather time.Duration, kick <-chan struct{}) rillreach.Controller {
+	var asked time.Time
+	return &follow.Controller[*deployment.Runner]{
+		Kind: "runners", Kick: kick, Source: source, Wait: wait, Gather: gather, Log: s.Log,
+		Asked:  func() { asked = time.Now() },
+		Listed: s.listRunners, Changed: s.changeRunner,
+		Confirmed: func() { s.Roster.Confirm(s.answeredAt(asked, time.Now())) },
+	}
+}
+
+// answeredAt is when a question that was asked before was answered at the earliest: its answer may have waited for this process to go on
+// after a stall.
+func (s *State) answeredAt(asked, now time.Time) time.Time {
+	if s.stalls.stalledSince(asked, now) {
+		return asked
+	}
+	return now
+}
+
+// listRunners takes over a whole list: what it has that cannot be used goes at once, what it lacks may lapse later.
+func (s *State) listRunners(all []rillreach.Update[*deployment.Runner], returned time.Time) {
+	s.entries.Lock()
+	defer s.entries.Unlock()
+	now := time.Now()
+	s.retainRunners(all)
+	var list []deployment.Runner
+	for _, u := range all {
+		switch {
+		case !admit(s.Log, "runners", &s.badRunners, u):
+			s.removeRunner(now, u.Name, time.Time{})
+		case !s.serviceKnown(u.Value):
+			s.setAside(now, u.Value)
+		default:
+			delete(s.unknownService, u.Value.ID)
+			list = append(list, *u.Value)
+		}
+	}
+	s.logRunners(s.Roster.Replace(now, list, doubtfulUntil(returned)))
+	s.listed.Store(true)
+}
+
+// retainRunners forgets the records out of use that a list no longer has; entries is held.
+func (s *State) retainRunners(all []rillreach.Update[*deployment.Runner]) {
+	listed := namesOf(all)
+	s.badRunners.retain(listed)
+	maps.DeleteFunc(s.unknownService, func(id rillreach.InstanceID, _ deployment.Runner) bool { return !listed[string(id)] })
+}
+
+// changeRunner takes over one record. A runner whose record can no longer be read isn't used until it can be again: nobody knows what was
+// to be said, and it may have been that the runner leaves.
+func (s *State) changeRunner(u rillreach.Update[*deployment.Runner], returned time.Time) {
+	s.entries.Lock()
+	defer s.entries.Unlock()
+	now := time.Now()
+	switch {
+	case u.Gone:
+		s.badRunners.remove(u.Name)
+		s.removeRunner(now, u.Name, doubtfulUntil(returned))
+	case !admit(s.Log, "runners", &s.badRunners, u):
+		s.removeRunner(now, u.Name, time.Time{})
+	case !s.serviceKnown(u.Value):
+		s.setAside(now, u.Value)
+	default:
+		delete(s.unknownService, u.Value.ID)
+		s.logRunners(s.Roster.Put(*u.Value))
+	}
+}
+
+// removeRunner takes a runner out of use, at the given moment or at once where that is zero; entries is held.
+func (s *State) removeRunner(now time.Time, name string, doubtful time.Time) {
+	id := rillreach.InstanceID(name)
+	delete(s.unknownService, id)
+	s.logRunners(s.Roster.Remove(now, id, doubtful))
+}
+
+// doubtfulUntil is until when a runner that is no longer listed may still come back, zero where the store never was away.
+func doubtfulUntil(returned time.Time) time.Time {
+	if returned.IsZero() {
+		return time.Time{}
+	}
+	return returned.Add(returnTime)
+}
+
+func (s *State) logRunners(changes []roster.Change) {
+	for _, c := range changes {
+		s.Log.Info("runner "+string(c.Event), "decision", c.Event, "runner", c.Runner.ID, "service", c.Runner.Service,
+			"zone", c.Runner.Zone, "leaving", c.Runner.Leaving, "weights", c.Runner.Weights)
+	}
+}
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -15,14 +15,6 @@
 	"github.com/rillreach/rillreach/roster"
 )
 
-const (
-	// returnTime is how long after the store's return a runner whose record lapsed meanwhile may take to be listed again;
-	// the users name about two seconds, and this stays within the shortest bound on leaving runners.
-	returnTime = 1800 * time.Millisecond
-	// expireEvery is how often doubtful runners are looked at.
-	expireEvery = 200 * time.Millisecond
-)
-
 // State is the copy; exported fields are set before use.
 type State struct {
 	// Log takes a line for each change of what the process believes.
@@ -38,6 +30,13 @@
 	configAt atomic.Int64
 	listed   atomic.Bool
 
+	// entries guards that configuration and runners agree on which services are known; it's taken after mu.
+	entries sync.Mutex
+	// unknownService are the runners whose service the configuration doesn't name.
+	unknownService map[rillreach.InstanceID]deployment.Runner
+
+	badConfig, badRunners, badWeights unreadable
+
 	mu      sync.Mutex
 	weights map[rillreach.ModelID]deployment.NamedWeights
 	named   map[rillreach.ModelID][]naming
@@ -62,7 +61,7 @@
 	if before != nil && c.Revision <= before.Revision {
 		return
 	}
-	s.config.Store(c)
+	s.setServices(c)
 	s.Log.Info("configuration in force", "decision", "apply", "version", c.Version, "revision", c.Revision,
 		"routes", len(c.Routes), "accounts", len(c.Accounts))
 	if s.ConfigChanged != nil {
@@ -73,16 +72,14 @@
 // ConfigFollower keeps the configuration in step with its source.
 func (s *State) ConfigFollower(source rillreach.Source[*deployment.Config], wait time.Duration) rillreach.Controller {
 	take := func(u rillreach.Update[*deployment.Config], _ time.Time) {
-		switch {
-		case u.Err != nil:
-			s.Log.Error(u.Err, "configuration refused, the last good one stays", "revision", u.Revision)
-		case !u.Gone:
+		if admit(s.Log, "config", &s.badConfig, u) && !u.Gone {
 			s.SetConfig(u.Value)
 		}
 	}
 	return &follow.Controller[*deployment.Config]{
 		Kind: "config", Source: source, Wait: wait, Log: s.Log, Changed: take,
 		Listed: func(all []rillreach.Update[*deployment.Config], returned time.Time) {
+			s.badConfig.retain(namesOf(all))
 			for _, u := range all {
 				take(u, returned)
 			}
@@ -91,66 +88,5 @@
 	}
 }
 
-// RunnersFollower keeps the list of runners in step with its source.
-func (s *State) RunnersFollower(source rillreach.Source[*deployment.Runner], wait, gather time.Duration, kick <-chan struct{}) rillreach.Controller {
-	var asked time.Time
-	return &follow.Controller[*deployment.Runner]{
-		Kind: "runners", Kick: kick, Source: source, Wait: wait, Gather: gather, Log: s.Log,
-		Asked:  func() { asked = time.Now() },
-		Listed: s.listRunners, Changed: s.changeRunner,
-		Confirmed: func() { s.Roster.Confirm(s.answeredAt(asked, time.Now())) },
-	}
-}
-
-// answeredAt is when a question that was asked before was answered at the earliest: its answer may have waited for this process to go on
-// after a stall.
-func (s *State) answeredAt(asked, now time.Time) time.Time {
-	if s.stalls.stalledSince(asked, now) {
-		return asked
-	}
-	return now
-}
-
-func (s *State) listRunners(all []rillreach.Update[*deployment.Runner], returned time.Time) {
-	var list []deployment.Runner
-	for _, u := range all {
-		if u.Err != nil {
-			s.Log.Error(u.Err, "record of a runner refused", "runner", u.Name, "revision", u.Revision)
-			continue
-		}
-		list = append(list, *u.Value)
-	}
-	now := time.Now()
-	s.logRunners(s.Roster.Replace(now, list, doubtfulUntil(returned)))
-	s.listed.Store(true)
-}
-
-func (s *State) changeRunner(u rillreach.Update[*deployment.Runner], returned time.Time) {
-	now := time.Now()
-	switch {
-	case u.Gone:
-		s.logRunners(s.Roster.Remove(now, rillreach.InstanceID(u.Name), doubtfulUntil(returned)))
-	case u.Err != nil:
-		s.Log.Error(u.Err, "record of a runner refused, the last good one stays", "runner", u.Name, "revision", u.Revision)
-	default:
-		s.logRunners(s.Roster.Put(*u.Value))
-	}
-}
-
-// doubtfulUntil is until when a runner that is no longer listed may still come back, zero where the store never was away.
-func doubtfulUntil(returned time.Time) time.Time {
-	if returned.IsZero() {
-		return time.Time{}
-	}
-	return returned.Add(returnTime)
-}
-
-func (s *State) logRunners(changes []roster.Change) {
-	for _, c := range changes {
-		s.Log.Info("runner "+string(c.Event), "decision", c.Event, "runner", c.Runner.ID, "service", c.Runner.Service,
-			"zone", c.Runner.Zone, "leaving", c.Runner.Leaving, "weights", c.Runner.Weights)
-	}
-}
-
 // Expirer removes runners whose doubtful time is over.
 func (s *State) Expirer() rillreach.Controller { return expirer{s} }
--- a/localstate/state_test.go
+++ b/localstate/state_test.go
@@ -40,11 +40,11 @@
 
 func TestRunners(t *testing.T) {
 	gone := rillreach.Update[*deployment.Runner]{Name: "a", Gone: true}
-	t.Run("a record that cannot be understood leaves the last good one", func(t *testing.T) {
+	t.Run("a record that cannot be understood takes its runner out of use", func(t *testing.T) {
 		s := state()
 		s.listRunners([]rillreach.Update[*deployment.Runner]{update("a")}, time.Time{})
 		s.changeRunner(rillreach.Update[*deployment.Runner]{Name: "a", Err: errors.New("broken")}, time.Time{})
-		assert.NotNil(t, s.Roster.Find("a"))
+		assert.Nil(t, s.Roster.Find("a"))
 	})
 	t.Run("one that goes while the store is there is gone at once", func(t *testing.T) {
 		s := state()
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -8,7 +8,7 @@
 
 // gauges are what the agent knows of its runner and of the stores that it looks after, and how old that is.
 func (s *Sidecar) gauges() []telemetry.Gauge {
-	return []telemetry.Gauge{
+	return append(s.state.Gauges(), []telemetry.Gauge{
 		{Name: "rillreach.report.age", Description: "seconds since the runner's last report", Read: func() float64 {
 			_, at, _ := s.news.get()
 			return time.Since(at).Seconds()
@@ -27,7 +27,7 @@
 		{Name: "rillreach.stores.holds", Description: "tokens that these stores hold", Read: s.heldByStores},
 		{Name: "rillreach.runners", Description: "runners that are listed", Read: func() float64 { return float64(s.state.Roster.Len()) }},
 		{Name: "rillreach.runners.age", Description: "seconds since the list of runners was known to be complete", Read: func() float64 { return time.Since(s.state.Roster.Updated()).Seconds() }},
-	}
+	}...)
 }
 
 func (s *Sidecar) heldByStores() float64 {
