Give a runner its address back once a copy of its record proves wrong

Cause: a copy of a runner's record under a second key, written later, took the runner's address. The first request to the copy was answered 421 by the runner under its own identifier, so that the copy was left alone; the runner itself stayed displaced, and nobody used either. Ruled out: taking the earlier record for the true one: a new run at an address is written later than what its predecessor left behind. Change: of the records of an address those go first whose runner hasn't left; Leaves has the roster decide anew. Tests: a subtest of TestRecordsThatChangePlaces and one of gateway's TestRecordsOfOtherWriters; both failed before. Measured: go test -race -count=1 ./roster and -run TestRecordsOfOtherWriters ./gateway: ok.

--- a/gateway/records_test.go
+++ b/gateway/records_test.go
@@ -53,6 +53,17 @@
 			return w.call(t, "GET", "/repeat/x", "").status == http.StatusOK && len(turns.Runs()) > before
 		})
 	})
+	t.Run("one that stands under a second key serves under its own", func(t *testing.T) {
+		w.store.Put("servers", "copy", record(good, "ready"))
+		w.eventually(t, func() bool { return w.gateway.state.Roster.Find("copy") != nil })
+		before := len(good.Runs())
+		assertServed(t)
+		w.eventually(t, func() bool {
+			return w.call(t, "GET", "/repeat/x", "").status == http.StatusOK && len(good.Runs()) > before
+		})
+		w.store.Remove("servers", "copy")
+		w.eventually(t, func() bool { return used() == 2 })
+	})
 	t.Run("a list that holds such records gives the others", func(t *testing.T) {
 		w.store.Forget()
 		last := w.store.Put("servers", "good", record(good, "ready"))
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -114,6 +114,7 @@
 		return append(changes, Change{Event: EventChanged, Runner: info})
 	}
 	runner := &Runner{info: info}
+	runner.resettle = func() { r.resettle(runner) }
 	r.byID[info.ID] = runner
 	r.join(runner, &info)
 	return append(changes, Change{Event: EventAdded, Runner: info})
@@ -149,8 +150,15 @@
 	r.settle(info.Address)
 }
 
-// settle decides which run has the address: of several records the one that was written last; the others' runs are over, and their
-// records are left over, until that one goes or names another address.
+// resettle settles a runner's address once it has left.
+func (r *Roster) resettle(runner *Runner) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settle(runner.Info().Address)
+}
+
+// settle decides which run has the address: of several records the one that was written last and whose runner hasn't left. The others'
+// runs are over, and their records are left over or another writer's copies, until that one goes, leaves or names another address.
 func (r *Roster) settle(address netip.AddrPort) {
 	present := r.present(address)
 	for _, runner := range r.byAddress[address] {
@@ -162,19 +170,23 @@
 func (r *Roster) present(address netip.AddrPort) *Runner {
 	var present *Runner
 	for _, runner := range r.byAddress[address] {
-		if present == nil || later(runner.Info(), present.Info()) {
+		if present == nil || before(runner, present) {
 			present = runner
 		}
 	}
 	return present
 }
 
-// later reports that one record was written after the other, whichever was heard of first.
-func later(one, other deployment.Runner) bool {
-	if one.Revision != other.Revision {
-		return one.Revision > other.Revision
+// before reports that one runner goes before the other at an address, whichever was heard of first.
+func before(one, other *Runner) bool {
+	if left := one.left(); left != other.left() {
+		return !left
+	}
+	a, b := one.Info(), other.Info()
+	if a.Revision != b.Revision {
+		return a.Revision > b.Revision
 	}
-	return one.ID > other.ID
+	return a.ID > b.ID
 }
 
 // lapse removes a runner, or marks when it is to be removed.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -101,6 +101,14 @@
 		r.Remove(start, other.ID, time.Time{})
 		assert.True(t, r.Find(one.ID).View(start).Leaving)
 	})
+	t.Run("a runner has its address again once the other turns out not to be there", func(t *testing.T) {
+		var r Roster
+		r.Replace(start, []deployment.Runner{one, other}, time.Time{})
+		r.Find(other.ID).Leaves()
+		assert.Equal(t, one.ID, r.At(one.Address).Info().ID)
+		assert.False(t, r.Find(one.ID).View(start).Leaving)
+		assert.True(t, r.Find(other.ID).View(start).Leaving)
+	})
 	t.Run("a runner that changes its service is in that group alone", func(t *testing.T) {
 		var r Roster
 		r.Put(one)
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -32,6 +32,9 @@
 
 // Runner is one listed runner and what is known of it.
 type Runner struct {
+	// resettle has the roster decide anew who has the runner's address.
+	resettle func()
+
 	mu     sync.Mutex
 	info   deployment.Runner
 	gone   time.Time
@@ -190,11 +193,19 @@
 	return pause
 }
 
-// Leaves records that the runner itself says that it ends.
+// Leaves records that the runner itself says that it ends, or another one at its address that it is over; where a further record names the
+// address, that one's runner has it then.
 func (r *Runner) Leaves() {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.leaving = true
+	r.mu.Unlock()
+	r.resettle()
+}
+
+func (r *Runner) left() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving
 }
 
 func (r *Runner) setDisplaced(displaced bool) {
