--- a/bulletin/bulletin_test.go
+++ b/bulletin/bulletin_test.go
@@ -15,8 +15,9 @@
 // drawn is any bulletin that an agent may make: it always has a runner, and counts the follower that it is for.
 func drawn(t *rapid.T) Bulletin {
 	b := Bulletin{
-		Runner: rillreach.InstanceID(rapid.SampledFrom([]string{"r1", "r2"}).Draw(t, "runner")),
-		Clock:  rapid.Int64Range(0, 1e12).Draw(t, "clock"), Followers: rapid.IntRange(1, 3).Draw(t, "followers"),
+		Runner:     rillreach.InstanceID(rapid.SampledFrom([]string{"r1", "r2"}).Draw(t, "runner")),
+		Generation: rillreach.Generation(rapid.IntRange(0, 2).Draw(t, "generation")),
+		Clock:      rapid.Int64Range(0, 1e12).Draw(t, "clock"), Followers: rapid.IntRange(1, 3).Draw(t, "followers"),
 	}
 	b.Load = Load{
 		Running: rapid.IntRange(0, 2).Draw(t, "running"), Waiting: rapid.IntRange(0, 2).Draw(t, "waiting"), Silent: rapid.Bool().Draw(t, "silent"),
@@ -68,3 +69,22 @@
 	b := Bulletin{Clock: 1}
 	assert.Error(t, b.Complete(&Bulletin{}))
 }
+
+func TestRunOfABulletin(t *testing.T) {
+	next := func(before, b Bulletin) rillreach.InstanceRun {
+		slim := b.Without(&before)
+		require.NoError(t, slim.Complete(&before))
+		return slim.Run()
+	}
+	for name, b := range map[string]Bulletin{
+		"the same run":                                  {Runner: "r1", Generation: 5},
+		"a later run":                                   {Runner: "r1", Generation: 6},
+		"another runner of the same start":              {Runner: "r2", Generation: 5},
+		"another runner whose start is not known":       {Runner: "r2"},
+		"the runner, whose start is not known any more": {Runner: "r1"},
+	} {
+		t.Run("a follower hears that the bulletin is of "+name, func(t *testing.T) {
+			assert.Equal(t, b.Run(), next(Bulletin{Runner: "r1", Generation: 5}, b))
+		})
+	}
+}
--- a/localstate/runners.go
+++ b/localstate/runners.go
@@ -52,11 +52,12 @@
 		case !s.serviceKnown(u.Value):
 			s.setAside(now, u.Value)
 		default:
+			s.noteStart(u.Value)
 			delete(s.unknownService, u.Value.ID)
 			list = append(list, *u.Value)
 		}
 	}
-	s.logRunners(s.Roster.Replace(now, list, doubtfulUntil(returned)))
+	s.noteRunners(s.Roster.Replace(now, list, doubtfulUntil(returned)))
 	s.listed.Store(true)
 }
 
@@ -82,8 +83,9 @@
 	case !s.serviceKnown(u.Value):
 		s.setAside(now, u.Value)
 	default:
+		s.noteStart(u.Value)
 		delete(s.unknownService, u.Value.ID)
-		s.logRunners(s.Roster.Put(*u.Value))
+		s.noteRunners(s.Roster.Put(*u.Value))
 	}
 }
 
@@ -104,7 +106,7 @@
 
 func (s *State) logRunners(changes []roster.Change) {
 	for _, c := range changes {
-		s.Log.Info("runner "+string(c.Event), "decision", c.Event, "runner", c.Runner.ID, "service", c.Runner.Service,
+		s.Log.Info("runner "+string(c.Event), "decision", c.Event, "runner", c.Runner.ID, "generation", c.Runner.Generation, "service", c.Runner.Service,
 			"zone", c.Runner.Zone, "leaving", c.Runner.Leaving, "weights", c.Runner.Weights)
 	}
 }
--- a/localstate/services.go
+++ b/localstate/services.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		delete(s.unknownService, id)
-		s.logRunners(s.Roster.Put(r))
+		s.noteRunners(s.Roster.Put(r))
 	}
 }
 
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -13,22 +13,29 @@
 	"github.com/rillreach/rillreach/controller/follow"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/roster"
+	"github.com/rillreach/rillreach/telemetry"
 )
 
 // State is the copy; exported fields are set before use.
 type State struct {
 	// Log takes a line for each change of what the process believes.
 	Log logr.Logger
+	// Metrics count what is odd; they may be nil.
+	Metrics *telemetry.Metrics
 	// Roster is the list of runners.
 	Roster roster.Roster
 	// ConfigChanged and WeightsChanged are told of each newer value; they may be nil.
 	ConfigChanged  func(*deployment.Config)
 	WeightsChanged func(deployment.NamedWeights)
+	// Restarted is told of each later run that takes an earlier one's place; it may be nil.
+	Restarted func(deployment.Runner)
 
 	stalls   stallDetector
 	config   atomic.Pointer[deployment.Config]
 	configAt atomic.Int64
 	listed   atomic.Bool
+	// unstarted are the revisions of the last records of runners that tell no start.
+	unstarted map[rillreach.InstanceID]uint64
 
 	// entries guards that configuration and runners agree on which services are known; it's taken after mu.
 	entries sync.Mutex
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -18,7 +18,9 @@
 	byService map[rillreach.ServiceID][]*Runner
 	// byAddress are the runners whose records name an address: one, but for records that are left over or another's.
 	byAddress map[netip.AddrPort][]*Runner
-	updated   time.Time
+	// latest are the latest runs that are known, also of runners that are no longer listed.
+	latest  map[rillreach.InstanceID]rillreach.Generation
+	updated time.Time
 }
 
 // Replace sets the whole list; a runner that is no longer listed stays until the given moment, and is removed at once
@@ -36,7 +38,7 @@
 		if listed[id] {
 			continue
 		}
-		changes = append(changes, r.lapse(id, runner, now, doubtful))
+		changes = append(changes, r.lapse(runner, now, doubtful))
 	}
 	r.updated = now
 	return changes
@@ -57,7 +59,7 @@
 	if runner == nil {
 		return nil
 	}
-	return []Change{r.lapse(id, runner, now, doubtful)}
+	return []Change{r.lapse(runner, now, doubtful)}
 }
 
 // Confirm records that the list is known to be complete at this moment.
@@ -72,12 +74,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var changes []Change
-	for id, runner := range r.byID {
+	for _, runner := range r.byID {
 		runner.mu.Lock()
 		over := !runner.gone.IsZero() && now.After(runner.gone)
 		runner.mu.Unlock()
 		if over {
-			changes = append(changes, r.lapse(id, runner, now, time.Time{}))
+			changes = append(changes, r.lapse(runner, now, time.Time{}))
 		}
 	}
 	return changes
@@ -92,6 +94,8 @@
 	EventChanged  Event = "changed"
 	EventDoubtful Event = "doubtful"
 	EventRemoved  Event = "removed"
+	// EventRestarted says that a later run has taken the place of the one that was known, of which nothing holds any more.
+	EventRestarted Event = "restarted"
 )
 
 // Change is an event of one runner.
@@ -103,21 +107,45 @@
 func (r *Roster) put(changes []Change, info deployment.Runner) []Change {
 	if r.byID == nil {
 		r.byID, r.byService = map[rillreach.InstanceID]*Runner{}, map[rillreach.ServiceID][]*Runner{}
-		r.byAddress = map[netip.AddrPort][]*Runner{}
+		r.byAddress, r.latest = map[netip.AddrPort][]*Runner{}, map[rillreach.InstanceID]rillreach.Generation{}
 	}
-	if runner := r.byID[info.ID]; runner != nil {
-		runner.mu.Lock()
-		before := runner.info
-		runner.info, runner.gone = info, time.Time{}
-		runner.mu.Unlock()
+	runner, latest := r.byID[info.ID], r.latestOf(info.ID)
+	if latest.Supersedes(info.Run()) {
+		if runner != nil {
+			runner.listAgain() // the record is late, and yet it is there
+		}
+		return changes
+	}
+	restarted := info.Run().Supersedes(latest)
+	info.Generation = max(info.Generation, latest.Generation)
+	r.latest[info.ID] = info.Generation
+	switch {
+	case restarted:
+		return append(changes, r.restart(runner, info, time.Time{}))
+	case runner == nil:
+		r.add(newRunner(info, time.Time{}))
+		return append(changes, Change{Event: EventAdded, Runner: info})
+	default:
+		before := runner.Info()
+		runner.relist(info)
 		r.reindex(runner, &before, &info)
 		return append(changes, Change{Event: EventChanged, Runner: info})
 	}
-	runner := &Runner{info: info}
+}
+
+// add lists a runner.
+func (r *Roster) add(runner *Runner) {
+	info := runner.Info()
 	runner.resettle = func() { r.resettle(runner) }
 	r.byID[info.ID] = runner
 	r.join(runner, &info)
-	return append(changes, Change{Event: EventAdded, Runner: info})
+}
+
+// drop takes a runner off the list.
+func (r *Roster) drop(runner *Runner) {
+	info := runner.Info()
+	delete(r.byID, info.ID)
+	r.leave(runner, &info)
 }
 
 // reindex keeps the look-ups right where a record names another service or address than before.
@@ -160,21 +188,21 @@
 // settle decides which run has the address: of several records the one that was written last and whose runner hasn't left. The others'
 // runs are over, and their records are left over or another writer's copies, until that one goes, leaves or names another address.
 func (r *Roster) settle(address netip.AddrPort) {
-	present := r.present(address)
+	occupant := r.occupant(address)
 	for _, runner := range r.byAddress[address] {
-		runner.setDisplaced(runner != present)
+		runner.setDisplaced(runner != occupant)
 	}
 }
 
-// present is the runner that has the address, or nil.
-func (r *Roster) present(address netip.AddrPort) *Runner {
-	var present *Runner
+// occupant is the runner that has the address, or nil.
+func (r *Roster) occupant(address netip.AddrPort) *Runner {
+	var occupant *Runner
 	for _, runner := range r.byAddress[address] {
-		if present == nil || before(runner, present) {
-			present = runner
+		if occupant == nil || before(runner, occupant) {
+			occupant = runner
 		}
 	}
-	return present
+	return occupant
 }
 
 // before reports that one runner goes before the other at an address, whichever was heard of first.
@@ -190,7 +218,7 @@
 }
 
 // lapse removes a runner, or marks when it is to be removed.
-func (r *Roster) lapse(id rillreach.InstanceID, runner *Runner, now, doubtful time.Time) Change {
+func (r *Roster) lapse(runner *Runner, now, doubtful time.Time) Change {
 	runner.mu.Lock()
 	info := runner.info
 	if now.Before(doubtful) {
@@ -200,8 +228,7 @@
 	if now.Before(doubtful) {
 		return Change{Event: EventDoubtful, Runner: info}
 	}
-	delete(r.byID, id)
-	r.leave(runner, &info)
+	r.drop(runner)
 	return Change{Event: EventRemoved, Runner: info}
 }
 
@@ -223,7 +250,7 @@
 func (r *Roster) At(address netip.AddrPort) *Runner {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.present(address)
+	return r.occupant(address)
 }
 
 // All returns all listed runners.
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"context"
 	"maps"
 	"sync"
 	"time"
@@ -34,6 +35,9 @@
 type Runner struct {
 	// resettle has the roster decide anew who has the runner's address.
 	resettle func()
+	// over ends with the run, once end says so.
+	over context.Context
+	end  context.CancelFunc
 
 	mu     sync.Mutex
 	info   deployment.Runner
@@ -81,6 +85,20 @@
 	SentReading int
 }
 
+// newRunner is a run of which nothing is known but its record, which lapses at the given moment unless that is zero.
+func newRunner(info deployment.Runner, gone time.Time) *Runner {
+	r := &Runner{info: info, gone: gone}
+	r.over, r.end = context.WithCancel(context.Background())
+	return r
+}
+
+// Over is closed once the run is known to have ended, since a later one of the same runner is known. One that is no longer listed
+// may go on until it has drained, and so may one whose address another record names.
+func (r *Runner) Over() <-chan struct{} { return r.over.Done() }
+
+// AfterOver calls the function once the run is known to have ended; stop takes that back.
+func (r *Runner) AfterOver(f func()) (stop func() bool) { return context.AfterFunc(r.over, f) }
+
 // View copies what is known.
 func (r *Runner) View(now time.Time) View {
 	r.mu.Lock()
@@ -196,10 +214,15 @@
 // Leaves records that the runner itself says that it ends, or another one at its address that it is over; where a further record names the
 // address, that one's runner has it then.
 func (r *Runner) Leaves() {
+	r.setLeaving()
+	r.resettle()
+}
+
+// setLeaving records what Leaves does where the roster decides by itself who has the address.
+func (r *Runner) setLeaving() {
 	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.leaving = true
-	r.mu.Unlock()
-	r.resettle()
 }
 
 func (r *Runner) left() bool {
@@ -238,3 +261,31 @@
 	defer r.mu.Unlock()
 	return r.info
 }
+
+// listing is the runner as the platform lists it, and when that lapses.
+func (r *Runner) listing() (info deployment.Runner, gone time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.info, r.gone
+}
+
+// relist takes over a record of the run.
+func (r *Runner) relist(info deployment.Runner) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.info, r.gone = info, time.Time{}
+}
+
+// setInfo takes over what is known anew of the run, which may be listed or not.
+func (r *Runner) setInfo(info deployment.Runner) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.info = info
+}
+
+// listAgain records that the runner is listed.
+func (r *Runner) listAgain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gone = time.Time{}
+}
