--- a/roster/roster.go
+++ b/roster/roster.go
@@ -16,7 +16,8 @@
 	mu        sync.RWMutex
 	byID      map[rillreach.InstanceID]*Runner
 	byService map[rillreach.ServiceID][]*Runner
-	byAddress map[netip.AddrPort]*Runner
+	// byAddress are the runners whose records name an address: one, but for records that are left over or another's.
+	byAddress map[netip.AddrPort][]*Runner
 	// latest are the latest runs that are known, also of runners that are no longer listed.
 	latest  map[rillreach.InstanceID]rillreach.Generation
 	updated time.Time
@@ -106,7 +107,7 @@
 func (r *Roster) put(changes []Change, info deployment.Runner) []Change {
 	if r.byID == nil {
 		r.byID, r.byService = map[rillreach.InstanceID]*Runner{}, map[rillreach.ServiceID][]*Runner{}
-		r.byAddress, r.latest = map[netip.AddrPort]*Runner{}, map[rillreach.InstanceID]rillreach.Generation{}
+		r.byAddress, r.latest = map[netip.AddrPort][]*Runner{}, map[rillreach.InstanceID]rillreach.Generation{}
 	}
 	runner, latest := r.byID[info.ID], r.latestOf(info.ID)
 	if latest.Supersedes(info.Run()) {
@@ -125,8 +126,9 @@
 		r.add(newRunner(info, time.Time{}))
 		return append(changes, Change{Event: EventAdded, Runner: info})
 	default:
+		before := runner.Info()
 		runner.relist(info)
-		r.settle(runner, info)
+		r.reindex(runner, &before, &info)
 		return append(changes, Change{Event: EventChanged, Runner: info})
 	}
 }
@@ -134,37 +136,85 @@
 // add lists a runner.
 func (r *Roster) add(runner *Runner) {
 	info := runner.Info()
+	runner.resettle = func() { r.resettle(runner) }
 	r.byID[info.ID] = runner
-	r.settle(runner, info)
-	group := append(slices.Clone(r.byService[info.Service]), runner)
-	slices.SortFunc(group, func(a, b *Runner) int { return strings.Compare(string(a.info.ID), string(b.info.ID)) })
-	r.byService[info.Service] = group
+	r.join(runner, &info)
 }
 
 // drop takes a runner off the list.
 func (r *Roster) drop(runner *Runner) {
 	info := runner.Info()
 	delete(r.byID, info.ID)
-	if r.byAddress[info.Address] == runner {
+	r.leave(runner, &info)
+}
+
+// reindex keeps the look-ups right where a record names another service or address than before.
+func (r *Roster) reindex(runner *Runner, before, info *deployment.Runner) {
+	if before.Service == info.Service && before.Address == info.Address {
+		r.settle(info.Address)
+		return
+	}
+	r.leave(runner, before)
+	r.join(runner, info)
+}
+
+// join adds a runner to the look-ups by service and address.
+func (r *Roster) join(runner *Runner, info *deployment.Runner) {
+	group := append(slices.Clone(r.byService[info.Service]), runner)
+	slices.SortFunc(group, func(a, b *Runner) int { return strings.Compare(string(a.info.ID), string(b.info.ID)) })
+	r.byService[info.Service] = group
+	r.byAddress[info.Address] = append(r.byAddress[info.Address], runner)
+	r.settle(info.Address)
+}
+
+// leave takes a runner off the look-ups by service and address.
+func (r *Roster) leave(runner *Runner, info *deployment.Runner) {
+	is := func(other *Runner) bool { return other == runner }
+	r.byService[info.Service] = slices.DeleteFunc(slices.Clone(r.byService[info.Service]), is)
+	r.byAddress[info.Address] = slices.DeleteFunc(r.byAddress[info.Address], is)
+	if len(r.byAddress[info.Address]) == 0 {
 		delete(r.byAddress, info.Address)
 	}
-	r.byService[info.Service] = slices.DeleteFunc(slices.Clone(r.byService[info.Service]), func(other *Runner) bool { return other == runner })
+	r.settle(info.Address)
 }
 
-// settle decides which run has the address: of two records the one that was written last; the other's run is over, and its
-// record is left over.
-func (r *Roster) settle(runner *Runner, info deployment.Runner) {
-	other := r.byAddress[info.Address]
-	if other == nil || other == runner {
-		r.byAddress[info.Address] = runner
-		return
+// resettle settles a runner's address once it has left.
+func (r *Roster) resettle(runner *Runner) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settle(runner.Info().Address)
+}
+
+// settle decides which run has the address: of several records the one that was written last and whose runner hasn't left. The others'
+// runs are over, and their records are left over or another writer's copies, until that one goes, leaves or names another address.
+func (r *Roster) settle(address netip.AddrPort) {
+	occupant := r.occupant(address)
+	for _, runner := range r.byAddress[address] {
+		runner.setDisplaced(runner != occupant)
 	}
-	if other.Info().Revision > info.Revision {
-		runner.Leaves()
-		return
+}
+
+// occupant is the runner that has the address, or nil.
+func (r *Roster) occupant(address netip.AddrPort) *Runner {
+	var occupant *Runner
+	for _, runner := range r.byAddress[address] {
+		if occupant == nil || before(runner, occupant) {
+			occupant = runner
+		}
+	}
+	return occupant
+}
+
+// before reports that one runner goes before the other at an address, whichever was heard of first.
+func before(one, other *Runner) bool {
+	if left := one.left(); left != other.left() {
+		return !left
+	}
+	a, b := one.Info(), other.Info()
+	if a.Revision != b.Revision {
+		return a.Revision > b.Revision
 	}
-	other.Leaves()
-	r.byAddress[info.Address] = runner
+	return a.ID > b.ID
 }
 
 // lapse removes a runner, or marks when it is to be removed.
@@ -200,7 +250,7 @@
 func (r *Roster) At(address netip.AddrPort) *Runner {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return r.byAddress[address]
+	return r.occupant(address)
 }
 
 // All returns all listed runners.
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -35,6 +35,8 @@
 
 // Runner is one listed runner and what is known of it.
 type Runner struct {
+	// resettle has the roster decide anew who has the runner's address.
+	resettle func()
 	// over ends with the run, once end says so.
 	over context.Context
 	end  context.CancelFunc
@@ -56,6 +58,8 @@
 	// weights were told by the runner's own answers; they go before the list where they are newer.
 	weights map[rillreach.ModelID]deployment.WeightVersion
 	leaving bool
+	// displaced says that a record which was written later names the runner's address.
+	displaced bool
 	// sent are this process's latest requests, which the report may not show yet.
 	sent recentSends
 }
@@ -113,7 +117,7 @@
 		v.ReportAge = now.Sub(r.report.At)
 	}
 	v.SentHeld, v.SentReading = r.sent.since(r.report.At.Add(-reportLag))
-	v.Leaving = v.Leaving || r.leaving || v.Reported && r.report.Load.Leaving
+	v.Leaving = v.Leaving || r.leaving || r.displaced || v.Reported && r.report.Load.Leaving
 	v.Weights = newest(v.Weights, r.weights)
 	if v.Reported && !r.report.LoadsAt.IsZero() {
 		v.LoadScheduled, v.LoadIn = true, max(0, r.report.LoadsAt.Sub(now))
@@ -216,13 +220,32 @@
 	return pause
 }
 
-// Leaves records that the runner itself says that it ends.
+// Leaves records that the runner itself says that it ends, or another one at its address that it is over; where a further record names the
+// address, that one's runner has it then.
 func (r *Runner) Leaves() {
+	r.setLeaving()
+	r.resettle()
+}
+
+// setLeaving records what Leaves does where the roster decides by itself who has the address.
+func (r *Runner) setLeaving() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.leaving = true
 }
 
+func (r *Runner) left() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving
+}
+
+func (r *Runner) setDisplaced(displaced bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.displaced = displaced
+}
+
 // SetWeights records the weights that the runner itself says it has.
 func (r *Runner) SetWeights(model rillreach.ModelID, version deployment.WeightVersion) {
 	r.mu.Lock()
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -117,9 +117,12 @@
 	f := &fixture{store: site.NewStore(), engine: e}
 	runner := httptest.NewServer(e)
 	t.Cleanup(runner.Close)
-	f.store.Put("config", "main", map[string]any{"version": 1})
+	f.store.Put("config", "main", map[string]any{
+		"version": 1, "routes": []any{}, "services": []any{map[string]any{"name": "s"}}, "limits": map[string]any{},
+	})
 	f.store.Put("servers", "r1", map[string]any{
-		"service": "s", "address": addressOf(runner.URL).String(), "zone": "z", "state": "ready", "models": []map[string]any{{"name": "m", "version": e.version}},
+		"service": "s", "address": addressOf(runner.URL).String(), "zone": "z", "slots": 64, "state": "ready",
+		"version": "1.7.3", "cold_remaining_ms": 0, "sequence": 1, "models": []map[string]any{{"name": "m", "version": e.version}},
 	})
 	f.agent = beginAgent(t, f.store, addressOf(runner.URL))
 	return f
