--- a/gateway/loads_soon.go
+++ b/gateway/loads_soon.go
@@ -6,7 +6,7 @@
 	"github.com/rillreach/rillreach/roster"
 )
 
-// beginsWithin is the least that a stream that moves is taken to wait at its new runner for its first token: streams waited up to 1.3 s
+// beginsWithin is the least that a stream that moves is taken to wait at its new runner for its first token: streams waited 0.2 s to 1.6 s
 // there before a load began and refused them.
 const beginsWithin = 1500 * time.Millisecond
 
--- a/gateway/loads_soon_test.go
+++ b/gateway/loads_soon_test.go
@@ -16,8 +16,8 @@
 )
 
 // TestStreamStaysWhereOthersLoadSoon: an engine is about to load weights, and so is the only other one. A stream that moved there in
-// the time between announcement and load waited for its first token, and was refused 0.21 to 0.28 s later when the load began: four of
-// four cut answers in ten plays had that shape.
+// the time between announcement and load waited for its first token, and was refused 0.21 to 0.28 s later when the load began: three
+// of three cut answers in ten plays had that shape.
 func TestStreamStaysWhereOthersLoadSoon(t *testing.T) {
 	announced, last := make(chan struct{}), make(chan struct{})
 	loads := &site.Engine{Model: site.Model, Version: 1}
