Name the soak's fault injection in the field's words

Cause: 'strike' and 'struck' are words of our own for injecting a fault and for an outage. Ruled out: - Change: soak/strike.go is soak/faults.go, strike is inject, a history's Struck is Outages; no change of what is done. The test takes the field's name.

--- a/soak/engine.go
+++ b/soak/engine.go
@@ -23,8 +23,8 @@
 	ledger *ledger
 	number int
 
-	// strikes is held while the run is being replaced.
-	strikes sync.Mutex
+	// replacing is held while the run is being replaced.
+	replacing sync.Mutex
 
 	mu      sync.Mutex
 	runs    int
--- a/soak/strike.go
+++ b/soak/faults.go
@@ -8,28 +8,28 @@
 	"github.com/rillreach/rillreach/internal/standin/site"
 )
 
-// strike does one fault, and sees to it that it ends.
-func (w *world) strike(a action) {
+// inject does one fault, and sees to it that it ends.
+func (w *world) inject(a action) {
 	e, p, n := w.entries[a.Which%len(w.entries)], w.places[a.Which%len(w.places)], w.engines[a.Which%len(w.engines)]
 	switch a.Fault {
 	case faultPause, faultKill, faultStop, faultReload, faultBadReload:
-		w.strikeEntry(a, e)
+		w.injectEntry(a, e)
 	case faultStopAll, faultAgentsStop:
-		w.strikeSeries(a)
+		w.injectSeries(a)
 	case faultAgentPause, faultAgentKill, faultAgentStop, faultAgentMute:
-		w.strikeAgent(a, n.agent)
+		w.injectAgent(a, n.agent)
 	case faultEngine, faultEngineLink, faultLoseOrders:
-		w.strikeEngine(a, n)
+		w.injectEngine(a, n)
 	case faultCrash, faultLeave:
-		w.strikeRunner(a, p)
+		w.injectRunner(a, p)
 	case faultDelay, faultReset, faultSilence, faultOneWay:
-		w.strikeLink(a, p)
+		w.injectLink(a, p)
 	case faultStoreDown, faultStoreMute, faultForget:
-		w.strikeStore(a, e)
+		w.injectStore(a, e)
 	case faultRemoveKey, faultNewVersion, faultWeights:
 		w.operate(a)
 	case faultRollout:
-		w.strikeRollout(a)
+		w.injectRollout(a)
 	}
 }
 
@@ -41,8 +41,8 @@
 	queueFor  = weightsWithin
 )
 
-// strikeRollout names weights which no agent has its engine load in time, while requests wait at the engines.
-func (w *world) strikeRollout(a action) {
+// injectRollout names weights which no agent has its engine load in time, while requests wait at the engines.
+func (w *world) injectRollout(a action) {
 	w.nameWeights()
 	for _, n := range w.engines {
 		w.pause(action{For: agentsAway}, &n.agent.process)
@@ -51,8 +51,8 @@
 	}
 }
 
-// strikeSeries stops all entries or all agents, one soon after another, and starts each again when it has ended.
-func (w *world) strikeSeries(a action) {
+// injectSeries stops all entries or all agents, one soon after another, and starts each again when it has ended.
+func (w *world) injectSeries(a action) {
 	var all []*process
 	for _, e := range w.entries {
 		all = append(all, &e.process)
@@ -80,7 +80,7 @@
 	}
 }
 
-func (w *world) strikeEntry(a action, e *entry) {
+func (w *world) injectEntry(a action, e *entry) {
 	switch a.Fault {
 	case faultPause:
 		w.pause(a, &e.process)
@@ -97,12 +97,12 @@
 }
 
 func (w *world) pause(a action, p *process) {
-	p.change(func(h *history) { h.Struck = append(h.Struck, span{From: time.Now(), To: time.Now().Add(a.For)}) })
+	p.change(func(h *history) { h.Outages = append(h.Outages, span{From: time.Now(), To: time.Now().Add(a.For)}) })
 	p.signal(syscall.SIGSTOP)
 	w.later(a.For, func() { p.signal(syscall.SIGCONT) })
 }
 
-func (w *world) strikeAgent(a action, g *agent) {
+func (w *world) injectAgent(a action, g *agent) {
 	switch a.Fault {
 	case faultAgentPause:
 		w.pause(a, &g.process)
@@ -121,7 +121,7 @@
 	w.later(a.For, func() { p.store.set(func(x *proxy) { x.silent = false }) })
 }
 
-func (w *world) strikeEngine(a action, n *engine) {
+func (w *world) injectEngine(a action, n *engine) {
 	switch a.Fault {
 	case faultLoseOrders:
 		n.lose(a.For)
@@ -131,12 +131,12 @@
 		n.proxy.reset()
 		w.later(0, func() {})
 	case faultEngine:
-		n.strikes.Lock()
+		n.replacing.Lock()
 		old, weights := n.run()
 		w.harm(n.name(), 0)
 		n.crash()
 		w.later(restartAfter, func() {
-			defer n.strikes.Unlock()
+			defer n.replacing.Unlock()
 			w.listEngine(n, n.start(weights))
 			w.store.Remove("servers", old)
 		})
@@ -188,14 +188,14 @@
 	e.signal(syscall.SIGHUP)
 }
 
-func (w *world) strikeRunner(a action, p *place) {
-	p.strikes.Lock()
+func (w *world) injectRunner(a action, p *place) {
+	p.replacing.Lock()
 	old := p.id()
 	if a.Fault == faultCrash {
 		w.harm(p.name(), 0)
 		p.crash()
 		w.later(restartAfter, func() {
-			defer p.strikes.Unlock()
+			defer p.replacing.Unlock()
 			w.list(p, p.start(), "ready")
 			w.store.Remove("servers", old)
 		})
@@ -206,7 +206,7 @@
 	w.left[old] = time.Now()
 	w.mu.Unlock()
 	w.later(gracePause, func() {
-		defer p.strikes.Unlock()
+		defer p.replacing.Unlock()
 		w.harm(p.name(), 0)
 		p.crash()
 		w.store.Remove("servers", old)
@@ -214,7 +214,7 @@
 	})
 }
 
-func (w *world) strikeLink(a action, p *place) {
+func (w *world) injectLink(a action, p *place) {
 	w.harm(p.name(), a.For)
 	if a.Fault == faultReset {
 		p.proxy.reset()
@@ -241,7 +241,7 @@
 	w.later(a.For, func() { p.proxy.set(set(false)) })
 }
 
-func (w *world) strikeStore(a action, e *entry) {
+func (w *world) injectStore(a action, e *entry) {
 	switch a.Fault {
 	case faultForget:
 		w.store.Forget()
--- a/soak/history.go
+++ b/soak/history.go
@@ -22,9 +22,9 @@
 // history is what happened to a process.
 type history struct {
 	Lives []life
-	// Stops are the times of its SIGTERMs, Struck those of the faults that it could do nothing about.
-	Stops  []time.Time
-	Struck []span
+	// Stops are the times of its SIGTERMs, Outages those of the faults that it could do nothing about.
+	Stops   []time.Time
+	Outages []span
 }
 
 // end notes a signal that ends the process.
@@ -36,7 +36,7 @@
 		h.Stops = append(h.Stops, now)
 		return
 	}
-	h.Struck = append(h.Struck, span{From: now, To: now.Add(restartAfter)})
+	h.Outages = append(h.Outages, span{From: now, To: now.Add(restartAfter)})
 }
 
 // stopBefore is when the last SIGTERM before a moment came, zero where none did.
@@ -57,9 +57,9 @@
 	})
 }
 
-// disturbed are the times in which the process was struck or stopped.
+// disturbed are the times in which the process was out or stopped.
 func (h *history) disturbed() []span {
-	times := slices.Clone(h.Struck)
+	times := slices.Clone(h.Outages)
 	for _, stop := range h.Stops {
 		times = append(times, span{From: stop, To: stop.Add(endWithin)})
 	}
@@ -77,7 +77,7 @@
 func (p *process) past() history {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return history{Lives: slices.Clone(p.history.Lives), Stops: slices.Clone(p.history.Stops), Struck: slices.Clone(p.history.Struck)}
+	return history{Lives: slices.Clone(p.history.Lives), Stops: slices.Clone(p.history.Stops), Outages: slices.Clone(p.history.Outages)}
 }
 
 // life is the number of the current life.
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -99,7 +99,7 @@
 	// last fault requests are served again.
 	contact = 3 * time.Second
 	// weightsWithin is how soon nothing begins on weights that were replaced, and loadedWithin how soon all engines have the
-	// newest, where faults strike engines and agents all the while.
+	// newest, where faults hit engines and agents all the while.
 	weightsWithin = 10 * time.Second
 	loadedWithin  = 14 * time.Second
 	backWithin    = 4 * time.Second
@@ -260,7 +260,7 @@
 func (r *record) outOfTouch(c *call, began time.Time) bool {
 	concerned := func(s span) bool { return s.From.Before(began) && s.To.Add(contact).After(c.Sent) }
 	e := r.Entries[c.Entry]
-	return slices.ContainsFunc(e.Struck, concerned) || slices.ContainsFunc(r.CutOff[c.Entry], concerned) ||
+	return slices.ContainsFunc(e.Outages, concerned) || slices.ContainsFunc(r.CutOff[c.Entry], concerned) ||
 		slices.ContainsFunc(e.Lives, func(l life) bool { return concerned(span{From: l.Started, To: l.Started}) })
 }
 
--- a/soak/lost.go
+++ b/soak/lost.go
@@ -29,7 +29,7 @@
 
 // judgeLost finds requests that an entry took whole and gave up, under no fault of its own or of a runner.
 func (r *record) judgeLost(c *call, runs []run, timed bool, add func(string, ...any)) {
-	if !c.cutOnceTaken(len(runs)) || during(c, r.Entries[c.Entry].Struck) || r.harmed(c, runs) {
+	if !c.cutOnceTaken(len(runs)) || during(c, r.Entries[c.Entry].Outages) || r.harmed(c, runs) {
 		return
 	}
 	allowed := lateAfter
@@ -91,7 +91,7 @@
 	for i := range r.Calls {
 		c := &r.Calls[i]
 		e := r.Entries[c.Entry]
-		if (c.Refused || c.closed() && len(runs[c.ID]) == 0) && e.livedAt(c.Sent, endSlack) && !during(c, e.Struck) {
+		if (c.Refused || c.closed() && len(runs[c.ID]) == 0) && e.livedAt(c.Sent, endSlack) && !during(c, e.Outages) {
 			key := refusal{Entry: c.Entry, Stop: e.stopBefore(c.Sent)}
 			refused[key] = append(refused[key], c)
 		}
--- a/soak/runner.go
+++ b/soak/runner.go
@@ -44,8 +44,8 @@
 	ledger *ledger
 	number int
 
-	// strikes is held while the place's run is being replaced.
-	strikes sync.Mutex
+	// replacing is held while the place's run is being replaced.
+	replacing sync.Mutex
 
 	mu     sync.Mutex
 	runs   int
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -51,7 +51,7 @@
 type action struct {
 	At    time.Duration
 	Fault fault
-	// Which picks the process that it strikes, For is how long it lasts where it does.
+	// Which picks the process that it concerns, For is how long it lasts where it does.
 	Which int
 	For   time.Duration
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -151,7 +151,7 @@
 		}, "began on weights 1"},
 		"replaced weights where the entry froze": {func(r *record) {
 			r.Runs[0].Weights = 1
-			r.entry(func(h *history) { h.Struck = []span{{at(9 * time.Second), at(9 * time.Second)}} })
+			r.entry(func(h *history) { h.Outages = []span{{at(9 * time.Second), at(9 * time.Second)}} })
 		}, ""},
 		"the newest weights":  {func(r *record) { r.Runs[0].Weights = 2 }, ""},
 		"old weights left":    {func(r *record) { r.Loaded["e"] = 1 }, "still has weights 1"},
@@ -168,7 +168,7 @@
 		}, "without a stop"},
 		"cut by a kill": {func(r *record) {
 			cut(of(r, kindFlow), at(11*time.Second))
-			r.entry(func(h *history) { h.Struck = []span{{at(9 * time.Second), at(9 * time.Second)}} })
+			r.entry(func(h *history) { h.Outages = []span{{at(9 * time.Second), at(9 * time.Second)}} })
 		}, ""},
 		"cut by the time-out":     {func(r *record) { cut(of(r, kindFlow), at(17*time.Second)) }, ""},
 		"cut before it was sent":  {func(r *record) { c := of(r, kindFlow); cut(c, at(11*time.Second)); c.Written = time.Time{} }, ""},
--- a/soak/world.go
+++ b/soak/world.go
@@ -213,7 +213,7 @@
 	for _, a := range actions {
 		time.Sleep(time.Until(begun.Add(a.At)))
 		w.report("%7.3f s  %s, number %d, for %s", time.Since(begun).Seconds(), a.Fault, a.Which, a.For)
-		w.strike(a)
+		w.inject(a)
 	}
 	w.work.Wait()
 	time.Sleep(max(time.Until(begun.Add(length)), time.Until(w.last.Add(quietAfter))))
