Have the stand-in engine empty before it loads, and tell its start

Cause: the stand-in loaded beside its streams, let waiting requests begin under the order, and told neither what ran nor when it had started. Ruled out: - Change: an order refuses what has not begun, lets what has end, and then loads; report, events page, record and answers to orders carry born where it is set. Requests wait in the engine's own queue.

--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -2,9 +2,9 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strconv"
 	"sync"
 	"time"
@@ -18,27 +18,40 @@
 	Expected uint64 `json:"expected_revision"`
 }
 
-// Engine is a model engine: a runner with weights, reports, orders, and no KV cache that anybody hears of. Exported fields
-// are set before Start.
+// Engine is a model engine: a runner with weights, reports, orders, and no KV cache that anybody hears of. An order has it refuse
+// what has not begun and end what has, before it loads. Exported fields are set before Start.
 type Engine struct {
 	Runner
 	// Model is what the engine serves, Version its weights at the start; LoadTime is how long others take.
 	Model    string
 	Version  uint64
 	LoadTime time.Duration
+	// Born is the Unix millisecond of the engine's start, which all that it says of itself tells; zero tells none.
+	Born int64
 	// Ordered is told of each order that arrives; where it says so the order gets no answer and is carried out late.
 	Ordered func(Order) (lose bool)
+	// Queue says how long a request waits before it begins; without it requests begin at once.
+	Queue func() time.Duration
+	// Refuses says whether requests are refused now that would begin otherwise; without it none are.
+	Refuses func() bool
 
 	mu      sync.Mutex
 	taken   uint64
-	loading bool
+	waiting int
+	running map[string]int
+	// ordered is the version that is loaded once nothing runs any more, zero without an order; taking it closes emptying.
+	ordered  uint64
+	emptying chan struct{}
 }
 
 // lateBy is how long an order without an answer takes to be carried out.
 const lateBy = 2 * time.Second
 
 // Start begins to listen.
-func (e *Engine) Start() { e.server = httptest.NewServer(e) }
+func (e *Engine) Start() {
+	e.running, e.emptying = map[string]int{}, make(chan struct{})
+	e.server = httptest.NewServer(e)
+}
 
 // Weights are those that the engine has now.
 func (e *Engine) Weights() uint64 {
@@ -61,11 +74,39 @@
 	}
 }
 
+// Record is the engine's record in the object store, under the address at which others reach it.
+func (e *Engine) Record(address netip.AddrPort, state string) any {
+	record := EngineRecordOf(address, state, e.Weights())
+	if e.Born != 0 {
+		record["born"] = e.Born
+	}
+	return record
+}
+
+// say answers with what the engine says of itself.
+func (e *Engine) say(w http.ResponseWriter, status int, fields map[string]any) {
+	if e.Born != 0 {
+		fields["born"] = e.Born
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(fields)
+}
+
 func (e *Engine) report(w http.ResponseWriter) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	_, _ = fmt.Fprintf(w, `{"models":[{"name":%q,"version":%d}],"sequence":%d,"busy":%t,"running":0,"queued":0,"kv_used":0,"kv_total":1000,
-		"state":"ready","clock_ms":%d,"runs":[]}`, e.Model, e.Version, e.taken, e.loading, time.Now().UnixMilli())
+	runs := []any{}
+	for id, count := range e.running {
+		for range count {
+			runs = append(runs, []any{id, 0, 1, 0})
+		}
+	}
+	e.say(w, http.StatusOK, map[string]any{
+		"models": []any{map[string]any{"name": e.Model, "version": e.Version}}, "sequence": e.taken, "busy": e.ordered != 0,
+		"running": len(runs), "queued": e.waiting, "kv_used": 0, "kv_total": 1000, "state": "ready",
+		"clock_ms": time.Now().UnixMilli(), "runs": runs,
+	})
 }
 
 // nothingNew holds the question for as long as it may wait.
@@ -77,7 +118,7 @@
 	select {
 	case <-r.Context().Done():
 	case <-time.After(time.Duration(wait) * time.Millisecond):
-		_, _ = fmt.Fprint(w, `{"boot_epoch":1,"next_page_token":0,"lost":false,"events":[]}`)
+		e.say(w, http.StatusOK, map[string]any{"boot_epoch": 1, "next_page_token": 0, "lost": false, "events": []any{}})
 	}
 }
 
@@ -95,33 +136,41 @@
 		time.AfterFunc(lateBy, func() { e.take(o) })
 		panic(http.ErrAbortHandler)
 	}
-	w.WriteHeader(e.take(o))
+	e.say(w, e.take(o), map[string]any{})
 }
 
-// take carries an order out, or says why not.
+// take takes an order, or says why not.
 func (e *Engine) take(o Order) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
 	case e.Version >= o.Version:
 		return http.StatusOK
-	case e.loading || o.Expected != e.taken:
+	case e.ordered != 0 || o.Expected != e.taken:
 		return http.StatusConflict
 	}
 	e.taken++
-	e.loading = true
+	e.ordered = o.Version
+	close(e.emptying)
+	if len(e.running) == 0 {
+		e.load()
+	}
+	return http.StatusAccepted
+}
+
+// load loads the ordered weights; e.mu is held.
+func (e *Engine) load() {
 	time.AfterFunc(e.LoadTime, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		e.Version, e.loading = o.Version, false
+		e.Version, e.ordered, e.emptying = e.ordered, 0, make(chan struct{})
 	})
-	return http.StatusAccepted
 }
 
-// serve takes a request, unless other weights are expected or weights are being loaded.
+// serve takes a request, unless other weights are expected or weights are about to be loaded.
 func (e *Engine) serve(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	version, loading := strconv.FormatUint(e.Version, 10), e.loading
+	version := strconv.FormatUint(e.Version, 10)
 	e.mu.Unlock()
 	w.Header().Set("Versions", version)
 	if expected := r.Header.Get("Expect-Version"); expected != "" && expected != version {
@@ -129,9 +178,63 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if loading && r.Header.Get("X-Rillreach-Target-Instance") == e.ID {
+	if r.Header.Get("X-Rillreach-Target-Instance") != e.ID {
+		e.Runner.ServeHTTP(w, r)
+		return
+	}
+	if !e.begin(r) {
 		Refuse(w, r)
 		return
 	}
+	defer e.end(RequestID(r))
 	e.Runner.ServeHTTP(w, r)
 }
+
+// begin reports that a request begins, after its time in the queue.
+func (e *Engine) begin(r *http.Request) bool {
+	if e.Refuses != nil && e.Refuses() {
+		return false
+	}
+	if e.Queue != nil && !e.queue(r, e.Queue()) {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ordered != 0 {
+		return false
+	}
+	e.running[RequestID(r)]++
+	return true
+}
+
+// queue has a request wait; it reports whether it may begin then.
+func (e *Engine) queue(r *http.Request, d time.Duration) bool {
+	e.mu.Lock()
+	emptying := e.emptying
+	e.waiting++
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.waiting--
+	}()
+	select {
+	case <-time.After(d):
+		return true
+	case <-emptying:
+	case <-r.Context().Done():
+	}
+	return false
+}
+
+// end notes the end of a request that had begun; the last one lets the ordered load begin.
+func (e *Engine) end(id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.running[id]--; e.running[id] == 0 {
+		delete(e.running, id)
+	}
+	if e.ordered != 0 && len(e.running) == 0 {
+		e.load()
+	}
+}
--- a/internal/standin/site/specs.go
+++ b/internal/standin/site/specs.go
@@ -69,7 +69,7 @@
 }
 
 // EngineRecordOf is the record of an engine with the weights.
-func EngineRecordOf(address netip.AddrPort, state string, weights uint64) any {
+func EngineRecordOf(address netip.AddrPort, state string, weights uint64) map[string]any {
 	return map[string]any{
 		"service": engineService, "address": address.String(), "zone": "z", "slots": 64, "state": state,
 		"models": []any{map[string]any{"name": Model, "version": weights}},
--- a/soak/engine.go
+++ b/soak/engine.go
@@ -50,10 +50,8 @@
 	id := fmt.Sprintf("%s-%d", e.name(), e.runs)
 	one := &site.Engine{Model: site.Model, Version: weights, LoadTime: loadTime}
 	one.ID = id
+	one.Queue = e.queueing
 	one.Handle = func(w http.ResponseWriter, r *http.Request) {
-		if !wait(r, e.queueing()) {
-			return // it has not begun, and is not wanted any more
-		}
 		streamPieces(w, r, e.ledger, run{ID: site.RequestID(r), Runner: id, At: time.Now(), Weights: one.Weights()})
 	}
 	one.Ordered = func(o site.Order) bool {
