Have engines load, weaken and start again under streams, and judge streams that are given up

Cause: the soak's streams before engines lasted 0.2 s for the most part, engines loaded beside them without refusing or waiting, and a cut stream before engines was excused by any fault at any runner within 3 s, and altogether where the verdict is not bound in time. Ruled out: weakening what excuses a cut today: the old rule stays as it is, beside the new one. Change: streams of 1 to 3 s on a route of two runners; weights named 0.5 to 2.5 s apart beside configurations, several loads at once, engines that refuse, stand still, run slow, and start again under their id with and without a start; entries of another writer in the store. A stream that was cut, or answered 502, breaks a promise unless its runner broke off, another runner had answered before it was left, its entry was stopped, or its time-out had come.

--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -75,7 +75,7 @@
 }
 
 // Record is the engine's record in the object store, under the address at which others reach it.
-func (e *Engine) Record(address netip.AddrPort, state string) any {
+func (e *Engine) Record(address netip.AddrPort, state string) map[string]any {
 	record := EngineRecordOf(address, state, e.Weights())
 	if e.Born != 0 {
 		record["born"] = e.Born
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -3,6 +3,7 @@
 package site
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -203,7 +204,23 @@
 	return events, s.revision, s.changed, 0
 }
 
+// Unreadable is the spec of an object whose bytes are no JSON.
+type Unreadable struct{}
+
+// unreadableMark stands for such a spec until an answer is written, unreadableBytes are what is written then.
+var (
+	unreadableMark  = []byte(`"@unreadable"`)
+	unreadableBytes = []byte("{\"service\": \xff\xfe, \x00")
+)
+
+// MarshalJSON gives the mark, since an encoder takes no bytes that are no JSON.
+func (Unreadable) MarshalJSON() ([]byte, error) { return unreadableMark, nil }
+
 func writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value)
+	body, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	_, _ = w.Write(bytes.ReplaceAll(body, unreadableMark, unreadableBytes))
 }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -35,7 +35,7 @@
 	giveUp    = 10 * time.Second
 )
 
-var kinds = []kind{kindRepeat, kindOnce, kindStream, kindFlow, kindPrompt}
+var kinds = []kind{kindRepeat, kindOnce, kindStream, kindFlow, kindPrompt, kindChat}
 
 func (c *callers) run(stop <-chan struct{}) {
 	var wg sync.WaitGroup
@@ -104,7 +104,7 @@
 		return
 	}
 	site.SetRequestID(req, seen.ID)
-	if seen.Kind == kindPrompt {
+	if seen.Kind.engines() {
 		site.SetPrompt(req, fmt.Sprintf("%08x", len(seen.ID)))
 	}
 	req.Header.Set("Authorization", "Bearer "+seen.Key)
--- a/soak/engine.go
+++ b/soak/engine.go
@@ -23,16 +23,22 @@
 	ledger *ledger
 	number int
 
-	// replacing is held while the run is being replaced.
+	// replacing is held while the run, or its record, is being replaced.
 	replacing sync.Mutex
 
-	mu      sync.Mutex
-	runs    int
-	losing  time.Time
-	queue   time.Duration
-	current *site.Engine
+	mu       sync.Mutex
+	runs     int
+	born     int64
+	losing   time.Time
+	refusing time.Time
+	slow     time.Time
+	queue    time.Duration
+	current  *site.Engine
 }
 
+// slowBy is how many times as long an engine that runs slow takes for each event.
+const slowBy = 2
+
 // loadTime is how long an engine of the soak takes for new weights.
 const loadTime = 300 * time.Millisecond
 
@@ -42,26 +48,79 @@
 // name names the place of the engine, in whatever runs there.
 func (e *engine) name() string { return fmt.Sprintf("e-%d", e.number) }
 
-// start begins a new run with the weights, and returns its name.
-func (e *engine) start(weights uint64) string {
+// start begins a new run with the weights under a new id, and tells its start.
+func (e *engine) start(weights uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.begin(fmt.Sprintf("%s-%d", e.name(), e.runs+1), weights, true)
+}
+
+// startAgain begins a new run under the id and with the weights of the last, and tells its start or does not.
+func (e *engine) startAgain(told bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.begin(e.current.ID, e.current.Weights(), told)
+}
+
+// begin begins a new run; e.mu is held.
+func (e *engine) begin(id string, weights uint64, told bool) {
 	e.runs++
-	id := fmt.Sprintf("%s-%d", e.name(), e.runs)
-	one := &site.Engine{Model: site.Model, Version: weights, LoadTime: loadTime}
+	label := fmt.Sprintf("%s-%d", e.name(), e.runs)
+	e.born = max(e.born+1, time.Now().UnixMilli())
+	one := &site.Engine{Model: site.Model, Version: weights, LoadTime: loadTime, Queue: e.queueing, Refuses: e.refuses}
 	one.ID = id
-	one.Queue = e.queueing
+	if told {
+		one.Born = e.born
+	}
 	one.Handle = func(w http.ResponseWriter, r *http.Request) {
-		streamPieces(w, r, e.ledger, run{ID: site.RequestID(r), Runner: id, At: time.Now(), Weights: one.Weights()})
+		page := e.ledger.begin(run{ID: site.RequestID(r), Runner: label, At: time.Now(), Weights: one.Weights()})
+		streamPieces(w, r, page, e.pause(r))
 	}
 	one.Ordered = func(o site.Order) bool {
-		e.ledger.order(given{Engine: id, Order: o})
+		e.ledger.order(given{Engine: label, Order: o})
 		return e.loses()
 	}
 	one.Start()
 	e.current = one
 	e.proxy.set(func(x *proxy) { x.to = one.Address() })
-	return id
+}
+
+// record is what the run that lives here now records in the object store.
+func (e *engine) record() (id string, spec map[string]any) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.current.ID, e.current.Record(e.proxy.address(), "ready")
+}
+
+// pause is how long the engine takes for each event of a request.
+func (e *engine) pause(r *http.Request) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	pause := lasts(kindOf(r), site.RequestID(r)) / pieces
+	if time.Now().Before(e.slow) {
+		return slowBy * pause
+	}
+	return pause
+}
+
+// slowDown has what begins within a time run slow.
+func (e *engine) slowDown(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.slow = time.Now().Add(d)
+}
+
+// refuse has the engine refuse what has not begun for a time, whatever its report says.
+func (e *engine) refuse(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.refusing = time.Now().Add(d)
+}
+
+func (e *engine) refuses() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Now().Before(e.refusing)
 }
 
 // loses reports whether orders get no answer now.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -30,6 +30,8 @@
 		w.operate(a)
 	case faultRollout:
 		w.injectRollout(a)
+	default:
+		w.injectAtEngine(a, n)
 	}
 }
 
@@ -137,7 +139,8 @@
 		n.crash()
 		w.later(restartAfter, func() {
 			defer n.replacing.Unlock()
-			w.listEngine(n, n.start(weights))
+			n.start(weights)
+			w.listEngine(n)
 			w.store.Remove("servers", old)
 		})
 	}
@@ -217,6 +220,7 @@
 func (w *world) injectLink(a action, p *place) {
 	w.harm(p.name(), a.For)
 	if a.Fault == faultReset {
+		w.harm(p.name(), 0)
 		p.proxy.reset()
 		w.later(0, func() {})
 		return
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -21,6 +21,8 @@
 	kindFlow   kind = "flow"
 	// kindPrompt requests go to engines, and may go on elsewhere.
 	kindPrompt kind = "prompt"
+	// kindChat requests do so too, last longer and have one runner less to go to.
+	kindChat kind = "chat"
 )
 
 // once reports that a request of the kind must not run twice.
@@ -51,8 +53,11 @@
 	ID     string
 	Runner string
 	At     time.Time
-	// Until is when the runner's work on it ended, zero where it goes on.
+	// First is when its first event went out, zero where none did; Until is when the runner's work on it ended, zero where it goes on.
+	First time.Time
 	Until time.Time
+	// Whole says that the runner answered to the end.
+	Whole bool
 	// Weights are those that the run began on, zero where the runner has none.
 	Weights uint64
 }
@@ -75,7 +80,8 @@
 	Disturbed map[int][]span
 	// CutOff are the times in which an entry had no path to the object store, or that served nobody.
 	CutOff map[int][]span
-	// Entries are the histories of the entries' processes, Harmed the times in which each place of runners was under a fault.
+	// Entries are the histories of the entries' processes, Harmed the times in which each place of runners was under a fault; a fault
+	// without a length broke all connections there.
 	Entries map[int]history
 	Harmed  map[string][]span
 	// Left is when each runner's leaving was acknowledged, Removed when each key was taken away.
@@ -107,7 +113,13 @@
 )
 
 // resumable reports that requests of the kind may go on at another runner.
-func (k kind) resumable() bool { return k == kindStream || k == kindPrompt }
+func (k kind) resumable() bool { return k == kindStream || k.engines() }
+
+// engines reports that requests of the kind go to engines.
+func (k kind) engines() bool { return k == kindPrompt || k == kindChat }
+
+// streams reports that requests of the kind are answered by events.
+func (k kind) streams() bool { return k == kindFlow || k.resumable() }
 
 // timeout is the time-out of the kind's route.
 func (k kind) timeout() time.Duration {
@@ -143,6 +155,7 @@
 		judgeRuns(c, len(runs[c.ID]), add)
 		judgeAnswer(c, add)
 		r.judgeLost(c, runs[c.ID], timed, add)
+		r.judgeGivenUp(c, runs[c.ID], add)
 		if timed {
 			r.judgeTime(c, add)
 			r.judgeKey(c, add)
@@ -226,7 +239,7 @@
 			continue // the entry cannot have known when newer weights were named, or could not take the request back
 		}
 		if at := r.replaced(one.Weights); one.Weights != 0 && !at.IsZero() && one.At.After(at.Add(weightsWithin)) {
-			add("request %s began on weights %d, replaced %s before", one.ID, one.Weights, one.At.Sub(at))
+			add("request %s began on weights %d at %s, replaced %s before", one.ID, one.Weights, one.Runner, one.At.Sub(at))
 		}
 	}
 	for name, loaded := range r.Loaded {
--- a/soak/lost.go
+++ b/soak/lost.go
@@ -69,7 +69,7 @@
 // none, and of one that moves between engines by itself.
 func (r *record) harmed(c *call, runs []run) bool {
 	for place, times := range r.Harmed {
-		concerned := len(runs) == 0 || c.Kind == kindPrompt || slices.ContainsFunc(runs, func(one run) bool {
+		concerned := len(runs) == 0 || c.Kind.engines() || slices.ContainsFunc(runs, func(one run) bool {
 			return strings.HasPrefix(one.Runner, place+"-")
 		})
 		if concerned && during(c, times) {
--- a/soak/main.go
+++ b/soak/main.go
@@ -57,6 +57,7 @@
 	}
 	n := size{Entries: c.Int("entries"), Runners: c.Int("runners"), Callers: c.Int("callers")}
 	actions := schedule(c.Uint64("seed"), c.Duration("for"))
+	actions = inOrder(append(actions, engineSchedule(c.Uint64("seed"), c.Duration("for"), engineFaults)...))
 	if c.Bool("rollout") {
 		actions = inOrder(append(actions, rollout(c.Uint64("seed"))))
 	}
--- a/soak/runner.go
+++ b/soak/runner.go
@@ -19,17 +19,31 @@
 	orders []given
 }
 
-// begin notes that a run has begun; what it returns notes the end.
-func (l *ledger) begin(r run) (end func()) {
+// begin notes that a run has begun, and returns where the rest of it is noted.
+func (l *ledger) begin(r run) *page {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs = append(l.runs, r)
-	number := len(l.runs) - 1
-	return func() {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.runs[number].Until = time.Now()
-	}
+	return &page{ledger: l, number: len(l.runs) - 1}
+}
+
+// page is where one run is noted.
+type page struct {
+	ledger *ledger
+	number int
+}
+
+func (p *page) change(do func(r *run)) {
+	p.ledger.mu.Lock()
+	defer p.ledger.mu.Unlock()
+	do(&p.ledger.runs[p.number])
+}
+
+// first notes the first event, end the end of the run, and whether its answer was whole then.
+func (p *page) first() { p.change(func(r *run) { r.First = time.Now() }) }
+
+func (p *page) end(whole bool) {
+	p.change(func(r *run) { r.Until, r.Whole = time.Now(), whole })
 }
 
 func (l *ledger) order(o given) {
@@ -72,15 +86,20 @@
 	// shortTenths and middleTenths are the shares of streams that last up to the first two.
 	shortTenths  = 7
 	middleTenths = 1
+	// shortChat and longChat bound the streams that last long enough for loads to meet them.
+	shortChat = time.Second
+	longChat  = 3 * time.Second
 )
 
 // lasts is how long the stream of a request lasts, which follows from its id.
-func lasts(id string) time.Duration {
+func lasts(k kind, id string) time.Duration {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(id))
 	sum := hash.Sum64()
 	within := func(least, most time.Duration) time.Duration { return least + time.Duration(sum/10%uint64(most-least)) }
 	switch tenth := sum % 10; {
+	case k == kindChat:
+		return within(shortChat, longChat)
 	case tenth < shortTenths:
 		return shortStream
 	case tenth < shortTenths+middleTenths:
@@ -113,14 +132,22 @@
 
 func (p *place) handle(id string, w http.ResponseWriter, r *http.Request) {
 	one := run{ID: site.RequestID(r), Runner: id, At: time.Now()}
-	if strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/flow/") {
-		streamPieces(w, r, p.ledger, one)
+	if k := kindOf(r); k.streams() {
+		streamPieces(w, r, p.ledger.begin(one), lasts(k, one.ID)/pieces)
 		return
 	}
-	defer p.ledger.begin(one)()
-	if wait(r, workTime) {
+	page := p.ledger.begin(one)
+	wanted := wait(r, workTime)
+	if wanted {
 		site.Answer(w, r, expected(one.ID, kindOnce))
 	}
+	page.end(wanted)
+}
+
+// kindOf is the kind of a request, which its path begins with.
+func kindOf(r *http.Request) kind {
+	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	return kind(first)
 }
 
 // wait takes the time of some work; it reports whether the request is still wanted.
@@ -133,9 +160,10 @@
 	}
 }
 
-// streamPieces runs a request that is answered by events.
-func streamPieces(w http.ResponseWriter, r *http.Request, l *ledger, one run) {
-	defer l.begin(one)()
+// streamPieces runs a request that is answered by events, one after each pause.
+func streamPieces(w http.ResponseWriter, r *http.Request, page *page, pause time.Duration) {
+	whole := false
+	defer func() { page.end(whole) }()
 	if !wait(r, workTime) {
 		return
 	}
@@ -145,10 +173,12 @@
 	if err != nil {
 		from = 0
 	}
+	page.first()
 	for i := from + 1; i <= pieces; i++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, one.ID, i)
-		if http.NewResponseController(w).Flush() != nil || !wait(r, lasts(one.ID)/pieces) {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, site.RequestID(r), i)
+		if http.NewResponseController(w).Flush() != nil || !wait(r, pause) {
 			return
 		}
 	}
+	whole = true
 }
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -41,6 +41,25 @@
 	faultRollout fault = "name new weights that no agent loads in time, before engines with a queue"
 )
 
+// The faults of engines that load or start again, and of other writers in the store. They are drawn by themselves, for the same reason.
+const (
+	faultNames        fault = "name weights in quick succession beside configurations"
+	faultLoadsAtOnce  fault = "load several engines at once"
+	faultRefuse       fault = "engine refuses whatever it reports"
+	faultFreeze       fault = "engine stands still"
+	faultSlow         fault = "engine runs slow"
+	faultAgain        fault = "start engine again under its id"
+	faultAgainUntold  fault = "start engine again under its id without telling its start"
+	faultBadEntries   fault = "entries of another writer"
+	faultSpoiledEntry fault = "another writer spoils an engine's entry"
+)
+
+// loadFaults are those without which streams would seldom meet loads and refusals, engineFaults all of them.
+var (
+	loadFaults   = []fault{faultNames, faultLoadsAtOnce, faultRefuse, faultFreeze, faultSlow}
+	engineFaults = append([]fault{faultAgain, faultAgainUntold, faultBadEntries, faultSpoiledEntry}, loadFaults...)
+)
+
 var faults = []fault{
 	faultPause, faultKill, faultStop, faultStopAll, faultReload, faultBadReload, faultCrash, faultLeave, faultDelay, faultReset, faultSilence, faultOneWay,
 	faultStoreDown, faultStoreMute, faultForget, faultRemoveKey, faultNewVersion,
@@ -100,6 +119,16 @@
 	return inOrder(actions)
 }
 
+// engineSchedule gives the same actions of some of the engines' faults for the same seed.
+func engineSchedule(seed uint64, length time.Duration, from []fault) []action {
+	random := rand.New(rand.NewPCG(seed, 3))
+	var actions []action
+	for at := quietBefore; at < length-quietAfter; at += time.Duration(random.ExpFloat64() * float64(meanPause)) {
+		actions = append(actions, draw(random, from, at))
+	}
+	return inOrder(actions)
+}
+
 // inOrder sorts actions by their times.
 func inOrder(actions []action) []action {
 	slices.SortStableFunc(actions, func(a, b action) int { return int(a.At - b.At) })
--- a/soak/world.go
+++ b/soak/world.go
@@ -103,7 +103,8 @@
 		return err
 	}
 	n := &engine{proxy: p, ledger: &w.ledger, number: number}
-	w.listEngine(n, n.start(1))
+	n.start(1)
+	w.listEngine(n)
 	if n.agent, err = newAgent(number, binary, dir, store, p.address(), peerPort); err != nil {
 		return err
 	}
@@ -111,9 +112,9 @@
 	return n.agent.start()
 }
 
-func (w *world) listEngine(n *engine, id string) {
-	_, weights := n.run()
-	w.store.Put("servers", id, site.EngineRecordOf(n.proxy.address(), "ready", weights))
+func (w *world) listEngine(n *engine) {
+	id, spec := n.record()
+	w.store.Put("servers", id, spec)
 }
 
 const (
@@ -165,6 +166,7 @@
 		site.Route{Name: string(kindStream), Host: host, Kind: "streaming", Attempts: 3, Resumable: true, Timeout: streamTimeout},
 		site.Route{Name: string(kindFlow), Host: host, Kind: "streaming", Attempts: 1, Timeout: streamTimeout},
 		site.Route{Name: string(kindPrompt), Host: host, Kind: "streaming", Attempts: 3, Resumable: true, Engines: true, Timeout: streamTimeout},
+		site.Route{Name: string(kindChat), Host: host, Kind: "streaming", Attempts: 2, Resumable: true, Engines: true, Timeout: streamTimeout},
 	))
 }
 
