Test that streams are whole while engines load, refuse and stand still, which fails

Cause: an entry gives up a stream that its runner is answering, and the other runner refuses it or stands still itself. Change: TestLoadsUnderStreams, seeds 2 and 3, without the promises bound in time. A late order reaches an engine that started again under its id, as the platform allows, and a spoiled entry no longer holds up the schedule.

--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -30,6 +30,8 @@
 	Born int64
 	// Ordered is told of each order that arrives; where it says so the order gets no answer and is carried out late.
 	Ordered func(Order) (lose bool)
+	// CarryOut is given an order without an answer when it is carried out; without it the engine that got it takes it.
+	CarryOut func(Order)
 	// Queue says how long a request waits before it begins; without it requests begin at once.
 	Queue func() time.Duration
 	// Refuses says whether requests are refused now that would begin otherwise; without it none are.
@@ -133,14 +135,22 @@
 		return
 	}
 	if e.Ordered != nil && e.Ordered(o) {
-		time.AfterFunc(lateBy, func() { e.take(o) })
+		time.AfterFunc(lateBy, func() { e.carryOut(o) })
 		panic(http.ErrAbortHandler)
 	}
-	e.say(w, e.take(o), map[string]any{})
+	e.say(w, e.Take(o), map[string]any{})
 }
 
-// take takes an order, or says why not.
-func (e *Engine) take(o Order) int {
+func (e *Engine) carryOut(o Order) {
+	if e.CarryOut != nil {
+		e.CarryOut(o)
+		return
+	}
+	e.Take(o)
+}
+
+// Take takes an order, or says why not.
+func (e *Engine) Take(o Order) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
--- a/soak/engine.go
+++ b/soak/engine.go
@@ -80,11 +80,21 @@
 		e.ledger.order(given{Engine: label, Order: o})
 		return e.loses()
 	}
+	one.CarryOut = func(o site.Order) { e.carryOut(id, o) }
 	one.Start()
 	e.current = one
 	e.proxy.set(func(x *proxy) { x.to = one.Address() })
 }
 
+// carryOut gives a late order to the run with the id, which may have started again meanwhile.
+func (e *engine) carryOut(id string, o site.Order) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.current.ID == id {
+		e.current.Take(o)
+	}
+}
+
 // record is what the run that lives here now records in the object store.
 func (e *engine) record() (id string, spec map[string]any) {
 	e.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -19,22 +19,47 @@
 // TestShortSoak plays schedules with real processes, and holds them against the promises that are not bound in time. The second
 // stops all entries in series, and all agents beside that.
 func TestShortSoak(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "rillreach")
-	out, err := exec.Command("go", "build", "-o", binary, "../cmd/rillreach").CombinedOutput()
-	require.NoError(t, err, string(out))
-	const length = 14 * time.Second
+	binary := buildProgram(t)
 	for _, seed := range []uint64{5, 84} {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			w, err := newWorld(binary, t.TempDir(), size{Entries: 3, Runners: 3, Callers: 30}, t.Logf)
-			require.NoError(t, err)
-			defer w.close()
-			r := w.play(schedule(seed, length), length)
-			assert.NotEmpty(t, r.Runs)
-			assert.Empty(t, judge(r, false))
+			assertKept(t, binary, schedule(seed, shortLength))
+		})
+	}
+}
+
+// TestLoadsUnderStreams has engines load in quick succession and at once, refuse, stand still and run slow under streams that last for
+// seconds: none of them may be cut by its entry.
+func TestLoadsUnderStreams(t *testing.T) {
+	binary := buildProgram(t)
+	for _, seed := range []uint64{2, 3} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			assertKept(t, binary, engineSchedule(seed, shortLength, loadFaults))
 		})
 	}
 }
 
+// shortLength is how long the schedules of these tests are.
+const shortLength = 14 * time.Second
+
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "rillreach")
+	out, err := exec.Command("go", "build", "-o", binary, "../cmd/rillreach").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return binary
+}
+
+// assertKept plays a schedule and checks the promises that are not bound in time.
+func assertKept(t *testing.T, binary string, actions []action) {
+	t.Helper()
+	w, err := newWorld(binary, t.TempDir(), size{Entries: 3, Runners: 3, Callers: 30}, t.Logf)
+	require.NoError(t, err)
+	defer w.close()
+	r := w.play(actions, shortLength)
+	assert.NotEmpty(t, r.Runs)
+	assert.Empty(t, judge(r, false))
+}
+
 func TestScheduleFollowsFromTheSeed(t *testing.T) {
 	first, second := schedule(7, time.Minute), schedule(7, time.Minute)
 	assert.Equal(t, first, second)
--- a/soak/store_faults.go
+++ b/soak/store_faults.go
@@ -40,13 +40,7 @@
 func (w *world) injectBadEntries(a action, n *engine) {
 	bad := badEntries[a.Which%len(badEntries)]
 	if a.Fault == faultSpoiledEntry {
-		n.replacing.Lock()
-		id, _ := n.run()
-		w.store.Put("servers", id, bad)
-		w.later(a.For, func() {
-			defer n.replacing.Unlock()
-			w.listEngine(n)
-		})
+		w.spoilEntry(a, n, bad)
 		return
 	}
 	copied := n.copyOfRecord()
@@ -56,6 +50,20 @@
 	w.putFor(a, "versions", lastKey, map[string]any{"model": 7})
 }
 
+// spoilEntry writes over the record of an engine, which may end meanwhile, and has the one that lives there then write its own.
+func (w *world) spoilEntry(a action, n *engine, bad any) {
+	id, _ := n.run()
+	w.store.Put("servers", id, bad)
+	w.later(a.For, func() {
+		n.replacing.Lock()
+		defer n.replacing.Unlock()
+		w.listEngine(n)
+		if now, _ := n.run(); now != id {
+			w.store.Remove("servers", id)
+		}
+	})
+}
+
 // putFor writes an object that is gone again after the fault.
 func (w *world) putFor(a action, kind, name string, spec any) {
 	w.store.Put(kind, name, spec)
