--- a/soak/givenup.go
+++ b/soak/givenup.go
@@ -33,11 +33,11 @@
 	return lost && c.Kind.streams() && !c.Written.IsZero() && c.Ended.Sub(c.Sent) <= c.Kind.timeout()-timeoutSlack
 }
 
-// stopping reports that the call's entry was between SIGTERM and its end when the call ended.
+// stopping reports that the call's entry was between SIGTERM and its end when the call ended, at the latest by SIGKILL.
 func (r *record) stopping(c *call) bool {
 	e := r.Entries[c.Entry]
 	stop := e.stopBefore(c.Ended)
-	return !stop.IsZero() && !c.Ended.After(stop.Add(endWithin))
+	return !stop.IsZero() && !c.Ended.After(stop.Add(endWithin+signalSlack))
 }
 
 // brokeOff reports that a run's runner ended or lost its connections before the run did. An answer that the runner had given whole may
--- a/soak/givenup_test.go
+++ b/soak/givenup_test.go
@@ -62,9 +62,19 @@
 			next(r, began, 2*began)
 			r.Runs[0] = run{ID: "chat", Runner: "e-0-1", At: at(ended), Until: at(ended)}
 		}, "though e-1-1 was answering it"},
-		"by the time-out":            {func(r *record) { r.Calls[0].Ended = at(streamTimeout) }, ""},
-		"before it was sent":         {func(r *record) { r.Calls[0].Written = time.Time{} }, ""},
-		"by the end of its entry":    {func(r *record) { r.entry(func(h *history) { h.Stops = []time.Time{at(began)} }) }, ""},
+		"by the time-out":         {func(r *record) { r.Calls[0].Ended = at(streamTimeout) }, ""},
+		"before it was sent":      {func(r *record) { r.Calls[0].Written = time.Time{} }, ""},
+		"by the end of its entry": {func(r *record) { r.entry(func(h *history) { h.Stops = []time.Time{at(began)} }) }, ""},
+		"by the kill of an entry that did not end": {
+			func(r *record) {
+				r.entry(func(h *history) { h.Stops = []time.Time{at(ended - endWithin - signalSlack)} })
+			}, "",
+		},
+		"long after a stop of its entry": {
+			func(r *record) {
+				r.entry(func(h *history) { h.Stops = []time.Time{at(ended - endWithin - signalSlack - 1)} })
+			}, givenUp,
+		},
 		"by a kill of its entry":     {func(r *record) { r.entry(func(h *history) { h.Outages = []span{{at(began), at(began)}} }) }, ""},
 		"by another kind of request": {func(r *record) { r.Calls[0].Kind = kindRepeat }, ""},
 	}
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -110,9 +110,8 @@
 		actions = append(actions, a)
 		if a.Fault == faultStopAll || a.Fault == faultAgentsStop {
 			actions = append(actions, beside(random, at)...)
-		} else if random.Float64() < series {
-			a.At += a.For / 2
-			actions = append(actions, a)
+		} else {
+			actions = append(actions, again(random, a)...)
 		}
 		at += time.Duration(random.ExpFloat64() * float64(meanPause))
 	}
@@ -124,11 +123,21 @@
 	random := rand.New(rand.NewPCG(seed, 3))
 	var actions []action
 	for at := quietBefore; at < length-quietAfter; at += time.Duration(random.ExpFloat64() * float64(meanPause)) {
-		actions = append(actions, draw(random, from, at))
+		a := draw(random, from, at)
+		actions = append(append(actions, a), again(random, a)...)
 	}
 	return inOrder(actions)
 }
 
+// again gives the action once more, soon after its beginning, or nothing.
+func again(random *rand.Rand, a action) []action {
+	if random.Float64() >= series {
+		return nil
+	}
+	a.At += a.For / 2
+	return []action{a}
+}
+
 // inOrder sorts actions by their times.
 func inOrder(actions []action) []action {
 	slices.SortStableFunc(actions, func(a, b action) int { return int(a.At - b.At) })
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -69,6 +69,20 @@
 	}
 }
 
+func TestEngineScheduleFollowsFromTheSeed(t *testing.T) {
+	actions := engineSchedule(7, 10*time.Minute, engineFaults)
+	assert.Equal(t, actions, engineSchedule(7, 10*time.Minute, engineFaults))
+	assert.NotEqual(t, actions, engineSchedule(8, 10*time.Minute, engineFaults))
+	times := map[fault]int{}
+	for _, a := range actions {
+		times[a.Fault]++
+	}
+	for _, f := range engineFaults {
+		assert.Greater(t, times[f], 1, "%s is hardly drawn", f)
+	}
+	assert.Len(t, times, len(engineFaults))
+}
+
 // entry changes the history of the record's entry.
 func (r *record) entry(change func(h *history)) {
 	h := r.Entries[0]
