--- a/soak/givenup.go
+++ b/soak/givenup.go
@@ -18,7 +18,7 @@
 	}
 	for i := range runs {
 		one := &runs[i]
-		if r.brokeOff(one) || r.followed(one, c, runs) {
+		if r.brokeOff(one, c) || r.followed(one, c, runs) {
 			continue
 		}
 		add("request %s of kind %s, taken by entry %d, was cut after %s, though %s was answering it for %s (answer whole: %t)",
@@ -40,23 +40,23 @@
 	return !stop.IsZero() && !c.Ended.After(stop.Add(endWithin+signalSlack))
 }
 
-// brokeOff reports that a run's runner ended or lost its connections before the run did. An answer that the runner had given whole may
-// still have been on its way then.
-func (r *record) brokeOff(one *run) bool {
+// brokeOff reports that a run's runner ended or lost its connections before the run did, and before the call had ended. An answer that
+// the runner had given whole may still have been on its way then.
+func (r *record) brokeOff(one *run, c *call) bool {
 	place := one.Runner[:max(strings.LastIndex(one.Runner, "-"), 0)]
-	until := one.Until
+	until := one.end(c)
 	if one.Whole {
-		until = until.Add(contact)
+		until = c.Ended
 	}
 	return slices.ContainsFunc(r.Harmed[place], func(s span) bool {
-		return s.From.Equal(s.To) && s.From.After(one.At.Add(-breakSlack)) && (one.Until.IsZero() || s.From.Before(until))
+		return s.From.Equal(s.To) && s.From.After(one.At.Add(-breakSlack)) && s.From.Before(until)
 	})
 }
 
 // followed reports that another runner had taken the call over before the run was left, or took it over and broke off.
 func (r *record) followed(one *run, c *call, runs []run) bool {
 	return slices.ContainsFunc(runs, func(other run) bool {
-		return other.tookOver(one) && (other.First.Before(one.end(c)) || r.brokeOff(&other))
+		return other.tookOver(one) && (other.First.Before(one.end(c)) || r.brokeOff(&other, c))
 	})
 }
 
--- a/soak/givenup_test.go
+++ b/soak/givenup_test.go
@@ -37,16 +37,21 @@
 		spoil func(r *record)
 		want  string
 	}{
-		"by its entry":                 {func(*record) {}, givenUp},
-		"and answered as failed":       {func(r *record) { r.Calls[0].Cut, r.Calls[0].Status = false, 502 }, givenUp},
-		"beside another's crash":       {func(r *record) { breakOff(r, "e-1", ended-1) }, givenUp},
-		"before a crash":               {func(r *record) { breakOff(r, "e-0", ended+1) }, givenUp},
-		"by its runner":                {func(r *record) { breakOff(r, "e-0", ended-1) }, ""},
-		"while its runner was slow":    {func(r *record) { r.Harmed["e-0"] = []span{{at(began), at(ended)}} }, givenUp},
-		"after its runner's whole":     {func(r *record) { r.Runs[0].Whole = true }, givenUp},
-		"whole, on its way at a crash": {func(r *record) { r.Runs[0].Whole = true; breakOff(r, "e-0", ended+1) }, ""},
-		"for one that never answers":   {func(r *record) { next(r, ended, ended); r.Runs[1].First = time.Time{} }, givenUp},
-		"for one that answers later":   {func(r *record) { next(r, ended, ended+began) }, givenUp},
+		"by its entry":              {func(*record) {}, givenUp},
+		"and answered as failed":    {func(r *record) { r.Calls[0].Cut, r.Calls[0].Status = false, 502 }, givenUp},
+		"beside another's crash":    {func(r *record) { breakOff(r, "e-1", ended-1) }, givenUp},
+		"before a crash":            {func(r *record) { breakOff(r, "e-0", ended+1) }, givenUp},
+		"by its runner":             {func(r *record) { breakOff(r, "e-0", ended-1) }, ""},
+		"while its runner was slow": {func(r *record) { r.Harmed["e-0"] = []span{{at(began), at(ended)}} }, givenUp},
+		"after its runner's whole":  {func(r *record) { r.Runs[0].Whole = true }, givenUp},
+		"whole, on its way at a crash": {func(r *record) {
+			r.Runs[0].Whole, r.Calls[0].Ended = true, at(ended+began)
+			breakOff(r, "e-0", ended+1)
+		}, ""},
+		"whole, before a crash":           {func(r *record) { r.Runs[0].Whole = true; breakOff(r, "e-0", ended+1) }, givenUp},
+		"and told of it late by a freeze": {func(r *record) { r.Runs[0].Until = at(ended + began); breakOff(r, "e-0", ended+1) }, givenUp},
+		"for one that never answers":      {func(r *record) { next(r, ended, ended); r.Runs[1].First = time.Time{} }, givenUp},
+		"for one that answers later":      {func(r *record) { next(r, ended, ended+began) }, givenUp},
 		"for one that answers and is given up": {
 			func(r *record) { next(r, ended-2*began, ended-began) }, "though e-1-1 was answering it",
 		},
