--- a/soak/balancer.go
+++ b/soak/balancer.go
@@ -19,7 +19,7 @@
 	dialTimeout = time.Second
 )
 
-// balancer gives each new connection an entry, as the users' platform does.
+// balancer gives each new connection an entry, as the platform does.
 type balancer struct {
 	entries []*entry
 
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -94,7 +94,7 @@
 const (
 	statusOK = http.StatusOK
 	pieces   = 24
-	// streamTimeout and plainTimeout are the routes' time-outs, timeoutSlack is what the users allow beyond them.
+	// streamTimeout and plainTimeout are the routes' time-outs, timeoutSlack is what the platform allows beyond them.
 	streamTimeout = 7 * time.Second
 	plainTimeout  = 3 * time.Second
 	timeoutSlack  = 500 * time.Millisecond
