Name the soak's open runs and second records for what they are

Cause: 'page' was a word of our own for a run of which the end is still to be noted. Ruled out: - Change: names alone.

--- a/soak/engine.go
+++ b/soak/engine.go
@@ -73,8 +73,8 @@
 		one.Born = e.born
 	}
 	one.Handle = func(w http.ResponseWriter, r *http.Request) {
-		page := e.ledger.begin(run{ID: site.RequestID(r), Runner: label, At: time.Now(), Weights: one.Weights()})
-		streamPieces(w, r, page, e.pause(r))
+		open := e.ledger.begin(run{ID: site.RequestID(r), Runner: label, At: time.Now(), Weights: one.Weights()})
+		streamPieces(w, r, open, e.pause(r))
 	}
 	one.Ordered = func(o site.Order) bool {
 		e.ledger.order(given{Engine: label, Order: o})
--- a/soak/runner.go
+++ b/soak/runner.go
@@ -20,30 +20,30 @@
 }
 
 // begin notes that a run has begun, and returns where the rest of it is noted.
-func (l *ledger) begin(r run) *page {
+func (l *ledger) begin(r run) *openRun {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs = append(l.runs, r)
-	return &page{ledger: l, number: len(l.runs) - 1}
+	return &openRun{ledger: l, number: len(l.runs) - 1}
 }
 
-// page is where one run is noted.
-type page struct {
+// openRun is a run that has begun, of which the rest is noted later.
+type openRun struct {
 	ledger *ledger
 	number int
 }
 
-func (p *page) change(do func(r *run)) {
-	p.ledger.mu.Lock()
-	defer p.ledger.mu.Unlock()
-	do(&p.ledger.runs[p.number])
+func (o *openRun) change(do func(r *run)) {
+	o.ledger.mu.Lock()
+	defer o.ledger.mu.Unlock()
+	do(&o.ledger.runs[o.number])
 }
 
 // first notes the first event, end the end of the run, and whether its answer was whole then.
-func (p *page) first() { p.change(func(r *run) { r.First = time.Now() }) }
+func (o *openRun) first() { o.change(func(r *run) { r.First = time.Now() }) }
 
-func (p *page) end(whole bool) {
-	p.change(func(r *run) { r.Until, r.Whole = time.Now(), whole })
+func (o *openRun) end(whole bool) {
+	o.change(func(r *run) { r.Until, r.Whole = time.Now(), whole })
 }
 
 func (l *ledger) order(o given) {
@@ -136,12 +136,12 @@
 		streamPieces(w, r, p.ledger.begin(one), lasts(k, one.ID)/pieces)
 		return
 	}
-	page := p.ledger.begin(one)
+	open := p.ledger.begin(one)
 	wanted := wait(r, workTime)
 	if wanted {
 		site.Answer(w, r, expected(one.ID, kindOnce))
 	}
-	page.end(wanted)
+	open.end(wanted)
 }
 
 // kindOf is the kind of a request, which its path begins with.
@@ -161,9 +161,9 @@
 }
 
 // streamPieces runs a request that is answered by events, one after each pause.
-func streamPieces(w http.ResponseWriter, r *http.Request, page *page, pause time.Duration) {
+func streamPieces(w http.ResponseWriter, r *http.Request, open *openRun, pause time.Duration) {
 	whole := false
-	defer func() { page.end(whole) }()
+	defer func() { open.end(whole) }()
 	if !wait(r, workTime) {
 		return
 	}
@@ -173,7 +173,7 @@
 	if err != nil {
 		from = 0
 	}
-	page.first()
+	open.first()
 	for i := from + 1; i <= pieces; i++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, site.RequestID(r), i)
 		if http.NewResponseController(w).Flush() != nil || !wait(r, pause) {
--- a/soak/store_faults.go
+++ b/soak/store_faults.go
@@ -43,7 +43,7 @@
 		w.spoilEntry(a, n, bad)
 		return
 	}
-	copied := n.copyOfRecord()
+	copied := n.secondRecord()
 	w.putFor(a, "servers", firstKey, bad)
 	w.putFor(a, "servers", copied.key, copied.spec)
 	w.putFor(a, "servers", lastKey, badEntries[(a.Which+1)%len(badEntries)])
@@ -70,16 +70,16 @@
 	w.later(a.For, func() { w.store.Remove(kind, name) })
 }
 
-// copyOfRecord is a record under a key of its own.
-type copyOfRecord struct {
+// keyedRecord is a record under a key of its own.
+type keyedRecord struct {
 	key  string
 	spec map[string]any
 }
 
-// copyOfRecord is the engine's record under a second key, naming the id of the first.
-func (e *engine) copyOfRecord() copyOfRecord {
+// secondRecord is the engine's record under a second key, naming the id of the first.
+func (e *engine) secondRecord() keyedRecord {
 	id, spec := e.record()
 	copied := maps.Clone(spec)
 	copied["id"] = id
-	return copyOfRecord{key: id + copySuffix, spec: copied}
+	return keyedRecord{key: id + copySuffix, spec: copied}
 }
