Merge the soak's loads, refusals and restarts

Cause: both the tests of restarts and the soak had added to the stand-in engine. Ruled out: - Change: one engine that empties before it loads, keeps parts and starts again under its id; its record under another address is RecordAt; events stand in a file of their own. Measured: tests of the stand-ins, sidecar, platform, localstate, roster and soak pass with -race.

--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -2,9 +2,9 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strconv"
 	"sync"
 	"time"
@@ -18,32 +18,45 @@
 	Expected uint64 `json:"expected_revision"`
 }
 
-// Engine is a model engine: a runner with weights, reports, orders, and KV cache that holds what Keep says. Exported fields are set
-// before Start.
+// Engine is a model engine: a runner with weights, reports, orders, and KV cache that holds what Keep says. An order has it refuse
+// what has not begun and end what has, before it loads. Exported fields are set before Start.
 type Engine struct {
 	Runner
 	// Model is what the engine serves, Version its weights at the start; LoadTime is how long others take.
 	Model    string
 	Version  uint64
 	LoadTime time.Duration
-	// Born is what the engine says of its start, in Unix milliseconds; zero has it say nothing.
+	// Born is the Unix millisecond of the engine's start, which all that it says of itself tells; zero tells none.
 	Born int64
 	// Ordered is told of each order that arrives; where it says so the order gets no answer and is carried out late.
 	Ordered func(Order) (lose bool)
+	// CarryOut is given an order without an answer when it is carried out; without it the engine that got it takes it.
+	CarryOut func(Order)
+	// Queue says how long a request waits before it begins; without it requests begin at once.
+	Queue func() time.Duration
+	// Refuses says whether requests are refused now that would begin otherwise; without it none are.
+	Refuses func() bool
 
 	mu      sync.Mutex
 	taken   uint64
-	loading bool
-	// runs counts the restarts, and kept are the events of the run.
-	runs int
-	kept [][]any
+	waiting int
+	running map[string]int
+	// ordered is the version that is loaded once nothing runs any more, zero without an order; taking it closes emptying.
+	ordered  uint64
+	emptying chan struct{}
+	// starts counts the restarts, and kept are the events of the run.
+	starts int
+	kept   [][]any
 }
 
 // lateBy is how long an order without an answer takes to be carried out.
 const lateBy = 2 * time.Second
 
 // Start begins to listen.
-func (e *Engine) Start() { e.server = httptest.NewServer(e) }
+func (e *Engine) Start() {
+	e.running, e.emptying = map[string]int{}, make(chan struct{})
+	e.server = httptest.NewServer(e)
+}
 
 // Weights are those that the engine has now.
 func (e *Engine) Weights() uint64 {
@@ -52,34 +65,6 @@
 	return e.Version
 }
 
-// Restart has the engine crash and start again under its id, with another start, or none where that is zero. A load that was under
-// way is no longer.
-func (e *Engine) Restart(born int64) {
-	e.mu.Lock()
-	e.Born, e.taken, e.loading, e.kept = born, 0, false, nil
-	e.runs++
-	e.mu.Unlock()
-	e.server.CloseClientConnections()
-}
-
-// Keep has the engine hold a part from now on.
-func (e *Engine) Keep(salt, part string, tokens int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.kept = append(e.kept, []any{len(e.kept) + 1, "+", salt, part, tokens, e.Model})
-}
-
-// Record is the engine's record.
-func (e *Engine) Record(state string) any {
-	record := EngineRecordOf(e.Address(), state, e.Weights())
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if fields, ok := record.(map[string]any); ok && e.Born != 0 {
-		fields["born"] = e.Born
-	}
-	return record
-}
-
 // ServeHTTP takes one request or control call.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
@@ -94,68 +79,58 @@
 	}
 }
 
-func (e *Engine) report(w http.ResponseWriter) {
+// Restart has the engine crash and start again under its id, with another start, or none where that is zero. A load that was under
+// way is no longer.
+func (e *Engine) Restart(born int64) {
+	e.mu.Lock()
+	e.Born, e.taken, e.ordered, e.kept = born, 0, 0, nil
+	e.running, e.emptying = map[string]int{}, make(chan struct{})
+	e.starts++
+	e.mu.Unlock()
+	e.server.CloseClientConnections()
+}
+
+// Record is the engine's record in the object store.
+func (e *Engine) Record(state string) map[string]any { return e.RecordAt(e.Address(), state) }
+
+// RecordAt is the engine's record in the object store, under the address at which others reach it.
+func (e *Engine) RecordAt(address netip.AddrPort, state string) map[string]any {
+	record := EngineRecordOf(address, state, e.Weights())
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	_, _ = fmt.Fprintf(w, `{"models":[{"name":%q,"version":%d}],"sequence":%d,"busy":%t,"running":0,"queued":0,"kv_used":0,"kv_total":1000,
-		"state":"ready","clock_ms":%d,"runs":[]%s}`, e.Model, e.Version, e.taken, e.loading, time.Now().UnixMilli(), e.bornField())
+	e.tellStart(record)
+	return record
 }
 
-// bornField is the field that tells the start; the lock is held.
-func (e *Engine) bornField() string {
-	if e.Born == 0 {
-		return ""
+// tellStart adds the start to what the engine says of itself; the lock is held.
+func (e *Engine) tellStart(fields map[string]any) {
+	if e.Born != 0 {
+		fields["born"] = e.Born
 	}
-	return fmt.Sprintf(`,"born":%d`, e.Born)
 }
 
-// lookForEvents is how often a question that waits is looked at.
-const lookForEvents = 5 * time.Millisecond
-
-// events answers once there is something after the position that the caller knows, or the question has waited for as long as it may.
-func (e *Engine) events(w http.ResponseWriter, r *http.Request) {
-	wait, err := strconv.Atoi(r.Header.Get("Wait-Ms"))
-	if err != nil {
-		wait = 0
-	}
-	since, err := strconv.Atoi(r.URL.Query().Get("since"))
-	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	timeout := time.After(time.Duration(wait) * time.Millisecond)
-	for {
-		if page := e.page(since); page != nil {
-			writeJSON(w, page)
-			return
-		}
-		select {
-		case <-r.Context().Done():
-			return
-		case <-timeout:
-			writeJSON(w, e.page(-1))
-			return
-		case <-time.After(lookForEvents):
-		}
-	}
+// say answers with what the engine says of itself; the lock is held.
+func (e *Engine) say(w http.ResponseWriter, status int, fields map[string]any) {
+	e.tellStart(fields)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(fields)
 }
 
-// page holds the events after a position, nil where there are none and nothing else is new; a negative position asks for none.
-func (e *Engine) page(since int) map[string]any {
+func (e *Engine) report(w http.ResponseWriter) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if since == len(e.kept) {
-		return nil
-	}
-	events := [][]any{}
-	if since >= 0 && since < len(e.kept) {
-		events = e.kept[since:]
-	}
-	page := map[string]any{"boot_epoch": e.runs + 1, "next_page_token": len(e.kept), "lost": false, "events": events}
-	if e.Born != 0 {
-		page["born"] = e.Born
+	runs := []any{}
+	for id, count := range e.running {
+		for range count {
+			runs = append(runs, []any{id, 0, 1, 0})
+		}
 	}
-	return page
+	e.say(w, http.StatusOK, map[string]any{
+		"models": []any{map[string]any{"name": e.Model, "version": e.Version}}, "sequence": e.taken, "busy": e.ordered != 0,
+		"running": len(runs), "queued": e.waiting, "kv_used": 0, "kv_total": 1000, "state": "ready",
+		"clock_ms": time.Now().UnixMilli(), "runs": runs,
+	})
 }
 
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
@@ -169,44 +144,59 @@
 		return
 	}
 	if e.Ordered != nil && e.Ordered(o) {
-		time.AfterFunc(lateBy, func() { e.take(o) })
+		time.AfterFunc(lateBy, func() { e.carryOut(o) })
 		panic(http.ErrAbortHandler)
 	}
-	status := e.take(o)
-	w.WriteHeader(status)
+	status := e.Take(o)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	_, _ = fmt.Fprintf(w, `{"sequence":%d%s}`, e.taken, e.bornField())
+	e.say(w, status, map[string]any{"sequence": e.taken})
+}
+
+func (e *Engine) carryOut(o Order) {
+	if e.CarryOut != nil {
+		e.CarryOut(o)
+		return
+	}
+	e.Take(o)
 }
 
-// take carries an order out, or says why not.
-func (e *Engine) take(o Order) int {
+// Take takes an order, or says why not.
+func (e *Engine) Take(o Order) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch {
 	case e.Version >= o.Version:
 		return http.StatusOK
-	case e.loading || o.Expected != e.taken:
+	case e.ordered != 0 || o.Expected != e.taken:
 		return http.StatusConflict
 	}
 	e.taken++
-	e.loading = true
-	run := e.runs
+	e.ordered = o.Version
+	close(e.emptying)
+	if len(e.running) == 0 {
+		e.load()
+	}
+	return http.StatusAccepted
+}
+
+// load loads the ordered weights; e.mu is held.
+func (e *Engine) load() {
+	start := e.starts
 	time.AfterFunc(e.LoadTime, func() {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		if e.runs != run {
+		if e.starts != start {
 			return
 		}
-		e.Version, e.loading = o.Version, false
+		e.Version, e.ordered, e.emptying = e.ordered, 0, make(chan struct{})
 	})
-	return http.StatusAccepted
 }
 
-// serve takes a request, unless other weights are expected or weights are being loaded.
+// serve takes a request, unless other weights are expected or weights are about to be loaded.
 func (e *Engine) serve(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
-	version, loading := strconv.FormatUint(e.Version, 10), e.loading
+	version := strconv.FormatUint(e.Version, 10)
 	e.mu.Unlock()
 	w.Header().Set("Versions", version)
 	if expected := r.Header.Get("Expect-Version"); expected != "" && expected != version {
@@ -214,9 +204,67 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if loading && r.Header.Get("X-Rillreach-Target-Instance") == e.ID {
+	if r.Header.Get("X-Rillreach-Target-Instance") != e.ID {
+		e.Runner.ServeHTTP(w, r)
+		return
+	}
+	start, begun := e.begin(r)
+	if !begun {
 		Refuse(w, r)
 		return
 	}
+	defer e.end(RequestID(r), start)
 	e.Runner.ServeHTTP(w, r)
 }
+
+// begin reports that a request begins, after its time in the queue, and in which run of the engine.
+func (e *Engine) begin(r *http.Request) (start int, begun bool) {
+	if e.Refuses != nil && e.Refuses() {
+		return 0, false
+	}
+	if e.Queue != nil && !e.queue(r, e.Queue()) {
+		return 0, false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ordered != 0 {
+		return 0, false
+	}
+	e.running[RequestID(r)]++
+	return e.starts, true
+}
+
+// queue has a request wait; it reports whether it may begin then.
+func (e *Engine) queue(r *http.Request, d time.Duration) bool {
+	e.mu.Lock()
+	emptying := e.emptying
+	e.waiting++
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.waiting--
+	}()
+	select {
+	case <-time.After(d):
+		return true
+	case <-emptying:
+	case <-r.Context().Done():
+	}
+	return false
+}
+
+// end notes the end of a request that had begun in a run of the engine; the last one lets the ordered load begin.
+func (e *Engine) end(id string, start int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.starts != start {
+		return
+	}
+	if e.running[id]--; e.running[id] == 0 {
+		delete(e.running, id)
+	}
+	if e.ordered != 0 && len(e.running) == 0 {
+		e.load()
+	}
+}
