Keep a silent agent until another answers

Cause: an agent that did not acknowledge a request in time lost it before another had taken it, and where all others refused, its answer was thrown away. Ruled out: a longer time for the acknowledgement, which puts the next attempt off for those that are dead. Requests that must not run twice ask their owner again as before.

--- a/filter/dispatch/attempt.go
+++ b/filter/dispatch/attempt.go
@@ -55,8 +55,9 @@
 	return sides
 }
 
-// attempt sends the request to one agent and passes the answer back.
-func (f *Filter) attempt(ctx context.Context, x *rillreach.Exchange, m *membership.Member, d fleet.Dispatch) error {
+// attempt sends the request to one agent and passes the answer back; the stream of one that stays silent is left to those that are kept,
+// if they are.
+func (f *Filter) attempt(ctx context.Context, x *rillreach.Exchange, m *membership.Member, d fleet.Dispatch, silent *silentAgents) error {
 	conn, err := f.Node.Pool.Get(ctx, m.Address)
 	if err != nil {
 		if ctx.Err() == nil {
@@ -75,10 +76,13 @@
 	if err != nil {
 		return rillreach.NotRun(rillreach.ReasonNoBackend, "request could not be sent: "+err.Error())
 	}
-	defer stream.Close()
 	if err := f.awaitAck(ctx, stream, conn, m); err != nil {
+		if !silent.keep(stream, err) {
+			stream.Close()
+		}
 		return err
 	}
+	defer stream.Close()
 	return f.passOn(ctx, x, stream)
 }
 
@@ -90,26 +94,31 @@
 	}
 	waiting, cancel := context.WithTimeoutCause(ctx, timeout, errSilent)
 	defer cancel()
-	part, err := stream.Next(waiting)
+	ack, err := readAck(waiting, stream)
 	if errors.Is(err, errSilent) || errors.Is(err, peer.ErrClosed) {
 		m.Suspect(f.Node.Clock.Now())
 	}
 	if err != nil {
 		return err
 	}
+	f.learn(conn, m, ack)
+	return nil
+}
+
+// readAck reads an agent's word that it has the request.
+func readAck(ctx context.Context, stream *peer.Stream) (fleet.Ack, error) {
+	part, err := stream.Next(ctx)
+	if err != nil {
+		return fleet.Ack{}, err
+	}
 	kind, data, err := fleet.SplitPart(part)
 	if err != nil {
-		return err
+		return fleet.Ack{}, err
 	}
 	if kind != fleet.PartAck {
-		return errors.New("agent's answer does not begin with an acknowledgement")
+		return fleet.Ack{}, errors.New("agent's answer does not begin with an acknowledgement")
 	}
-	ack, err := peer.Decode[fleet.Ack](data)
-	if err != nil {
-		return err
-	}
-	f.learn(conn, m, ack)
-	return nil
+	return peer.Decode[fleet.Ack](data)
 }
 
 // learn takes from an acknowledgement how loaded the agent is, and whether its copy of the rows goes further.
--- a/filter/dispatch/dispatch.go
+++ b/filter/dispatch/dispatch.go
@@ -55,13 +55,18 @@
 
 // runRepeatable has a request answered that may run more than once.
 func (f *Filter) runRepeatable(ctx context.Context, x *rillreach.Exchange) error {
-	return f.tryAgents(ctx, x, func(m *membership.Member, attempt int) error {
-		err := f.attempt(ctx, x, m, f.message(x, attempt))
-		if err == nil {
-			f.Budget.Earn()
-		}
-		return err
+	silent := &silentAgents{}
+	defer silent.close()
+	err := f.tryAgents(ctx, x, func(m *membership.Member, attempt int) error {
+		return f.attempt(ctx, x, m, f.message(x, attempt), silent)
 	})
+	if err != nil {
+		err = f.awaitSilent(ctx, x, silent, err)
+	}
+	if err == nil {
+		f.Budget.Earn()
+	}
+	return err
 }
 
 // tryAgents tries one agent after another until one has answered or no further attempt is allowed. A request that may have
--- a/filter/dispatch/once.go
+++ b/filter/dispatch/once.go
@@ -89,7 +89,7 @@
 }
 
 func (f *Filter) tryOwner(ctx context.Context, x *rillreach.Exchange, m *membership.Member, attempt int) *rillreach.Refusal {
-	err := f.attempt(ctx, x, m, f.message(x, attempt))
+	err := f.attempt(ctx, x, m, f.message(x, attempt), nil)
 	if err == nil {
 		f.Budget.Earn()
 		return nil
