--- a/gateway/second_attempt_test.go
+++ b/gateway/second_attempt_test.go
@@ -188,6 +188,36 @@
 	assert.EqualValues(t, 2, others.Load())
 }
 
+// A route that allows three runners has the third asked where the first breaks off and the second says nothing.
+func TestThirdRunnerAfterFirstBreaksOff(t *testing.T) {
+	var others atomic.Int64
+	asked := make(chan struct{})
+	hangsOnce := func(w http.ResponseWriter, r *http.Request) {
+		if others.Add(1) == 1 {
+			close(asked)
+			<-r.Context().Done()
+			return
+		}
+		site.Answer(w, r, "third")
+	}
+	a, b, c := &site.Runner{ID: "a"}, &site.Runner{ID: "b", Handle: hangsOnce}, &site.Runner{ID: "c", Handle: hangsOnce}
+	w := begin(t, configOf(1, routeOf("repeat", "idempotent", "plain", jsonMap{"max_attempts": 3})), a)
+	defer w.stop()
+	for _, r := range []*site.Runner{b, c} {
+		r.Start()
+		t.Cleanup(r.Stop)
+	}
+	a.Handle = func(_ http.ResponseWriter, _ *http.Request) {
+		w.store.Put("servers", "b", record(b, "ready"))
+		w.store.Put("servers", "c", record(c, "ready"))
+		<-asked
+		panic(http.ErrAbortHandler)
+	}
+	got := w.call(t, "GET", "/repeat/x", "")
+	require.NoError(t, got.err)
+	assert.Equal(t, "third", got.body, "nobody was asked beside the second")
+}
+
 // A runner's bytes that are no events don't fill the entry's memory.
 func TestSecondAttemptReadsNoEndlessEvent(t *testing.T) {
 	const most = 64 * maxEvent
