Ask a third runner beside a second that says nothing

Cause: once the first attempt had failed, nobody bounded the silence of a second that was still being made. Ruled out: dropping the silent second for a third, which gives up what may work for what may refuse. Change: the second's silence is bounded from the moment when it is alone; a third that answers takes its place as the second takes the first's.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -91,7 +91,7 @@
 func (a *attempt) awaitFirstWord() {
 	x := a.exchange
 	if !x.route.Once() && len(x.sends.used())+1 < x.route.MaxRunners {
-		a.silence.begin(max(silenceTargets*x.route.Target, leastSilence))
+		a.silence.begin(firstWordAfter(x.route))
 	}
 }
 
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -18,7 +18,9 @@
 	// first is the attempt that runs, attempt the one beside it, which works on a copy of the request.
 	first   *attempt
 	attempt *attempt
-	reason  hedgeReason
+	// result is the attempt that answers: the second, or a third that was begun beside it and took its place.
+	result *attempt
+	reason hedgeReason
 	// patience ends the second attempt where it takes too long; nil where the first isn't known to work.
 	patience *time.Timer
 
@@ -99,10 +101,10 @@
 
 // run makes the second attempt, and ends the first once the second answers.
 func (h *hedge) run() {
-	answers := h.attempt.send() && h.attempt.answers() && h.attempt.joins(h.first.exchange.snapshot().lastEvent)
+	answers := h.answers() && h.result.joins(h.first.exchange.snapshot().lastEvent)
 	if !answers || !h.state.CompareAndSwap(hedgePending, hedgeWon) {
 		h.drop()
-		h.attempt.close() // at once: its runner is kept from others for as long as the request counts there
+		h.result.close() // at once: its runner is kept from others for as long as the request counts there
 		h.state.Store(hedgeOver)
 		return
 	}
@@ -112,6 +114,21 @@
 	h.first.cancel()
 }
 
+// answers has the request answered by the second attempt, or by a third in its place.
+func (h *hedge) answers() bool {
+	h.result = h.attempt
+	if h.attempt.send() && h.attempt.answers() {
+		return true
+	}
+	next := h.attempt.replacement()
+	if next == nil {
+		return false
+	}
+	h.attempt.close()
+	h.result = next
+	return true
+}
+
 // drop gives the second attempt up, unless it answers already.
 func (h *hedge) drop() {
 	if !h.state.CompareAndSwap(hedgePending, hedgeDropped) {
@@ -137,7 +154,7 @@
 func (h *hedge) end() {
 	h.drop()
 	if h.wait() {
-		h.attempt.close()
+		h.result.close()
 	}
 	h.note("unused")
 }
@@ -184,9 +201,12 @@
 	if h == nil {
 		return nil
 	}
-	next := h.attempt
+	if x.mayMove() {
+		h.attempt.silence.begin(firstWordAfter(x.route)) // nobody else bounds its silence any more
+	}
 	won := h.wait()
-	x.maybeRan = x.maybeRan || next.exchange.maybeRan
+	x.maybeRan = x.maybeRan || h.attempt.exchange.maybeRan
+	next := h.result
 	if !won || !next.joins(x.lastEvent) {
 		h.end()
 		return nil
@@ -257,7 +277,9 @@
 		a.had = x.lastEvent
 	}
 	x.waited = a.exchange.waited
+	a.mu.Lock()
 	a.exchange = x
+	a.mu.Unlock()
 	if x.mayMove() {
 		a.silence.begin(a.silence.allowed)
 	}
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/rillreach/rillreach/deployment"
 )
 
 const (
@@ -16,6 +18,11 @@
 	askEvery = 50 * time.Millisecond
 )
 
+// firstWordAfter is how long a runner may take for its first word before it is asked whether it lives.
+func firstWordAfter(r *deployment.Route) time.Duration {
+	return max(silenceTargets*r.Target, leastSilence)
+}
+
 // silenceBound has another runner asked beside one that says nothing for too long and is not known to live.
 type silenceBound struct {
 	// allowed is how long a pause may be before it is asked whether the runner lives.
@@ -48,6 +55,12 @@
 func (b *silenceBound) begin(first time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.stopped {
+		return
+	}
+	if b.timer != nil {
+		b.timer.Stop()
+	}
 	b.timer = time.AfterFunc(first, b.ask)
 }
 
