Count weights as replaced by versions that are forgotten

Cause: of more than 16 versions named within the bound the oldest were forgotten, so that weights which they replaced counted as replaced later; the soak saw requests begin on them (18 names). Ruled out: remembering all (a message to a new follower grows without bound). Change: twice as many are remembered, and the oldest of them stands for those before it. Measured: the new subtest fails without the change and passes with it.

--- a/localstate/namings.go
+++ b/localstate/namings.go
@@ -33,8 +33,8 @@
 // differs from message to message.
 const notableLag = 200 * time.Millisecond
 
-// maxNamings is how many versions of a model are remembered.
-const maxNamings = 16
+// maxNamings is how many versions of a model are remembered: three a second for as long as replaced weights may be used (10 s).
+const maxNamings = 32
 
 // Weights is the newest named version of a model, and when this process learned of it.
 func (s *State) Weights(model rillreach.ModelID) (deployment.NamedWeights, time.Time) {
@@ -122,9 +122,15 @@
 	s.namingsVersion.Add(1)
 }
 
-// setNamings keeps the newest namings of a model; the lock is held.
+// setNamings keeps the newest namings of a model; the lock is held. The oldest of them stands for those that are forgotten, too, so that
+// weights which these replaced don't count as replaced later than they were.
 func (s *State) setNamings(model rillreach.ModelID, namings []naming) {
-	s.named[model] = namings[max(0, len(namings)-maxNamings):]
+	if forgotten := len(namings) - maxNamings; forgotten > 0 {
+		first := namings[0].at
+		namings = slices.Clone(namings[forgotten:])
+		namings[0].at = first
+	}
+	s.named[model] = namings
 	s.namingsVersion.Add(1)
 }
 
--- a/localstate/namings_test.go
+++ b/localstate/namings_test.go
@@ -38,6 +38,15 @@
 		s.ApplyNaming(Naming{Model: model, Version: 5, At: start.Add(-time.Minute)})
 		assert.Equal(t, start.Add(-time.Minute), s.Replaced(model, 4))
 	})
+	t.Run("weights that were replaced by a version long forgotten were replaced then", func(t *testing.T) {
+		s := begin()
+		s.ApplyNaming(Naming{Model: model, Version: 5, At: start.Add(-time.Minute)})
+		for version := deployment.WeightVersion(6); version < 6+2*maxNamings; version++ {
+			s.SetWeights(deployment.NamedWeights{Model: model, Version: version, Revision: uint64(version)})
+		}
+		assert.Equal(t, start.Add(-time.Minute), s.Replaced(model, 4))
+		assert.Len(t, s.Namings(), maxNamings)
+	})
 	t.Run("a later time changes nothing", func(t *testing.T) {
 		s := begin()
 		before := s.Replaced(model, 4)
