--- a/sidecar/news.go
+++ b/sidecar/news.go
@@ -31,8 +31,9 @@
 type news struct {
 	sidecar   *Sidecar
 	followers atomic.Int64
-	// urgent wakes the followers.
-	urgent broadcast
+	// serving are the followers that the agent waits for when it ends, urgent wakes them.
+	serving followerGroup
+	urgent  broadcast
 
 	mu      sync.Mutex
 	load    deployment.Load
@@ -75,6 +76,10 @@
 	if err != nil {
 		return err
 	}
+	if !n.serving.enter() {
+		return nil
+	}
+	defer n.serving.leave()
 	n.sidecar.Log.Info("follower came", "decision", "send", "follower", follow.Name, "followers", n.followers.Add(1))
 	defer func() {
 		n.sidecar.Log.Info("follower left", "decision", "end", "follower", follow.Name, "followers", n.followers.Add(-1))
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -78,6 +78,9 @@
 		return err
 	}
 	s.pool = &peer.Pool{Self: self, Mux: mux, Log: s.Log}
+	ctx, end := context.WithCancel(ctx)
+	defer s.news.serving.close()
+	defer end()
 	s.pool.Start(ctx)
 	return controller.Run(ctx, s.Log,
 		s.state.ConfigFollower(s.Configs, configWait),
