Read the request of an attempt under its lock where another goroutine asks

Cause: a third attempt asks for the first's progress while a second may be taking the request over (routes of three runners; read in the code). Measured: tests of the gateway pass with -race.

--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -101,7 +101,7 @@
 
 // run makes the second attempt, and ends the first once the second answers.
 func (h *hedge) run() {
-	answers := h.answers() && h.result.joins(h.first.exchange.snapshot().lastEvent)
+	answers := h.answers() && h.result.joins(h.first.request().snapshot().lastEvent)
 	if !answers || !h.state.CompareAndSwap(hedgePending, hedgeWon) {
 		h.drop()
 		h.result.close() // at once: its runner is kept from others for as long as the request counts there
@@ -266,6 +266,13 @@
 	return a.ahead.Len() > maxHeld
 }
 
+// request is the request that the attempt answers: a second attempt takes over the first's.
+func (a *attempt) request() *exchange {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.exchange
+}
+
 // joins reports that the stream can go on with this attempt's events: it is known which of them a caller has who has those up to the given.
 func (a *attempt) joins(lastEvent string) bool {
 	return a.exchange.lastEvent == lastEvent || isNumber(lastEvent)
