--- a/bench/days_test.go
+++ b/bench/days_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// daysFolder holds the days that the users' hunts play.
+// daysFolder holds the days of our own.
 const daysFolder = "../deploy/days"
 
 // dayFile is a file with a day of our own, which stands at its top level or in a list of days.
@@ -39,7 +39,7 @@
 	Faults  []trouble      `toml:"faults"`
 }
 
-// trouble is one entry of a day, with all the fields that a bench knows.
+// trouble is one entry of a day, with all the fields that a day may have.
 type trouble struct {
 	At      float64 `toml:"at"`
 	Kind    string  `toml:"kind"`
--- a/localstate/runners.go
+++ b/localstate/runners.go
@@ -12,7 +12,7 @@
 
 const (
 	// returnTime is how long after the store's return a runner whose record lapsed meanwhile may take to be listed again;
-	// the users name about two seconds, and this stays within the shortest bound on leaving runners.
+	// the platform promises about two seconds, and this stays within the shortest bound on leaving runners.
 	returnTime = 1800 * time.Millisecond
 	// expireEvery is how often doubtful runners are looked at.
 	expireEvery = 200 * time.Millisecond
