Leave open what was named before a naming that others tell of

Ruled out: a late watch (all processes that lived heard within 0.33 s). Change: a naming that is told takes over whether versions before the next one may have been missed; the line of an answered request tells its sends as a number again. Measured: the new subtest fails without the change and passes with it.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -226,7 +226,7 @@
 // answered records a request that has its whole answer.
 func (g *Gateway) answered(x *exchange, t *target, status int) {
 	took := time.Since(x.arrived)
-	g.Log.Info("answered", "decision", "done", "request", x.wire.ID, "route", x.route.Name, "runner", t.view.ID, "status", status, "sends", x.sends,
+	g.Log.Info("answered", "decision", "done", "request", x.wire.ID, "route", x.route.Name, "runner", t.view.ID, "status", status, "sends", x.sends.sent(),
 		"first", x.firstAfter().String(), "waited", x.waited.String(), "weights", t.weights, "took", took.String(), "buffered", x.buffered, "config", x.config.Version)
 	if status < failureStatus {
 		g.usual.add(x.route.Name, took)
--- a/localstate/namings.go
+++ b/localstate/namings.go
@@ -101,7 +101,9 @@
 	case known:
 		s.moveNaming(&namings[i], learned)
 	case i < len(namings): // the newest version comes from the object store alone
-		namings = slices.Insert(namings, i, naming{version: learned.Version, at: learned.At, learned: time.Now()})
+		// Where this process may have missed versions before the next one, it may have missed some before this one, too.
+		told := naming{version: learned.Version, at: learned.At, learned: time.Now(), mayMiss: namings[i].mayMiss}
+		namings = slices.Insert(namings, i, told)
 		s.setNamings(learned.Model, namings)
 	}
 }
--- a/localstate/namings_test.go
+++ b/localstate/namings_test.go
@@ -139,6 +139,16 @@
 			assert.Equal(t, start.Add(-time.Minute), s.Replaced(model, 3))
 		})
 	})
+	t.Run("one that was told of leaves open what was named before it", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			s := found()
+			s.ApplyNaming(Naming{Model: model, Version: 4, At: start.Add(-time.Second)})
+			time.Sleep(reportWithin + 1)
+			assert.Equal(t, start.Add(-time.Second), s.Replaced(model, 3))
+			assert.Equal(t, longAgo, s.Replaced(model, 1))
+		})
+	})
 	t.Run("one that was heard of replaced all before it", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			start := time.Now()
