--- a/gateway/hedge_test.go
+++ b/gateway/hedge_test.go
@@ -123,16 +123,7 @@
 		w, loads, _ := loadingWorld(t, waits)
 		defer w.stop()
 		holds := make(chan struct{})
-		loads.Handle = func(rw http.ResponseWriter, r *http.Request) {
-			site.Events(rw, r, 4, 0)
-			report(w, "loads", deployment.Load{Running: 1, Used: 1540, Busy: true})
-			r.Header.Set("Last-Event-Id", "4")
-			time.Sleep(eventPace)
-			site.Events(rw, r, 5, 0)
-			<-holds
-			r.Header.Set("Last-Event-Id", "5")
-			site.Events(rw, r, streamed, 0)
-		}
+		loads.Handle = pausesAfterFive(w, holds)
 		conn := w.prompt(t, "/prompt/x")
 		assertLeft(t, 1)
 		close(holds)
@@ -241,6 +232,20 @@
 	return w, loads, other
 }
 
+// pausesAfterFive has the engine that loads soon report it after the fourth event of its stream, and go on after the fifth once it may.
+func pausesAfterFive(w *world, goOn <-chan struct{}) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		site.Events(rw, r, 4, 0)
+		report(w, "loads", deployment.Load{Running: 1, Used: 1540, Busy: true})
+		r.Header.Set("Last-Event-Id", "4")
+		time.Sleep(eventPace)
+		site.Events(rw, r, 5, 0)
+		<-goOn
+		r.Header.Set("Last-Event-Id", "5")
+		site.Events(rw, r, streamed, 0)
+	}
+}
+
 func report(w *world, id rillreach.InstanceID, load deployment.Load) {
 	w.gateway.state.Roster.Find(id).SetReport(roster.Report{Load: load, At: time.Now().Add(wait)})
 }
--- a/gateway/second_attempt_test.go
+++ b/gateway/second_attempt_test.go
@@ -22,16 +22,7 @@
 	w, loads, other := loadingWorld(t, site.Refuse)
 	defer w.stop()
 	goOn := make(chan struct{})
-	loads.Handle = func(rw http.ResponseWriter, r *http.Request) {
-		site.Events(rw, r, 4, 0)
-		report(w, "loads", deployment.Load{Running: 1, Used: 1540, Busy: true})
-		r.Header.Set("Last-Event-Id", "4")
-		time.Sleep(eventPace)
-		site.Events(rw, r, 5, 0)
-		<-goOn
-		r.Header.Set("Last-Event-Id", "5")
-		site.Events(rw, r, streamed, 0)
-	}
+	loads.Handle = pausesAfterFive(w, goOn)
 	conn := w.prompt(t, "/prompt/x")
 	w.eventually(t, func() bool { return len(other.Runs()) == 1 })
 	assert.Eventually(t, func() bool { return w.gateway.state.Roster.Find("other").View(time.Now()).Running == 0 }, wait/4, 5*time.Millisecond,
@@ -160,6 +151,24 @@
 	assert.True(t, a.readEnough(), "the first runner goes on until the second one's stream is whole")
 }
 
+// threeRunners is an entry with a route that allows three runners, before one that answers as given and two others, which are listed once
+// that is asked.
+func threeRunners(t *testing.T, first, others http.HandlerFunc) *world {
+	t.Helper()
+	a, b, c := &site.Runner{ID: "a"}, &site.Runner{ID: "b", Handle: others}, &site.Runner{ID: "c", Handle: others}
+	w := begin(t, configOf(1, routeOf("repeat", "idempotent", "plain", jsonMap{"max_attempts": 3})), a)
+	for _, r := range []*site.Runner{b, c} {
+		r.Start()
+		t.Cleanup(r.Stop)
+	}
+	a.Handle = func(rw http.ResponseWriter, r *http.Request) {
+		w.store.Put("servers", "b", record(b, "ready"))
+		w.store.Put("servers", "c", record(c, "ready"))
+		first(rw, r)
+	}
+	return w
+}
+
 // A route that allows three runners has the third asked where the second refuses a request whose runner says nothing.
 func TestThirdRunnerBesideSilentOne(t *testing.T) {
 	var others atomic.Int64
@@ -170,18 +179,10 @@
 		}
 		site.Answer(w, r, "third")
 	}
-	a, b, c := &site.Runner{ID: "a"}, &site.Runner{ID: "b", Handle: refusesOnce}, &site.Runner{ID: "c", Handle: refusesOnce}
-	w := begin(t, configOf(1, routeOf("repeat", "idempotent", "plain", jsonMap{"max_attempts": 3})), a)
-	defer w.stop()
-	for _, r := range []*site.Runner{b, c} {
-		r.Start()
-		t.Cleanup(r.Stop)
-	}
-	a.Handle = func(_ http.ResponseWriter, r *http.Request) {
-		w.store.Put("servers", "b", record(b, "ready"))
-		w.store.Put("servers", "c", record(c, "ready"))
+	w := threeRunners(t, func(_ http.ResponseWriter, r *http.Request) {
 		<-r.Context().Done()
-	}
+	}, refusesOnce)
+	defer w.stop()
 	got := w.call(t, "GET", "/repeat/x", "")
 	require.NoError(t, got.err)
 	assert.Equal(t, "third", got.body, "nobody was asked after the refusal")
@@ -200,19 +201,11 @@
 		}
 		site.Answer(w, r, "third")
 	}
-	a, b, c := &site.Runner{ID: "a"}, &site.Runner{ID: "b", Handle: hangsOnce}, &site.Runner{ID: "c", Handle: hangsOnce}
-	w := begin(t, configOf(1, routeOf("repeat", "idempotent", "plain", jsonMap{"max_attempts": 3})), a)
-	defer w.stop()
-	for _, r := range []*site.Runner{b, c} {
-		r.Start()
-		t.Cleanup(r.Stop)
-	}
-	a.Handle = func(_ http.ResponseWriter, _ *http.Request) {
-		w.store.Put("servers", "b", record(b, "ready"))
-		w.store.Put("servers", "c", record(c, "ready"))
+	w := threeRunners(t, func(http.ResponseWriter, *http.Request) {
 		<-asked
 		panic(http.ErrAbortHandler)
-	}
+	}, hangsOnce)
+	defer w.stop()
 	got := w.call(t, "GET", "/repeat/x", "")
 	require.NoError(t, got.err)
 	assert.Equal(t, "third", got.body, "nobody was asked beside the second")
