Tell entries of changes in the object store by relays

Cause: each entry watched the configuration and the runners over and over, and its calls grow with time and instances, not with changes. Change: two agents a zone, by rank, watch the store at short intervals, and tell in their bulletins up to which revision they have seen changes and when the store last answered. An entry reads the store once a relay has seen a later revision, or none has spoken for half of the bound on leaving runners (two seconds at most).

--- a/bulletin/bulletin.go
+++ b/bulletin/bulletin.go
@@ -13,6 +13,7 @@
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/holdings"
+	"github.com/rillreach/rillreach/notify"
 )
 
 // Grant is how long after a bulletin, on the runners' clock, a fetch from a store that it calls alive may last: the store's
@@ -53,6 +54,8 @@
 	Namings []Naming `cbor:"7,keyasint,omitempty"`
 	// Followers is how many entries follow the agent.
 	Followers int `cbor:"6,keyasint,omitempty"`
+	// Notices tell how far the agent has followed the object store, where it is a relay.
+	Notices []notify.Notice `cbor:"9,keyasint,omitempty"`
 }
 
 // Run is the run that the agent speaks for.
@@ -147,6 +150,11 @@
 	if b.Load.LoadsAt < 0 {
 		return errors.Newf("bulletin names a load at %d ms", b.Load.LoadsAt)
 	}
+	for _, n := range b.Notices {
+		if err := n.Check(); err != nil {
+			return err
+		}
+	}
 	for _, h := range b.Holders {
 		if !h.Place.IsValid() {
 			return errors.New("bulletin names a holder without an address")
--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -11,6 +11,7 @@
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/internal/pause"
+	"github.com/rillreach/rillreach/notify"
 )
 
 const (
@@ -34,7 +35,16 @@
 	Kick <-chan struct{}
 	// Log takes the source's loss and return.
 	Log logr.Logger
-	// Asked is called before each question to the source; it may be nil.
+	// Hasten gives another pace for as long as it reports so; it may be nil.
+	Hasten func() (Pace, bool)
+	// Relays tell of changes, so that the source is asked only then; nil where nobody does. Topic is what they call the objects, Trust for how
+	// long their word holds.
+	Relays *notify.Tracker
+	Topic  notify.Kind
+	Trust  time.Duration
+	// Progress is told of each answer; it may be nil.
+	Progress *notify.Progress
+	// Asked is called before each question to the source, and before the wait for word of the relays; it may be nil.
 	Asked func()
 	// Listed takes all objects after each list; returned is when the source last came back, zero where it never was lost.
 	Listed func(all []rillreach.Update[T], returned time.Time)
@@ -47,6 +57,15 @@
 	returned time.Time
 }
 
+// Pace is how long one watch waits for a change, and how long to pause between watches.
+type Pace struct {
+	Wait   time.Duration
+	Gather time.Duration
+}
+
+// lookEvery is how often a controller that waits for word of the relays looks whether it is to hasten, or should ask by itself.
+const lookEvery = 100 * time.Millisecond
+
 // Name is the controller's name.
 func (c *Controller[T]) Name() string { return "follow-" + c.Kind }
 
@@ -60,6 +79,9 @@
 		if c.Asked != nil {
 			c.Asked()
 		}
+		if listed && !c.await(ctx, revision) {
+			return nil
+		}
 		if listed {
 			revision, err = c.watch(ctx, revision)
 		} else {
@@ -85,12 +107,47 @@
 	return nil
 }
 
+// pace is how the source is followed now.
+func (c *Controller[T]) pace() (pace Pace, hastens bool) {
+	if c.Hasten != nil {
+		if pace, hastens := c.Hasten(); hastens {
+			return pace, true
+		}
+	}
+	return Pace{Wait: c.Wait, Gather: c.Gather}, false
+}
+
+// await waits until a watch is worth a call; it reports false where the context ends before.
+func (c *Controller[T]) await(ctx context.Context, revision uint64) bool {
+	if c.Relays == nil {
+		return true
+	}
+	ticker := time.NewTicker(lookEvery)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		changed := c.Relays.Changed()
+		_, hastens := c.pace()
+		if hastens || !c.lostAt.IsZero() || c.Relays.Due(c.Topic, revision, time.Now(), c.Trust) {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-ticker.C:
+		case <-c.Kick:
+			return true
+		}
+	}
+	return false
+}
+
 // gather pauses between watches, unless somebody needs what is new.
 func (c *Controller[T]) gather(ctx context.Context) {
-	if c.Gather <= 0 {
+	pace, _ := c.pace()
+	if pace.Gather <= 0 {
 		return
 	}
-	timer := time.NewTimer(c.Gather)
+	timer := time.NewTimer(pace.Gather)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -106,12 +163,13 @@
 	}
 	c.regain()
 	c.Listed(all, c.returned)
-	c.confirm()
+	c.confirm(revision, true)
 	return revision, nil
 }
 
 func (c *Controller[T]) watch(ctx context.Context, from uint64) (uint64, error) {
-	changes, revision, err := c.Source.Watch(ctx, from, c.Wait)
+	pace, _ := c.pace()
+	changes, revision, err := c.Source.Watch(ctx, from, pace.Wait)
 	if err != nil {
 		return from, err
 	}
@@ -119,11 +177,15 @@
 	for _, change := range changes {
 		c.Changed(change, c.returned)
 	}
-	c.confirm()
+	c.confirm(revision, len(changes) > 0)
 	return revision, nil
 }
 
-func (c *Controller[T]) confirm() {
+// confirm records that what is known is the source's at a revision.
+func (c *Controller[T]) confirm(revision uint64, changed bool) {
+	if c.Progress != nil {
+		c.Progress.Answered(time.Now(), revision, changed)
+	}
 	if c.Confirmed != nil {
 		c.Confirmed()
 	}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -77,7 +77,7 @@
 		"held", now.Sub(x.arrived).String(), "before", t.before, "perToken", o.question.Speed.PerToken.String(), "base", o.question.Speed.Base.String(),
 		"missing", t.reading, "again", t.plan.Again, "fetched", t.plan.Fetched, "fetchUntil", fetchUntil,
 		"avoided", t.view.Avoid, "reported", t.view.Reported, "loading", t.view.Load.Busy, "reportAge", t.view.ReportAge.String(),
-		"listAge", now.Sub(g.state.Roster.Updated()).String())
+		"listAge", g.listAge(now).String())
 }
 
 // replacedFor is for how long a newer version than the given weights of the request's model has been named, as far as this entry
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/localstate"
 	"github.com/rillreach/rillreach/node"
+	"github.com/rillreach/rillreach/notify"
 	"github.com/rillreach/rillreach/peer"
 	"github.com/rillreach/rillreach/retry"
 	"github.com/rillreach/rillreach/telemetry"
@@ -38,6 +39,9 @@
 	// change in quick succession; an entry that meets a new run at an address asks at once.
 	gatherShare = 3
 	mostGather  = time.Second
+	// trustShare is the part of that bound for which the word of relays holds, at most mostTrust.
+	trustShare = 2
+	mostTrust  = 2 * time.Second
 	// defaultIdle serves until the configuration is known.
 	defaultIdle = 15 * time.Second
 	// mostHeaderTimeout and mostHeader (in bytes) bound a request's head before the configuration's own limits are asked:
@@ -69,6 +73,7 @@
 	Metrics *telemetry.Metrics
 
 	state   localstate.State
+	relays  notify.Tracker
 	stores  storeBook
 	reads   sizeMean
 	sizes   sizeMean
@@ -95,6 +100,7 @@
 // Run serves until the context ends, then stops in order within the grace.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.state.Log, g.state.Metrics, g.state.Restarted = g.Log, g.Metrics, g.runnerRestarted
+	g.state.Relays, g.state.Trust = &g.relays, g.trustRelays()
 	g.restarted = make(chan struct{}, 1)
 	g.line = newLine(g)
 	g.budgets = retry.Shares{Ratio: g.Settings.Bounds.RetryRatio, Window: g.Settings.Bounds.RetryWindow, Slack: g.Settings.Bounds.RetrySlack}
@@ -138,6 +144,11 @@
 	return min(max(g.Settings.Bounds.Contact-watchMargin, leastWatch), mostWatch)
 }
 
+// trustRelays is for how long the word of a relay holds: a third of the bound on leaving runners is left for an entry's own watch.
+func (g *Gateway) trustRelays() time.Duration {
+	return min(g.Settings.Bounds.RunnerStop/trustShare, mostTrust)
+}
+
 // gatherRunners is the pause between watches of the runners.
 func (g *Gateway) gatherRunners() time.Duration {
 	return min(g.Settings.Bounds.RunnerStop/gatherShare, mostGather)
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rillreach/rillreach/notify"
 	"github.com/rillreach/rillreach/telemetry"
 )
 
@@ -10,11 +11,11 @@
 func (g *Gateway) gauges() []telemetry.Gauge {
 	return append(g.state.Gauges(), []telemetry.Gauge{
 		{Name: "rillreach.config.version", Description: "version of the configuration in force", Read: g.configVersion},
-		{Name: "rillreach.config.age", Description: "seconds since the configuration was known to be the newest", Read: func() float64 { return time.Since(g.state.ConfigConfirmed()).Seconds() }},
+		{Name: "rillreach.config.age", Description: "seconds since the configuration was known to be the newest", Read: func() float64 { return g.configAge(time.Now()).Seconds() }},
 		{Name: "rillreach.runners", Description: "runners that are listed", Read: func() float64 { return float64(g.state.Roster.Len()) }},
 		{Name: "rillreach.runners.leaving", Description: "listed runners that take nothing new", Read: func() float64 { return float64(g.countRunners(true)) }},
 		{Name: "rillreach.runners.avoided", Description: "listed runners that are left alone for their answers", Read: func() float64 { return float64(g.countRunners(false)) }},
-		{Name: "rillreach.runners.age", Description: "seconds since the list of runners was known to be complete", Read: func() float64 { return time.Since(g.state.Roster.Updated()).Seconds() }},
+		{Name: "rillreach.runners.age", Description: "seconds since the list of runners was known to be complete", Read: func() float64 { return g.listAge(time.Now()).Seconds() }},
 		{Name: "rillreach.requests.running", Description: "requests that run", Read: func() float64 { return float64(g.running.Count()) }},
 		{Name: "rillreach.requests.waiting", Description: "prompts that wait at the entry for room at a model engine", Read: func() float64 { return float64(g.line.len()) }},
 		{Name: "rillreach.repeats.left", Description: "share of the retry budget that is left, for the service with the least", Read: func() float64 { return g.budgets.Left(time.Now()) }},
@@ -23,6 +24,24 @@
 	}...)
 }
 
+// configAge is how long ago the configuration was known to be the newest, by the store or a relay.
+func (g *Gateway) configAge(now time.Time) time.Duration {
+	return now.Sub(latest(g.state.ConfigConfirmed(), g.relays.Confirmed(notify.KindConfig)))
+}
+
+// listAge is how long ago the list of runners was known to be complete, by the store or a relay.
+func (g *Gateway) listAge(now time.Time) time.Duration {
+	return now.Sub(latest(g.state.Roster.Updated(), g.relays.Confirmed(notify.KindRunners)))
+}
+
+// latest is the later of two moments.
+func latest(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func (g *Gateway) configVersion() float64 {
 	if c := g.state.Config(); c != nil {
 		return float64(c.Version)
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -98,6 +98,9 @@
 		g.state.AdoptWeights(w)
 	}
 	g.learnNamings(b, now)
+	for _, n := range b.Notices {
+		g.relays.Hear(n, now)
+	}
 	g.budgets.SetEntries(b.Followers)
 	g.stores.clock.hear(b.Clock, now)
 	for i := range b.Holders {
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -61,7 +61,7 @@
 	}
 	g.Log.Error(ctx.Err(), "request given up", "decision", verdict, "request", x.wire.ID, "account", x.accountName(), "route", x.route.Name,
 		"reason", x.reason, "outcome", outcome, "status", status, "began", x.began, "sends", x.sends.sent(), "runners", x.sends.used(),
-		"config", x.config.Version, "listAge", time.Since(g.state.Roster.Updated()).String(), "after", time.Since(x.arrived).String())
+		"config", x.config.Version, "listAge", g.listAge(time.Now()).String(), "after", time.Since(x.arrived).String())
 	g.Metrics.Request(outcome, verdict)
 	if verdict == verdictTimedOut {
 		g.usual.add(x.route.Name, time.Since(x.arrived)) // it takes that long at the least
--- a/localstate/runners.go
+++ b/localstate/runners.go
@@ -7,6 +7,7 @@
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/controller/follow"
 	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/notify"
 	"github.com/rillreach/rillreach/roster"
 )
 
@@ -23,6 +24,7 @@
 	var asked time.Time
 	return &follow.Controller[*deployment.Runner]{
 		Kind: "runners", Kick: kick, Source: source, Wait: wait, Gather: gather, Log: s.Log,
+		Hasten: s.Hasten, Relays: s.Relays, Topic: notify.KindRunners, Trust: s.Trust, Progress: &s.runnersProgress,
 		Asked:  func() { asked = time.Now() },
 		Listed: s.listRunners, Changed: s.changeRunner,
 		Confirmed: func() { s.Roster.Confirm(s.answeredAt(asked, time.Now())) },
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -12,6 +12,7 @@
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/controller/follow"
 	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/notify"
 	"github.com/rillreach/rillreach/roster"
 	"github.com/rillreach/rillreach/telemetry"
 )
@@ -27,9 +28,18 @@
 	// ConfigChanged and WeightsChanged are told of each newer value; they may be nil.
 	ConfigChanged  func(*deployment.Config)
 	WeightsChanged func(deployment.NamedWeights)
+	// Relays tell of changes of the configuration and of runners, nil where this process asks the store over and over; Trust is for how long
+	// their word holds.
+	Relays *notify.Tracker
+	Trust  time.Duration
+	// Hasten gives the pace at which a relay follows both, and reports whether this process is one; it may be nil.
+	Hasten func() (follow.Pace, bool)
 	// Restarted is told of each later run that takes an earlier one's place; it may be nil.
 	Restarted func(deployment.Runner)
 
+	// configProgress and runnersProgress are what a relay tells.
+	configProgress, runnersProgress notify.Progress
+
 	stalls   stallDetector
 	config   atomic.Pointer[deployment.Config]
 	configAt atomic.Int64
@@ -57,6 +67,18 @@
 // ConfigConfirmed is when the configuration was last known to be the newest.
 func (s *State) ConfigConfirmed() time.Time { return time.Unix(0, s.configAt.Load()) }
 
+// Notices are what a relay tells of how far it has followed the store.
+func (s *State) Notices(now time.Time) []notify.Notice {
+	var all []notify.Notice
+	if n, ok := s.configProgress.Notice(notify.KindConfig, now); ok {
+		all = append(all, n)
+	}
+	if n, ok := s.runnersProgress.Notice(notify.KindRunners, now); ok {
+		all = append(all, n)
+	}
+	return all
+}
+
 // Complete reports that configuration and runners are known.
 func (s *State) Complete() bool { return s.config.Load() != nil && s.listed.Load() }
 
@@ -85,6 +107,7 @@
 	}
 	return &follow.Controller[*deployment.Config]{
 		Kind: "config", Source: source, Wait: wait, Log: s.Log, Changed: take,
+		Hasten: s.Hasten, Relays: s.Relays, Topic: notify.KindConfig, Trust: s.Trust, Progress: &s.configProgress,
 		Listed: func(all []rillreach.Update[*deployment.Config], returned time.Time) {
 			s.badConfig.retain(namesOf(all))
 			for _, u := range all {
--- /dev/null
+++ b/notify/progress.go
@@ -0,0 +1,33 @@
+package notify
+
+import (
+	"sync"
+	"time"
+)
+
+// Progress is how far a process has followed the objects of one kind; its zero value has not begun.
+type Progress struct {
+	mu       sync.Mutex
+	revision uint64
+	answered time.Time
+}
+
+// Answered records an answer of the store at a revision, which had changes or not.
+func (p *Progress) Answered(now time.Time, revision uint64, changed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.answered = now
+	if changed {
+		p.revision = max(p.revision, revision)
+	}
+}
+
+// Notice is what others are told, and false before the store's first answer.
+func (p *Progress) Notice(kind Kind, now time.Time) (Notice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.answered.IsZero() {
+		return Notice{}, false
+	}
+	return Notice{Kind: kind, Revision: p.revision, Age: max(0, now.Sub(p.answered)).Round(time.Millisecond)}, true
+}
--- /dev/null
+++ b/notify/tracker.go
@@ -0,0 +1,65 @@
+package notify
+
+import (
+	"sync"
+	"time"
+)
+
+// Tracker is what relays have told a process; its zero value has heard nothing.
+type Tracker struct {
+	mu     sync.Mutex
+	kinds  map[Kind]heard
+	change chan struct{}
+}
+
+// heard is what is known of one kind.
+type heard struct {
+	revision  uint64
+	confirmed time.Time
+}
+
+// Hear takes over a notice that has just come.
+func (t *Tracker) Hear(n Notice, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.kinds == nil {
+		t.kinds = map[Kind]heard{}
+	}
+	h := t.kinds[n.Kind]
+	if at := now.Add(-n.Age); at.After(h.confirmed) {
+		h.confirmed = at
+	}
+	newer := n.Revision > h.revision
+	h.revision = max(h.revision, n.Revision)
+	t.kinds[n.Kind] = h
+	if newer && t.change != nil {
+		close(t.change)
+		t.change = nil
+	}
+}
+
+// Changed gives a channel that is closed with the next newer revision of any kind.
+func (t *Tracker) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.change == nil {
+		t.change = make(chan struct{})
+	}
+	return t.change
+}
+
+// Confirmed is when a relay last knew the newest objects of the kind, the zero time where none has told.
+func (t *Tracker) Confirmed(kind Kind) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.kinds[kind].confirmed
+}
+
+// Due reports that a process that has followed a kind up to a revision should ask the store: a relay has seen a later change, or none has
+// told for longer than the given time that there is none.
+func (t *Tracker) Due(kind Kind, revision uint64, now time.Time, trust time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.kinds[kind]
+	return h.revision > revision || now.Sub(h.confirmed) > trust
+}
--- a/sidecar/news.go
+++ b/sidecar/news.go
@@ -11,6 +11,7 @@
 	"github.com/rillreach/rillreach/bulletin"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/holdings"
+	"github.com/rillreach/rillreach/notify"
 	"github.com/rillreach/rillreach/peer"
 )
 
@@ -160,8 +161,9 @@
 		}
 	}
 	b.Namings = f.news.namings(b.Clock)
+	b.Notices = s.notices()
 	changed := f.addHolders(&b)
-	if !changed && f.sameLoad(&b) && time.Since(f.toldAt) < quietMost {
+	if !changed && f.sameLoad(&b) && sameRevisions(f.told.Notices, b.Notices) && time.Since(f.toldAt) < quietMost {
 		return b, false
 	}
 	slim := b.Without(&f.told)
@@ -204,6 +206,11 @@
 		was.Leaving == is.Leaving && len(f.told.Named) == len(b.Named) && f.told.Followers == b.Followers
 }
 
+// sameRevisions reports that notices tell of no other changes than those before.
+func sameRevisions(was, is []notify.Notice) bool {
+	return slices.EqualFunc(was, is, func(a, b notify.Notice) bool { return a.Kind == b.Kind && a.Revision == b.Revision })
+}
+
 // sameStart reports that two starts on the runners' clock are one, which is worked out anew each time.
 func sameStart(was, is int64) bool {
 	return time.Duration(max(was, is)-min(was, is))*time.Millisecond < startMoved
--- /dev/null
+++ b/sidecar/relay.go
@@ -0,0 +1,86 @@
+package sidecar
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/controller/follow"
+	"github.com/rillreach/rillreach/internal/hash"
+	"github.com/rillreach/rillreach/notify"
+	"github.com/rillreach/rillreach/roster"
+)
+
+const (
+	// relaysPerZone is how many agents of a zone watch the object store for its entries: one more than is needed.
+	relaysPerZone = 2
+	// leastFollowers is how many entries there are at the least where agents are relays: with fewer, relays make more calls to the store than
+	// they save the entries, some 50 each in the first minute.
+	leastFollowers = 16
+	// leastRelayWait and mostRelayWait bound how long one watch of a relay waits. It is drawn anew each time: watches that a change has ended
+	// together would end together from then on, and entries would hear of nobody between.
+	leastRelayWait = time.Second
+	mostRelayWait  = 3 * time.Second
+	// relayGather is a pause between a relay's watches of the runners, whose records change in quick succession.
+	relayGather = 300 * time.Millisecond
+	// roleEvery is how often an agent looks whether it is a relay.
+	roleEvery = 500 * time.Millisecond
+)
+
+// relayRole remembers whether the agent is a relay; its zero value has not looked.
+type relayRole struct {
+	mu     sync.Mutex
+	relay  bool
+	looked time.Time
+}
+
+// relayPace is the pace of a relay, and reports whether this agent is one.
+func (s *Sidecar) relayPace() (follow.Pace, bool) {
+	wait := leastRelayWait + rand.N(mostRelayWait-leastRelayWait)
+	return follow.Pace{Wait: wait, Gather: relayGather}, s.isRelay()
+}
+
+// isRelay reports whether this agent is a relay.
+func (s *Sidecar) isRelay() bool {
+	s.role.mu.Lock()
+	defer s.role.mu.Unlock()
+	if now := time.Now(); now.Sub(s.role.looked) >= roleEvery {
+		s.role.relay, s.role.looked = s.ranksAsRelay(), now
+	}
+	return s.role.relay
+}
+
+// ranksAsRelay reports that this agent's runner is among the first of its zone by a hash of their identifiers.
+func (s *Sidecar) ranksAsRelay() bool {
+	self := s.state.Roster.At(s.Settings.Runner)
+	if self == nil || s.news.followers.Load() < leastFollowers {
+		return false
+	}
+	info := self.Info()
+	return slices.Contains(relaysOf(s.state.Roster.Group(info.Service), info.Zone), info.ID)
+}
+
+// relaysOf are the relays among the runners of a service in a zone.
+func relaysOf(group []*roster.Runner, zone rillreach.ZoneID) []rillreach.InstanceID {
+	var ids []rillreach.InstanceID
+	for _, r := range group {
+		if info := r.Info(); info.Zone == zone && !info.Leaving {
+			ids = append(ids, info.ID)
+		}
+	}
+	slices.SortFunc(ids, func(a, b rillreach.InstanceID) int {
+		return cmp.Compare(hash.String(string(a)), hash.String(string(b)))
+	})
+	return ids[:min(len(ids), relaysPerZone)]
+}
+
+// notices are what the agent tells as a relay; nothing where it is none.
+func (s *Sidecar) notices() []notify.Notice {
+	if !s.isRelay() {
+		return nil
+	}
+	return s.state.Notices(time.Now())
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -54,13 +54,14 @@
 	stores *collector
 	pool   *peer.Pool
 	starts startLog
+	role   relayRole
 	// restarted is told when the runner beside the agent may be another run.
 	restarted chan struct{}
 }
 
 // Run works until the context ends.
 func (s *Sidecar) Run(ctx context.Context) error {
-	s.state.Log, s.state.Metrics = s.Log, s.Metrics
+	s.state.Log, s.state.Metrics, s.state.Hasten = s.Log, s.Metrics, s.relayPace
 	s.restarted = make(chan struct{}, 1)
 	s.news = &news{sidecar: s}
 	s.own = &holder{
