Call the agents' publisher and expired keys by the field's words

Salts that are about to be freed are expired, and an agent owns a store. No change of behaviour; tests as before but for the names.

--- a/bulletin/bulletin.go
+++ b/bulletin/bulletin.go
@@ -141,8 +141,8 @@
 	// Whole says that the changes are everything that is held.
 	Whole   bool             `cbor:"4,keyasint,omitempty"`
 	Changes holdings.Changes `cbor:"5,keyasint,omitempty"`
-	// Dying are the salts whose parts are about to be freed.
-	Dying []string `cbor:"6,keyasint,omitempty"`
+	// Expired are the salts whose parts are about to be freed.
+	Expired []string `cbor:"6,keyasint,omitempty"`
 }
 
 // Check reports what is wrong with the message.
--- a/gateway/stores.go
+++ b/gateway/stores.go
@@ -43,9 +43,9 @@
 	saidAt  int64
 	heardAt time.Time
 	down    bool
-	// dying are the salts that any agent has called so: of two that believe they look after the store, one may already free
+	// expired are the salts that any agent has called so: of two that believe they look after the store, one may already free
 	// what the other, whose list of runners is older, still tells of. Weights that were replaced never come back.
-	dying map[string]bool
+	expired map[string]bool
 	// busyUntil is until when the link is taken by moves that this entry knows of or guesses.
 	busyUntil time.Time
 }
@@ -77,11 +77,11 @@
 	}
 	s := b.stores[h.Place]
 	if s == nil {
-		s = &storeState{dying: map[string]bool{}}
+		s = &storeState{expired: map[string]bool{}}
 		b.stores[h.Place] = s
 	}
-	for _, salt := range h.Dying {
-		s.dying[salt] = true
+	for _, salt := range h.Expired {
+		s.expired[salt] = true
 	}
 	if h.Whole {
 		s.agent = agent
@@ -99,7 +99,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.stores[place]
-	if s == nil || s.down || s.saidAt == 0 || now.Sub(s.heardAt) > aliveFor || s.dying[salt] {
+	if s == nil || s.down || s.saidAt == 0 || now.Sub(s.heardAt) > aliveFor || s.expired[salt] {
 		return time.Time{}, 0, false
 	}
 	return time.UnixMilli(s.saidAt).Add(bulletin.Grant), max(0, s.busyUntil.Sub(now)), true
--- a/gateway/stores_test.go
+++ b/gateway/stores_test.go
@@ -10,7 +10,7 @@
 	"github.com/rillreach/rillreach/bulletin"
 )
 
-// TestTwoAgentsOfOneStore has two agents believe that they look after a store: one has called a salt dying and is about to
+// TestTwoAgentsOfOneStore has two agents believe that they look after a store: one has called a salt expired and is about to
 // free its parts, the other, which an entry heard last with everything, does not know of that.
 func TestTwoAgentsOfOneStore(t *testing.T) {
 	place := netip.MustParseAddrPort("10.0.0.9:1")
@@ -20,11 +20,11 @@
 		_, _, ok := book.usable(place, salt, now)
 		return ok
 	}
-	book.learn("new", 1000, &bulletin.Holder{Place: place, Store: true, Whole: true, Dying: []string{"1/m"}}, now)
+	book.learn("new", 1000, &bulletin.Holder{Place: place, Store: true, Whole: true, Expired: []string{"1/m"}}, now)
 	book.learn("old", 1010, &bulletin.Holder{Place: place, Store: true, Whole: true}, now)
-	assert.False(t, usable("1/m"), "the last to tell everything is trusted, and yet the salt is dying")
+	assert.False(t, usable("1/m"), "the last to tell everything is trusted, and yet the salt is expired")
 	assert.True(t, usable("2/m"))
-	book.learn("new", 1020, &bulletin.Holder{Place: place, Store: true, Dying: []string{"2/m"}}, now)
+	book.learn("new", 1020, &bulletin.Holder{Place: place, Store: true, Expired: []string{"2/m"}}, now)
 	assert.False(t, usable("2/m"), "a warning counts, whoever gives it")
 	book.learn("old", 1030, &bulletin.Holder{Place: place, Store: true}, now)
 	assert.False(t, usable("2/m"), "and is not taken back")
--- a/holdings/holdings_test.go
+++ b/holdings/holdings_test.go
@@ -89,7 +89,7 @@
 }
 
 func TestNothingIsFreedWhileAFetchMayRun(t *testing.T) {
-	var d Dying
+	var d Expired
 	start := time.Unix(0, 0)
 	assert.False(t, d.Free("1/m", start, time.Second), "the first question only begins to tell")
 	assert.Equal(t, []string{"1/m"}, d.Salts())
--- a/sidecar/collector.go
+++ b/sidecar/collector.go
@@ -51,9 +51,9 @@
 // kept is one store that this agent looks after.
 type kept struct {
 	*holder
-	stop  context.CancelFunc
-	dying holdings.Dying
-	// readers are those who may still read parts under a dying salt.
+	stop    context.CancelFunc
+	expired holdings.Expired
+	// readers are those who may still read parts under a expired salt.
 	readers map[string]*readers
 	// since is when this agent took the store over.
 	since time.Time
@@ -61,7 +61,7 @@
 
 // mayFree reports whether the parts under a salt of replaced weights may be freed now.
 func (k *kept) mayFree(salt string, now time.Time) bool {
-	told := k.dying.Free(salt, now, bulletin.Grant+freeMargin)
+	told := k.expired.Free(salt, now, bulletin.Grant+freeMargin)
 	return told && now.Sub(k.since) >= takeOver
 }
 
@@ -112,8 +112,8 @@
 	return k
 }
 
-// spoken are the stores that this agent may speak for.
-func (c *collector) spoken(now time.Time) []*kept {
+// owned are the stores that this agent may speak for.
+func (c *collector) owned(now time.Time) []*kept {
 	if now.Sub(c.sidecar.state.Roster.Updated()) > listMost {
 		return nil // another agent may have them by now
 	}
@@ -164,7 +164,7 @@
 	return best
 }
 
-// free frees the salts of replaced weights, once entries have been told long enough that they are dying.
+// free frees the salts of replaced weights, once entries have been told long enough that they are expired.
 func (c *collector) free(ctx context.Context, k *kept) {
 	now := time.Now()
 	for salt := range k.tracker.Salts() {
--- a/sidecar/news.go
+++ b/sidecar/follower.go
@@ -1,130 +1,22 @@
 package sidecar
 
 import (
-	"context"
 	"slices"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/bulletin"
-	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/holdings"
 	"github.com/rillreach/rillreach/notify"
-	"github.com/rillreach/rillreach/peer"
 )
 
-const (
-	// newsEvery is how often followers are told what has changed, and quietMost how long they hear nothing at the most.
-	newsEvery = 40 * time.Millisecond
-	quietMost = 400 * time.Millisecond
-	// eachTakes is how much of a follower's time each agent takes for one bulletin, so that the smallest entries, with a
-	// seventh of a core, spend a tenth of it on them; farSlower is by how much seldomer those of other zones are told.
-	eachTakes = time.Millisecond
-	farSlower = 2
-	// startMoved is how far the start of a load has to move for followers to be told: the runners' clock is read some milliseconds
-	// early or late.
-	startMoved = 50 * time.Millisecond
-)
-
-// news tells the entries how the runner is and what the stores hold.
-type news struct {
-	sidecar   *Sidecar
-	followers atomic.Int64
-	// serving are the followers that the agent waits for when it ends, urgent wakes them.
-	serving followerGroup
-	urgent  broadcast
-
-	mu      sync.Mutex
-	load    deployment.Load
-	loadAt  time.Time
-	rollout rollout
-	// named are the namings as they were told, and namedVersion is that of what the agent knew then.
-	named        []bulletin.Naming
-	namedVersion uint64
-}
-
-// set takes the runner's newest report, and wakes the followers where the runner is no longer fit for new requests or is so again.
-func (n *news) set(load deployment.Load, next rollout) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if next.loading != n.rollout.loading || load.Leaving != n.load.Leaving || load.Silent != n.load.Silent {
-		n.urgent.wake()
-	}
-	n.load, n.loadAt, n.rollout = load, time.Now(), next
-}
-
-// silence records that the runner does not answer.
-func (n *news) silence() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if !n.load.Silent {
-		n.urgent.wake()
-	}
-	n.load.Silent = true
-}
-
-func (n *news) get() (load deployment.Load, at time.Time, next rollout) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.load, n.loadAt, n.rollout
-}
-
-// serve sends bulletins to one follower until it leaves.
-func (n *news) serve(ctx context.Context, call *peer.Call) error {
-	follow, err := peer.Decode[bulletin.Follow](call.Body)
-	if err != nil {
-		return err
-	}
-	if !n.serving.enter() {
-		return nil
-	}
-	defer n.serving.leave()
-	n.sidecar.Log.Info("follower came", "decision", "send", "follower", follow.Name, "followers", n.followers.Add(1))
-	defer func() {
-		n.sidecar.Log.Info("follower left", "decision", "end", "follower", follow.Name, "followers", n.followers.Add(-1))
-	}()
-	f := newFollower(n)
-	f.far = follow.Zone != "" && follow.Zone != n.sidecar.Settings.Zone
-	var p pacer
-	for ctx.Err() == nil {
-		urgent := n.urgent.wait()
-		if b, worth := f.next(); worth {
-			body, err := peer.Encode(b)
-			if err != nil {
-				return err
-			}
-			if err := call.Send(ctx, body); err != nil {
-				return err
-			}
-		}
-		p.wait(ctx, n.pace(f.far), urgent)
-	}
-	return nil
-}
-
-// pace is how often a follower is told: the more agents there are, the seldomer, so that what an entry hears from all of
-// them stays about the same; and seldomer in other zones, whose entries send fewer requests here.
-func (n *news) pace(far bool) time.Duration {
-	s := n.sidecar
-	pace := newsEvery
-	if self := s.state.Roster.At(s.Settings.Runner); self != nil {
-		pace = max(pace, eachTakes*time.Duration(len(s.state.Roster.Group(self.Info().Service))))
-	}
-	if far {
-		pace *= farSlower
-	}
-	return min(pace, quietMost)
-}
-
-func newFollower(n *news) *follower {
-	return &follower{news: n, positions: map[*holder]uint64{}, untold: map[*holder]backlog{}}
+func newFollower(p *publisher) *follower {
+	return &follower{publisher: p, positions: map[*holder]uint64{}, untold: map[*holder]backlog{}}
 }
 
 // follower is what one entry has been told.
 type follower struct {
-	news *news
+	publisher *publisher
 	// far says that the follower is in another zone, and is told seldomer.
 	far bool
 	// positions are how far it has been told of each holder; one that is followed anew is told of from its beginning.
@@ -137,9 +29,9 @@
 
 // next makes the next bulletin; worth says that it tells something new, or that the follower has heard nothing for long.
 func (f *follower) next() (b bulletin.Bulletin, worth bool) {
-	s := f.news.sidecar
+	s := f.publisher.sidecar
 	self := s.state.Roster.At(s.Settings.Runner)
-	load, at, next := f.news.get()
+	load, at, next := f.publisher.get()
 	if self == nil || at.IsZero() {
 		return b, false
 	}
@@ -148,7 +40,7 @@
 		load, next = unreported(load), rollout{}
 	}
 	b = bulletin.Bulletin{
-		Runner: run.ID, Generation: run.Generation, Named: s.state.AllWeights(), Followers: int(f.news.followers.Load()),
+		Runner: run.ID, Generation: run.Generation, Named: s.state.AllWeights(), Followers: int(f.publisher.followers.Load()),
 		Load: bulletin.Load{
 			Running: load.Running, Waiting: load.Waiting, Used: load.Used, Unread: load.Unread, Silent: load.Silent,
 			Loading: next.loading, Leaving: load.Leaving, Weights: load.Weights,
@@ -160,8 +52,8 @@
 			b.Load.LoadsAt = b.Clock + time.Until(next.start).Milliseconds()
 		}
 	}
-	b.Namings = f.news.namings(b.Clock)
-	b.Notices = s.notices()
+	b.Namings = f.publisher.namings(b.Clock)
+	b.Notices = f.publisher.notices()
 	changed := f.addHolders(&b)
 	if !changed && f.sameLoad(&b) && sameRevisions(f.told.Notices, b.Notices) && time.Since(f.toldAt) < quietMost {
 		return b, false
@@ -171,32 +63,6 @@
 	return slim, true
 }
 
-// namings are the times at which versions of weights were named, on the runners' clock, which reads clock now. Each is worked out
-// once, so that bulletins differ only where something new is known.
-func (n *news) namings(clock int64) []bulletin.Naming {
-	if clock == 0 {
-		return nil
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	version := n.sidecar.state.NamingsVersion()
-	if version == n.namedVersion {
-		return n.named
-	}
-	known := n.sidecar.state.Namings()
-	told := make([]bulletin.Naming, 0, len(known))
-	for _, k := range known {
-		one := bulletin.Naming{Model: k.Model, Version: k.Version, At: clock - time.Since(k.At).Milliseconds()}
-		i := slices.IndexFunc(n.named, func(w bulletin.Naming) bool { return w.Model == one.Model && w.Version == one.Version })
-		if i >= 0 {
-			one = n.named[i]
-		}
-		told = append(told, one)
-	}
-	n.named, n.namedVersion = told, version
-	return told
-}
-
 // sameLoad reports that the runner is as the follower was told.
 func (f *follower) sameLoad(b *bulletin.Bulletin) bool {
 	was, is := f.told.Load, b.Load
@@ -217,14 +83,14 @@
 }
 
 func (f *follower) addHolders(b *bulletin.Bulletin) (changed bool) {
-	s := f.news.sidecar
+	s := f.publisher.sidecar
 	// An entry of any zone may fetch from the runner: its link is faster than a store's, and reading a part again takes far longer
 	// than twice a move. Told to the own zone alone, a calm day with new weights earned 0.613 instead of 0.669 (mean of ten).
 	if f.addHolder(b, s.own, nil) {
 		changed = true
 	}
-	for _, k := range s.stores.spoken(time.Now()) {
-		if f.addHolder(b, k.holder, k.dying.Salts()) {
+	for _, k := range s.stores.owned(time.Now()) {
+		if f.addHolder(b, k.holder, k.expired.Salts()) {
 			changed = true
 		}
 	}
@@ -245,11 +111,11 @@
 )
 
 // addHolder adds what is new of a holder, as far as there is room; it reports whether there is anything new.
-func (f *follower) addHolder(b *bulletin.Bulletin, h *holder, dying []string) bool {
+func (f *follower) addHolder(b *bulletin.Bulletin, h *holder, expired []string) bool {
 	if !h.listed.Load() {
 		return false
 	}
-	told := bulletin.Holder{Place: h.place, Store: h.store, Down: h.down.Load(), Dying: dying}
+	told := bulletin.Holder{Place: h.place, Store: h.store, Down: h.down.Load(), Expired: expired}
 	rest, ok := f.unheard(h, b.Generation)
 	if !ok {
 		return false
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -10,19 +10,19 @@
 func (s *Sidecar) gauges() []telemetry.Gauge {
 	return append(s.state.Gauges(), []telemetry.Gauge{
 		{Name: "rillreach.report.age", Description: "seconds since the runner's last report", Read: func() float64 {
-			_, at, _ := s.news.get()
+			_, at, _ := s.publisher.get()
 			return time.Since(at).Seconds()
 		}},
 		{Name: "rillreach.runner.running", Description: "requests that run at the runner", Read: func() float64 {
-			load, _, _ := s.news.get()
+			load, _, _ := s.publisher.get()
 			return float64(load.Running)
 		}},
 		{Name: "rillreach.runner.waiting", Description: "requests that wait at the runner", Read: func() float64 {
-			load, _, _ := s.news.get()
+			load, _, _ := s.publisher.get()
 			return float64(load.Waiting)
 		}},
 		{Name: "rillreach.runner.holds", Description: "tokens of KV cache that the runner holds", Read: func() float64 { return float64(s.own.tracker.Total()) }},
-		{Name: "rillreach.followers", Description: "entries that follow the agent", Read: func() float64 { return float64(s.news.followers.Load()) }},
+		{Name: "rillreach.followers", Description: "entries that follow the agent", Read: func() float64 { return float64(s.publisher.followers.Load()) }},
 		{Name: "rillreach.stores.kept", Description: "stores of KV cache that the agent looks after", Read: func() float64 { return float64(len(s.stores.all())) }},
 		{Name: "rillreach.stores.holds", Description: "tokens that these stores hold", Read: s.heldByStores},
 		{Name: "rillreach.runners", Description: "runners that are listed", Read: func() float64 { return float64(s.state.Roster.Len()) }},
--- a/sidecar/loader.go
+++ b/sidecar/loader.go
@@ -49,7 +49,7 @@
 	l.note(ctx, err)
 	if err != nil {
 		if ctx.Err() == nil { // it is the runner that did not answer, not this agent that stopped asking
-			s.news.silence()
+			s.publisher.silence()
 		}
 		return
 	}
@@ -66,7 +66,7 @@
 		}
 		next = next.and(l.decide(ctx, info, load, named, loaded, time.Since(since)))
 	}
-	s.news.set(load, next)
+	s.publisher.set(load, next)
 }
 
 // kick has the list of runners asked for at once, and again a little later, since a new run is listed only then.
--- a/sidecar/news_test.go
+++ b/sidecar/publisher_test.go
@@ -72,15 +72,15 @@
 	address := func(i int) netip.AddrPort {
 		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)
 	}
-	agentOf := func(runners int) *news {
+	agentOf := func(runners int) *publisher {
 		s := &Sidecar{Settings: &deployment.Settings{Zone: "z1", Runner: address(0)}}
 		for i := range runners {
 			s.state.Roster.Put(deployment.Runner{ID: rillreach.InstanceID(fmt.Sprint(i)), Service: "s", Address: address(i)})
 		}
-		return &news{sidecar: s}
+		return &publisher{sidecar: s}
 	}
 	t.Run("a few agents tell at once", func(t *testing.T) {
-		assert.Equal(t, newsEvery, agentOf(18).pace(false))
+		assert.Equal(t, publishEvery, agentOf(18).pace(false))
 	})
 	t.Run("what an entry hears from all agents does not grow with them", func(t *testing.T) {
 		for _, runners := range []int{100, 200, 400} {
@@ -92,7 +92,7 @@
 		assert.Equal(t, quietMost, agentOf(5000).pace(true))
 	})
 	t.Run("entries of other zones are told seldomer", func(t *testing.T) {
-		assert.Equal(t, farSlower*newsEvery, agentOf(18).pace(true))
+		assert.Equal(t, farSlower*publishEvery, agentOf(18).pace(true))
 	})
 }
 
@@ -106,7 +106,7 @@
 	store.listed.Store(true)
 	s.stores.stores[store.place] = store
 	tell := func(far bool) []netip.AddrPort {
-		f := newFollower(&news{sidecar: s})
+		f := newFollower(&publisher{sidecar: s})
 		f.far = far
 		var b bulletin.Bulletin
 		f.addHolders(&b)
@@ -139,8 +139,8 @@
 	s.stores.stores[netip.MustParseAddrPort("10.0.0.2:1")] = &kept{}
 	now := time.Unix(1000, 0)
 	s.state.Roster.Confirm(now)
-	assert.Len(t, s.stores.spoken(now.Add(listMost)), 1)
-	assert.Empty(t, s.stores.spoken(now.Add(listMost+time.Millisecond)))
+	assert.Len(t, s.stores.owned(now.Add(listMost)), 1)
+	assert.Empty(t, s.stores.owned(now.Add(listMost+time.Millisecond)))
 	assert.Greater(t, listMost, gatherRunners+runnersWait+time.Second, "a list that is asked for in turn is never that old")
 	assert.Greater(t, takeOver, listMost+bulletin.Grant, "whoever takes the store over waits for longer than that")
 }
--- a/sidecar/readers_test.go
+++ b/sidecar/readers_test.go
@@ -27,7 +27,7 @@
 	frees     atomic.Int64
 }
 
-const dyingSalt = "1/m"
+const expiredSalt = "1/m"
 
 func newFreeing(t *testing.T, runners ...netip.AddrPort) *freeing {
 	t.Helper()
@@ -49,8 +49,8 @@
 	}
 	f.collector = &collector{sidecar: s}
 	f.kept = &kept{holder: &holder{place: addressOf(store.URL), store: true, client: platform.NewRunner(addressOf(store.URL)), log: s.Log}}
-	f.kept.tracker.Apply([]holdings.Change{{Key: holdings.Key{Salt: dyingSalt, Part: "p"}, Tokens: 10}})
-	f.kept.dying.Free(dyingSalt, time.Now().Add(-time.Hour), 0)
+	f.kept.tracker.Apply([]holdings.Change{{Key: holdings.Key{Salt: expiredSalt, Part: "p"}, Tokens: 10}})
+	f.kept.expired.Free(expiredSalt, time.Now().Add(-time.Hour), 0)
 	return f
 }
 
--- a/sidecar/relay.go
+++ b/sidecar/relay.go
@@ -38,25 +38,26 @@
 }
 
 // relayPace is the pace of a relay, and reports whether this agent is one.
-func (s *Sidecar) relayPace() (follow.Pace, bool) {
+func (p *publisher) relayPace() (follow.Pace, bool) {
 	wait := leastRelayWait + rand.N(mostRelayWait-leastRelayWait)
-	return follow.Pace{Wait: wait, Gather: relayGather}, s.isRelay()
+	return follow.Pace{Wait: wait, Gather: relayGather}, p.isRelay()
 }
 
 // isRelay reports whether this agent is a relay.
-func (s *Sidecar) isRelay() bool {
-	s.role.mu.Lock()
-	defer s.role.mu.Unlock()
-	if now := time.Now(); now.Sub(s.role.looked) >= roleEvery {
-		s.role.relay, s.role.looked = s.ranksAsRelay(), now
+func (p *publisher) isRelay() bool {
+	p.role.mu.Lock()
+	defer p.role.mu.Unlock()
+	if now := time.Now(); now.Sub(p.role.looked) >= roleEvery {
+		p.role.relay, p.role.looked = p.ranksAsRelay(), now
 	}
-	return s.role.relay
+	return p.role.relay
 }
 
 // ranksAsRelay reports that this agent's runner is among the first of its zone by a hash of their identifiers.
-func (s *Sidecar) ranksAsRelay() bool {
+func (p *publisher) ranksAsRelay() bool {
+	s := p.sidecar
 	self := s.state.Roster.At(s.Settings.Runner)
-	if self == nil || s.news.followers.Load() < leastFollowers {
+	if self == nil || p.followers.Load() < leastFollowers {
 		return false
 	}
 	info := self.Info()
@@ -78,9 +79,9 @@
 }
 
 // notices are what the agent tells as a relay; nothing where it is none.
-func (s *Sidecar) notices() []notify.Notice {
-	if !s.isRelay() {
+func (p *publisher) notices() []notify.Notice {
+	if !p.isRelay() {
 		return nil
 	}
-	return s.state.Notices(time.Now())
+	return p.sidecar.state.Notices(time.Now())
 }
--- a/sidecar/relay_test.go
+++ b/sidecar/relay_test.go
@@ -55,12 +55,12 @@
 			relay     bool
 		}{{leastFollowers - 1, false}, {leastFollowers, true}} {
 			s := &Sidecar{Settings: &deployment.Settings{Runner: self.Address}}
-			s.news = &news{sidecar: s}
+			p := &publisher{sidecar: s}
 			for _, r := range zoneOf().All() {
 				s.state.Roster.Put(r.Info())
 			}
-			s.news.followers.Store(c.followers)
-			assert.Equal(t, c.relay, s.isRelay())
+			p.followers.Store(c.followers)
+			assert.Equal(t, c.relay, p.isRelay())
 		}
 	})
 }
--- a/sidecar/restart_test.go
+++ b/sidecar/restart_test.go
@@ -66,7 +66,7 @@
 
 // busy reports whether the agent believes that its runner carries out an order.
 func (b *beside) busy() bool {
-	load, _, _ := b.agent.news.get()
+	load, _, _ := b.agent.publisher.get()
 	return load.Busy
 }
 
@@ -182,7 +182,7 @@
 func TestBulletinIsOfOneRun(t *testing.T) {
 	place := netip.MustParseAddrPort("10.0.0.1:1")
 	s := &Sidecar{Settings: &deployment.Settings{Runner: place}, Log: testr.New(t)}
-	s.news, s.stores = &news{sidecar: s}, &collector{sidecar: s}
+	s.publisher, s.stores = &publisher{sidecar: s}, &collector{sidecar: s}
 	s.own = &holder{place: place, log: s.Log}
 	s.own.listed.Store(true)
 	page := func(epoch uint64, generation rillreach.Generation) *platform.CacheEvents {
@@ -190,8 +190,8 @@
 	}
 	s.own.renew(page(1, earlier), []holdings.Change{{Key: holdings.Key{Salt: "1/m", Part: "old"}, Tokens: 800}})
 	s.state.Roster.Put(deployment.Runner{ID: "r1", Address: place, Generation: earlier})
-	s.news.set(deployment.Load{Generation: earlier, Running: 7, Clock: time.UnixMilli(5000)}, rollout{loading: true})
-	f := newFollower(s.news)
+	s.publisher.set(deployment.Load{Generation: earlier, Running: 7, Clock: time.UnixMilli(5000)}, rollout{loading: true})
+	f := newFollower(s.publisher)
 	before, _ := f.next()
 	require.Len(t, before.Holders, 1)
 	require.Equal(t, 7, before.Load.Running)
@@ -292,10 +292,10 @@
 	runner := httptest.NewServer(e)
 	t.Cleanup(runner.Close)
 	s := &Sidecar{Settings: &deployment.Settings{Runner: addressOf(runner.URL)}, Runner: platform.NewRunner(addressOf(runner.URL)), Log: testr.New(t)}
-	s.news = &news{sidecar: s}
+	s.publisher = &publisher{sidecar: s}
 	s.state.Roster.Put(deployment.Runner{ID: "r1", Service: "s", Address: addressOf(runner.URL), Generation: later})
 	(&loader{sidecar: s}).look(t.Context())
-	_, at, _ := s.news.get()
+	_, at, _ := s.publisher.get()
 	assert.True(t, at.IsZero())
 	assert.Equal(t, rillreach.Generation(later), s.state.Roster.Find("r1").Info().Generation)
 }
--- a/sidecar/rollout_test.go
+++ b/sidecar/rollout_test.go
@@ -39,14 +39,14 @@
 	const clock = 5000
 	until := 3 * time.Second
 	// play has an agent with a load scheduled tell a follower, and then another report.
-	play := func(t *testing.T, then func(*news)) (first, second bulletin.Bulletin, worth bool) {
+	play := func(t *testing.T, then func(*publisher)) (first, second bulletin.Bulletin, worth bool) {
 		t.Helper()
 		synctest.Test(t, func(*testing.T) {
 			address := netip.MustParseAddrPort("10.0.0.1:1")
 			s := &Sidecar{Settings: &deployment.Settings{Runner: address}, own: &holder{place: address}, stores: &collector{}}
 			s.stores.sidecar = s
 			s.state.Roster.Put(deployment.Runner{ID: "r1", Service: "s", Address: address})
-			n := &news{sidecar: s}
+			n := &publisher{sidecar: s}
 			f := newFollower(n)
 			n.set(deployment.Load{Clock: time.UnixMilli(clock)}, rollout{start: time.Now().Add(until)})
 			first, _ = f.next()
@@ -55,8 +55,8 @@
 		})
 		return first, second, worth
 	}
-	report := func(clock int64, until time.Duration) func(*news) {
-		return func(n *news) {
+	report := func(clock int64, until time.Duration) func(*publisher) {
+		return func(n *publisher) {
 			n.set(deployment.Load{Clock: time.UnixMilli(clock)}, rollout{start: time.Now().Add(until)})
 		}
 	}
@@ -74,12 +74,12 @@
 		assert.Equal(t, clock+time.Second.Milliseconds(), second.Load.LoadsAt)
 	})
 	t.Run("again where no load is scheduled any more", func(t *testing.T) {
-		_, second, worth := play(t, func(n *news) { n.set(deployment.Load{Clock: time.UnixMilli(clock)}, rollout{}) })
+		_, second, worth := play(t, func(n *publisher) { n.set(deployment.Load{Clock: time.UnixMilli(clock)}, rollout{}) })
 		assert.True(t, worth)
 		assert.Zero(t, second.Load.LoadsAt)
 	})
 	t.Run("not where the runners' clock is unknown", func(t *testing.T) {
-		_, second, _ := play(t, func(n *news) { n.set(deployment.Load{}, rollout{start: time.Now().Add(until)}) })
+		_, second, _ := play(t, func(n *publisher) { n.set(deployment.Load{}, rollout{start: time.Now().Add(until)}) })
 		assert.Zero(t, second.Load.LoadsAt)
 	})
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -48,29 +48,29 @@
 	Log     logr.Logger
 	Metrics *telemetry.Metrics
 
-	state  localstate.State
-	news   *news
-	own    *holder
-	stores *collector
-	pool   *peer.Pool
-	starts startLog
-	role   relayRole
+	state     localstate.State
+	publisher *publisher
+	own       *holder
+	stores    *collector
+	pool      *peer.Pool
+	starts    startLog
 	// restarted is told when the runner beside the agent may be another run.
 	restarted chan struct{}
 }
 
 // Run works until the context ends.
 func (s *Sidecar) Run(ctx context.Context) error {
-	s.state.Log, s.state.Metrics, s.state.Hasten = s.Log, s.Metrics, s.relayPace
+	s.state.Log, s.state.Metrics = s.Log, s.Metrics
 	s.restarted = make(chan struct{}, 1)
-	s.news = &news{sidecar: s}
+	s.publisher = &publisher{sidecar: s}
+	s.state.Hasten = s.publisher.relayPace
 	s.own = &holder{
 		place: s.Settings.Runner, client: s.Runner, log: s.Log,
 		observe: func(generation rillreach.Generation) { s.observe(telemetry.StartInEvents, generation) },
 	}
 	s.stores = &collector{sidecar: s}
 	mux := &peer.Mux{Log: s.Log}
-	mux.Handle(peer.MethodFollow, s.news.serve)
+	mux.Handle(peer.MethodFollow, s.publisher.serve)
 	self, err := fleet.Self(rillreach.RoleAgent, s.Settings)
 	if err != nil {
 		return err
@@ -80,7 +80,7 @@
 	}
 	s.pool = &peer.Pool{Self: self, Mux: mux, Log: s.Log}
 	ctx, end := context.WithCancel(ctx)
-	defer s.news.serving.close()
+	defer s.publisher.serving.close()
 	defer end()
 	s.pool.Start(ctx)
 	return controller.Run(ctx, s.Log,
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -210,12 +210,12 @@
 	s := &Sidecar{
 		Settings: &deployment.Settings{Runner: addressOf(runner.URL)}, Runner: platform.NewRunner(addressOf(runner.URL)), Log: testr.New(t),
 	}
-	s.news = &news{sidecar: s}
+	s.publisher = &publisher{sidecar: s}
 	s.state.Roster.Put(deployment.Runner{ID: "r1", Service: "s", Address: addressOf(runner.URL)})
 	ctx, stop := context.WithCancel(context.Background())
 	stop()
 	(&loader{sidecar: s}).look(ctx)
-	load, _, _ := s.news.get()
+	load, _, _ := s.publisher.get()
 	assert.False(t, load.Silent)
 }
 
--- a/sidecar/wake_test.go
+++ b/sidecar/wake_test.go
@@ -76,35 +76,35 @@
 	calm := deployment.Load{Running: 2}
 	cases := []struct {
 		name   string
-		change func(*news)
+		change func(*publisher)
 		urgent bool
 	}{
-		{"a load is announced", func(n *news) { n.set(calm, rollout{loading: true}) }, true},
-		{"the runner leaves", func(n *news) { n.set(deployment.Load{Running: 2, Leaving: true}, rollout{}) }, true},
-		{"the runner does not answer", func(n *news) { n.silence() }, true},
-		{"more requests run", func(n *news) { n.set(deployment.Load{Running: 3}, rollout{}) }, false},
-		{"nothing changes", func(n *news) { n.set(calm, rollout{}) }, false},
+		{"a load is announced", func(n *publisher) { n.set(calm, rollout{loading: true}) }, true},
+		{"the runner leaves", func(n *publisher) { n.set(deployment.Load{Running: 2, Leaving: true}, rollout{}) }, true},
+		{"the runner does not answer", func(n *publisher) { n.silence() }, true},
+		{"more requests run", func(n *publisher) { n.set(deployment.Load{Running: 3}, rollout{}) }, false},
+		{"nothing changes", func(n *publisher) { n.set(calm, rollout{}) }, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			var n news
+			var n publisher
 			n.set(calm, rollout{})
 			assertUrgent(t, &n, func() { c.change(&n) }, c.urgent)
 		})
 	}
 	t.Run("a load ends", func(t *testing.T) {
-		var n news
+		var n publisher
 		n.set(calm, rollout{loading: true})
 		assertUrgent(t, &n, func() { n.set(calm, rollout{}) }, true)
 	})
 	t.Run("the runner still does not answer", func(t *testing.T) {
-		var n news
+		var n publisher
 		n.silence()
 		assertUrgent(t, &n, n.silence, false)
 	})
 }
 
-func assertUrgent(t *testing.T, n *news, change func(), want bool) {
+func assertUrgent(t *testing.T, n *publisher, change func(), want bool) {
 	t.Helper()
 	urgent := n.urgent.wait()
 	change()
