--- a/notify/tracker.go
+++ b/notify/tracker.go
@@ -3,13 +3,16 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/rillreach/rillreach/internal/broadcast"
 )
 
 // Tracker is what relays have told a process; its zero value has heard nothing.
 type Tracker struct {
-	mu     sync.Mutex
-	kinds  map[Kind]heard
-	change chan struct{}
+	newer broadcast.Signal
+
+	mu    sync.Mutex
+	kinds map[Kind]heard
 }
 
 // heard is what is known of one kind.
@@ -20,6 +23,13 @@
 
 // Hear takes over a notice that has just come.
 func (t *Tracker) Hear(n Notice, now time.Time) {
+	if t.take(n, now) {
+		t.newer.Wake()
+	}
+}
+
+// take takes over a notice; it reports whether it tells of a newer revision.
+func (t *Tracker) take(n Notice, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.kinds == nil {
@@ -32,21 +42,11 @@
 	newer := n.Revision > h.revision
 	h.revision = max(h.revision, n.Revision)
 	t.kinds[n.Kind] = h
-	if newer && t.change != nil {
-		close(t.change)
-		t.change = nil
-	}
+	return newer
 }
 
 // Changed gives a channel that is closed with the next newer revision of any kind.
-func (t *Tracker) Changed() <-chan struct{} {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.change == nil {
-		t.change = make(chan struct{})
-	}
-	return t.change
-}
+func (t *Tracker) Changed() <-chan struct{} { return t.newer.Wait() }
 
 // Confirmed is when a relay last knew the newest objects of the kind, the zero time where none has told.
 func (t *Tracker) Confirmed(kind Kind) time.Time {
--- a/sidecar/publisher.go
+++ b/sidecar/publisher.go
@@ -9,6 +9,7 @@
 
 	"github.com/rillreach/rillreach/bulletin"
 	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/internal/broadcast"
 	"github.com/rillreach/rillreach/peer"
 )
 
@@ -33,7 +34,7 @@
 	followers atomic.Int64
 	// serving are the followers that the agent waits for when it ends, urgent wakes them.
 	serving followerGroup
-	urgent  broadcast
+	urgent  broadcast.Signal
 	role    relayRole
 
 	mu      sync.Mutex
@@ -50,7 +51,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if next.loading != p.rollout.loading || load.Leaving != p.load.Leaving || load.Silent != p.load.Silent {
-		p.urgent.wake()
+		p.urgent.Wake()
 	}
 	p.load, p.loadAt, p.rollout = load, time.Now(), next
 }
@@ -60,7 +61,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.load.Silent {
-		p.urgent.wake()
+		p.urgent.Wake()
 	}
 	p.load.Silent = true
 }
@@ -90,7 +91,7 @@
 	f.far = follow.Zone != "" && follow.Zone != p.sidecar.Settings.Zone
 	var pacer pacer
 	for ctx.Err() == nil {
-		urgent := p.urgent.wait()
+		urgent := p.urgent.Wait()
 		if b, worth := f.next(); worth {
 			body, err := peer.Encode(b)
 			if err != nil {
--- a/sidecar/wake.go
+++ b/sidecar/wake.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 )
 
@@ -10,32 +9,6 @@
 // does not flood the smallest entries.
 const wakeEvery = quietMost
 
-// broadcast wakes everyone who waits for it; its zero value is ready.
-type broadcast struct {
-	mu   sync.Mutex
-	next chan struct{}
-}
-
-// wait gives a channel that the next wake closes.
-func (b *broadcast) wait() <-chan struct{} {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.next == nil {
-		b.next = make(chan struct{})
-	}
-	return b.next
-}
-
-// wake ends all waits that have begun.
-func (b *broadcast) wake() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.next != nil {
-		close(b.next)
-		b.next = nil
-	}
-}
-
 // pacer spaces the bulletins to one follower.
 type pacer struct {
 	wokenAt time.Time
--- a/sidecar/wake_test.go
+++ b/sidecar/wake_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/internal/broadcast"
 )
 
 // assertWaits has a pacer wait, and compares how long it did in virtual time.
@@ -21,32 +22,32 @@
 
 func TestPacer(t *testing.T) {
 	const pace = 180 * time.Millisecond
-	urgentAfter := func(b *broadcast, d time.Duration) <-chan struct{} {
-		time.AfterFunc(d, b.wake)
-		return b.wait()
+	urgentAfter := func(b *broadcast.Signal, d time.Duration) <-chan struct{} {
+		time.AfterFunc(d, b.Wake)
+		return b.Wait()
 	}
 	t.Run("without urgent changes a follower is told at its pace", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			assertWaits(t, &pacer{}, pace, (&broadcast{}).wait(), pace)
+			assertWaits(t, &pacer{}, pace, (&broadcast.Signal{}).Wait(), pace)
 		})
 	})
 	t.Run("an urgent change is told at once", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			assertWaits(t, &pacer{}, pace, urgentAfter(&broadcast{}, 20*time.Millisecond), 20*time.Millisecond)
+			assertWaits(t, &pacer{}, pace, urgentAfter(&broadcast.Signal{}, 20*time.Millisecond), 20*time.Millisecond)
 		})
 	})
 	t.Run("one that came while the bulletin before was made is not missed", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			var b broadcast
-			urgent := b.wait()
-			b.wake()
+			var b broadcast.Signal
+			urgent := b.Wait()
+			b.Wake()
 			assertWaits(t, &pacer{}, pace, urgent, 0)
 		})
 	})
 	t.Run("urgent changes in a row are told at the pace", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			var p pacer
-			var b broadcast
+			var b broadcast.Signal
 			assertWaits(t, &p, pace, urgentAfter(&b, time.Millisecond), time.Millisecond)
 			assertWaits(t, &p, pace, urgentAfter(&b, time.Millisecond), pace)
 		})
@@ -54,7 +55,7 @@
 	t.Run("a later one is told at once again", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			var p pacer
-			var b broadcast
+			var b broadcast.Signal
 			assertWaits(t, &p, pace, urgentAfter(&b, time.Millisecond), time.Millisecond)
 			time.Sleep(wakeEvery)
 			assertWaits(t, &p, pace, urgentAfter(&b, time.Millisecond), time.Millisecond)
@@ -106,7 +107,7 @@
 
 func assertUrgent(t *testing.T, n *publisher, change func(), want bool) {
 	t.Helper()
-	urgent := n.urgent.wait()
+	urgent := n.urgent.Wait()
 	change()
 	select {
 	case <-urgent:
