--- a/controller/follow/relays_test.go
+++ b/controller/follow/relays_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,28 +16,26 @@
 
 // counted is a source whose watches wait, and which counts the calls.
 type counted struct {
-	revision uint64
-	lists    int
+	revision atomic.Uint64
 	watches  int
 }
 
 // List gives nothing.
 func (c *counted) List(context.Context) ([]update, uint64, error) {
-	c.lists++
-	return nil, c.revision, nil
+	return nil, c.revision.Load(), nil
 }
 
 // Watch gives a change where there is one, else nothing once the wait is over.
 func (c *counted) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]update, uint64, error) {
 	c.watches++
-	if c.revision > revision {
-		return []update{{Name: "a"}}, c.revision, nil
+	if newest := c.revision.Load(); newest > revision {
+		return []update{{Name: "a"}}, newest, nil
 	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
 	}
-	return nil, c.revision, ctx.Err()
+	return nil, c.revision.Load(), ctx.Err()
 }
 
 // followWithRelays follows for a time while a function speaks for the relays, and gives the calls and when the first change came.
@@ -46,7 +45,8 @@
 		ctx, cancel := context.WithTimeout(t.Context(), d)
 		defer cancel()
 		begun := time.Now()
-		source, relays := &counted{revision: 5}, &notify.Tracker{}
+		source, relays := &counted{}, &notify.Tracker{}
+		source.revision.Store(5)
 		c := &Controller[int]{
 			Kind: "things", Source: source, Wait: 3 * time.Second, Log: logr.Discard(),
 			Relays: relays, Topic: notify.KindConfig, Trust: 2 * time.Second,
@@ -80,7 +80,7 @@
 	t.Run("a change that a relay tells is read at once", func(t *testing.T) {
 		_, changed := followWithRelays(t, minute, func(r *notify.Tracker, source *counted) {
 			sayEvery(r, 5, 10*time.Second)
-			source.revision = 8
+			source.revision.Store(8)
 			r.Hear(notify.Notice{Kind: notify.KindConfig, Revision: 8}, time.Now())
 		})
 		assert.Equal(t, 10*time.Second, changed)
@@ -88,7 +88,7 @@
 	t.Run("a change that no relay tells is read once their word no longer holds", func(t *testing.T) {
 		_, changed := followWithRelays(t, minute, func(r *notify.Tracker, source *counted) {
 			sayEvery(r, 5, 10*time.Second)
-			source.revision = 8
+			source.revision.Store(8)
 		})
 		assert.Greater(t, changed, 10*time.Second)
 		assert.Less(t, changed, 12*time.Second)
