Wait for the list of runners under the agent's context

The wait that a relay's configuration follower makes at its start looked at no context, so that an agent which was stopped in its first two seconds could take as long to end (read).

--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -44,6 +44,8 @@
 	Trust  time.Duration
 	// Progress is told of each answer; it may be nil.
 	Progress *notify.Progress
+	// Ready is waited for before the first question; it may be nil.
+	Ready func(ctx context.Context)
 	// Asked is called before each question to the source, and before the wait for word of the relays; it may be nil.
 	Asked func()
 	// Listed takes all objects after each list; returned is when the source last came back, zero where it never was lost.
@@ -71,6 +73,9 @@
 
 // Run follows the objects until the context ends.
 func (c *Controller[T]) Run(ctx context.Context) error {
+	if c.Ready != nil {
+		c.Ready(ctx)
+	}
 	wait := firstPause
 	var revision uint64
 	listed := false
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -3,6 +3,7 @@
 package localstate
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/controller/follow"
 	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/notify"
 	"github.com/rillreach/rillreach/roster"
 	"github.com/rillreach/rillreach/telemetry"
@@ -67,12 +69,18 @@
 // ConfigConfirmed is when the configuration was last known to be the newest.
 func (s *State) ConfigConfirmed() time.Time { return time.Unix(0, s.configAt.Load()) }
 
+const (
+	// mostAwait bounds the wait for the first list of runners, which the configuration itself does not depend on.
+	mostAwait = 2 * time.Second
+	// awaitEvery is how often it is looked whether that is there.
+	awaitEvery = 20 * time.Millisecond
+)
+
 // awaitRunners waits for the first list of runners where it depends on these at which pace the configuration is followed: a watch that has
-// begun at the slower pace would keep a relay from telling of the configuration for half a minute.
-func (s *State) awaitRunners() {
-	const most, every = 2 * time.Second, 20 * time.Millisecond
-	for begun := time.Now(); s.Hasten != nil && !s.listed.Load() && time.Since(begun) < most; {
-		time.Sleep(every)
+// begun at the slower pace would keep a relay from telling of the configuration for 25 s.
+func (s *State) awaitRunners(ctx context.Context) {
+	for begun := time.Now(); s.Hasten != nil && !s.listed.Load() && ctx.Err() == nil && time.Since(begun) < mostAwait; {
+		pause.For(ctx, awaitEvery)
 	}
 }
 
@@ -115,7 +123,7 @@
 		}
 	}
 	return &follow.Controller[*deployment.Config]{
-		Kind: "config", Source: source, Wait: wait, Log: s.Log, Changed: take, Asked: s.awaitRunners,
+		Kind: "config", Source: source, Wait: wait, Log: s.Log, Changed: take, Ready: s.awaitRunners,
 		Hasten: s.Hasten, Relays: s.Relays, Topic: notify.KindConfig, Trust: s.Trust, Progress: &s.configProgress,
 		Listed: func(all []rillreach.Update[*deployment.Config], returned time.Time) {
 			s.badConfig.retain(namesOf(all))
