--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -84,7 +84,7 @@
 func (a *agents) wanted() map[netip.AddrPort]bool {
 	wanted := map[netip.AddrPort]bool{}
 	for service, group := range a.gateway.engineGroups() {
-		local := a.gateway.local.is(service)
+		local := a.gateway.local.has(service)
 		for _, r := range group {
 			info := r.Info()
 			wanted[netip.AddrPortFrom(info.Address.Addr(), a.gateway.Settings.FirstPort)] = local && info.Zone != a.gateway.Settings.Zone
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -145,7 +145,7 @@
 	return min(max(g.Settings.Bounds.Contact-watchMargin, leastWatch), mostWatch)
 }
 
-// trustRelays is for how long the word of a relay holds: a third of the bound on leaving runners is left for an entry's own watch.
+// trustRelays is for how long the word of a relay holds: half of the bound on leaving runners is left for an entry's own watch.
 func (g *Gateway) trustRelays() time.Duration {
 	return min(g.Settings.Bounds.RunnerStop/trustShare, mostTrust)
 }
--- a/gateway/local_zone.go
+++ b/gateway/local_zone.go
@@ -50,8 +50,8 @@
 	return n
 }
 
-// is reports that the entry's zone has engines of the service enough.
-func (l *localServices) is(service rillreach.ServiceID) bool {
+// has reports that the entry's zone has engines of the service enough.
+func (l *localServices) has(service rillreach.ServiceID) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.enough[service]
--- a/gateway/local_zone_test.go
+++ b/gateway/local_zone_test.go
@@ -38,7 +38,7 @@
 	})
 	t.Run("a zone with fewer does not count as enough", func(t *testing.T) {
 		g, x := beforeLocalEngines(localFrom - 1)
-		assert.False(t, g.local.is(x.service.Name))
+		assert.False(t, g.local.has(x.service.Name))
 	})
 	t.Run("one that loses a few goes on, and one that loses many does not", func(t *testing.T) {
 		g, x := beforeLocalEngines(localFrom)
@@ -49,7 +49,7 @@
 			group := g.state.Roster.Group(x.service.Name)
 			groups := map[rillreach.ServiceID][]*roster.Runner{x.service.Name: inZone(group, g.Settings.Zone)[:c.left]}
 			g.local.update(groups, g.Settings.Zone)
-			assert.Equal(t, c.local, g.local.is(x.service.Name), "%d left", c.left)
+			assert.Equal(t, c.local, g.local.has(x.service.Name), "%d left", c.left)
 		}
 	})
 }
