Wait for an entry that a test's own fault has killed before it listened

Traced by its logs: a fault killed entry-1 about 04:13:47, its replacement was killed by the next fault, 0.2 s later, before it listened (its log is empty, and the next entry-1 listened at 04:13:48.6); callers that waited for just that process failed with "process ended". Ruled out: a process that ends by itself (nothing in any log), a port in use (none named). Change: callers wait for the slot's replacement; a process that ends and isn't replaced fails the test as before, once the patience is over. They no longer hold the slot while they wait, so that several may wait for one process, and look again each 20 ms.

--- a/e2e/mixed_fleet_test.go
+++ b/e2e/mixed_fleet_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/rillreach/rillreach"
 )
 
@@ -18,10 +20,26 @@
 	args    []string
 }
 
+// address is where the slot's process listens. One that a fault has killed before it listened is replaced by that fault, and so is waited
+// for; one that ends otherwise is a failure.
 func (s *slot) address(who string) string {
+	for deadline := time.Now().Add(patience); ; {
+		p := s.current()
+		address, problem := p.awaitAddress(who)
+		switch {
+		case problem == "":
+			return address
+		case problem != problemEnded || time.Now().After(deadline):
+			require.FailNow(p.t, problem, p.text())
+		}
+		time.Sleep(lookAgain)
+	}
+}
+
+func (s *slot) current() *process {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.process.address(who)
+	return s.process
 }
 
 // mixedFleet is a fleet with faults going on.
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -128,20 +128,39 @@
 // address waits for the address that the process listens on for somebody.
 func (p *process) address(who string) string {
 	p.t.Helper()
+	address, problem := p.awaitAddress(who)
+	if problem != "" {
+		require.FailNow(p.t, problem, p.text())
+	}
+	return address
+}
+
+// What may keep a process from listening.
+const (
+	problemEnded = "process ended"
+	problemLate  = "process does not listen"
+)
+
+// lookAgain is how often somebody who waits for a process looks at it.
+const lookAgain = 20 * time.Millisecond
+
+// awaitAddress waits for the address that the process listens on for somebody, and says why there is none.
+func (p *process) awaitAddress(who string) (address, problem string) {
 	deadline := time.After(patience)
 	for {
 		p.mu.Lock()
 		address := p.addresses[who]
 		p.mu.Unlock()
 		if address != "" {
-			return address
+			return address, ""
 		}
 		select {
 		case <-p.changed:
+		case <-time.After(lookAgain): // another who waits may have taken the change
 		case <-p.exited:
-			require.FailNow(p.t, "process ended", p.text())
+			return "", problemEnded
 		case <-deadline:
-			require.FailNow(p.t, "process does not listen", p.text())
+			return "", problemLate
 		}
 	}
 }
