Ask once which requests give way, which engines there are and how often the own zone is told

Cause: a last reading of the change. "Late, and nothing of its answer is out" stood in the line, in the shedding and in admission.Standing; the look for agents to follow collected the engines and their records twice, five times a second; the loader made a follower up to learn the pace of its own zone; planAt asked for an engine, which both its callers have asked for. Ruled out: one filter for engines of a zone in gateway and sidecar (three lines, over different results); forgetting what a far runner held only once (two look-ups a bulletin, and a late bulletin of the fuller kind could come after); imports that tests share. Change: Request.GivesWay, publisher.ownZonePace, the groups handed on. No change of behaviour; assertions as before, one test hands the groups on.

--- a/admission/order.go
+++ b/admission/order.go
@@ -31,6 +31,11 @@
 	return now.Add(r.Need).After(r.Due)
 }
 
+// GivesWay reports that others go before the request wherever they can, since it is late and its caller has nothing of the answer yet.
+func (r Request) GivesWay(now time.Time) bool {
+	return !r.Begun && r.Late(now)
+}
+
 // Compare orders requests by which goes first, negative where that is a: answers that have begun, then those that can be in time
 // by when they are due, then the late ones by when they came. A late one before others would make these late, too.
 func Compare(a, b Request, now time.Time) int {
--- a/admission/standing.go
+++ b/admission/standing.go
@@ -30,5 +30,5 @@
 // Dooms reports that a request won't be served: it can't be in time, even if only those before it go first, which takes the given wait, and
 // others that can have come for longer than it may wait for its own first token.
 func (s *Standing) Dooms(now time.Time, r Request, wait time.Duration) bool {
-	return !r.Begun && r.Late(now.Add(wait)) && s.Lasted(now) >= r.Due.Sub(r.Arrived)
+	return r.GivesWay(now.Add(wait)) && s.Lasted(now) >= r.Due.Sub(r.Arrived)
 }
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -13,6 +13,7 @@
 	"github.com/rillreach/rillreach/controller/subscribe"
 	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/peer"
+	"github.com/rillreach/rillreach/roster"
 )
 
 // followEvery is how often it is looked at whether each runner's agent is followed.
@@ -48,8 +49,9 @@
 
 // look begins to follow the agents of new runners, and ends with those of runners that are gone or that are to be asked otherwise.
 func (a *agents) look(ctx context.Context) {
-	a.gateway.local.update(a.gateway.engineGroups(), a.gateway.Settings.Zone)
-	wanted := a.wanted()
+	groups := a.gateway.engineGroups()
+	a.gateway.local.update(groups, a.gateway.Settings.Zone)
+	wanted := a.wanted(groups)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for address, f := range a.following {
@@ -80,10 +82,10 @@
 	return &followed{sparse: sparse, stop: stop}
 }
 
-// wanted are the addresses of the agents beside listed runners of engines, and whether they are asked for little.
-func (a *agents) wanted() map[netip.AddrPort]bool {
+// wanted are the addresses of the agents beside runners of engines, and whether they are asked for little.
+func (a *agents) wanted(groups map[rillreach.ServiceID][]*roster.Runner) map[netip.AddrPort]bool {
 	wanted := map[netip.AddrPort]bool{}
-	for service, group := range a.gateway.engineGroups() {
+	for service, group := range groups {
 		local := a.gateway.local.has(service)
 		for _, r := range group {
 			info := r.Info()
--- a/gateway/line.go
+++ b/gateway/line.go
@@ -200,7 +200,7 @@
 	if len(o.views) == 0 {
 		return decision{verdict: verdictNoRunner}, true
 	}
-	choice, room := g.chooseWithRoom(x, o, roomQuery{claimed: claimed, senders: l.senders(claimed), idle: !x.began && w.request.Late(now)}, now)
+	choice, room := g.chooseWithRoom(x, o, roomQuery{claimed: claimed, senders: l.senders(claimed), idle: w.request.GivesWay(now)}, now)
 	switch {
 	case choice.Index >= 0:
 		t := g.assign(x, o, choice, now)
--- a/gateway/local_zone_test.go
+++ b/gateway/local_zone_test.go
@@ -29,7 +29,7 @@
 	t.Run("a zone with engines enough has little told of those in others", func(t *testing.T) {
 		g, _ := beforeLocalEngines(localFrom)
 		sparse := 0
-		for _, little := range (&agents{gateway: g}).wanted() {
+		for _, little := range (&agents{gateway: g}).wanted(g.engineGroups()) {
 			if little {
 				sparse++
 			}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -123,11 +123,8 @@
 	return float64(hash.Mix(conversation, hash.String(string(runner)))) / math.MaxUint64
 }
 
-// planAt adds to a candidate what it would read and fetch.
+// planAt adds to a candidate what it would read and fetch of the request's prompt.
 func (g *Gateway) planAt(x *exchange, o *options, i int, now time.Time) {
-	if !x.needsEngine() {
-		return
-	}
 	v := o.views[i]
 	state := g.versionAt(x, o, v)
 	if state.prompt == nil {
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -50,7 +50,7 @@
 
 // waitBehind is how long it takes until those before a request are admitted. A late one waits for what the others leave.
 func (l *line) waitBehind(w *waitingRequest, before int, now time.Time) (time.Duration, bool) {
-	if !w.request.Begun && w.request.Late(now) {
+	if w.request.GivesWay(now) {
 		if wait, known := l.late.Wait(now, before); known {
 			return wait, true
 		}
--- a/sidecar/loader.go
+++ b/sidecar/loader.go
@@ -40,7 +40,7 @@
 // Run looks at the runner until the context ends.
 func (l *loader) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause.For(ctx, lookInterval(l.sidecar.publisher.pace(&follower{})))
+		pause.For(ctx, lookInterval(l.sidecar.publisher.ownZonePace()))
 		l.look(ctx)
 	}
 	return nil
--- a/sidecar/publisher.go
+++ b/sidecar/publisher.go
@@ -117,13 +117,20 @@
 	case f.sparse:
 		return sparseEvery
 	}
+	pace := p.ownZonePace()
+	if f.far {
+		pace *= farSlower
+	}
+	return min(pace, quietMost)
+}
+
+// ownZonePace is how often followers of the agent's own zone are told.
+func (p *publisher) ownZonePace() time.Duration {
+	s := p.sidecar
 	pace := publishEvery
 	if self := s.state.Roster.At(s.Settings.Runner); self != nil {
 		pace = max(pace, eachTakes*time.Duration(len(s.state.Roster.Group(self.Info().Service))))
 	}
-	if f.far {
-		pace *= farSlower
-	}
 	return min(pace, quietMost)
 }
 
