Tell in the log why an attempt failed, and of which request it was one

Cause: a closed connection was logged as one line for a runner that ended, one that reset a single connection and one that left as announced, and nothing told that two requests were the same. So nobody could say under which request runners ended. Ruled out: the agents' word, which plain services have none of, and which comes 40 to 100 ms later; asking for each failed request (those of one runner share one question). Change: the kind of the failure in log and metric, by whether anybody still listens at the runner's address; the beginning of a hash of caller, method, host, path and body. Result: go test ./forward ./poison ./gateway passes; no rule of the choice is changed.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -187,11 +187,13 @@
 // failed judges an attempt that brought no answer.
 func (a *attempt) failed(err error) {
 	g, x, t := a.gateway, a.exchange, a.target
-	now := time.Now()
-	notSent := errors.Is(err, forward.ErrNotSent)
+	cause := a.cause(err)
+	notSent := cause == causeNotSent
 	if !notSent {
 		x.maybeRan = true
 	}
+	g.Metrics.Attempt(string(cause))
+	now := time.Now()
 	if t.cancelled.Load() {
 		x.reason = errStartTooLate.Error()
 		g.Log.Info("request cancelled before it began", "decision", "cancel", "request", x.wire.ID, "runner", t.view.ID, "weights", t.weights,
@@ -203,11 +205,13 @@
 	pause := time.Duration(0)
 	if !callerLeft && !a.spared.Load() && !errors.Is(err, forward.ErrFull) {
 		pause = t.runner.Strike(now)
-		g.pool.Forget(t.view.Address)
+		if cause != causeClosed {
+			g.pool.Forget(t.view.Address)
+		}
 	}
 	g.Log.Info("attempt failed", "decision", "judge", "request", x.wire.ID, "runner", t.view.ID, "notSent", notSent,
-		"callerLeft", callerLeft, "spared", a.spared.Load(), "timedOut", a.parent.Err() != nil, "cause", err.Error(), "avoidedFor", pause.String(),
-		"after", now.Sub(x.arrived).String())
+		"callerLeft", callerLeft, "spared", a.spared.Load(), "timedOut", a.parent.Err() != nil, "kind", cause, "fingerprint", x.fingerprint().String(),
+		"cause", err.Error(), "avoidedFor", pause.String(), "after", now.Sub(x.arrived).String())
 }
 
 // notRun judges a runner's word that it has not run the request.
--- /dev/null
+++ b/gateway/failure.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rillreach/rillreach/forward"
+	"github.com/rillreach/rillreach/poison"
+	"github.com/rillreach/rillreach/roster"
+)
+
+// failureCause is what ended an attempt that brought no answer, as far as the entry can tell.
+type failureCause string
+
+// The causes of failed attempts.
+const (
+	// causeNotSent says that the request didn't reach the runner.
+	causeNotSent failureCause = "not-sent"
+	// causeRunnerEnded says that the runner's process ended with the request under way, causeRunnerLeft that it did so as it had announced.
+	causeRunnerEnded failureCause = "runner-ended"
+	causeRunnerLeft  failureCause = "runner-left"
+	// causeClosed says that the runner closed the connection, and isn't known to have ended.
+	causeClosed failureCause = "connection-closed"
+	// causeEnded is all that this side ends: a caller that leaves, a time-out, an attempt that another one replaces.
+	causeEnded failureCause = "ended-by-entry"
+	// causeOther is an answer that can't be read.
+	causeOther failureCause = "unreadable-answer"
+)
+
+// cause finds out why the attempt failed. Only a runner that closes the connection is asked whether it still listens.
+func (a *attempt) cause(err error) failureCause {
+	switch {
+	case errors.Is(err, forward.ErrNotSent):
+		return causeNotSent
+	case !forward.ClosedByRunner(err):
+		if a.waiting.Err() != nil {
+			return causeEnded
+		}
+		return causeOther
+	case !a.gateway.hasEnded(a.target.runner):
+		return causeClosed
+	case a.target.runner.View(time.Now()).Leaving && !isOver(a.target.runner):
+		return causeRunnerLeft
+	default:
+		return causeRunnerEnded
+	}
+}
+
+// hasEnded reports that the runner's process is known to have ended: a later run took its place, or nobody listens at its address. The
+// requests that failed there together ask once.
+func (g *Gateway) hasEnded(r *roster.Runner) bool {
+	if isOver(r) {
+		return true
+	}
+	info := r.Info()
+	refuses, _, _ := g.probes.Do(info.Address.String(), func() (any, error) {
+		g.pool.Forget(info.Address) // before the question, whose connection is kept
+		return g.pool.Refuses(context.Background(), info.Address), nil
+	})
+	return refuses == true
+}
+
+// isOver reports that a later run of the runner is known.
+func isOver(r *roster.Runner) bool {
+	select {
+	case <-r.Over():
+		return true
+	default:
+		return false
+	}
+}
+
+// fingerprint is that of the request, once its body has been read.
+func (x *exchange) fingerprint() poison.Fingerprint {
+	caller := string(x.accountName())
+	if x.account == nil {
+		caller = x.wire.Key
+	}
+	r := poison.Request{Caller: caller, Method: x.call.Method, Host: x.call.Host, Target: x.call.Target, Body: x.call.Body}
+	return r.Fingerprint()
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/controller"
@@ -81,6 +82,7 @@
 	firsts  firstTokens
 	line    *line
 	pool    forward.Pool
+	probes  singleflight.Group
 	budgets retry.Shares
 	running node.Inflight
 	seq     atomic.Uint64
