--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -105,6 +105,12 @@
 
 // beginAt starts an entry that follows the store, and lets requests begin on replaced weights for as long as the bound.
 func beginAt(t *testing.T, store *site.Store, bound time.Duration) *world {
+	t.Helper()
+	return beginWith(t, store, func(s *deployment.Settings) { s.Bounds.Weights = bound })
+}
+
+// beginWith starts an entry that follows the store, with settings that are changed.
+func beginWith(t *testing.T, store *site.Store, change func(*deployment.Settings)) *world {
 	t.Helper()
 	w := &world{store: store, ended: make(chan error, 1)}
 	server := httptest.NewServer(w.store)
@@ -116,11 +122,12 @@
 	w.gateway = &Gateway{
 		Settings: &deployment.Settings{
 			Name: "entry-1", Zone: "z1", Host: netip.MustParseAddr("127.0.0.1"), FirstPort: 1, LastPort: 1,
-			Bounds: deployment.Bounds{Grace: 8 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100, Weights: bound},
+			Bounds: deployment.Bounds{Grace: 8 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100},
 		},
 		Configs: platform.Configs(client), Runners: platform.Runners(client), Weights: platform.Weights(client),
 		Callers: callers, Readiness: readiness, Log: logOf(t), Metrics: metrics,
 	}
+	change(w.gateway.Settings)
 	w.callers, w.ready = callers.Addr().String(), readiness.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	w.stop = cancel
--- a/internal/standin/site/runner.go
+++ b/internal/standin/site/runner.go
@@ -44,6 +44,12 @@
 	r.server.Close()
 }
 
+// End ends the runner as a crash does: nobody listens any more, and all connections are closed. It may be called while a request runs.
+func (r *Runner) End() {
+	_ = r.server.Listener.Close()
+	r.server.CloseClientConnections()
+}
+
 // Address is where the runner listens.
 func (r *Runner) Address() netip.AddrPort {
 	return netip.MustParseAddrPort(strings.TrimPrefix(r.server.URL, "http://"))
