Hold back a request once three runners have ended under it, at every entry

Callers saw streams cut and answers of 502, since one request that came again and again ended runner after runner, with all that each was answering. Cause: an entry kept nothing of a request that it had answered, and told no other entry of it, so that each repeat was a new request to it; the closed connection was held against the runner alone. Ruled out: one repeat that is multiplied by moves or second attempts (12 repeats on a route that may not run twice end 12 runners); a count at each entry alone (multiplied by their number); a ban after one or two crashes (an innocent stream is at two where the runner that it moves to ends as well). Change: package poison counts the runs that ended under a request, which is told apart by caller, method, host, path and body, without input or output. Only a run that nobody listens for any more counts, and that had not announced its end. Three hold the request back for ten minutes, with a final 502; an answer of a runner clears it. After two crashes no second attempt is made beside a first. Why it holds: the count goes by ended runs and not by entries, and merging it in any order, twice or late gives the same, so that no entry can be one crash behind for longer than a message takes.

--- a/bulletin/bulletin.go
+++ b/bulletin/bulletin.go
@@ -14,6 +14,7 @@
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/holdings"
 	"github.com/rillreach/rillreach/notify"
+	"github.com/rillreach/rillreach/poison"
 )
 
 // Grant is how long after a bulletin, on the runners' clock, a fetch from a store that it calls alive may last: the store's
@@ -58,6 +59,8 @@
 	Followers int `cbor:"6,keyasint,omitempty"`
 	// Notices tell how far the agent has followed the object store, where it is a relay.
 	Notices []notify.Notice `cbor:"9,keyasint,omitempty"`
+	// Crashes are those that the follower has not been told of.
+	Crashes []poison.Crash `cbor:"10,keyasint,omitempty"`
 }
 
 // Run is the run that the agent speaks for.
@@ -157,6 +160,11 @@
 			return err
 		}
 	}
+	for _, c := range b.Crashes {
+		if err := c.Check(); err != nil {
+			return err
+		}
+	}
 	for _, h := range b.Holders {
 		if !h.Place.IsValid() {
 			return errors.New("bulletin names a holder without an address")
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -19,6 +20,10 @@
 // followEvery is how often it is looked at whether each runner's agent is followed.
 const followEvery = 200 * time.Millisecond
 
+// speaksWithin is how long an agent may be silent and still be reported to: twice the longest pause between the bulletins of one that was
+// asked for little.
+const speaksWithin = 2 * time.Second
+
 // agents follows the agents of all listed runners of engines.
 type agents struct {
 	gateway *Gateway
@@ -34,6 +39,8 @@
 	// sparse says that it was asked for little.
 	sparse bool
 	stop   context.CancelFunc
+	// heard is when its last bulletin came, in nanoseconds by the entry's clock.
+	heard atomic.Int64
 }
 
 // Name is the controller's name.
@@ -41,7 +48,9 @@
 
 // Run follows the agents until the context ends.
 func (a *agents) Run(ctx context.Context) error {
+	a.mu.Lock()
 	a.following = map[netip.AddrPort]*followed{}
+	a.mu.Unlock()
 	pause.Every(ctx, followEvery, a.look)
 	a.wg.Wait()
 	return nil
@@ -71,15 +80,34 @@
 func (a *agents) follow(ctx context.Context, address netip.AddrPort, sparse bool) *followed {
 	one, stop := context.WithCancel(ctx)
 	g := a.gateway
+	f := &followed{sparse: sparse, stop: stop}
+	take := g.learn
+	if sparse {
+		take = g.learnSparse
+	}
 	s := &subscribe.Subscription{
-		Pool: a.pool, Agent: address, Log: g.Log, Take: g.learn,
+		Pool: a.pool, Agent: address, Log: g.Log,
+		Take: func(b *bulletin.Bulletin, now time.Time) {
+			f.heard.Store(g.Clock.Now().UnixNano())
+			take(b, now)
+		},
 		Ask: bulletin.Follow{Name: rillreach.InstanceID(g.Settings.Name), Zone: g.Settings.Zone, Sparse: sparse},
 	}
-	if sparse {
-		s.Take = g.learnSparse
-	}
 	a.wg.Go(func() { s.Run(one) })
-	return &followed{sparse: sparse, stop: stop}
+	return f
+}
+
+// heard are the agents that have spoken lately.
+func (a *agents) heard(now time.Time) []netip.AddrPort {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var heard []netip.AddrPort
+	for address, f := range a.following {
+		if now.Sub(time.Unix(0, f.heard.Load())) < speaksWithin {
+			heard = append(heard, address)
+		}
+	}
+	return heard
 }
 
 // wanted are the addresses of the agents beside runners of engines, and whether they are asked for little.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -33,6 +33,8 @@
 	// ahead is what was read of the answer before it is passed on, had the last event that the caller has from another attempt.
 	ahead bytes.Buffer
 	had   string
+	// lost is what ended the reading of an answer that isn't whole.
+	lost error
 
 	// spared says that the entry ended the attempt for a reason that doesn't speak against the runner.
 	spared atomic.Bool
@@ -49,6 +51,10 @@
 // attempt sends the request to one runner, and where need be to another beside it; it reports whether the request is done with.
 func (g *Gateway) attempt(ctx context.Context, x *exchange) bool {
 	t, verdict := g.target(ctx, x)
+	if t != nil && g.isHeldBack(x) { // runners may have ended under it while it waited
+		t.work.end()
+		t, verdict = nil, verdictEndsRunners
+	}
 	if t == nil {
 		x.reason = verdict
 		x.exhausted = true
@@ -133,6 +139,9 @@
 	if n > 0 {
 		a.heard()
 	}
+	if err != nil && !isEnd(err) {
+		a.lost = err
+	}
 	return n, err
 }
 
@@ -193,6 +202,9 @@
 		x.maybeRan = true
 	}
 	g.Metrics.Attempt(string(cause))
+	if cause == causeRunnerEnded {
+		g.noteCrash(x, t)
+	}
 	now := time.Now()
 	if t.cancelled.Load() {
 		x.reason = errStartTooLate.Error()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -37,6 +37,8 @@
 	// gives those without an answer their last one, and reports whether that was not too late.
 	buffered    bool
 	keepPastEnd func() bool
+	// identity tells whether the request is one under which runners have ended.
+	identity *identity
 	// reason is why the last attempt failed, comeBack how long the requests that wait take to be admitted, where that was why.
 	reason   string
 	comeBack time.Duration
@@ -47,7 +49,7 @@
 // newExchange is a request that has just come.
 func newExchange(w http.ResponseWriter, r *http.Request) *exchange {
 	return &exchange{
-		writer: w, request: r, wire: platform.DecodeRequest(r.Header), arrived: time.Now(), sends: &sends{}, progress: &progress{},
+		writer: w, request: r, wire: platform.DecodeRequest(r.Header), arrived: time.Now(), sends: &sends{}, identity: &identity{}, progress: &progress{},
 	}
 }
 
@@ -63,7 +65,7 @@
 func (x *exchange) fork() *exchange {
 	return &exchange{
 		request: x.request, wire: x.wire, call: x.call, config: x.config, route: x.route, account: x.account, service: x.service,
-		arrived: x.arrived, ends: x.ends, sends: x.sends, buffered: x.buffered, progress: x.snapshot(),
+		arrived: x.arrived, ends: x.ends, sends: x.sends, identity: x.identity, buffered: x.buffered, progress: x.snapshot(),
 	}
 }
 
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -7,7 +7,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rillreach/rillreach/forward"
-	"github.com/rillreach/rillreach/poison"
 	"github.com/rillreach/rillreach/roster"
 )
 
@@ -71,13 +70,3 @@
 		return false
 	}
 }
-
-// fingerprint is that of the request, once its body has been read.
-func (x *exchange) fingerprint() poison.Fingerprint {
-	caller := string(x.accountName())
-	if x.account == nil {
-		caller = x.wire.Key
-	}
-	r := poison.Request{Caller: caller, Method: x.call.Method, Host: x.call.Host, Target: x.call.Target, Body: x.call.Body}
-	return r.Fingerprint()
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,11 +18,13 @@
 	"github.com/rillreach/rillreach/drain"
 	"github.com/rillreach/rillreach/fleet"
 	"github.com/rillreach/rillreach/forward"
+	"github.com/rillreach/rillreach/internal/broadcast"
 	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/localstate"
 	"github.com/rillreach/rillreach/node"
 	"github.com/rillreach/rillreach/notify"
 	"github.com/rillreach/rillreach/peer"
+	"github.com/rillreach/rillreach/poison"
 	"github.com/rillreach/rillreach/retry"
 	"github.com/rillreach/rillreach/telemetry"
 )
@@ -69,20 +71,27 @@
 	// Callers and Readiness are the listeners for callers and for the balancer's question.
 	Callers   net.Listener
 	Readiness net.Listener
+	// Clock counts the time for which the machine was suspended; nil means the system's.
+	Clock rillreach.Clock
 	// Log takes decisions; Metrics count them.
 	Log     logr.Logger
 	Metrics *telemetry.Metrics
 
-	state   localstate.State
-	relays  notify.Tracker
-	local   localServices
-	stores  storeBook
-	reads   sizeMean
-	sizes   sizeMean
-	firsts  firstTokens
-	line    *line
-	pool    forward.Pool
-	probes  singleflight.Group
+	state  localstate.State
+	relays notify.Tracker
+	local  localServices
+	stores storeBook
+	reads  sizeMean
+	sizes  sizeMean
+	firsts firstTokens
+	line   *line
+	pool   forward.Pool
+	probes singleflight.Group
+	// suspects are the crashes that this entry knows of, observed those that it has seen itself.
+	suspects poison.Tracker
+	observed poison.Tracker
+	// crashed is told when the entry itself has seen a crash, or that one is no longer held against a request.
+	crashed broadcast.Signal
 	budgets retry.Shares
 	running node.Inflight
 	seq     atomic.Uint64
@@ -106,6 +115,9 @@
 	g.state.Relays, g.state.Trust = &g.relays, g.trustRelays()
 	g.restarted = make(chan struct{}, 1)
 	g.line = newLine(g)
+	if g.Clock == nil {
+		g.Clock = node.SystemClock()
+	}
 	g.budgets = retry.Shares{Ratio: g.Settings.Bounds.RetryRatio, Window: g.Settings.Bounds.RetryWindow, Slack: g.Settings.Bounds.RetrySlack}
 	g.server = g.newServer()
 	g.listener = &callerListener{Listener: node.Listener{Listener: g.Callers}, idles: g.idles, log: g.Log}
@@ -128,6 +140,7 @@
 		end()
 	})
 	defer stop()
+	followed := &agents{gateway: g, pool: peers}
 	return controller.Run(life, g.Log,
 		g.state.ConfigFollower(g.Configs, g.watchWait()),
 		g.state.RunnersFollower(g.Runners, g.watchWait(), g.gatherRunners(), g.restarted),
@@ -138,7 +151,8 @@
 		&sweeper{pool: &g.pool},
 		g.line,
 		peers,
-		&agents{gateway: g, pool: peers},
+		followed,
+		&crashReporter{gateway: g, pool: peers, agents: followed},
 	)
 }
 
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -74,6 +74,9 @@
 	if refusal := x.read(); refusal != nil {
 		return refusal
 	}
+	if g.isHeldBack(x) {
+		return endsRunners
+	}
 	if g.leaving.Load() {
 		return g.takeLeaving(x)
 	}
@@ -200,6 +203,8 @@
 	verdictNoRoom   = "no-room"
 	verdictBacklog  = "backlog"
 	verdictLeftLine = "left-while-waiting"
+	// verdictEndsRunners says that runners have ended under the request.
+	verdictEndsRunners = "ends-runners"
 )
 
 // again decides whether another attempt may follow; it returns why not, or nothing.
@@ -232,6 +237,8 @@
 		return ""
 	case !x.mayMove():
 		return "runners-used"
+	case g.isHeldBack(x):
+		return verdictEndsRunners
 	case !g.budgets.Spend(now, x.service.Name):
 		return "budget-spent"
 	default:
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -61,7 +61,7 @@
 	}
 	g, now := a.gateway, time.Now()
 	x := a.exchange.fork()
-	if !x.mayMove() || !g.budgets.Allows(now, x.service.Name) { // asked first: a stream of a busy runner comes here with each event
+	if !x.mayMove() || g.mayEndMore(x) || !g.budgets.Allows(now, x.service.Name) { // asked first: a stream of a busy runner comes here with each event
 		return false
 	}
 	o := g.options(x, g.viewsAt(now), now)
--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -16,9 +16,11 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/internal/standin/site"
 	"github.com/rillreach/rillreach/platform"
+	"github.com/rillreach/rillreach/poison"
 	"github.com/rillreach/rillreach/sidecar"
 )
 
@@ -118,7 +120,8 @@
 	})
 	t.Run("at two entries in turn", func(t *testing.T) {
 		var y graveyard
-		one, two := twoEntries(t, y.runners(5*repeats)...)
+		s := beginShared(t, y.runners(5*repeats)...)
+		one, two := s.entry(t, "entry-1"), s.entry(t, "entry-2")
 		pace := time.NewTicker(spreads / 40)
 		defer pace.Stop()
 		for begun := time.Now(); time.Since(begun) < spreads+time.Second; <-pace.C {
@@ -127,67 +130,207 @@
 		}
 		assert.LessOrEqual(t, y.late(), mostLate, "%d ended in all", len(y.ended()))
 	})
+	t.Run("a runner that closes its connections and goes on is no ground to hold a request back", func(t *testing.T) {
+		cut := &site.Runner{ID: "cut", Handle: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }}
+		w := begin(t, defaultConfig(), cut)
+		defer w.stop()
+		for range repeats {
+			assert.Equal(t, http.StatusBadGateway, w.call(t, "POST", "/once/x", "body").status)
+		}
+		assert.Len(t, cut.Runs(), repeats)
+	})
+	t.Run("a runner that has announced its end is none, either", func(t *testing.T) {
+		var y graveyard
+		runners := y.runners(repeats)
+		w := begin(t, defaultConfig(), runners...)
+		defer w.stop()
+		for i := range runners[1:] {
+			w.store.Put("servers", runners[i].ID, record(runners[i], "draining"))
+			w.eventually(t, func() bool { return w.gateway.state.Roster.Find(rillreach.InstanceID(runners[i].ID)).Info().Leaving })
+		}
+		last := runners[repeats-1]
+		leaving := make(chan struct{})
+		last.Handle = func(http.ResponseWriter, *http.Request) {
+			w.store.Put("servers", last.ID, record(last, "draining"))
+			w.eventually(t, func() bool { return w.gateway.state.Roster.Find(rillreach.InstanceID(last.ID)).Info().Leaving })
+			close(leaving)
+			last.End()
+			panic(http.ErrAbortHandler)
+		}
+		w.call(t, "POST", "/once/x", "body")
+		<-leaving
+		assert.True(t, w.gateway.suspects.Empty())
+	})
+	t.Run("a request that a runner answers is no longer suspected", func(t *testing.T) {
+		var y graveyard
+		w := begin(t, defaultConfig(), append(y.runners(1), &site.Runner{ID: "sound"})...)
+		defer w.stop()
+		w.eventually(t, func() bool {
+			assert.Equal(t, http.StatusOK, w.call(t, "POST", "/repeat/"+fatal, "body").status)
+			return len(y.ended()) == 1
+		})
+		suspects, _ := w.gateway.suspects.Counts(w.gateway.Clock.Now())
+		assert.Zero(t, suspects)
+	})
+	t.Run("other callers are served the same path and body", func(t *testing.T) {
+		var y graveyard
+		w := begin(t, twoAccounts(), y.runners(repeats)...)
+		defer w.stop()
+		for range repeats {
+			w.call(t, "POST", "/once/"+fatal, "body")
+		}
+		require.Len(t, y.ended(), mostEnded)
+		w.callAs(t, otherKey, "POST", "/once/"+fatal, "body")
+		assert.Len(t, y.ended(), mostEnded+1)
+	})
 }
 
-// twoEntries are entries that follow the agent of one engine, and serve requests by other runners.
-func twoEntries(t *testing.T, runners ...*site.Runner) (one, two *world) {
+// TestCrashesAreTold: what one entry sees of a request, the others know, and those that start later.
+func TestCrashesAreTold(t *testing.T) {
+	var y graveyard
+	s := beginShared(t, y.runners(repeats)...)
+	one, two := s.entry(t, "entry-1"), s.entry(t, "entry-2")
+	for range mostEnded {
+		one.call(t, "POST", "/once/"+fatal, "body")
+	}
+	assertRefused := func(t *testing.T, w *world) {
+		t.Helper()
+		w.eventually(t, func() bool {
+			_, heldBack := w.gateway.suspects.Counts(w.gateway.Clock.Now())
+			return heldBack == 1
+		})
+		assertOwn(t, w.call(t, "POST", "/once/"+fatal, "body"), http.StatusBadGateway)
+		assert.Len(t, y.ended(), mostEnded)
+	}
+	t.Run("another entry holds the request back", func(t *testing.T) { assertRefused(t, two) })
+	t.Run("one that starts later does", func(t *testing.T) { assertRefused(t, s.entry(t, "entry-3")) })
+	t.Run("one that starts later does, though the agent has started anew", func(t *testing.T) {
+		s.restartAgent(t)
+		assertRefused(t, s.entry(t, "entry-4"))
+	})
+}
+
+// TestSuspectIsNotAskedTwiceAtOnce: where one more end would hold a request back, no second attempt is made beside a silent first.
+func TestSuspectIsNotAskedTwiceAtOnce(t *testing.T) {
+	for crashes, attempts := range map[int]int{0: 2, 1: 2, 2: 1} {
+		t.Run(fmt.Sprint("after ", crashes, " crashes"), func(t *testing.T) {
+			release := make(chan struct{})
+			hang := func(w http.ResponseWriter, req *http.Request) {
+				<-release
+				site.Answer(w, req, "late")
+			}
+			a, b := &site.Runner{ID: "a", Handle: hang}, &site.Runner{ID: "b", Handle: hang}
+			w := begin(t, defaultConfig(), a, b)
+			defer w.stop()
+			suspected := poison.Request{Caller: "account shop", Method: "GET", Host: host, Target: "/repeat/x"}
+			for i := range crashes {
+				w.gateway.suspects.Record(w.gateway.Clock.Now(), poison.Crash{Request: suspected.Fingerprint(), Runner: rillreach.InstanceID(fmt.Sprint("gone", i))})
+			}
+			time.AfterFunc(3*firstWordAfter(&deployment.Route{Target: 300 * time.Millisecond})/2, func() { close(release) })
+			assert.Equal(t, http.StatusOK, w.call(t, "GET", "/repeat/x", "").status)
+			assert.Equal(t, attempts, len(a.Runs())+len(b.Runs()))
+		})
+	}
+}
+
+// sharedSite is a site with several entries, which follow the agent of one engine and serve requests by other runners.
+type sharedSite struct {
+	store  *site.Store
+	server *httptest.Server
+	engine *site.Engine
+	agent  netip.AddrPort
+	stop   func()
+}
+
+// beginShared starts a site without entries.
+func beginShared(t *testing.T, runners ...*site.Runner) *sharedSite {
 	t.Helper()
-	store := site.NewStore()
+	s := &sharedSite{store: site.NewStore(), engine: &site.Engine{Model: site.Model, Version: 1}}
 	config := defaultConfig()
 	config["services"] = append(config["services"].([]jsonMap), jsonMap{
 		"name": "e", "engine": jsonMap{"slots": 64, "kv_capacity_tokens": 40000, "kv_token_bytes": 18432, "link_mbps": 130000, "models": []jsonMap{{"name": site.Model}}},
 	})
-	store.Put("config", "main", config)
+	s.store.Put("config", "main", config)
 	for _, r := range runners {
 		r.Start()
 		t.Cleanup(r.Stop)
-		store.Put("servers", r.ID, record(r, "ready"))
-	}
-	port := startAgent(t, store)
-	start := func(name string) *world {
-		w := beginWith(t, store, func(s *deployment.Settings) { s.Name, s.FirstPort, s.LastPort = name, port, port })
-		t.Cleanup(w.stop)
-		w.awaitReady(t)
-		w.eventually(t, func() bool { return len(w.gateway.engineGroups()) > 0 && hearsAgent(w) })
-		return w
+		s.store.Put("servers", r.ID, record(r, "ready"))
 	}
-	return start("entry-1"), start("entry-2")
+	s.server = httptest.NewServer(s.store)
+	t.Cleanup(s.server.Close)
+	s.engine.ID = "engine"
+	s.engine.Start()
+	t.Cleanup(s.engine.Stop)
+	s.store.Put("servers", s.engine.ID, site.EngineRecordOf(s.engine.Address(), "ready", 1))
+	l := listener(t)
+	s.agent = netip.MustParseAddrPort(l.Addr().String())
+	s.startAgent(t, l)
+	t.Cleanup(func() { s.stop() })
+	return s
 }
 
-// hearsAgent reports that the entry has heard of an engine from its agent.
-func hearsAgent(w *world) bool {
-	r := w.gateway.state.Roster.Find("engine")
-	return r != nil && r.View(time.Now()).Reported
+// entry starts an entry, and waits until it serves and hears the agent.
+func (s *sharedSite) entry(t *testing.T, name string) *world {
+	t.Helper()
+	w := beginWith(t, s.store, func(settings *deployment.Settings) {
+		settings.Name, settings.FirstPort, settings.LastPort = name, s.agent.Port(), s.agent.Port()
+	})
+	t.Cleanup(w.stop)
+	w.awaitReady(t)
+	w.eventually(t, func() bool {
+		r := w.gateway.state.Roster.Find("engine")
+		return r != nil && r.View(time.Now()).Reported
+	})
+	return w
 }
 
-// startAgent starts an engine and the agent beside it, and returns the agent's port.
-func startAgent(t *testing.T, store *site.Store) uint16 {
+// startAgent starts the agent beside the engine.
+func (s *sharedSite) startAgent(t *testing.T, l net.Listener) {
 	t.Helper()
-	e := &site.Engine{Model: site.Model, Version: 1}
-	e.ID = "engine"
-	e.Start()
-	t.Cleanup(e.Stop)
-	store.Put("servers", e.ID, site.EngineRecordOf(e.Address(), "ready", 1))
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	at := netip.MustParseAddrPort(l.Addr().String())
-	server := httptest.NewServer(store)
-	t.Cleanup(server.Close)
-	client := platform.NewStore(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
+	client := platform.NewStore(netip.MustParseAddrPort(strings.TrimPrefix(s.server.URL, "http://")))
 	agent := &sidecar.Sidecar{
 		Settings: &deployment.Settings{
-			Name: "side-1", Zone: "z1", Host: at.Addr(), FirstPort: at.Port(), LastPort: at.Port(), Runner: e.Address(),
+			Name: "side-1", Zone: "z1", Host: s.agent.Addr(), FirstPort: s.agent.Port(), LastPort: s.agent.Port(), Runner: s.engine.Address(),
 			Bounds: deployment.Bounds{Weights: weightsBound},
 		},
 		Configs: platform.Configs(client), Runners: platform.Runners(client), Weights: platform.Weights(client),
-		Runner: platform.NewRunner(e.Address()), Listener: l, Log: logr.Discard(),
+		Runner: platform.NewRunner(s.engine.Address()), Listener: l, Log: logr.Discard(),
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- agent.Run(ctx) }()
-	t.Cleanup(func() {
+	s.stop = sync.OnceFunc(func() {
 		stop()
 		assert.NoError(t, <-ended)
 	})
-	return at.Port()
+}
+
+// restartAgent ends the agent, and starts another at its address, which knows nothing.
+func (s *sharedSite) restartAgent(t *testing.T) {
+	t.Helper()
+	s.stop()
+	l, err := net.Listen("tcp", s.agent.String())
+	require.NoError(t, err)
+	s.startAgent(t, l)
+}
+
+// otherKey is that of a second client account.
+const otherKey = "key-of-other"
+
+// twoAccounts is the configuration with a second client account.
+func twoAccounts() jsonMap {
+	config := defaultConfig()
+	config["tenants"] = append(config["tenants"].([]jsonMap), jsonMap{"name": "other", "api_keys": []string{otherKey}})
+	return config
+}
+
+// callAs sends one request with a key.
+func (w *world) callAs(t *testing.T, key, method, target, body string) answer {
+	t.Helper()
+	conn, err := net.Dial("tcp", w.callers)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", method, target, host, key, len(body), body)
+	require.NoError(t, err)
+	return read(t, conn, method)
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -128,12 +128,20 @@
 		_, err = io.Copy(x.writer, a)
 	}
 	if err != nil {
+		a.noteLost()
 		g.cut(x, t, err)
 	}
 	g.answered(x, t, a.answer.Response.StatusCode)
 	return true
 }
 
+// noteLost records why the rest of an answer can't be had, where it is the runner that ended it.
+func (a *attempt) noteLost() {
+	if a.lost != nil && a.cause(a.lost) == causeRunnerEnded {
+		a.gateway.noteCrash(a.exchange, a.target)
+	}
+}
+
 // beginAnswer sets the runner's header on the answer to the caller, which from now on can be finished but not be replaced.
 func (g *Gateway) beginAnswer(x *exchange, answer *forward.Answer) http.Header {
 	h := x.writer.Header()
@@ -226,6 +234,7 @@
 // answered records a request that has its whole answer.
 func (g *Gateway) answered(x *exchange, t *target, status int) {
 	took := time.Since(x.arrived)
+	g.clearSuspicion(x)
 	g.Log.Info("answered", "decision", "done", "request", x.wire.ID, "route", x.route.Name, "runner", t.view.ID, "status", status, "sends", x.sends.sent(),
 		"first", x.firstAfter().String(), "waited", x.waited.String(), "weights", t.weights, "took", took.String(), "buffered", x.buffered, "config", x.config.Version)
 	if status < failureStatus {
--- /dev/null
+++ b/gateway/suspects.go
@@ -0,0 +1,77 @@
+package gateway
+
+import (
+	"sync"
+
+	"github.com/rillreach/rillreach/poison"
+)
+
+// identity is the fingerprint of a request, worked out once for all its attempts.
+type identity struct {
+	once        sync.Once
+	fingerprint poison.Fingerprint
+}
+
+// fingerprint is that of the request, once its body has been read.
+func (x *exchange) fingerprint() poison.Fingerprint {
+	x.identity.once.Do(func() {
+		r := poison.Request{Caller: x.caller(), Method: x.call.Method, Host: x.call.Host, Target: x.call.Target, Body: x.call.Body}
+		x.identity.fingerprint = r.Fingerprint()
+	})
+	return x.identity.fingerprint
+}
+
+// caller tells the request's caller apart from others: the client account, or the key that the runner is given where there is none.
+func (x *exchange) caller() string {
+	if x.account == nil {
+		return "key " + x.wire.Key
+	}
+	return "account " + string(x.account.Name)
+}
+
+// crashes is how many runners have ended under the request.
+func (g *Gateway) crashes(x *exchange) int {
+	if g.suspects.Empty() {
+		return 0
+	}
+	return g.suspects.Crashes(g.Clock.Now(), x.fingerprint())
+}
+
+// isHeldBack reports that the request isn't sent any more: a repeat would end one runner after the other, with all that others have there.
+func (g *Gateway) isHeldBack(x *exchange) bool { return g.crashes(x) >= poison.MostCrashes }
+
+// mayEndMore reports that the attempt that runs may be the last that the request is allowed, so that none is made beside it.
+func (g *Gateway) mayEndMore(x *exchange) bool { return g.crashes(x) >= poison.MostCrashes-1 }
+
+// noteCrash holds against the request that its runner ended with it under way, and has the other entries told.
+func (g *Gateway) noteCrash(x *exchange, t *target) {
+	crash := poison.Crash{Request: x.fingerprint(), Runner: t.view.ID, Generation: t.view.Generation}
+	now := g.Clock.Now()
+	g.suspects.Record(now, crash)
+	g.observed.Record(now, crash)
+	g.crashed.Wake()
+	g.Log.Info("runner ended under a request", "decision", "suspect", "request", x.wire.ID, "fingerprint", crash.Request.String(), "runner", crash.Runner,
+		"generation", crash.Generation, "crashes", g.suspects.Crashes(now, crash.Request))
+}
+
+// clearSuspicion lifts the suspicion of a request that a runner has answered.
+func (g *Gateway) clearSuspicion(x *exchange) {
+	if g.suspects.Empty() {
+		return
+	}
+	now := g.Clock.Now()
+	cleared := g.suspects.Clear(now, x.fingerprint())
+	if len(cleared) == 0 {
+		return
+	}
+	g.observed.Record(now, cleared...)
+	g.crashed.Wake()
+	g.Log.Info("request answered that runners had ended under", "decision", "clear", "request", x.wire.ID, "fingerprint", x.fingerprint().String(), "crashes", len(cleared))
+}
+
+// learnCrashes takes over what other entries have seen.
+func (g *Gateway) learnCrashes(crashes []poison.Crash) {
+	if len(crashes) > 0 {
+		g.suspects.Record(g.Clock.Now(), crashes...)
+	}
+}
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -38,7 +38,8 @@
 	MethodNotice
 	MethodStatus
 	MethodFollow
-	maxMethod = MethodFollow
+	MethodCrashes
+	maxMethod = MethodCrashes
 )
 
 // Frame is the unit of traffic on a connection.
--- /dev/null
+++ b/poison/crash.go
@@ -0,0 +1,61 @@
+package poison
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rillreach/rillreach"
+)
+
+// Crash says that a request was under way at a run of a runner when that ended.
+type Crash struct {
+	Request Fingerprint `cbor:"1,keyasint"`
+	// Runner and Generation name the run; the generation is zero where nobody knows it.
+	Runner     rillreach.InstanceID `cbor:"2,keyasint"`
+	Generation rillreach.Generation `cbor:"3,keyasint,omitempty"`
+	// Age is how long ago the run ended when the message was made.
+	Age time.Duration `cbor:"4,keyasint,omitempty"`
+	// Cleared says that a runner has answered such a request since, so that this crash isn't held against it.
+	Cleared bool `cbor:"5,keyasint,omitempty"`
+}
+
+// Check reports what is wrong with the message.
+func (c Crash) Check() error {
+	if c.Runner == "" {
+		return errors.New("crash names no runner")
+	}
+	if c.Age < 0 {
+		return errors.Newf("crash has an age of %s", c.Age)
+	}
+	return nil
+}
+
+// Report tells an agent of crashes, which it tells all entries that follow it.
+type Report struct {
+	Crashes []Crash `cbor:"1,keyasint"`
+}
+
+// Check reports what is wrong with the message.
+func (r Report) Check() error {
+	for _, c := range r.Crashes {
+		if err := c.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Receipt says that an agent has taken a report.
+type Receipt struct {
+	// News is how many of the crashes the agent hadn't known.
+	News int `cbor:"1,keyasint,omitempty"`
+}
+
+// Check reports what is wrong with the message.
+func (r Receipt) Check() error {
+	if r.News < 0 {
+		return errors.Newf("receipt of %d crashes", r.News)
+	}
+	return nil
+}
--- /dev/null
+++ b/poison/tracker.go
@@ -0,0 +1,274 @@
+package poison
+
+import (
+	"cmp"
+	"container/list"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rillreach/rillreach"
+)
+
+const (
+	// MostCrashes is how many runs may end under a request before it is held back. One is an accident, and an innocent request is at a second
+	// crash where the runner that it moves to ends as well; a third is allowed since holding back what is innocent costs an answer for certain.
+	MostCrashes = 3
+	// Window is for how long a crash counts. A request that is held back may be sent again once the first of its crashes is older: weights or
+	// runners may have been mended meanwhile, and at the worst three runs end in each window.
+	Window = 10 * time.Minute
+	// DefaultLimit bounds the crashes that are remembered, some 1 MB. The end of a full runner brings 64 of them.
+	DefaultLimit = 4096
+	// spareShare is the part of the limit that is dropped at once where it is reached, so that a flood sorts the records seldom.
+	spareShare = 4
+	// expireEvery is how often crashes are looked for that have grown too old.
+	expireEvery = 10 * time.Second
+)
+
+// Tracker remembers under which requests runs have ended. Taking over the same crashes in another order, twice or late gives the same. Its
+// zero value is ready, and it may be used by several goroutines.
+type Tracker struct {
+	// Limit is how many crashes are remembered; zero means DefaultLimit. Past it those go first that were cleared, then those of the
+	// requests with the fewest crashes, the oldest before others.
+	Limit int
+
+	mu       sync.Mutex
+	requests map[Fingerprint][]*list.Element
+	// changes holds a *record each, in the order in which they last changed.
+	changes list.List
+	version uint64
+	// expires is when the old ones are looked for next.
+	expires time.Time
+}
+
+// record is one crash that is remembered.
+type record struct {
+	crash   Crash
+	at      time.Time
+	version uint64
+}
+
+// Record takes over crashes, and returns how many of them were news.
+func (t *Tracker) Record(now time.Time, crashes ...Crash) (news int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	for _, c := range crashes {
+		if c.Age < Window && t.record(c, now.Add(-c.Age)) {
+			news++
+		}
+	}
+	if news > 0 && t.changes.Len() > t.limit() {
+		t.shrink(now)
+	}
+	return news
+}
+
+// record takes over one crash, and reports whether it was news; the lock is held.
+func (t *Tracker) record(c Crash, at time.Time) bool {
+	if t.requests == nil {
+		t.requests = map[Fingerprint][]*list.Element{}
+	}
+	for _, e := range t.requests[c.Request] {
+		known := e.Value.(*record)
+		if known.crash.Runner != c.Runner || known.crash.Generation != c.Generation {
+			continue
+		}
+		if at.Before(known.at) {
+			known.at = at // told twice, one of them later on its way
+		}
+		if !c.Cleared || known.crash.Cleared {
+			return false
+		}
+		known.crash.Cleared = true
+		t.touch(e)
+		return true
+	}
+	c.Age = 0
+	e := t.changes.PushBack(&record{crash: c, at: at})
+	t.touch(e)
+	t.requests[c.Request] = append(t.requests[c.Request], e)
+	return true
+}
+
+// touch makes a record the latest change; the lock is held.
+func (t *Tracker) touch(e *list.Element) {
+	t.version++
+	e.Value.(*record).version = t.version
+	t.changes.MoveToBack(e)
+}
+
+// Clear records that a runner has answered such a request, and returns the crashes that no longer count.
+func (t *Tracker) Clear(now time.Time, f Fingerprint) []Crash {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var cleared []Crash
+	for _, e := range t.requests[f] {
+		r := e.Value.(*record)
+		if r.crash.Cleared {
+			continue
+		}
+		r.crash.Cleared = true
+		t.touch(e)
+		cleared = append(cleared, r.told(now))
+	}
+	return cleared
+}
+
+// Crashes is how many runs have ended under the request.
+func (t *Tracker) Crashes(now time.Time, f Fingerprint) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	return t.count(now, f)
+}
+
+// HeldBack reports that the request must not be sent to a runner.
+func (t *Tracker) HeldBack(now time.Time, f Fingerprint) bool {
+	return t.Crashes(now, f) >= MostCrashes
+}
+
+// count is how many runs have ended under the request; the lock is held. A run whose generation only some know counts once.
+func (t *Tracker) count(now time.Time, f Fingerprint) int {
+	known := t.requests[f]
+	if len(known) == 0 {
+		return 0
+	}
+	runs := map[rillreach.InstanceRun]bool{}
+	for _, e := range known {
+		if r := e.Value.(*record); r.counts(now) {
+			runs[rillreach.InstanceRun{ID: r.crash.Runner, Generation: r.crash.Generation}] = true
+		}
+	}
+	n := 0
+	for run := range runs {
+		if run.Generation != 0 || !hasGeneration(runs, run.ID) {
+			n++
+		}
+	}
+	return n
+}
+
+// hasGeneration reports that a run of the runner is there whose generation is known.
+func hasGeneration(runs map[rillreach.InstanceRun]bool, id rillreach.InstanceID) bool {
+	for run := range runs {
+		if run.ID == id && run.Generation != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// counts reports that the crash is held against its request.
+func (r *record) counts(now time.Time) bool { return !r.crash.Cleared && now.Sub(r.at) < Window }
+
+// told is the crash as others are told of it now.
+func (r *record) told(now time.Time) Crash {
+	c := r.crash
+	c.Age = max(0, now.Sub(r.at))
+	return c
+}
+
+// Version is that of the last change; zero says that there was none.
+func (t *Tracker) Version() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
+// Since returns the crashes that changed after a version, so many at the most and the first of them first, and the version to ask from next.
+func (t *Tracker) Since(now time.Time, version uint64, most int) ([]Crash, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.changes.Back()
+	if e == nil || e.Value.(*record).version <= version {
+		return nil, max(version, t.version)
+	}
+	for e.Prev() != nil && e.Prev().Value.(*record).version > version {
+		e = e.Prev()
+	}
+	var crashes []Crash
+	for ; e != nil && len(crashes) < most; e = e.Next() {
+		r := e.Value.(*record)
+		version = r.version
+		if now.Sub(r.at) < Window {
+			crashes = append(crashes, r.told(now))
+		}
+	}
+	return crashes, version
+}
+
+// Empty reports that no crash is remembered, so that no request needs to be looked up.
+func (t *Tracker) Empty() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changes.Len() == 0
+}
+
+// Counts are how many requests are under suspicion, and how many of these are held back.
+func (t *Tracker) Counts(now time.Time) (suspects, heldBack int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for f := range t.requests {
+		n := t.count(now, f)
+		if n > 0 {
+			suspects++
+		}
+		if n >= MostCrashes {
+			heldBack++
+		}
+	}
+	return suspects, heldBack
+}
+
+// expire forgets the crashes that no longer count for their age; the lock is held.
+func (t *Tracker) expire(now time.Time) {
+	if now.Before(t.expires) {
+		return
+	}
+	t.expires = now.Add(expireEvery)
+	var next *list.Element
+	for e := t.changes.Front(); e != nil; e = next {
+		next = e.Next()
+		if now.Sub(e.Value.(*record).at) >= Window {
+			t.remove(e)
+		}
+	}
+}
+
+// shrink drops the crashes that matter least; the lock is held.
+func (t *Tracker) shrink(now time.Time) {
+	type ranked struct {
+		element *list.Element
+		crashes int
+	}
+	all := make([]ranked, 0, t.changes.Len())
+	for e := t.changes.Front(); e != nil; e = e.Next() {
+		r := e.Value.(*record)
+		n := 0
+		if r.counts(now) {
+			n = t.count(now, r.crash.Request)
+		}
+		all = append(all, ranked{element: e, crashes: n})
+	}
+	slices.SortStableFunc(all, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.crashes, b.crashes), a.element.Value.(*record).at.Compare(b.element.Value.(*record).at))
+	})
+	for _, r := range all[:len(all)-t.limit()*(spareShare-1)/spareShare] {
+		t.remove(r.element)
+	}
+}
+
+// remove forgets one crash; the lock is held.
+func (t *Tracker) remove(e *list.Element) {
+	f := e.Value.(*record).crash.Request
+	t.changes.Remove(e)
+	rest := slices.DeleteFunc(t.requests[f], func(other *list.Element) bool { return other == e })
+	if len(rest) == 0 {
+		delete(t.requests, f)
+		return
+	}
+	t.requests[f] = rest
+}
+
+func (t *Tracker) limit() int { return cmp.Or(t.Limit, DefaultLimit) }
--- /dev/null
+++ b/sidecar/crashes.go
@@ -0,0 +1,27 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/rillreach/rillreach/peer"
+	"github.com/rillreach/rillreach/poison"
+)
+
+// takeCrashes takes an entry's report of crashes over, and has all followers told of what is news at once.
+func (s *Sidecar) takeCrashes(_ context.Context, from *peer.Conn, r poison.Report) (poison.Receipt, error) {
+	news := s.crashes.Record(s.now(), r.Crashes...)
+	if news > 0 {
+		s.Log.Info("crashes reported", "decision", "tell", "entry", from.Peer.ID, "crashes", len(r.Crashes), "news", news)
+		s.publisher.urgent.Wake()
+	}
+	return poison.Receipt{News: news}, nil
+}
+
+// now is the time by which crashes grow old; before Run there is none.
+func (s *Sidecar) now() time.Time {
+	if s.Clock == nil {
+		return time.Time{}
+	}
+	return s.Clock.Now()
+}
--- a/sidecar/follower.go
+++ b/sidecar/follower.go
@@ -25,8 +25,10 @@
 	positions map[*holder]uint64
 	// untold is what did not fit the last messages.
 	untold map[*holder]backlog
-	told   bulletin.Bulletin
-	toldAt time.Time
+	// crashes is how far it has been told of the crashes that the agent knows.
+	crashes uint64
+	told    bulletin.Bulletin
+	toldAt  time.Time
 }
 
 // next makes the next bulletin; worth says that it tells something new, or that the follower has heard nothing for long.
@@ -56,8 +58,9 @@
 	}
 	b.Namings = f.publisher.namings(b.Clock)
 	b.Notices = f.publisher.notices()
+	f.addCrashes(&b, s.now())
 	changed := f.addHolders(&b)
-	if !changed && f.sameLoad(&b) && sameRevisions(f.told.Notices, b.Notices) && time.Since(f.toldAt) < quietMost {
+	if !changed && len(b.Crashes) == 0 && f.sameLoad(&b) && sameRevisions(f.told.Notices, b.Notices) && time.Since(f.toldAt) < quietMost {
 		return b, false
 	}
 	slim := b.Without(&f.told)
@@ -84,6 +87,11 @@
 	return time.Duration(max(was, is)-min(was, is))*time.Millisecond < startMoved
 }
 
+// addCrashes adds the crashes that the follower hasn't been told of, as many as one bulletin takes.
+func (f *follower) addCrashes(b *bulletin.Bulletin, now time.Time) {
+	b.Crashes, f.crashes = f.publisher.sidecar.crashes.Since(now, f.crashes, mostCrashes)
+}
+
 func (f *follower) addHolders(b *bulletin.Bulletin) (changed bool) {
 	s := f.publisher.sidecar
 	// An entry of any zone may fetch from the runner: its link is faster than a store's, and reading a part again takes far longer
@@ -110,6 +118,9 @@
 	room = 12 << 10
 	// changeSize is what a change takes beside its two names, in bytes.
 	changeSize = 16
+	// mostCrashes is how many crashes one bulletin tells of, and crashSize what each takes in bytes.
+	mostCrashes = 64
+	crashSize   = 64
 )
 
 // addHolder adds what is new of a holder, as far as there is room; it reports whether there is anything new.
@@ -168,7 +179,7 @@
 
 // sizeOf is how many bytes the changes in a bulletin take.
 func sizeOf(b *bulletin.Bulletin) int {
-	size := 0
+	size := len(b.Crashes) * crashSize
 	for _, h := range b.Holders {
 		for _, c := range h.Changes {
 			size += changeSize + len(c.Key.Salt) + len(c.Key.Part)
--- a/sidecar/publisher_test.go
+++ b/sidecar/publisher_test.go
@@ -14,6 +14,7 @@
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/holdings"
 	"github.com/rillreach/rillreach/peer"
+	"github.com/rillreach/rillreach/poison"
 )
 
 // TestStoreTakenBack has an agent look after a store, leave it and get it back: what it tells then must be everything, or
@@ -68,6 +69,36 @@
 	}
 }
 
+// TestManyCrashesAreToldInPieces: a follower is told of all crashes, each in a message that the connection doesn't split.
+func TestManyCrashesAreToldInPieces(t *testing.T) {
+	s := &Sidecar{stores: &collector{}}
+	now := time.Unix(1_800_000_000, 0)
+	for i := range 5 * mostCrashes {
+		c := poison.Crash{Request: poison.Fingerprint{byte(i), byte(i >> 8), 1}, Runner: "i-0123456789abcdef", Generation: 1_800_000_000_000, Age: time.Minute, Cleared: true}
+		require.Equal(t, 1, s.crashes.Record(now, c))
+	}
+	follower := newFollower(&publisher{sidecar: s})
+	var heard poison.Tracker
+	for range 5 {
+		var b bulletin.Bulletin
+		follower.addCrashes(&b, now)
+		body, err := peer.Encode(b)
+		require.NoError(t, err)
+		assert.LessOrEqual(t, len(body), sizeOf(&b)+messageHead)
+		assert.LessOrEqual(t, sizeOf(&b), room/2, "room is left for what the runner holds")
+		decoded, err := peer.Decode[bulletin.Bulletin](body)
+		require.NoError(t, err)
+		heard.Record(now, decoded.Crashes...)
+	}
+	assert.Equal(t, s.crashes.Version(), heard.Version())
+	var b bulletin.Bulletin
+	follower.addCrashes(&b, now)
+	assert.Empty(t, b.Crashes, "each is told once")
+}
+
+// messageHead is what a bulletin takes that tells nothing, in bytes.
+const messageHead = 64
+
 func TestPace(t *testing.T) {
 	address := func(i int) netip.AddrPort {
 		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -16,6 +16,7 @@
 	"github.com/rillreach/rillreach/node"
 	"github.com/rillreach/rillreach/peer"
 	"github.com/rillreach/rillreach/platform"
+	"github.com/rillreach/rillreach/poison"
 	"github.com/rillreach/rillreach/telemetry"
 )
 
@@ -44,6 +45,8 @@
 	Runner *platform.Runner
 	// Listener takes the connections of entries.
 	Listener net.Listener
+	// Clock counts the time for which the machine was suspended; nil means the system's.
+	Clock rillreach.Clock
 	// Log takes decisions; Metrics count them.
 	Log     logr.Logger
 	Metrics *telemetry.Metrics
@@ -54,6 +57,8 @@
 	stores    *collector
 	pool      *peer.Pool
 	starts    startLog
+	// crashes are what entries have reported; the agent tells those that follow it.
+	crashes poison.Tracker
 	// restarted is told when the runner beside the agent may be another run.
 	restarted chan struct{}
 }
@@ -62,6 +67,9 @@
 func (s *Sidecar) Run(ctx context.Context) error {
 	s.state.Log, s.state.Metrics = s.Log, s.Metrics
 	s.restarted = make(chan struct{}, 1)
+	if s.Clock == nil {
+		s.Clock = node.SystemClock()
+	}
 	s.publisher = &publisher{sidecar: s}
 	s.state.Hasten = s.publisher.relayPace
 	s.own = &holder{
@@ -71,6 +79,7 @@
 	s.stores = &collector{sidecar: s}
 	mux := &peer.Mux{Log: s.Log}
 	mux.Handle(peer.MethodFollow, s.publisher.serve)
+	peer.Answer(mux, peer.MethodCrashes, s.takeCrashes)
 	self, err := fleet.Self(rillreach.RoleAgent, s.Settings)
 	if err != nil {
 		return err
