Have the soak repeat requests that end runners, and add a test of an innocent one, which fails

Cause: not mended yet. A popular request is under way at every runner, so that three runners that end together look as if it had ended them; what is held back is not sent, so that no answer clears it, and callers get 502 for ten minutes after an outage. Ruled out: long streams alone (those under way elsewhere are answered and clear it). Change: the soak's callers repeat requests that end each runner that begins them, beside kills, pauses and crashes; a runner that has ended refuses connections, as a process that is gone does.

--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -334,3 +334,47 @@
 	require.NoError(t, err)
 	return read(t, conn, method)
 }
+
+// All runners of a service ended at once, for a reason of their own, and each was answering the same popular request, which had been answered
+// thousands of times before. Three ends without an answer in between look like those of a request that ends its runners, and since nothing is
+// sent that is held back, no answer could lift the suspicion: callers got 502 for ten minutes, with sound runners back after one second.
+func TestPopularRequestOutlivesAnOutage(t *testing.T) {
+	started, fail := make(chan struct{}, mostEnded), make(chan struct{})
+	var runners []*site.Runner
+	for i := range mostEnded {
+		r := &site.Runner{ID: fmt.Sprint("r", i)}
+		r.Handle = func(w http.ResponseWriter, req *http.Request) {
+			if !strings.Contains(req.RequestURI, "popular") {
+				site.Answer(w, req, "sound")
+				return
+			}
+			if req.Header.Get("X-Plain") == "first" {
+				site.Answer(w, req, "sound")
+				return
+			}
+			started <- struct{}{}
+			<-fail
+			r.End()
+			panic(http.ErrAbortHandler)
+		}
+		runners = append(runners, r)
+	}
+	w := begin(t, defaultConfig(), runners...)
+	defer w.stop()
+	require.Equal(t, http.StatusOK, w.call(t, "POST", "/once/popular", "body", "X-Plain: first").status)
+	var wg sync.WaitGroup
+	for range mostEnded {
+		wg.Go(func() { w.call(t, "POST", "/once/popular", "body") })
+		<-started
+	}
+	close(fail)
+	wg.Wait()
+	_, heldBack := w.gateway.suspects.Counts(w.gateway.Clock.Now())
+	require.Equal(t, 1, heldBack, "all three were answering it")
+	sound := &site.Runner{ID: "sound"}
+	sound.Start()
+	t.Cleanup(sound.Stop)
+	w.store.Put("servers", sound.ID, record(sound, "ready"))
+	w.eventually(t, func() bool { return w.call(t, "POST", "/once/popular", "body").status == http.StatusOK })
+	assert.Equal(t, http.StatusOK, w.call(t, "POST", "/once/popular", "body").status, "an answer lifts the suspicion")
+}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -66,7 +67,7 @@
 			return
 		case <-time.After(thinkTime):
 		}
-		c.one(kinds[n%len(kinds)], c.callers.keys[n/len(kinds)%len(c.callers.keys)])
+		c.one(kinds[n%len(kinds)], c.callers.keys[n/len(kinds)%len(c.callers.keys)], "")
 	}
 }
 
@@ -77,8 +78,9 @@
 	return conn, err
 }
 
-func (c *caller) one(k kind, key string) {
-	seen := call{ID: fmt.Sprintf("%s-%d", k, c.callers.next.Add(1)), Kind: k, Key: key, Sent: time.Now()}
+// one sends a request of the kind, which is a fatal one where that is named.
+func (c *caller) one(k kind, key, fatal string) {
+	seen := call{ID: fmt.Sprintf("%s-%d", k, c.callers.next.Add(1)), Kind: k, Key: key, Fatal: fatal, Sent: time.Now()}
 	c.fresh = false
 	c.send(&seen)
 	seen.Ended, seen.Fresh = time.Now(), c.fresh
@@ -98,7 +100,7 @@
 		}
 	}})
 	// A POST without a way to make its body anew is sent once by the client, whatever happens to the connection.
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/%s/x", c.callers.host, seen.Kind), io.LimitReader(zeros{}, 10))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/%s/%s", c.callers.host, seen.Kind, cmp.Or(seen.Fatal, "x")), io.LimitReader(zeros{}, 10))
 	if err != nil {
 		seen.Cut = true
 		return
--- a/soak/engine.go
+++ b/soak/engine.go
@@ -22,6 +22,8 @@
 	proxy  *proxy
 	ledger *ledger
 	number int
+	// fatal ends the run and starts another soon, unless that is being done; it reports whether it ended it.
+	fatal func() bool
 
 	// replacing is held while the run, or its record, is being replaced.
 	replacing sync.Mutex
@@ -42,6 +44,9 @@
 // loadTime is how long an engine of the soak takes for new weights.
 const loadTime = 300 * time.Millisecond
 
+// runnerHost is the address of loopback on which a plain runner lives, where no other process takes its port while it is down.
+func runnerHost(number int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 2, byte(number + 1)}) }
+
 // engineHost is the address of loopback on which an engine and its agent live.
 func engineHost(number int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 1, byte(number + 1)}) }
 
@@ -73,7 +78,11 @@
 		one.Born = e.born
 	}
 	one.Handle = func(w http.ResponseWriter, r *http.Request) {
-		open := e.ledger.begin(run{ID: site.RequestID(r), Runner: label, At: time.Now(), Weights: one.Weights()})
+		begun := run{ID: site.RequestID(r), Runner: label, At: time.Now(), Weights: one.Weights(), Fatal: fatalOf(r)}
+		if begun.Fatal != "" {
+			e.ledger.endUnder(begun, e.fatal)
+		}
+		open := e.ledger.begin(begun)
 		streamPieces(w, r, open, e.pause(r))
 	}
 	one.Ordered = func(o site.Order) bool {
@@ -83,7 +92,9 @@
 	one.CarryOut = func(o site.Order) { e.carryOut(id, o) }
 	one.Start()
 	e.current = one
-	e.proxy.set(func(x *proxy) { x.to = one.Address() })
+	if err := e.proxy.open(one.Address()); err != nil {
+		panic(err) // nothing else takes the engine's address
+	}
 }
 
 // carryOut gives a late order to the run with the id, which may have started again meanwhile.
@@ -173,6 +184,6 @@
 	e.mu.Lock()
 	current := e.current
 	e.mu.Unlock()
-	current.Stop()
-	e.proxy.reset()
+	current.End()
+	e.proxy.shut()
 }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -30,6 +30,8 @@
 		w.operate(a)
 	case faultRollout:
 		w.injectRollout(a)
+	case faultFatal:
+		w.injectFatal(a)
 	default:
 		w.injectAtEngine(a, n)
 	}
@@ -134,18 +136,24 @@
 		w.later(0, func() {})
 	case faultEngine:
 		n.replacing.Lock()
-		old, weights := n.run()
-		w.harm(n.name(), 0)
-		n.crash()
-		w.later(restartAfter, func() {
-			defer n.replacing.Unlock()
-			n.start(weights)
-			w.listEngine(n)
-			w.store.Remove("servers", old)
-		})
+		w.replaceEngine(n)
 	}
 }
 
+// replaceEngine ends an engine's run and starts another under a new id; n.replacing is held, and given back once that is done.
+func (w *world) replaceEngine(n *engine) bool {
+	old, weights := n.run()
+	w.harm(n.name(), 0)
+	n.crash()
+	w.later(restartAfter, func() {
+		defer n.replacing.Unlock()
+		n.start(weights)
+		w.listEngine(n)
+		w.store.Remove("servers", old)
+	})
+	return true
+}
+
 // nameWeights names the next version of the weights.
 func (w *world) nameWeights() {
 	w.mu.Lock()
@@ -193,17 +201,11 @@
 
 func (w *world) injectRunner(a action, p *place) {
 	p.replacing.Lock()
-	old := p.id()
 	if a.Fault == faultCrash {
-		w.harm(p.name(), 0)
-		p.crash()
-		w.later(restartAfter, func() {
-			defer p.replacing.Unlock()
-			w.list(p, p.start(), "ready")
-			w.store.Remove("servers", old)
-		})
+		w.replacePlace(p)
 		return
 	}
+	old := p.id()
 	w.list(p, old, "draining")
 	w.mu.Lock()
 	w.left[old] = time.Now()
@@ -217,6 +219,19 @@
 	})
 }
 
+// replacePlace ends a runner and starts another under a new id; p.replacing is held, and given back once that is done.
+func (w *world) replacePlace(p *place) bool {
+	old := p.id()
+	w.harm(p.name(), 0)
+	p.crash()
+	w.later(restartAfter, func() {
+		defer p.replacing.Unlock()
+		w.list(p, p.start(), "ready")
+		w.store.Remove("servers", old)
+	})
+	return true
+}
+
 func (w *world) injectLink(a action, p *place) {
 	w.harm(p.name(), a.For)
 	if a.Fault == faultReset {
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -43,6 +43,8 @@
 	Body    string
 	// Cut says that the answer did not end as it should, or never came.
 	Cut bool
+	// Fatal names the request where it ends the runners that begin it; it comes again and again.
+	Fatal string
 	// Fresh says that the connection was opened for the request, Refused that it could not be since nobody listened.
 	Fresh   bool
 	Refused bool
@@ -60,6 +62,9 @@
 	Whole bool
 	// Weights are those that the run began on, zero where the runner has none.
 	Weights uint64
+	// Fatal names the request where it ends runners, and Killed says that it has ended this one.
+	Fatal  string
+	Killed bool
 }
 
 // span is a time in which something was disturbed.
@@ -163,6 +168,7 @@
 	}
 	r.judgeRefused(runs, add)
 	r.judgeOrders(add)
+	r.judgeFatal(add)
 	r.judgeLives(timed, add)
 	if timed {
 		r.judgeWeights(add)
@@ -294,7 +300,7 @@
 	asked, served := 0, 0
 	for i := range r.Calls {
 		c := &r.Calls[i]
-		if _, gone := r.Removed[c.Key]; gone || c.Sent.Before(r.Quiet.Add(backWithin)) {
+		if _, gone := r.Removed[c.Key]; gone || c.Fatal != "" || c.Sent.Before(r.Quiet.Add(backWithin)) {
 			continue
 		}
 		asked++
--- a/soak/main.go
+++ b/soak/main.go
@@ -32,6 +32,7 @@
 			&cli.IntFlag{Name: "runners", Value: defaultRunners, Usage: "how many runners, and as many engines with an agent each (at most 250)"},
 			&cli.IntFlag{Name: "callers", Value: defaultCallers, Usage: "how many callers"},
 			&cli.BoolFlag{Name: "rollout", Usage: "name weights as well that no agent loads in time, while requests wait at engines"},
+			&cli.BoolFlag{Name: "fatal", Usage: "only requests that end their runners, beside kills and pauses"},
 			&cli.StringFlag{Name: "binary", Usage: "the program; built from the sources where it is not set"},
 			&cli.StringFlag{Name: "keep", Usage: "folder for logs of a seed that failed"},
 		},
@@ -58,6 +59,9 @@
 	n := size{Entries: c.Int("entries"), Runners: c.Int("runners"), Callers: c.Int("callers")}
 	actions := schedule(c.Uint64("seed"), c.Duration("for"))
 	actions = inOrder(append(actions, engineSchedule(c.Uint64("seed"), c.Duration("for"), engineFaults)...))
+	if c.Bool("fatal") {
+		actions = engineSchedule(c.Uint64("seed"), c.Duration("for"), fatalFaults)
+	}
 	if c.Bool("rollout") {
 		actions = inOrder(append(actions, rollout(c.Uint64("seed"))))
 	}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -13,9 +13,12 @@
 
 // proxy stands between two processes on loopback and spoils what passes.
 type proxy struct {
-	listener net.Listener
+	at netip.AddrPort
 
-	mu      sync.Mutex
+	mu       sync.Mutex
+	listener net.Listener
+	// shuts says that nobody listens.
+	shuts   bool
 	to      netip.AddrPort
 	conns   map[net.Conn]bool
 	delay   time.Duration
@@ -29,8 +32,9 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, to: to, conns: map[net.Conn]bool{}, changed: make(chan struct{})}
-	go p.accept()
+	at := netip.MustParseAddrPort(l.Addr().String())
+	p := &proxy{at: at, listener: l, to: to, conns: map[net.Conn]bool{}, changed: make(chan struct{})}
+	go p.accept(l)
 	return p, nil
 }
 
@@ -43,11 +47,41 @@
 	return l, errors.Wrap(err, "listen on loopback")
 }
 
-func (p *proxy) address() netip.AddrPort { return netip.MustParseAddrPort(p.listener.Addr().String()) }
+func (p *proxy) address() netip.AddrPort { return p.at }
+
+// shut has new connections refused and breaks all others, as where the process behind it has ended.
+func (p *proxy) shut() {
+	p.set(func(p *proxy) {
+		_ = p.listener.Close()
+		p.shuts = true
+	})
+	p.reset()
+}
+
+// open takes connections for a process that has started.
+func (p *proxy) open(to netip.AddrPort) error {
+	p.set(func(p *proxy) { p.to = to })
+	if !p.isShut() {
+		return nil
+	}
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", p.at.String())
+	if err != nil {
+		return errors.Wrap(err, "listen again")
+	}
+	p.set(func(p *proxy) { p.listener, p.shuts = l, false })
+	go p.accept(l)
+	return nil
+}
+
+func (p *proxy) isShut() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.shuts
+}
 
-func (p *proxy) accept() {
+func (p *proxy) accept(l net.Listener) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/soak/runner.go
+++ b/soak/runner.go
@@ -57,6 +57,8 @@
 	proxy  *proxy
 	ledger *ledger
 	number int
+	// fatal ends the run and starts another soon, unless that is being done; it reports whether it ended it.
+	fatal func() bool
 
 	// replacing is held while the place's run is being replaced.
 	replacing sync.Mutex
@@ -118,7 +120,9 @@
 	p.runner = &site.Runner{ID: id}
 	p.runner.Handle = func(w http.ResponseWriter, r *http.Request) { p.handle(id, w, r) }
 	p.runner.Start()
-	p.proxy.set(func(x *proxy) { x.to = p.runner.Address() })
+	if err := p.proxy.open(p.runner.Address()); err != nil {
+		panic(err) // nothing else takes the runner's address
+	}
 	return id
 }
 
@@ -126,12 +130,15 @@
 func (p *place) crash() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.runner.Stop()
-	p.proxy.reset()
+	p.runner.End()
+	p.proxy.shut()
 }
 
 func (p *place) handle(id string, w http.ResponseWriter, r *http.Request) {
-	one := run{ID: site.RequestID(r), Runner: id, At: time.Now()}
+	one := run{ID: site.RequestID(r), Runner: id, At: time.Now(), Fatal: fatalOf(r)}
+	if one.Fatal != "" {
+		p.ledger.endUnder(one, p.fatal)
+	}
 	if k := kindOf(r); k.streams() {
 		streamPieces(w, r, p.ledger.begin(one), lasts(k, one.ID)/pieces)
 		return
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -54,6 +54,12 @@
 	faultSpoiledEntry fault = "another writer spoils an engine's entry"
 )
 
+// faultFatal is drawn by itself, too, beside those of fatalFaults.
+const faultFatal fault = "request that ends its runners"
+
+// fatalFaults are the faults beside which such a request must be held back all the same.
+var fatalFaults = []fault{faultFatal, faultFatal, faultFatal, faultKill, faultPause, faultAgentKill, faultAgentPause, faultCrash, faultEngine}
+
 // loadFaults are those without which streams would seldom meet loads and refusals, engineFaults all of them.
 var (
 	loadFaults   = []fault{faultNames, faultLoadsAtOnce, faultRefuse, faultFreeze, faultSlow}
--- a/soak/world.go
+++ b/soak/world.go
@@ -61,12 +61,14 @@
 	}
 	w.server = httptest.NewServer(w.store)
 	for i := range n.Runners {
-		p, err := newProxy(loopback, netip.AddrPort{})
+		p, err := newProxy(runnerHost(i), netip.AddrPort{})
 		if err != nil {
 			return nil, err
 		}
-		w.places = append(w.places, &place{proxy: p, ledger: &w.ledger, number: i})
-		w.list(w.places[i], w.places[i].start(), "ready")
+		one := &place{proxy: p, ledger: &w.ledger, number: i}
+		one.fatal = func() bool { return one.replacing.TryLock() && w.replacePlace(one) }
+		w.places = append(w.places, one)
+		w.list(one, one.start(), "ready")
 	}
 	w.configure()
 	w.nameWeights()
@@ -103,6 +105,7 @@
 		return err
 	}
 	n := &engine{proxy: p, ledger: &w.ledger, number: number}
+	n.fatal = func() bool { return n.replacing.TryLock() && w.replaceEngine(n) }
 	n.start(1)
 	w.listEngine(n)
 	if n.agent, err = newAgent(number, binary, dir, store, p.address(), peerPort); err != nil {
