Try a request again that runners have answered before

Callers of a popular request got 502 for ten minutes after three runners had ended together, though sound runners were back after one second. Cause: one of many identical requests is under way at every runner, so that three runners that end for a reason of their own look as if it had ended them; and what is held back is not sent, so that no answer could clear it. Ruled out: a shorter time for all that is held back (one that ends runners would end three more each time); clearing by what is under way elsewhere (it was, where anything was: after an outage of the whole service nothing is). Change: an entry remembers which requests runners have answered in the last ten minutes (some 0.5 MB). One of these is sent once, a second and up to two more after its last crash, spread over the entries, and eight times as late after each further crash; its answer clears it everywhere. What no runner has ever answered gets no trial. An answer whose end is that of its connection counts as none, since its runner may have ended. Why it holds: a request that ends each runner that begins it is never answered, so that it never has a trial.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -42,16 +42,16 @@
 	}
 	a.closed = true
 	undisturbed := a.stop()
-	if a.ended && undisturbed && a.written() && !a.tainted && a.framed() && a.conn.reader.Buffered() == 0 {
+	if a.ended && undisturbed && a.written() && !a.tainted && !a.Response.Close && a.Framed() && a.conn.reader.Buffered() == 0 {
 		a.pool.park(a.to, a.conn, a.Rest)
 		return
 	}
 	a.pool.drop(a.to, a.conn)
 }
 
-// framed reports that the answer ended by its own length and not with the connection.
-func (a *Answer) framed() bool {
-	return !a.Response.Close && (a.Response.ContentLength >= 0 || len(a.Response.TransferEncoding) > 0)
+// Framed reports that the answer tells its own end, so that one that breaks off isn't taken for a whole one.
+func (a *Answer) Framed() bool {
+	return a.Response.ContentLength >= 0 || len(a.Response.TransferEncoding) > 0
 }
 
 // written reports that the whole request has been written.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -39,6 +39,8 @@
 	keepPastEnd func() bool
 	// identity tells whether the request is one under which runners have ended.
 	identity *identity
+	// trial says that it is sent once though runners have ended under it.
+	trial bool
 	// reason is why the last attempt failed, comeBack how long the requests that wait take to be admitted, where that was why.
 	reason   string
 	comeBack time.Duration
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/rillreach/rillreach/fleet"
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/internal/broadcast"
+	"github.com/rillreach/rillreach/internal/hash"
 	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/localstate"
 	"github.com/rillreach/rillreach/node"
@@ -56,6 +57,8 @@
 	// callerTimeout is how long bytes to a caller may stay without acknowledgement.
 	callerTimeout = 5 * time.Second
 	sweepEvery    = time.Second
+	// trialSpread is the time over which entries spread their trials of a request that runners have ended under.
+	trialSpread = 2 * time.Second
 	// noTimeout switches a time-out of package http off; zero would stand for that of the head.
 	noTimeout = -1
 )
@@ -114,6 +117,7 @@
 	g.state.Log, g.state.Metrics, g.state.Restarted = g.Log, g.Metrics, g.runnerRestarted
 	g.state.Relays, g.state.Trust = &g.relays, g.trustRelays()
 	g.restarted = make(chan struct{}, 1)
+	g.suspects.Offset = time.Duration(hash.String(g.Settings.Name) % uint64(trialSpread))
 	g.line = newLine(g)
 	if g.Clock == nil {
 		g.Clock = node.SystemClock()
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -14,6 +14,7 @@
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/platform"
+	"github.com/rillreach/rillreach/poison"
 )
 
 // handle takes one request of a caller.
@@ -74,7 +75,7 @@
 	if refusal := x.read(); refusal != nil {
 		return refusal
 	}
-	if g.isHeldBack(x) {
+	if !g.mayBegin(x) {
 		return endsRunners
 	}
 	if g.leaving.Load() {
@@ -237,7 +238,7 @@
 		return ""
 	case !x.mayMove():
 		return "runners-used"
-	case g.isHeldBack(x):
+	case g.crashes(x) >= poison.MostCrashes:
 		return verdictEndsRunners
 	case !g.budgets.Spend(now, x.service.Name):
 		return "budget-spent"
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -84,7 +84,7 @@
 		g.Log.Info("answer not taken", "decision", "drop", "request", x.wire.ID, "cause", err.Error())
 		return true
 	}
-	g.answered(x, t, status)
+	a.answered()
 	return true
 }
 
@@ -131,7 +131,7 @@
 		a.noteLost()
 		g.cut(x, t, err)
 	}
-	g.answered(x, t, a.answer.Response.StatusCode)
+	a.answered()
 	return true
 }
 
@@ -176,7 +176,7 @@
 			a.pass(part, events.last)
 		}
 		if isEnd(err) {
-			g.answered(x, t, a.answer.Response.StatusCode)
+			a.answered()
 			return true
 		}
 		if err != nil {
@@ -232,9 +232,12 @@
 }
 
 // answered records a request that has its whole answer.
-func (g *Gateway) answered(x *exchange, t *target, status int) {
+func (a *attempt) answered() {
+	g, x, t, status := a.gateway, a.exchange, a.target, a.answer.Response.StatusCode
+	if a.answer.Framed() { // any other may have ended with its runner
+		g.clearSuspicion(x)
+	}
 	took := time.Since(x.arrived)
-	g.clearSuspicion(x)
 	g.Log.Info("answered", "decision", "done", "request", x.wire.ID, "route", x.route.Name, "runner", t.view.ID, "status", status, "sends", x.sends.sent(),
 		"first", x.firstAfter().String(), "waited", x.waited.String(), "weights", t.weights, "took", took.String(), "buffered", x.buffered, "config", x.config.Version)
 	if status < failureStatus {
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -37,8 +37,22 @@
 	return g.suspects.Crashes(g.Clock.Now(), x.fingerprint())
 }
 
-// isHeldBack reports that the request isn't sent any more: a repeat would end one runner after the other, with all that others have there.
-func (g *Gateway) isHeldBack(x *exchange) bool { return g.crashes(x) >= poison.MostCrashes }
+// mayBegin decides whether a request that has come is sent to a runner at all: a repeat would end one runner after the other, with all that
+// others have there.
+func (g *Gateway) mayBegin(x *exchange) bool {
+	if g.suspects.Empty() {
+		return true
+	}
+	verdict := g.suspects.Decide(g.Clock.Now(), x.fingerprint())
+	if verdict == poison.VerdictTrial {
+		x.trial = true
+		g.Log.Info("request tried that runners have ended under", "decision", "trial", "request", x.wire.ID, "fingerprint", x.fingerprint().String())
+	}
+	return verdict != poison.VerdictHold
+}
+
+// isHeldBack reports that the request isn't sent any more, since runners have ended under it while it waited here.
+func (g *Gateway) isHeldBack(x *exchange) bool { return !x.trial && g.crashes(x) >= poison.MostCrashes }
 
 // mayEndMore reports that the attempt that runs may be the last that the request is allowed, so that none is made beside it.
 func (g *Gateway) mayEndMore(x *exchange) bool { return g.crashes(x) >= poison.MostCrashes-1 }
@@ -54,13 +68,10 @@
 		"generation", crash.Generation, "crashes", g.suspects.Crashes(now, crash.Request))
 }
 
-// clearSuspicion lifts the suspicion of a request that a runner has answered.
+// clearSuspicion remembers that a runner has answered the request, and lifts the suspicion of those like it.
 func (g *Gateway) clearSuspicion(x *exchange) {
-	if g.suspects.Empty() {
-		return
-	}
 	now := g.Clock.Now()
-	cleared := g.suspects.Clear(now, x.fingerprint())
+	cleared := g.suspects.Answered(now, x.fingerprint())
 	if len(cleared) == 0 {
 		return
 	}
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/list"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,25 @@
 	spareShare = 4
 	// expireEvery is how often crashes are looked for that have grown too old.
 	expireEvery = 10 * time.Second
+	// firstTrial is how long after its last crash a request that runners have answered before is tried again: a popular one is under way at all
+	// runners of a service that end together. trialGrowth is by how much each further crash multiplies the wait, and trialTimeout how long a
+	// trial may take before the next.
+	firstTrial   = time.Second
+	trialGrowth  = 8
+	trialTimeout = 5 * time.Second
+)
+
+// Verdict says whether a request may be sent to a runner.
+type Verdict int
+
+// The verdicts.
+const (
+	// VerdictSend says that nothing speaks against it.
+	VerdictSend Verdict = iota
+	// VerdictTrial says that the request would be held back, but is sent once, since runners have answered it before.
+	VerdictTrial
+	// VerdictHold says that it must not be sent.
+	VerdictHold
 )
 
 // Tracker remembers under which requests runs have ended. Taking over the same crashes in another order, twice or late gives the same. Its
@@ -31,12 +51,17 @@
 	// Limit is how many crashes are remembered; zero means DefaultLimit. Past it those go first that were cleared, then those of the
 	// requests with the fewest crashes, the oldest before others.
 	Limit int
+	// Offset is added to the wait before a trial; it differs from entry to entry, so that not all try at once.
+	Offset time.Duration
 
 	mu       sync.Mutex
 	requests map[Fingerprint][]*list.Element
 	// changes holds a *record each, in the order in which they last changed.
 	changes list.List
 	version uint64
+	// answered are the requests that runners have answered, trials until when one is being tried.
+	answered answered
+	trials   map[Fingerprint]time.Time
 	// expires is when the old ones are looked for next.
 	expires time.Time
 }
@@ -98,10 +123,12 @@
 	t.changes.MoveToBack(e)
 }
 
-// Clear records that a runner has answered such a request, and returns the crashes that no longer count.
-func (t *Tracker) Clear(now time.Time, f Fingerprint) []Crash {
+// Answered records that a runner has answered such a request, and returns the crashes that no longer count.
+func (t *Tracker) Answered(now time.Time, f Fingerprint) []Crash {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.answered.add(now, f)
+	delete(t.trials, f)
 	var cleared []Crash
 	for _, e := range t.requests[f] {
 		r := e.Value.(*record)
@@ -123,11 +150,50 @@
 	return t.count(now, f)
 }
 
-// HeldBack reports that the request must not be sent to a runner.
+// HeldBack reports that the request must not be sent to a runner, unless as a trial.
 func (t *Tracker) HeldBack(now time.Time, f Fingerprint) bool {
 	return t.Crashes(now, f) >= MostCrashes
 }
 
+// Decide says whether a request that has come may be sent to a runner.
+func (t *Tracker) Decide(now time.Time, f Fingerprint) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	n := t.count(now, f)
+	switch {
+	case n < MostCrashes:
+		return VerdictSend
+	case !t.answered.has(f) || now.Before(t.trials[f]) || now.Sub(t.lastCrash(f)) < t.trialAfter(n):
+		return VerdictHold
+	}
+	if t.trials == nil {
+		t.trials = map[Fingerprint]time.Time{}
+	}
+	t.trials[f] = now.Add(trialTimeout)
+	return VerdictTrial
+}
+
+// trialAfter is how long after the last of so many crashes a request is tried.
+func (t *Tracker) trialAfter(crashes int) time.Duration {
+	wait := firstTrial
+	for range crashes - MostCrashes {
+		wait = min(wait*trialGrowth, Window)
+	}
+	return wait + t.Offset
+}
+
+// lastCrash is when the last run ended under the request; the lock is held.
+func (t *Tracker) lastCrash(f Fingerprint) time.Time {
+	var last time.Time
+	for _, e := range t.requests[f] {
+		if at := e.Value.(*record).at; at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
 // count is how many runs have ended under the request; the lock is held. A run whose generation only some know counts once.
 func (t *Tracker) count(now time.Time, f Fingerprint) int {
 	known := t.requests[f]
@@ -227,6 +293,7 @@
 		return
 	}
 	t.expires = now.Add(expireEvery)
+	maps.DeleteFunc(t.trials, func(_ Fingerprint, until time.Time) bool { return !now.Before(until) })
 	var next *list.Element
 	for e := t.changes.Front(); e != nil; e = next {
 		next = e.Next()
--- a/poison/tracker_test.go
+++ b/poison/tracker_test.go
@@ -56,7 +56,7 @@
 		var one, other Tracker
 		crashes := []Crash{crash(1, "a"), crash(1, "b"), crash(1, "c")}
 		one.Record(start, crashes...)
-		cleared := one.Clear(start, numbered(1))
+		cleared := one.Answered(start, numbered(1))
 		assert.Len(t, cleared, 3)
 		other.Record(start, cleared...)
 		other.Record(start, crashes...) // late
@@ -81,6 +81,66 @@
 	})
 }
 
+func TestTrials(t *testing.T) {
+	crashed := func(tracker *Tracker) {
+		tracker.Record(start, crash(1, "a"), crash(1, "b"), crash(1, "c"))
+	}
+	t.Run("a request that no runner has ever answered gets none", func(t *testing.T) {
+		var tracker Tracker
+		crashed(&tracker)
+		assert.Equal(t, VerdictHold, tracker.Decide(start.Add(Window/2), numbered(1)))
+	})
+	t.Run("one that was answered before is tried, one at a time", func(t *testing.T) {
+		var tracker Tracker
+		tracker.Answered(start, numbered(1))
+		assert.Equal(t, VerdictSend, tracker.Decide(start, numbered(1)))
+		crashed(&tracker)
+		assert.Equal(t, VerdictHold, tracker.Decide(start.Add(firstTrial-1), numbered(1)))
+		assert.Equal(t, VerdictTrial, tracker.Decide(start.Add(firstTrial), numbered(1)))
+		assert.Equal(t, VerdictHold, tracker.Decide(start.Add(firstTrial), numbered(1)))
+		assert.Equal(t, VerdictTrial, tracker.Decide(start.Add(firstTrial+trialTimeout), numbered(1)), "the last one came to nothing")
+	})
+	t.Run("an answer ends the suspicion", func(t *testing.T) {
+		var tracker Tracker
+		tracker.Answered(start, numbered(1))
+		crashed(&tracker)
+		assert.Equal(t, VerdictTrial, tracker.Decide(start.Add(firstTrial), numbered(1)))
+		tracker.Answered(start.Add(firstTrial), numbered(1))
+		assert.Equal(t, VerdictSend, tracker.Decide(start.Add(firstTrial), numbered(1)))
+	})
+	t.Run("each further crash makes the wait longer", func(t *testing.T) {
+		var tracker Tracker
+		tracker.Answered(start, numbered(1))
+		crashed(&tracker)
+		now := start
+		for i, wait := range []time.Duration{firstTrial, firstTrial * trialGrowth, firstTrial * trialGrowth * trialGrowth} {
+			now = now.Add(wait)
+			assert.Equal(t, VerdictHold, tracker.Decide(now.Add(-1), numbered(1)))
+			assert.Equal(t, VerdictTrial, tracker.Decide(now, numbered(1)))
+			tracker.Record(now, crash(1, fmt.Sprint("trial", i)))
+		}
+	})
+	t.Run("entries don't try at once", func(t *testing.T) {
+		tracker := Tracker{Offset: time.Second}
+		tracker.Answered(start, numbered(1))
+		crashed(&tracker)
+		assert.Equal(t, VerdictHold, tracker.Decide(start.Add(firstTrial), numbered(1)))
+		assert.Equal(t, VerdictTrial, tracker.Decide(start.Add(firstTrial+time.Second), numbered(1)))
+	})
+	t.Run("answers are remembered for a while, in bounded memory", func(t *testing.T) {
+		var a answered
+		for i := range 3 * answeredLimit {
+			a.add(start, numbered(i))
+		}
+		assert.LessOrEqual(t, len(a.newer)+len(a.older), answeredLimit)
+		assert.True(t, a.has(numbered(3*answeredLimit-1)))
+		assert.True(t, a.has(numbered(3*answeredLimit-answeredLimit/2)))
+		a.add(start.Add(Window), numbered(1))
+		a.add(start.Add(2*Window), numbered(1))
+		assert.False(t, a.has(numbered(3*answeredLimit-1)))
+	})
+}
+
 func TestSince(t *testing.T) {
 	t.Run("tells each change once, in steps", func(t *testing.T) {
 		var tracker Tracker
@@ -92,7 +152,7 @@
 		assert.Equal(t, []Crash{crash(3, "a")}, rest)
 		none, version := tracker.Since(start, version, 2)
 		assert.Empty(t, none)
-		tracker.Clear(start, numbered(1))
+		tracker.Answered(start, numbered(1))
 		again, _ := tracker.Since(start, version, 2)
 		assert.True(t, again[0].Cleared)
 	})
