--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -1,229 +1,19 @@
 package gateway
 
 import (
-	"bufio"
-	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
-	"net/netip"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
-	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/internal/standin/site"
-	"github.com/rillreach/rillreach/platform"
-	"github.com/rillreach/rillreach/telemetry"
 )
 
-const (
-	host = "shop.example"
-	key  = "key-of-shop"
-	wait = 10 * time.Second
-)
-
-// world is a site with one entry.
-type world struct {
-	store   *site.Store
-	gateway *Gateway
-	callers string
-	ready   string
-	stop    context.CancelFunc
-	ended   chan error
-}
-
-type jsonMap = map[string]any
-
-func routeOf(name, kind, service string, more jsonMap) jsonMap {
-	r := jsonMap{
-		"name": name, "host": host, "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 5000, "target_latency_ms": 300,
-		"service": service, "max_attempts": 2, "gap_aim_ms": 300,
-	}
-	for k, v := range more {
-		r[k] = v
-	}
-	return r
-}
-
-func configOf(version int, routes ...jsonMap) jsonMap {
-	return jsonMap{
-		"version": version, "routes": routes,
-		"services": []jsonMap{{"name": "plain", "max_connections": 100}},
-		"limits":   jsonMap{"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants":  []jsonMap{{"name": "shop", "api_keys": []string{key}}},
-	}
-}
-
-func defaultConfig() jsonMap {
-	return configOf(
-		1,
-		routeOf("repeat", "idempotent", "plain", nil),
-		routeOf("once", "non_idempotent", "plain", nil),
-		routeOf("short", "idempotent", "plain", jsonMap{"timeout_ms": 300, "max_attempts": 1}),
-		routeOf("stream", "streaming", "plain", jsonMap{"resumable": true}),
-		routeOf("flow", "streaming", "plain", nil),
-	)
-}
-
-func record(r *site.Runner, state string) jsonMap {
-	return jsonMap{
-		"service": "plain", "address": r.Address().String(), "zone": "z1", "slots": 6, "state": state,
-		"version": "1.7.3", "cold_remaining_ms": 0, "sequence": 1,
-	}
-}
-
-// begin starts an entry before the runners.
-func begin(t *testing.T, config jsonMap, runners ...*site.Runner) *world {
-	t.Helper()
-	store := site.NewStore()
-	if config != nil {
-		store.Put("config", "main", config)
-	}
-	for _, r := range runners {
-		r.Start()
-		t.Cleanup(r.Stop)
-		store.Put("servers", r.ID, record(r, "ready"))
-	}
-	w := beginAt(t, store, weightsBound)
-	if config != nil {
-		w.awaitReady(t)
-	}
-	return w
-}
-
-// weightsBound is how long replaced weights may be used, where a test does not say otherwise.
-const weightsBound = 10 * time.Second
-
-// beginAt starts an entry that follows the store, and lets requests begin on replaced weights for as long as the bound.
-func beginAt(t *testing.T, store *site.Store, bound time.Duration) *world {
-	t.Helper()
-	return beginWith(t, store, func(s *deployment.Settings) { s.Bounds.Weights = bound })
-}
-
-// beginWith starts an entry that follows the store, with settings that are changed.
-func beginWith(t *testing.T, store *site.Store, change func(*deployment.Settings)) *world {
-	t.Helper()
-	w := &world{store: store, ended: make(chan error, 1)}
-	server := httptest.NewServer(w.store)
-	t.Cleanup(server.Close)
-	metrics, err := telemetry.New()
-	require.NoError(t, err)
-	callers, readiness := listener(t), listener(t)
-	client := platform.NewStore(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")))
-	w.gateway = &Gateway{
-		Settings: &deployment.Settings{
-			Name: "entry-1", Zone: "z1", Host: netip.MustParseAddr("127.0.0.1"), FirstPort: 1, LastPort: 1,
-			Bounds: deployment.Bounds{Grace: 8 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100},
-		},
-		Configs: platform.Configs(client), Runners: platform.Runners(client), Weights: platform.Weights(client),
-		Callers: callers, Readiness: readiness, Log: logOf(t), Metrics: metrics,
-	}
-	change(w.gateway.Settings)
-	w.callers, w.ready = callers.Addr().String(), readiness.Addr().String()
-	ctx, cancel := context.WithCancel(context.Background())
-	w.stop = cancel
-	go func() { w.ended <- w.gateway.Run(ctx) }()
-	return w
-}
-
-// logOf logs to the test for as long as it runs: an entry that stops goes on for some seconds after that.
-func logOf(t *testing.T) logr.Logger {
-	t.Helper()
-	var mu sync.Mutex
-	over := false
-	t.Cleanup(func() {
-		mu.Lock()
-		defer mu.Unlock()
-		over = true
-	})
-	return funcr.New(func(prefix, args string) {
-		mu.Lock()
-		defer mu.Unlock()
-		if !over {
-			t.Log(prefix, args)
-		}
-	}, funcr.Options{})
-}
-
-func listener(t *testing.T) net.Listener {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	return l
-}
-
-func (w *world) eventually(t *testing.T, holds func() bool) {
-	t.Helper()
-	require.Eventually(t, holds, wait, 5*time.Millisecond)
-}
-
-func (w *world) awaitReady(t *testing.T) {
-	t.Helper()
-	w.eventually(t, func() bool { return w.readiness(t) == http.StatusOK })
-}
-
-func (w *world) readiness(t *testing.T) int {
-	t.Helper()
-	resp, err := http.Get("http://" + w.ready + "/ready")
-	if err != nil {
-		return 0
-	}
-	require.NoError(t, resp.Body.Close())
-	return resp.StatusCode
-}
-
-type answer struct {
-	status int
-	header http.Header
-	body   string
-	// closes says that the entry wants no more on the connection.
-	closes bool
-	err    error
-}
-
-// call sends one request on a connection of its own.
-func (w *world) call(t *testing.T, method, target string, body string, header ...string) answer {
-	t.Helper()
-	conn, err := net.Dial("tcp", w.callers)
-	require.NoError(t, err)
-	defer func() { _ = conn.Close() }()
-	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Rillreach-Attempt-Id: a1\r\nAuthorization: Bearer %s\r\n", method, target, host, key)
-	if body != "" {
-		text += fmt.Sprintf("Content-Length: %d\r\n", len(body))
-	}
-	text += strings.Join(append(header, ""), "\r\n") + "\r\n" + body
-	_, err = io.WriteString(conn, text)
-	require.NoError(t, err)
-	return read(t, conn, method)
-}
-
-func read(t *testing.T, conn net.Conn, method string) answer {
-	t.Helper()
-	resp, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
-	if err != nil {
-		return answer{err: err}
-	}
-	data, err := io.ReadAll(resp.Body)
-	return answer{status: resp.StatusCode, header: resp.Header, body: string(data), closes: resp.Close, err: err}
-}
-
-func assertOwn(t *testing.T, got answer, status int) {
-	t.Helper()
-	require.NoError(t, got.err)
-	assert.Equal(t, status, got.status)
-	assert.Empty(t, got.header.Get("X-Rillreach-Response-Seal"))
-}
-
 func TestPassingOn(t *testing.T) {
 	runner := &site.Runner{ID: "r1"}
 	w := begin(t, defaultConfig(), runner)
@@ -307,12 +97,7 @@
 
 func (w *world) callWithKey(t *testing.T, other string) answer {
 	t.Helper()
-	conn, err := net.Dial("tcp", w.callers)
-	require.NoError(t, err)
-	defer func() { _ = conn.Close() }()
-	_, err = fmt.Fprintf(conn, "GET /repeat/ HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n\r\n", host, other)
-	require.NoError(t, err)
-	return read(t, conn, "GET")
+	return w.callAs(t, other, "GET", "/repeat/", "")
 }
 
 func TestReadiness(t *testing.T) {
--- /dev/null
+++ b/gateway/poison_world_test.go
@@ -0,0 +1,174 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/internal/standin/site"
+	"github.com/rillreach/rillreach/platform"
+	"github.com/rillreach/rillreach/sidecar"
+)
+
+// graveyard counts the sends of fatal requests, and the runners that they end.
+type graveyard struct {
+	mu sync.Mutex
+	at []time.Time
+}
+
+// runners are runners that end with fatal requests.
+func (y *graveyard) runners(n int) []*site.Runner {
+	var runners []*site.Runner
+	for i := range n {
+		r := &site.Runner{ID: fmt.Sprint("r", i)}
+		r.Handle = func(w http.ResponseWriter, req *http.Request) {
+			if !strings.Contains(req.RequestURI, fatal) {
+				site.Answer(w, req, "sound")
+				return
+			}
+			y.add()
+			r.End()
+			panic(http.ErrAbortHandler)
+		}
+		runners = append(runners, r)
+	}
+	return runners
+}
+
+func (y *graveyard) add() {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.at = append(y.at, time.Now())
+}
+
+// ended are the moments at which runners ended.
+func (y *graveyard) ended() []time.Time {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	return append([]time.Time(nil), y.at...)
+}
+
+// late is how many runners ended later than the bound after the last that may.
+func (y *graveyard) late() int {
+	all, n := y.ended(), 0
+	for _, at := range all {
+		if len(all) > mostEnded && at.Sub(all[mostEnded-1]) > spreads {
+			n++
+		}
+	}
+	return n
+}
+
+// sharedSite is a site with several entries, which follow the agent of one engine and serve requests by other runners.
+type sharedSite struct {
+	store  *site.Store
+	server *httptest.Server
+	engine *site.Engine
+	agent  netip.AddrPort
+	stop   func()
+}
+
+// beginShared starts a site without entries.
+func beginShared(t *testing.T, runners ...*site.Runner) *sharedSite {
+	t.Helper()
+	s := &sharedSite{store: site.NewStore(), engine: &site.Engine{Model: site.Model, Version: 1}}
+	config := defaultConfig()
+	config["services"] = append(config["services"].([]jsonMap), jsonMap{
+		"name": "e", "engine": jsonMap{"slots": 64, "kv_capacity_tokens": 40000, "kv_token_bytes": 18432, "link_mbps": 130000, "models": []jsonMap{{"name": site.Model}}},
+	})
+	s.store.Put("config", "main", config)
+	for _, r := range runners {
+		r.Start()
+		t.Cleanup(r.Stop)
+		s.store.Put("servers", r.ID, record(r, "ready"))
+	}
+	s.server = httptest.NewServer(s.store)
+	t.Cleanup(s.server.Close)
+	s.engine.ID = "engine"
+	s.engine.Start()
+	t.Cleanup(s.engine.Stop)
+	s.store.Put("servers", s.engine.ID, site.EngineRecordOf(s.engine.Address(), "ready", 1))
+	l := listener(t)
+	s.agent = netip.MustParseAddrPort(l.Addr().String())
+	s.startAgent(t, l)
+	t.Cleanup(func() { s.stop() })
+	return s
+}
+
+// entry starts an entry, and waits until it serves and hears the agent.
+func (s *sharedSite) entry(t *testing.T, name string) *world {
+	t.Helper()
+	w := beginWith(t, s.store, func(settings *deployment.Settings) {
+		settings.Name, settings.FirstPort, settings.LastPort = name, s.agent.Port(), s.agent.Port()
+	})
+	t.Cleanup(w.stop)
+	w.awaitReady(t)
+	w.eventually(t, func() bool {
+		r := w.gateway.state.Roster.Find("engine")
+		return r != nil && r.View(time.Now()).Reported
+	})
+	return w
+}
+
+// startAgent starts the agent beside the engine.
+func (s *sharedSite) startAgent(t *testing.T, l net.Listener) {
+	t.Helper()
+	client := platform.NewStore(netip.MustParseAddrPort(strings.TrimPrefix(s.server.URL, "http://")))
+	agent := &sidecar.Sidecar{
+		Settings: &deployment.Settings{
+			Name: "side-1", Zone: "z1", Host: s.agent.Addr(), FirstPort: s.agent.Port(), LastPort: s.agent.Port(), Runner: s.engine.Address(),
+			Bounds: deployment.Bounds{Weights: weightsBound},
+		},
+		Configs: platform.Configs(client), Runners: platform.Runners(client), Weights: platform.Weights(client),
+		Runner: platform.NewRunner(s.engine.Address()), Listener: l, Log: logr.Discard(),
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- agent.Run(ctx) }()
+	s.stop = sync.OnceFunc(func() {
+		stop()
+		assert.NoError(t, <-ended)
+	})
+}
+
+// restartAgent ends the agent, and starts another at its address, which knows nothing.
+func (s *sharedSite) restartAgent(t *testing.T) {
+	t.Helper()
+	s.stop()
+	l, err := net.Listen("tcp", s.agent.String())
+	require.NoError(t, err)
+	s.startAgent(t, l)
+}
+
+// otherKey is that of a second client account.
+const otherKey = "key-of-other"
+
+// twoAccounts is the configuration with a second client account.
+func twoAccounts() jsonMap {
+	config := defaultConfig()
+	config["tenants"] = append(config["tenants"].([]jsonMap), jsonMap{"name": "other", "api_keys": []string{otherKey}})
+	return config
+}
+
+// callAs sends one request with a key.
+func (w *world) callAs(t *testing.T, key, method, target, body string) answer {
+	t.Helper()
+	conn, err := net.Dial("tcp", w.callers)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", method, target, host, key, len(body), body)
+	require.NoError(t, err)
+	return read(t, conn, method)
+}
