Say crash, quarantine and report where the code said end, hold back and tell

Cause: the account of crashes used words of our own for what the field calls crash reports and quarantine, and nobody could see how many requests are suspected. Ruled out: renaming what other packages use (bulletins, followers). Change: names in package poison, the crash reporter and the log's reasons (crashes-runners); gauges of suspected and quarantined requests; one question whether a run is over where two were written. Result: go test ./gateway ./poison ./sidecar passes, the linter is clean.

--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -97,17 +97,17 @@
 	return f
 }
 
-// heard are the agents that have spoken lately.
-func (a *agents) heard(now time.Time) []netip.AddrPort {
+// live are the agents that have spoken lately.
+func (a *agents) live(now time.Time) []netip.AddrPort {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var heard []netip.AddrPort
+	var live []netip.AddrPort
 	for address, f := range a.following {
 		if now.Sub(time.Unix(0, f.heard.Load())) < speaksWithin {
-			heard = append(heard, address)
+			live = append(live, address)
 		}
 	}
-	return heard
+	return live
 }
 
 // wanted are the addresses of the agents beside runners of engines, and whether they are asked for little.
--- a/gateway/crash_reporter.go
+++ b/gateway/crash_reporter.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// reportTo is how many agents are told of a crash: entries follow all agents, so that one would do, and three may be frozen or cut off.
-	reportTo = 4
+	// reportAgents is how many agents are told of a crash: entries follow all agents, so that one would do, and three may be frozen or cut off.
+	reportAgents = 4
 	// reportEvery is how often it is looked at whether other agents are to be told than before.
 	reportEvery = 500 * time.Millisecond
 	// reportTimeout bounds one report, so that an agent that doesn't answer holds up no other for long.
@@ -33,11 +33,11 @@
 	pool    *peer.Pool
 	agents  *agents
 
-	told map[netip.AddrPort]*toldAgent
+	reported map[netip.AddrPort]*reportState
 }
 
-// toldAgent is how far an agent has been told.
-type toldAgent struct {
+// reportState is how far an agent has been told.
+type reportState struct {
 	address netip.AddrPort
 	// conn is the connection on which it was told.
 	conn *peer.Conn
@@ -52,7 +52,7 @@
 
 // Run reports until the context ends.
 func (c *crashReporter) Run(ctx context.Context) error {
-	c.told = map[netip.AddrPort]*toldAgent{}
+	c.reported = map[netip.AddrPort]*reportState{}
 	ticker := time.NewTicker(reportEvery)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
@@ -75,27 +75,27 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	var wg conc.WaitGroup
-	chosen := chosenAgents(c.agents.heard(c.gateway.Clock.Now()))
-	maps.DeleteFunc(c.told, func(address netip.AddrPort, _ *toldAgent) bool { return !slices.Contains(chosen, address) })
+	chosen := chosenAgents(c.agents.live(c.gateway.Clock.Now()))
+	maps.DeleteFunc(c.reported, func(address netip.AddrPort, _ *reportState) bool { return !slices.Contains(chosen, address) })
 	for _, address := range chosen {
-		t := c.told[address]
+		t := c.reported[address]
 		if t == nil {
-			t = &toldAgent{address: address}
-			c.told[address] = t
+			t = &reportState{address: address}
+			c.reported[address] = t
 		}
-		wg.Go(func() { c.tell(ctx, t) })
+		wg.Go(func() { c.reportTo(ctx, t) })
 	}
 	wg.Wait()
 }
 
 // chosenAgents are the first by a hash.
-func chosenAgents(heard []netip.AddrPort) []netip.AddrPort {
-	slices.SortFunc(heard, func(a, b netip.AddrPort) int { return cmp.Compare(hash.String(a.String()), hash.String(b.String())) })
-	return heard[:min(len(heard), reportTo)]
+func chosenAgents(live []netip.AddrPort) []netip.AddrPort {
+	slices.SortFunc(live, func(a, b netip.AddrPort) int { return cmp.Compare(hash.String(a.String()), hash.String(b.String())) })
+	return live[:min(len(live), reportAgents)]
 }
 
-// tell tells one agent what it hasn't been told.
-func (c *crashReporter) tell(ctx context.Context, t *toldAgent) {
+// reportTo reports to one agent what it hasn't been told.
+func (c *crashReporter) reportTo(ctx context.Context, t *reportState) {
 	g := c.gateway
 	conn, err := c.pool.Get(ctx, t.address)
 	if err != nil {
@@ -103,7 +103,7 @@
 		return
 	}
 	if t.conn != conn {
-		*t = toldAgent{address: t.address, conn: conn}
+		*t = reportState{address: t.address, conn: conn}
 		t.own = g.observed.Version() // asked first: what is seen meanwhile is told twice rather than not at all
 		t.until = g.suspects.Version()
 	}
@@ -120,7 +120,7 @@
 }
 
 // send tells an agent the next crashes of a tracker, and reports whether it has taken them.
-func (c *crashReporter) send(ctx context.Context, t *toldAgent, from *poison.Tracker, version *uint64) bool {
+func (c *crashReporter) send(ctx context.Context, t *reportState, from *poison.Tracker, version *uint64) bool {
 	g := c.gateway
 	crashes, next := from.Since(g.Clock.Now(), *version, reportSize)
 	if len(crashes) > 0 {
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -76,7 +76,7 @@
 		return refusal
 	}
 	if !g.mayBegin(x) {
-		return endsRunners
+		return crashesRunners
 	}
 	if g.leaving.Load() {
 		return g.takeLeaving(x)
@@ -204,8 +204,8 @@
 	verdictNoRoom   = "no-room"
 	verdictBacklog  = "backlog"
 	verdictLeftLine = "left-while-waiting"
-	// verdictEndsRunners says that runners have ended under the request.
-	verdictEndsRunners = "ends-runners"
+	// verdictCrashesRunners says that runners have ended under the request.
+	verdictCrashesRunners = "crashes-runners"
 )
 
 // again decides whether another attempt may follow; it returns why not, or nothing.
@@ -239,7 +239,7 @@
 	case !x.mayMove():
 		return "runners-used"
 	case g.crashes(x) >= poison.MostCrashes:
-		return verdictEndsRunners
+		return verdictCrashesRunners
 	case !g.budgets.Spend(now, x.service.Name):
 		return "budget-spent"
 	default:
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -25,7 +25,7 @@
 	for _, n := range b.Notices {
 		g.relays.Hear(n, now)
 	}
-	g.learnCrashes(b.Crashes)
+	g.applyCrashes(b.Crashes)
 	g.budgets.SetEntries(b.Followers)
 	g.stores.clock.hear(b.Clock, now)
 	for i := range b.Holders {
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -28,7 +28,7 @@
 	headTooLarge   = &refusal{http.StatusRequestHeaderFieldsTooLarge, "head-too-large", 0}
 	bodyTooLarge   = &refusal{http.StatusRequestEntityTooLarge, "body-too-large", 0}
 	unreadable     = &refusal{http.StatusBadRequest, "body-unreadable", 0}
-	endsRunners    = &refusal{http.StatusBadGateway, verdictEndsRunners, 0}
+	crashesRunners = &refusal{http.StatusBadGateway, verdictCrashesRunners, 0}
 	leavingNow     = &refusal{http.StatusServiceUnavailable, "entry-stops", comeBackSoon}
 )
 
@@ -56,7 +56,7 @@
 		status, outcome, after = http.StatusGatewayTimeout, "unknown", 0
 	case x.maybeRan:
 		status, outcome, after = http.StatusBadGateway, "unknown", 0
-	case verdict == verdictEndsRunners:
+	case verdict == verdictCrashesRunners:
 		status, after = http.StatusBadGateway, 0 // its caller isn't to come back
 	}
 	if x.request.Context().Err() != nil && verdict != verdictStopping {
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -49,10 +49,8 @@
 
 // lives reports that a runner's agent speaks, and says that the run that the request went to answers.
 func lives(r *roster.Runner) bool {
-	select {
-	case <-r.Over():
+	if isOver(r) {
 		return false
-	default:
 	}
 	v := r.View(time.Now())
 	return v.Reported && !v.Load.Silent
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -48,11 +48,13 @@
 		x.trial = true
 		g.Log.Info("request tried that runners have ended under", "decision", "trial", "request", x.wire.ID, "fingerprint", x.fingerprint().String())
 	}
-	return verdict != poison.VerdictHold
+	return verdict != poison.VerdictQuarantine
 }
 
-// isHeldBack reports that the request isn't sent any more, since runners have ended under it while it waited here.
-func (g *Gateway) isHeldBack(x *exchange) bool { return !x.trial && g.crashes(x) >= poison.MostCrashes }
+// isQuarantined reports that the request isn't sent any more, since runners have ended under it while it waited here.
+func (g *Gateway) isQuarantined(x *exchange) bool {
+	return !x.trial && g.crashes(x) >= poison.MostCrashes
+}
 
 // mayEndMore reports that the attempt that runs may be the last that the request is allowed, so that none is made beside it.
 func (g *Gateway) mayEndMore(x *exchange) bool { return g.crashes(x) >= poison.MostCrashes-1 }
@@ -80,9 +82,21 @@
 	g.Log.Info("request answered that runners had ended under", "decision", "clear", "request", x.wire.ID, "fingerprint", x.fingerprint().String(), "crashes", len(cleared))
 }
 
-// learnCrashes takes over what other entries have seen.
-func (g *Gateway) learnCrashes(crashes []poison.Crash) {
+// applyCrashes takes over what other entries have seen.
+func (g *Gateway) applyCrashes(crashes []poison.Crash) {
 	if len(crashes) > 0 {
 		g.suspects.Record(g.Clock.Now(), crashes...)
 	}
 }
+
+// suspectCount is how many requests are under suspicion.
+func (g *Gateway) suspectCount() float64 {
+	suspects, _ := g.suspects.Counts(g.Clock.Now())
+	return float64(suspects)
+}
+
+// quarantinedCount is how many requests are not sent to runners.
+func (g *Gateway) quarantinedCount() float64 {
+	_, quarantined := g.suspects.Counts(g.Clock.Now())
+	return float64(quarantined)
+}
--- a/poison/crash.go
+++ b/poison/crash.go
@@ -48,14 +48,14 @@
 
 // Receipt says that an agent has taken a report.
 type Receipt struct {
-	// News is how many of the crashes the agent hadn't known.
-	News int `cbor:"1,keyasint,omitempty"`
+	// New is how many of the crashes the agent hadn't known.
+	New int `cbor:"1,keyasint,omitempty"`
 }
 
 // Check reports what is wrong with the message.
 func (r Receipt) Check() error {
-	if r.News < 0 {
-		return errors.Newf("receipt of %d crashes", r.News)
+	if r.New < 0 {
+		return errors.Newf("receipt of %d crashes", r.New)
 	}
 	return nil
 }
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -41,8 +41,8 @@
 	VerdictSend Verdict = iota
 	// VerdictTrial says that the request would be held back, but is sent once, since runners have answered it before.
 	VerdictTrial
-	// VerdictHold says that it must not be sent.
-	VerdictHold
+	// VerdictQuarantine says that it must not be sent.
+	VerdictQuarantine
 )
 
 // Tracker remembers under which requests runs have ended. Taking over the same crashes in another order, twice or late gives the same. Its
@@ -73,23 +73,23 @@
 	version uint64
 }
 
-// Record takes over crashes, and returns how many of them were news.
-func (t *Tracker) Record(now time.Time, crashes ...Crash) (news int) {
+// Record takes over crashes, and returns how many of them were new.
+func (t *Tracker) Record(now time.Time, crashes ...Crash) (added int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
 	for _, c := range crashes {
 		if c.Age < Window && t.record(c, now.Add(-c.Age)) {
-			news++
+			added++
 		}
 	}
-	if news > 0 && t.changes.Len() > t.limit() {
+	if added > 0 && t.changes.Len() > t.limit() {
 		t.shrink(now)
 	}
-	return news
+	return added
 }
 
-// record takes over one crash, and reports whether it was news; the lock is held.
+// record takes over one crash, and reports whether it was new; the lock is held.
 func (t *Tracker) record(c Crash, at time.Time) bool {
 	if t.requests == nil {
 		t.requests = map[Fingerprint][]*list.Element{}
@@ -137,7 +137,7 @@
 		}
 		r.crash.Cleared = true
 		t.touch(e)
-		cleared = append(cleared, r.told(now))
+		cleared = append(cleared, r.message(now))
 	}
 	return cleared
 }
@@ -150,8 +150,8 @@
 	return t.count(now, f)
 }
 
-// HeldBack reports that the request must not be sent to a runner, unless as a trial.
-func (t *Tracker) HeldBack(now time.Time, f Fingerprint) bool {
+// Quarantined reports that the request must not be sent to a runner, unless as a trial.
+func (t *Tracker) Quarantined(now time.Time, f Fingerprint) bool {
 	return t.Crashes(now, f) >= MostCrashes
 }
 
@@ -165,7 +165,7 @@
 	case n < MostCrashes:
 		return VerdictSend
 	case !t.answered.has(f) || now.Before(t.trials[f]) || now.Sub(t.lastCrash(f)) < t.trialAfter(n):
-		return VerdictHold
+		return VerdictQuarantine
 	}
 	if t.trials == nil {
 		t.trials = map[Fingerprint]time.Time{}
@@ -228,8 +228,8 @@
 // counts reports that the crash is held against its request.
 func (r *record) counts(now time.Time) bool { return !r.crash.Cleared && now.Sub(r.at) < Window }
 
-// told is the crash as others are told of it now.
-func (r *record) told(now time.Time) Crash {
+// message is the crash as others are told of it now.
+func (r *record) message(now time.Time) Crash {
 	c := r.crash
 	c.Age = max(0, now.Sub(r.at))
 	return c
@@ -258,7 +258,7 @@
 		r := e.Value.(*record)
 		version = r.version
 		if now.Sub(r.at) < Window {
-			crashes = append(crashes, r.told(now))
+			crashes = append(crashes, r.message(now))
 		}
 	}
 	return crashes, version
@@ -272,7 +272,7 @@
 }
 
 // Counts are how many requests are under suspicion, and how many of these are held back.
-func (t *Tracker) Counts(now time.Time) (suspects, heldBack int) {
+func (t *Tracker) Counts(now time.Time) (suspects, quarantined int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for f := range t.requests {
@@ -281,10 +281,10 @@
 			suspects++
 		}
 		if n >= MostCrashes {
-			heldBack++
+			quarantined++
 		}
 	}
-	return suspects, heldBack
+	return suspects, quarantined
 }
 
 // expire forgets the crashes that no longer count for their age; the lock is held.
--- a/poison/tracker_test.go
+++ b/poison/tracker_test.go
@@ -25,15 +25,15 @@
 	return Crash{Request: numbered(request), Runner: rillreach.InstanceID(runner)}
 }
 
-func TestHeldBack(t *testing.T) {
+func TestQuarantined(t *testing.T) {
 	t.Run("a request is, once three runs have ended under it", func(t *testing.T) {
 		var tracker Tracker
 		for i, runner := range []string{"a", "b", "c"} {
-			assert.False(t, tracker.HeldBack(start, numbered(1)), "after %d", i)
+			assert.False(t, tracker.Quarantined(start, numbered(1)), "after %d", i)
 			tracker.Record(start, crash(1, runner))
 		}
-		assert.True(t, tracker.HeldBack(start, numbered(1)))
-		assert.False(t, tracker.HeldBack(start, numbered(2)), "others are not")
+		assert.True(t, tracker.Quarantined(start, numbered(1)))
+		assert.False(t, tracker.Quarantined(start, numbered(2)), "others are not")
 	})
 	t.Run("a run that several tell of counts once, also where only some know its generation", func(t *testing.T) {
 		var tracker Tracker
@@ -50,7 +50,7 @@
 			c.Generation = rillreach.Generation(generation + 1)
 			tracker.Record(start, c)
 		}
-		assert.True(t, tracker.HeldBack(start, numbered(1)))
+		assert.True(t, tracker.Quarantined(start, numbered(1)))
 	})
 	t.Run("a request that a runner has answered begins anew, whoever tells of it when", func(t *testing.T) {
 		var one, other Tracker
@@ -68,9 +68,9 @@
 	t.Run("crashes count for a while", func(t *testing.T) {
 		var tracker Tracker
 		tracker.Record(start, crash(1, "a"), crash(1, "b"), crash(1, "c"))
-		assert.True(t, tracker.HeldBack(start.Add(Window-1), numbered(1)))
-		assert.False(t, tracker.HeldBack(start.Add(Window), numbered(1)))
-		tracker.HeldBack(start.Add(Window+expireEvery), numbered(1))
+		assert.True(t, tracker.Quarantined(start.Add(Window-1), numbered(1)))
+		assert.False(t, tracker.Quarantined(start.Add(Window), numbered(1)))
+		tracker.Quarantined(start.Add(Window+expireEvery), numbered(1))
 		assert.True(t, tracker.Empty(), "what is old is forgotten soon")
 	})
 	t.Run("what is too old is not taken over, so that it doesn't go round", func(t *testing.T) {
@@ -88,16 +88,16 @@
 	t.Run("a request that no runner has ever answered gets none", func(t *testing.T) {
 		var tracker Tracker
 		crashed(&tracker)
-		assert.Equal(t, VerdictHold, tracker.Decide(start.Add(Window/2), numbered(1)))
+		assert.Equal(t, VerdictQuarantine, tracker.Decide(start.Add(Window/2), numbered(1)))
 	})
 	t.Run("one that was answered before is tried, one at a time", func(t *testing.T) {
 		var tracker Tracker
 		tracker.Answered(start, numbered(1))
 		assert.Equal(t, VerdictSend, tracker.Decide(start, numbered(1)))
 		crashed(&tracker)
-		assert.Equal(t, VerdictHold, tracker.Decide(start.Add(firstTrial-1), numbered(1)))
+		assert.Equal(t, VerdictQuarantine, tracker.Decide(start.Add(firstTrial-1), numbered(1)))
 		assert.Equal(t, VerdictTrial, tracker.Decide(start.Add(firstTrial), numbered(1)))
-		assert.Equal(t, VerdictHold, tracker.Decide(start.Add(firstTrial), numbered(1)))
+		assert.Equal(t, VerdictQuarantine, tracker.Decide(start.Add(firstTrial), numbered(1)))
 		assert.Equal(t, VerdictTrial, tracker.Decide(start.Add(firstTrial+trialTimeout), numbered(1)), "the last one came to nothing")
 	})
 	t.Run("an answer ends the suspicion", func(t *testing.T) {
@@ -115,7 +115,7 @@
 		now := start
 		for i, wait := range []time.Duration{firstTrial, firstTrial * trialGrowth, firstTrial * trialGrowth * trialGrowth} {
 			now = now.Add(wait)
-			assert.Equal(t, VerdictHold, tracker.Decide(now.Add(-1), numbered(1)))
+			assert.Equal(t, VerdictQuarantine, tracker.Decide(now.Add(-1), numbered(1)))
 			assert.Equal(t, VerdictTrial, tracker.Decide(now, numbered(1)))
 			tracker.Record(now, crash(1, fmt.Sprint("trial", i)))
 		}
@@ -124,7 +124,7 @@
 		tracker := Tracker{Offset: time.Second}
 		tracker.Answered(start, numbered(1))
 		crashed(&tracker)
-		assert.Equal(t, VerdictHold, tracker.Decide(start.Add(firstTrial), numbered(1)))
+		assert.Equal(t, VerdictQuarantine, tracker.Decide(start.Add(firstTrial), numbered(1)))
 		assert.Equal(t, VerdictTrial, tracker.Decide(start.Add(firstTrial+time.Second), numbered(1)))
 	})
 	t.Run("answers are remembered for a while, in bounded memory", func(t *testing.T) {
@@ -167,7 +167,7 @@
 	}
 	assert.LessOrEqual(t, tracker.changes.Len(), DefaultLimit)
 	assert.Len(t, tracker.requests, tracker.changes.Len()-3)
-	assert.True(t, tracker.HeldBack(start, numbered(0)), "what is held back stays so")
+	assert.True(t, tracker.Quarantined(start, numbered(0)), "what is held back stays so")
 	assert.Equal(t, 2, tracker.Crashes(start, numbered(1)))
 }
 
@@ -191,7 +191,7 @@
 	})
 }
 
-func BenchmarkHeldBack(b *testing.B) {
+func BenchmarkQuarantined(b *testing.B) {
 	var tracker Tracker
 	r := request()
 	r.Body = make([]byte, 2<<10)
@@ -199,6 +199,6 @@
 		tracker.Record(start, crash(i, "a"))
 	}
 	for b.Loop() {
-		tracker.HeldBack(start, r.Fingerprint())
+		tracker.Quarantined(start, r.Fingerprint())
 	}
 }
--- a/sidecar/crashes.go
+++ b/sidecar/crashes.go
@@ -8,14 +8,14 @@
 	"github.com/rillreach/rillreach/poison"
 )
 
-// takeCrashes takes an entry's report of crashes over, and has all followers told of what is news at once.
+// takeCrashes takes an entry's report of crashes over, and has all followers told of what is new at once.
 func (s *Sidecar) takeCrashes(_ context.Context, from *peer.Conn, r poison.Report) (poison.Receipt, error) {
-	news := s.crashes.Record(s.now(), r.Crashes...)
-	if news > 0 {
-		s.Log.Info("crashes reported", "decision", "tell", "entry", from.Peer.ID, "crashes", len(r.Crashes), "news", news)
+	added := s.crashes.Record(s.now(), r.Crashes...)
+	if added > 0 {
+		s.Log.Info("crashes reported", "decision", "tell", "entry", from.Peer.ID, "crashes", len(r.Crashes), "new", added)
 		s.publisher.urgent.Wake()
 	}
-	return poison.Receipt{News: news}, nil
+	return poison.Receipt{New: added}, nil
 }
 
 // now is the time by which crashes grow old; before Run there is none.
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -20,7 +20,7 @@
 	// mostAfter is how many sends may reach runners once entries must know the request.
 	mostAfter = 3
 	// heldBackBody is what the answer to a request begins with that is held back.
-	heldBackBody = "ends-runners"
+	heldBackBody = "crashes-runners"
 	// releasedWithin is how soon requests that end no runner are sent again: those that last longest take some three seconds to be answered.
 	releasedWithin = 6 * time.Second
 )
