Count a suspension of the machine as a stall

Callers could have requests begin on weights that had been replaced while an entry's machine was suspended: the entry took what it read at its wake for news. Cause: stalls were noticed by ticks on a clock that stands still while the machine is suspended, so that a suspension of any length looked like none.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,6 +115,7 @@
 // Run serves until the context ends, then stops in order within the grace.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.state.Log, g.state.Metrics, g.state.Restarted = g.Log, g.Metrics, g.runnerRestarted
+	g.state.Suspended = node.Suspended
 	g.state.Relays, g.state.Trust = &g.relays, g.trustRelays()
 	g.restarted = make(chan struct{}, 1)
 	g.suspects.Offset = time.Duration(hash.String(g.Settings.Name) % uint64(trialSpread))
--- a/localstate/runners.go
+++ b/localstate/runners.go
@@ -21,21 +21,27 @@
 
 // RunnersFollower keeps the list of runners in step with its source.
 func (s *State) RunnersFollower(source rillreach.Source[*deployment.Runner], wait, gather time.Duration, kick <-chan struct{}) rillreach.Controller {
-	var asked time.Time
+	var asked question
 	return &follow.Controller[*deployment.Runner]{
 		Kind: "runners", Kick: kick, Source: source, Wait: wait, Gather: gather, Log: s.Log,
 		Hasten: s.Hasten, Relays: s.Relays, Topic: notify.KindRunners, Trust: s.Trust, Progress: &s.runnersProgress,
-		Asked:  func() { asked = time.Now() },
+		Asked:  func() { asked = question{at: time.Now(), suspended: s.stalls.suspension()} },
 		Listed: s.listRunners, Changed: s.changeRunner,
 		Confirmed: func() { s.Roster.Confirm(s.answeredAt(asked, time.Now())) },
 	}
 }
 
+// question is when the source was asked, and for how long the machine had been suspended until then.
+type question struct {
+	at        time.Time
+	suspended time.Duration
+}
+
 // answeredAt is when a question that was asked before was answered at the earliest: its answer may have waited for this process to go on
-// after a stall.
-func (s *State) answeredAt(asked, now time.Time) time.Time {
-	if s.stalls.stalledSince(asked, now) {
-		return asked
+// after a stall, or for the machine after a suspension, which makes the answer older than the clock says.
+func (s *State) answeredAt(asked question, now time.Time) time.Time {
+	if s.stalls.stalledSince(asked.at, now) {
+		return asked.at.Add(asked.suspended - s.stalls.suspension())
 	}
 	return now
 }
--- a/localstate/stall_detector_test.go
+++ b/localstate/stall_detector_test.go
@@ -42,6 +42,19 @@
 		w.ask(at(again + deliverWithin - 1))
 		assert.False(t, w.doubts(at(again+deliverWithin)))
 	})
+	t.Run("a suspension of the machine is a stall, though the clock stands still meanwhile", func(t *testing.T) {
+		for _, suspension := range []time.Duration{300 * time.Millisecond, 3 * time.Second, 30 * time.Second} {
+			w := ran()
+			suspended := time.Duration(0)
+			w.Suspended = func() time.Duration { return suspended }
+			const asked = time.Second + expireEvery
+			w.ask(at(asked))
+			assert.False(t, w.doubts(at(asked+1)))
+			suspended += suspension
+			assert.True(t, w.doubts(at(asked+2)), "after %s", suspension)
+			assert.True(t, w.stalledSince(at(asked), at(asked+2)))
+		}
+	})
 	t.Run("what comes while that question waits is news again", func(t *testing.T) {
 		w := ran()
 		w.tick(at(thaw))
@@ -49,3 +62,16 @@
 		assert.False(t, w.doubts(at(thaw+deliverWithin)))
 	})
 }
+
+// TestAnswerThatSleptThroughASuspension: a list that waited for the machine to wake is as old as the suspension was long.
+func TestAnswerThatSleptThroughASuspension(t *testing.T) {
+	start := time.Unix(1000, 0)
+	suspended := time.Duration(0)
+	s := &State{}
+	s.stalls.Suspended = func() time.Duration { return suspended }
+	s.stalls.tick(start)
+	asked := question{at: start, suspended: suspended}
+	assert.Equal(t, start.Add(expireEvery), s.answeredAt(asked, start.Add(expireEvery)))
+	suspended = 10 * time.Second
+	assert.Equal(t, start.Add(-10*time.Second), s.answeredAt(asked, start.Add(expireEvery)))
+}
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -36,6 +36,8 @@
 	Trust  time.Duration
 	// Hasten gives the pace at which a relay follows both, and reports whether this process is one; it may be nil.
 	Hasten func() (follow.Pace, bool)
+	// Suspended is for how long the machine has been suspended until now, which package time does not count; nil where nobody knows.
+	Suspended func() time.Duration
 	// Restarted is told of each later run that takes an earlier one's place; it may be nil.
 	Restarted func(deployment.Runner)
 
@@ -136,4 +138,7 @@
 }
 
 // Expirer removes runners whose doubtful time is over.
-func (s *State) Expirer() rillreach.Controller { return expirer{s} }
+func (s *State) Expirer() rillreach.Controller {
+	s.stalls.Suspended = s.Suspended
+	return expirer{s}
+}
--- a/node/clock.go
+++ b/node/clock.go
@@ -16,9 +16,31 @@
 }
 
 func sinceBoot() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+	boot, err := readClock(unix.CLOCK_BOOTTIME)
+	if err != nil {
 		return time.Duration(time.Now().UnixNano())
 	}
-	return time.Duration(ts.Nano())
+	return boot
+}
+
+// Suspended is for how long the machine has been suspended since it started, which the clock of package time does not count; zero where
+// the kernel does not tell.
+func Suspended() time.Duration {
+	steady, err := readClock(unix.CLOCK_MONOTONIC)
+	if err != nil {
+		return 0
+	}
+	boot, err := readClock(unix.CLOCK_BOOTTIME) // read last, so that the time between both readings is no suspension that is taken back
+	if err != nil {
+		return 0
+	}
+	return boot - steady
+}
+
+func readClock(id int32) (time.Duration, error) {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(id, &ts); err != nil {
+		return 0, err
+	}
+	return time.Duration(ts.Nano()), nil
 }
--- /dev/null
+++ b/node/clock_test.go
@@ -0,0 +1,14 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestSuspended(t *testing.T) {
+	first := Suspended()
+	assert.GreaterOrEqual(t, first, time.Duration(0))
+	assert.Less(t, (Suspended() - first).Abs(), 100*time.Millisecond, "a machine that runs isn't suspended")
+}
