Part the trials and the eviction of crashes from their account

Cause: poison/tracker.go had 341 lines and three jobs. Ruled out: a change of what any function does.

--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -1,10 +1,7 @@
 package poison
 
 import (
-	"cmp"
 	"container/list"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -20,29 +17,6 @@
 	Window = 10 * time.Minute
 	// DefaultLimit bounds the crashes that are remembered, some 1 MB. The end of a full runner brings 64 of them.
 	DefaultLimit = 4096
-	// spareShare is the part of the limit that is dropped at once where it is reached, so that a flood sorts the records seldom.
-	spareShare = 4
-	// expireEvery is how often crashes are looked for that have grown too old.
-	expireEvery = 10 * time.Second
-	// firstTrial is how long after its last crash a request that runners have answered before is tried again: a popular one is under way at all
-	// runners of a service that end together. trialGrowth is by how much each further crash multiplies the wait, and trialTimeout how long a
-	// trial may take before the next.
-	firstTrial   = time.Second
-	trialGrowth  = 8
-	trialTimeout = 5 * time.Second
-)
-
-// Verdict says whether a request may be sent to a runner.
-type Verdict int
-
-// The verdicts.
-const (
-	// VerdictSend says that nothing speaks against it.
-	VerdictSend Verdict = iota
-	// VerdictTrial says that the request would be held back, but is sent once, since runners have answered it before.
-	VerdictTrial
-	// VerdictQuarantine says that it must not be sent.
-	VerdictQuarantine
 )
 
 // Tracker remembers under which requests runs have ended. Taking over the same crashes in another order, twice or late gives the same. Its
@@ -155,45 +129,6 @@
 	return t.Crashes(now, f) >= MostCrashes
 }
 
-// Decide says whether a request that has come may be sent to a runner.
-func (t *Tracker) Decide(now time.Time, f Fingerprint) Verdict {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.expire(now)
-	n := t.count(now, f)
-	switch {
-	case n < MostCrashes:
-		return VerdictSend
-	case !t.answered.has(f) || now.Before(t.trials[f]) || now.Sub(t.lastCrash(f)) < t.trialAfter(n):
-		return VerdictQuarantine
-	}
-	if t.trials == nil {
-		t.trials = map[Fingerprint]time.Time{}
-	}
-	t.trials[f] = now.Add(trialTimeout)
-	return VerdictTrial
-}
-
-// trialAfter is how long after the last of so many crashes a request is tried.
-func (t *Tracker) trialAfter(crashes int) time.Duration {
-	wait := firstTrial
-	for range crashes - MostCrashes {
-		wait = min(wait*trialGrowth, Window)
-	}
-	return wait + t.Offset
-}
-
-// lastCrash is when the last run ended under the request; the lock is held.
-func (t *Tracker) lastCrash(f Fingerprint) time.Time {
-	var last time.Time
-	for _, e := range t.requests[f] {
-		if at := e.Value.(*record).at; at.After(last) {
-			last = at
-		}
-	}
-	return last
-}
-
 // count is how many runs have ended under the request; the lock is held. A run whose generation only some know counts once.
 func (t *Tracker) count(now time.Time, f Fingerprint) int {
 	known := t.requests[f]
@@ -286,56 +221,3 @@
 	}
 	return suspects, quarantined
 }
-
-// expire forgets the crashes that no longer count for their age; the lock is held.
-func (t *Tracker) expire(now time.Time) {
-	if now.Before(t.expires) {
-		return
-	}
-	t.expires = now.Add(expireEvery)
-	maps.DeleteFunc(t.trials, func(_ Fingerprint, until time.Time) bool { return !now.Before(until) })
-	var next *list.Element
-	for e := t.changes.Front(); e != nil; e = next {
-		next = e.Next()
-		if now.Sub(e.Value.(*record).at) >= Window {
-			t.remove(e)
-		}
-	}
-}
-
-// shrink drops the crashes that matter least; the lock is held.
-func (t *Tracker) shrink(now time.Time) {
-	type ranked struct {
-		element *list.Element
-		crashes int
-	}
-	all := make([]ranked, 0, t.changes.Len())
-	for e := t.changes.Front(); e != nil; e = e.Next() {
-		r := e.Value.(*record)
-		n := 0
-		if r.counts(now) {
-			n = t.count(now, r.crash.Request)
-		}
-		all = append(all, ranked{element: e, crashes: n})
-	}
-	slices.SortStableFunc(all, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.crashes, b.crashes), a.element.Value.(*record).at.Compare(b.element.Value.(*record).at))
-	})
-	for _, r := range all[:len(all)-t.limit()*(spareShare-1)/spareShare] {
-		t.remove(r.element)
-	}
-}
-
-// remove forgets one crash; the lock is held.
-func (t *Tracker) remove(e *list.Element) {
-	f := e.Value.(*record).crash.Request
-	t.changes.Remove(e)
-	rest := slices.DeleteFunc(t.requests[f], func(other *list.Element) bool { return other == e })
-	if len(rest) == 0 {
-		delete(t.requests, f)
-		return
-	}
-	t.requests[f] = rest
-}
-
-func (t *Tracker) limit() int { return cmp.Or(t.Limit, DefaultLimit) }
