Hash requests without a key

Cause: each answered request is hashed, and the keyed hash made 11 KB of garbage and took 17.6 us for a request with a body of 2 KB, beside other work (21.6 us for one of five bytes, so that the body hardly matters). Ruled out: a pool of hashers, which keeps 11 KB for each request under way; hashing only what is suspected, since it must be known beforehand which requests were answered.

--- a/internal/hash/hash.go
+++ b/internal/hash/hash.go
@@ -2,7 +2,9 @@
 package hash
 
 import (
+	"crypto/sha256"
 	"encoding/binary"
+	"io"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/blake3"
@@ -27,15 +29,30 @@
 	if err != nil {
 		panic(err) // the key's length is fixed by its type
 	}
+	writeParts(h, parts)
+	var sum [Size]byte
+	h.Sum(sum[:0])
+	return sum
+}
+
+// Digest hashes parts without a key, in such a way that nobody finds two different lists of parts that hash alike. It takes a seventh of the
+// time of a keyed hash for 2 KB (2.5 us and 17.6 us, beside other work), which allocates 11 KB.
+func Digest(parts ...[]byte) [sha256.Size]byte {
+	h := sha256.New()
+	writeParts(h, parts)
+	var sum [sha256.Size]byte
+	h.Sum(sum[:0])
+	return sum
+}
+
+// writeParts writes each part after its length.
+func writeParts(h io.Writer, parts [][]byte) {
 	var length [8]byte
 	for _, part := range parts {
 		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
 		_, _ = h.Write(length[:])
 		_, _ = h.Write(part)
 	}
-	var sum [Size]byte
-	h.Sum(sum[:0])
-	return sum
 }
 
 // String hashes a string for placement, where nobody gains by a collision.
--- a/poison/fingerprint.go
+++ b/poison/fingerprint.go
@@ -29,12 +29,9 @@
 	Body   []byte
 }
 
-// identity is the key of the hash. It is no secret: the hash resists collisions without one, and the caller is part of what is hashed, so that
+// Fingerprint is the request's. It needs no secret: the hash resists collisions without one, and the caller is part of what is hashed, so that
 // nobody can make a request that counts as another caller's.
-var identity = hash.Derive("identity of requests", nil)
-
-// Fingerprint is the request's.
 func (r *Request) Fingerprint() Fingerprint {
-	sum := hash.Keyed(identity, []byte(r.Caller), []byte(r.Method), []byte(r.Host), []byte(r.Target), r.Body)
+	sum := hash.Digest([]byte(r.Caller), []byte(r.Method), []byte(r.Host), []byte(r.Target), r.Body)
 	return Fingerprint(sum[:FingerprintSize])
 }
