Call leaving a runner alone after a failure an ejection

Cause: Strike was a word of our own for what the field calls ejection. Ruled out: a change of behaviour or of an assertion: the name alone. Result: go test ./roster passes, go vet ./... is clean.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -216,7 +216,7 @@
 	callerLeft := x.request.Context().Err() != nil
 	pause := time.Duration(0)
 	if !callerLeft && !a.spared.Load() && !errors.Is(err, forward.ErrFull) {
-		pause = t.runner.Strike(now)
+		pause = t.runner.Eject(now)
 		if cause != causeClosed {
 			g.pool.Forget(t.view.Address)
 		}
@@ -241,7 +241,7 @@
 	case head.OtherRunner && x.wire.Prompt != nil:
 		g.learnWeights(x, t, head)
 	default:
-		t.runner.Strike(time.Now())
+		t.runner.Eject(time.Now())
 	}
 }
 
--- a/gateway/restart_test.go
+++ b/gateway/restart_test.go
@@ -42,7 +42,7 @@
 	g.state.Restarted = g.runnerRestarted
 	g.state.Roster.Put(deployment.Runner{ID: "r", Service: "s", Address: enginePlace, Generation: earlier})
 	g.learn(told(earlier, 7, 800, true), time.Now())
-	g.state.Roster.Find("r").Strike(time.Now())
+	g.state.Roster.Find("r").Eject(time.Now())
 	require.Equal(t, map[netip.AddrPort]int{enginePlace: 800}, g.stores.index.Holders(partKey))
 	return g
 }
--- a/roster/restart_test.go
+++ b/roster/restart_test.go
@@ -44,7 +44,7 @@
 	r.Put(runOf(earlier))
 	one := r.Find("a")
 	one.Begin(start, 100, 200)
-	one.Strike(start)
+	one.Eject(start)
 	one.Failed(start)
 	one.Leaves()
 	one.SetWeights("m", 7)
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -131,7 +131,7 @@
 	t.Run("failures in a row keep it away for longer and longer, up to a bound", func(t *testing.T) {
 		r, now, last := one(), start, time.Duration(0)
 		for range 8 {
-			pause := r.Strike(now)
+			pause := r.Eject(now)
 			assert.GreaterOrEqual(t, pause, last)
 			assert.LessOrEqual(t, pause, avoidMost)
 			assert.True(t, r.View(now).Avoid)
@@ -141,12 +141,12 @@
 	})
 	t.Run("failures of requests that were under way together count once", func(t *testing.T) {
 		r := one()
-		first := r.Strike(start)
-		assert.Less(t, r.Strike(start.Add(time.Millisecond)), first)
+		first := r.Eject(start)
+		assert.Less(t, r.Eject(start.Add(time.Millisecond)), first)
 	})
 	t.Run("a good answer ends that", func(t *testing.T) {
 		r := one()
-		r.Strike(start)
+		r.Eject(start)
 		r.Well(start)
 		assert.False(t, r.View(start).Avoid)
 	})
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -46,13 +46,13 @@
 	gone   time.Time
 	report Report
 	// running are this process's requests there, reading their tokens without a first event, held all their tokens.
-	running int
-	reading int
-	held    int
-	wait    waitEstimate
-	heard   time.Time
-	avoid   time.Time
-	strikes int
+	running   int
+	reading   int
+	held      int
+	wait      waitEstimate
+	heard     time.Time
+	avoid     time.Time
+	ejections int
 	// failures is the moving share of requests that the runner failed though it took them.
 	failures float64
 	// weights were told by the runner's own answers; they go before the list where they are newer.
@@ -193,7 +193,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.heard = now
-	r.strikes = 0
+	r.ejections = 0
 	r.avoid = time.Time{}
 	r.failures *= 1 - failureMemory
 }
@@ -207,15 +207,15 @@
 	return r.failures
 }
 
-// Strike records a failure that speaks against the runner, and returns for how long it is left alone.
-func (r *Runner) Strike(now time.Time) time.Duration {
+// Eject leaves the runner alone for a while after a failure that speaks against it, longer with each further one, and returns for how long.
+func (r *Runner) Eject(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if now.Before(r.avoid) {
 		return r.avoid.Sub(now)
 	}
-	pause := min(avoidFirst<<min(r.strikes, 8), avoidMost)
-	r.strikes++
+	pause := min(avoidFirst<<min(r.ejections, 8), avoidMost)
+	r.ejections++
 	r.avoid = now.Add(pause)
 	return pause
 }
