--- a/gateway/poison_test.go
+++ b/gateway/poison_test.go
@@ -41,19 +41,19 @@
 func TestRequestThatEndsRunners(t *testing.T) {
 	for _, path := range []string{"/repeat/", "/once/", "/stream/", "/flow/"} {
 		t.Run("at one entry, on the route "+path, func(t *testing.T) {
-			var y graveyard
-			w := begin(t, defaultConfig(), y.runners(repeats)...)
+			var crashed crashLog
+			w := begin(t, defaultConfig(), crashed.runners(repeats)...)
 			defer w.stop()
 			for range repeats {
 				w.call(t, "POST", path+fatal, "body")
 				assert.Equal(t, http.StatusOK, w.call(t, "POST", path+"x", "body").status, "others are served")
 			}
-			assert.LessOrEqual(t, len(y.ended()), mostEnded)
+			assert.LessOrEqual(t, len(crashed.ended()), mostEnded)
 		})
 	}
 	t.Run("what is held back gets its last answer, which promises nothing", func(t *testing.T) {
-		var y graveyard
-		w := begin(t, defaultConfig(), y.runners(repeats)...)
+		var crashed crashLog
+		w := begin(t, defaultConfig(), crashed.runners(repeats)...)
 		defer w.stop()
 		for range repeats {
 			w.call(t, "POST", "/once/"+fatal, "body")
@@ -63,8 +63,8 @@
 		assert.Empty(t, got.header.Get("Retry-After"))
 	})
 	t.Run("at two entries in turn", func(t *testing.T) {
-		var y graveyard
-		s := beginShared(t, y.runners(5*repeats)...)
+		var crashed crashLog
+		s := beginShared(t, crashed.runners(5*repeats)...)
 		one, two := s.entry(t, "entry-1"), s.entry(t, "entry-2")
 		pace := time.NewTicker(spreads / 40)
 		defer pace.Stop()
@@ -72,7 +72,7 @@
 			one.call(t, "POST", "/once/"+fatal, "body")
 			one, two = two, one
 		}
-		assert.LessOrEqual(t, y.late(), mostLate, "%d ended in all", len(y.ended()))
+		assert.LessOrEqual(t, crashed.late(), mostLate, "%d ended in all", len(crashed.ended()))
 	})
 	t.Run("a runner that closes its connections and goes on is no ground to hold a request back", func(t *testing.T) {
 		cut := &site.Runner{ID: "cut", Handle: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }}
@@ -84,8 +84,8 @@
 		assert.Len(t, cut.Runs(), repeats)
 	})
 	t.Run("a runner that has announced its end is none, either", func(t *testing.T) {
-		var y graveyard
-		runners := y.runners(repeats)
+		var crashed crashLog
+		runners := crashed.runners(repeats)
 		w := begin(t, defaultConfig(), runners...)
 		defer w.stop()
 		for i := range runners[1:] {
@@ -106,33 +106,33 @@
 		assert.True(t, w.gateway.suspects.Empty())
 	})
 	t.Run("a request that a runner answers is no longer suspected", func(t *testing.T) {
-		var y graveyard
-		w := begin(t, defaultConfig(), append(y.runners(1), &site.Runner{ID: "sound"})...)
+		var crashed crashLog
+		w := begin(t, defaultConfig(), append(crashed.runners(1), &site.Runner{ID: "sound"})...)
 		defer w.stop()
 		w.eventually(t, func() bool {
 			assert.Equal(t, http.StatusOK, w.call(t, "POST", "/repeat/"+fatal, "body").status)
-			return len(y.ended()) == 1
+			return len(crashed.ended()) == 1
 		})
 		suspects, _ := w.gateway.suspects.Counts(w.gateway.Clock.Now())
 		assert.Zero(t, suspects)
 	})
 	t.Run("other callers are served the same path and body", func(t *testing.T) {
-		var y graveyard
-		w := begin(t, twoAccounts(), y.runners(repeats)...)
+		var crashed crashLog
+		w := begin(t, twoAccounts(), crashed.runners(repeats)...)
 		defer w.stop()
 		for range repeats {
 			w.call(t, "POST", "/once/"+fatal, "body")
 		}
-		require.Len(t, y.ended(), mostEnded)
+		require.Len(t, crashed.ended(), mostEnded)
 		w.callAs(t, otherKey, "POST", "/once/"+fatal, "body")
-		assert.Len(t, y.ended(), mostEnded+1)
+		assert.Len(t, crashed.ended(), mostEnded+1)
 	})
 }
 
 // TestCrashesAreTold: what one entry sees of a request, the others know, and those that start later.
 func TestCrashesAreTold(t *testing.T) {
-	var y graveyard
-	s := beginShared(t, y.runners(repeats)...)
+	var crashed crashLog
+	s := beginShared(t, crashed.runners(repeats)...)
 	one, two := s.entry(t, "entry-1"), s.entry(t, "entry-2")
 	for range mostEnded {
 		one.call(t, "POST", "/once/"+fatal, "body")
@@ -144,7 +144,7 @@
 			return quarantined == 1
 		})
 		assertOwn(t, w.call(t, "POST", "/once/"+fatal, "body"), http.StatusBadGateway)
-		assert.Len(t, y.ended(), mostEnded)
+		assert.Len(t, crashed.ended(), mostEnded)
 	}
 	t.Run("another entry holds the request back", func(t *testing.T) { assertRefused(t, two) })
 	t.Run("one that starts later does", func(t *testing.T) { assertRefused(t, s.entry(t, "entry-3")) })
--- a/gateway/poison_world_test.go
+++ b/gateway/poison_world_test.go
@@ -22,14 +22,14 @@
 	"github.com/rillreach/rillreach/sidecar"
 )
 
-// graveyard counts the sends of fatal requests, and the runners that they end.
-type graveyard struct {
+// crashLog counts the sends of fatal requests, and the runners that they end.
+type crashLog struct {
 	mu sync.Mutex
 	at []time.Time
 }
 
 // runners are runners that end with fatal requests.
-func (y *graveyard) runners(n int) []*site.Runner {
+func (l *crashLog) runners(n int) []*site.Runner {
 	var runners []*site.Runner
 	for i := range n {
 		r := &site.Runner{ID: fmt.Sprint("r", i)}
@@ -38,7 +38,7 @@
 				site.Answer(w, req, "sound")
 				return
 			}
-			y.add()
+			l.add()
 			r.End()
 			panic(http.ErrAbortHandler)
 		}
@@ -47,22 +47,22 @@
 	return runners
 }
 
-func (y *graveyard) add() {
-	y.mu.Lock()
-	defer y.mu.Unlock()
-	y.at = append(y.at, time.Now())
+func (l *crashLog) add() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.at = append(l.at, time.Now())
 }
 
 // ended are the moments at which runners ended.
-func (y *graveyard) ended() []time.Time {
-	y.mu.Lock()
-	defer y.mu.Unlock()
-	return append([]time.Time(nil), y.at...)
+func (l *crashLog) ended() []time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]time.Time(nil), l.at...)
 }
 
 // late is how many runners ended later than the bound after the last that may.
-func (y *graveyard) late() int {
-	all, n := y.ended(), 0
+func (l *crashLog) late() int {
+	all, n := l.ended(), 0
 	for _, at := range all {
 		if len(all) > mostEnded && at.Sub(all[mostEnded-1]) > spreads {
 			n++
