--- a/poison/tracker_test.go
+++ b/poison/tracker_test.go
@@ -226,7 +226,7 @@
 		b.Record(start.Add(time.Second), crashes...)
 		for request := range 4 {
 			assert.Equal(t, a.Crashes(start, numbered(request)), b.Crashes(start, numbered(request)))
-			assert.Equal(t, len(a.Received(start, numbered(request), 2)), len(b.Received(start, numbered(request), 2)))
+			assert.Len(t, b.Received(start, numbered(request), 2), len(a.Received(start, numbered(request), 2)))
 			assert.Equal(t, a.Decide(start.Add(firstTrial), numbered(request)), b.Decide(start.Add(firstTrial), numbered(request)))
 		}
 	})
