Double the wait for a trial, in place of eight times as long

Cause: each of them made the wait eight times as long, so that two made it 64 s. Ruled out: trials that count together; they are at two runners. Change: twice as long, the usual backoff.

--- a/poison/tracker_test.go
+++ b/poison/tracker_test.go
@@ -148,6 +148,7 @@
 		crashed(&tracker)
 		now := start
 		for i, wait := range []time.Duration{firstTrial, firstTrial * trialGrowth, firstTrial * trialGrowth * trialGrowth} {
+			delete(tracker.trials, numbered(1)) // the trial before is over
 			now = now.Add(wait)
 			assert.Equal(t, VerdictQuarantine, tracker.Decide(now.Add(-1), numbered(1)))
 			assert.Equal(t, VerdictTrial, tracker.Decide(now, numbered(1)))
--- a/poison/trial.go
+++ b/poison/trial.go
@@ -24,7 +24,7 @@
 	// runners of a service that end together. trialGrowth is by how much each trial that ends its runner multiplies the wait, and trialTimeout how
 	// long a trial may take before the next.
 	firstTrial   = time.Second
-	trialGrowth  = 8
+	trialGrowth  = 2
 	trialTimeout = 5 * time.Second
 )
 
