Have the demonstration wait until entries know agents

Cause: the demonstration took an entry for ready that had the rows; entries learn of agents some time after that. Change: each entry must give a ticket and answer a prompt, too.

--- a/demo/fleet.go
+++ b/demo/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -108,7 +109,8 @@
 	}
 }
 
-// Ready waits until every entry answers a request of a key for a model.
+// Ready waits until every entry answers requests of a key: it knows the rows, an agent of the service, and one of the model. Entries learn of
+// agents some time after they have the rows.
 func (f *Fleet) Ready(ctx context.Context, key string) error {
 	ctx, cancel := context.WithTimeout(ctx, readyWithin)
 	defer cancel()
@@ -124,7 +126,15 @@
 }
 
 func answered(ctx context.Context, url, key string) bool {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/v1/models", nil)
+	prompt := `{"model":"` + string(Model) + `","max_tokens":1,"messages":[{"role":"user","content":"ready"}]}`
+	return asks(ctx, http.MethodGet, url+"/v1/models", key, "") &&
+		asks(ctx, http.MethodPost, url+"/v1/tickets/"+string(Service), key, "") &&
+		asks(ctx, http.MethodPost, url+"/v1/chat/completions", key, prompt)
+}
+
+// asks reports that a request is answered with success.
+func asks(ctx context.Context, method, url, key, body string) bool {
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	if err != nil {
 		return false
 	}
@@ -134,7 +144,7 @@
 		return false
 	}
 	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	return resp.StatusCode < http.StatusMultipleChoices
 }
 
 func (f *Fleet) serve(handler http.Handler) (net.Listener, error) {
