Ask the tracker whether a request is quarantined, and make a pool's maps in one place

Cause: the last reading found the comparison with the bound written out twice in the gateway, beside Tracker.Quarantined which only tests called; and the maps of a pool of connections made in three places, one of them new. Ruled out: a change of what is sent: a trial is left out where it was before, and a further attempt of one is quarantined as before. Change: isQuarantined calls the tracker; makeMaps serves pop, park and count, and a question whether a runner listens counts its connection by count. Result: go test -race ./forward ./poison and the tests of crashes in ./gateway pass.

--- a/forward/ended.go
+++ b/forward/ended.go
@@ -28,12 +28,7 @@
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	p.mu.Lock()
-	if p.open == nil {
-		p.open, p.idle = map[netip.AddrPort]int{}, map[netip.AddrPort][]*conn{}
-	}
-	p.open[to]++
-	p.mu.Unlock()
+	p.count(to, 1)
 	p.park(to, newConn(nc), 0)
 	return false
 }
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -97,9 +97,7 @@
 func (p *Pool) pop(to netip.AddrPort, maxConns int) (c *conn, full bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open == nil {
-		p.open, p.idle = map[netip.AddrPort]int{}, map[netip.AddrPort][]*conn{}
-	}
+	p.makeMaps()
 	list := p.idle[to]
 	now := time.Now()
 	for len(list) > 0 {
@@ -144,9 +142,7 @@
 	c.parked = time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.idle == nil {
-		p.open, p.idle = map[netip.AddrPort]int{}, map[netip.AddrPort][]*conn{}
-	}
+	p.makeMaps()
 	if len(p.idle[to]) >= maxIdle {
 		_ = c.Close()
 		p.open[to]--
@@ -163,12 +159,20 @@
 func (p *Pool) count(to netip.AddrPort, by int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.makeMaps()
 	p.open[to] += by
 	if p.open[to] <= 0 {
 		delete(p.open, to)
 	}
 }
 
+// makeMaps makes the zero value ready; the lock is held.
+func (p *Pool) makeMaps() {
+	if p.open == nil {
+		p.open, p.idle = map[netip.AddrPort]int{}, map[netip.AddrPort][]*conn{}
+	}
+}
+
 // Forget closes the resting connections to an address.
 func (p *Pool) Forget(to netip.AddrPort) {
 	p.mu.Lock()
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -53,7 +53,7 @@
 // attempt sends the request to one runner, and where need be to another beside it; it reports whether the request is done with.
 func (g *Gateway) attempt(ctx context.Context, x *exchange) bool {
 	t, verdict := g.target(ctx, x)
-	if t != nil && g.isQuarantined(x) { // runners may have ended under it while it waited
+	if t != nil && !x.trial && g.isQuarantined(x) { // runners may have ended under it while it waited
 		t.work.end()
 		t, verdict = nil, verdictCrashesRunners
 	}
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -14,7 +14,6 @@
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/platform"
-	"github.com/rillreach/rillreach/poison"
 )
 
 // handle takes one request of a caller.
@@ -238,7 +237,7 @@
 		return ""
 	case !x.mayMove():
 		return "runners-used"
-	case g.crashes(x) >= poison.MostCrashes:
+	case g.isQuarantined(x):
 		return verdictCrashesRunners
 	case !g.budgets.Spend(now, x.service.Name):
 		return "budget-spent"
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -52,9 +52,9 @@
 	return verdict != poison.VerdictQuarantine
 }
 
-// isQuarantined reports that the request isn't sent any more, since runners have ended under it while it waited here.
+// isQuarantined reports that so many runners have ended under the request that it isn't sent any more, unless as a trial.
 func (g *Gateway) isQuarantined(x *exchange) bool {
-	return !x.trial && g.crashes(x) >= poison.MostCrashes
+	return !g.suspects.Empty() && g.suspects.Quarantined(g.Clock.Now(), x.fingerprint())
 }
 
 // mayEndMore reports that the attempt that runs may be the last that the request is allowed, so that none is made beside it.
