Read what came while the entry stood still before a runner counts as silent

Cause: the wait for a runner's word is a timer. Ruled out: the runner or its agent being slow; the events had been written before the stop. Change: the last 50 ms of each wait have to pass while the entry runs; where they end late, they begin anew. A look that follows another, and one that a later run brings about, are as soon as before.

--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -17,6 +17,9 @@
 	// askEvery is how often it is asked then, since a runner that lives and is slow has the request's work behind it that
 	// another would begin anew.
 	askEvery = 50 * time.Millisecond
+	// settleTime is how long the entry has to have run without standing still before it takes a runner for silent: what the runner said meanwhile
+	// has to be read first.
+	settleTime = 50 * time.Millisecond
 )
 
 // firstWordAfter is how long a runner may take for its first word before it is asked whether it lives.
@@ -35,6 +38,9 @@
 	mu      sync.Mutex
 	timer   *time.Timer
 	stopped bool
+	// due is when the timer fires, and settling says that this ends the last part of the wait.
+	due      time.Time
+	settling bool
 }
 
 // boundSilence prepares the wait for the words of the attempt's runner.
@@ -66,7 +72,31 @@
 	if b.timer != nil {
 		b.timer.Stop()
 	}
-	b.timer = time.AfterFunc(first, b.ask)
+	b.timer = time.AfterFunc(first, b.expire)
+	b.set(first)
+}
+
+// expire asks about the runner once a wait has passed through whose last part the entry has run.
+func (b *silenceBound) expire() {
+	if b.settles(time.Now()) {
+		return
+	}
+	b.ask()
+}
+
+// settles reports that the wait goes on, since the entry hasn't run for its last part or may have stood still in it.
+func (b *silenceBound) settles(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.stopped {
+		return true
+	}
+	if b.settling && now.Sub(b.due) < settleTime {
+		return false
+	}
+	b.settling, b.due = true, now.Add(settleTime)
+	b.timer.Reset(settleTime)
+	return true
 }
 
 // ask has another runner asked where there is one, and looks again later, since that may refuse, or soon: the runner may only be slow.
@@ -89,8 +119,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.timer != nil && !b.stopped {
-		b.timer.Reset(d)
+		b.set(d)
+	}
+}
+
+// set has the wait end after the given time; the lock is held.
+func (b *silenceBound) set(d time.Duration) {
+	b.settling = d <= settleTime
+	if !b.settling {
+		d -= settleTime
 	}
+	b.due = time.Now().Add(d)
+	b.timer.Reset(d)
 }
 
 // stop lifts the bound for good, also where it is just being asked.
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -44,6 +44,18 @@
 			assert.Equal(t, 1, hedged)
 		})
 	})
+	t.Run("an entry that stood still reads first what came meanwhile", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			b := &silenceBound{allowed: time.Second, lives: func() bool { return false }, hedge: yes}
+			b.begin(time.Second)
+			defer b.stop()
+			time.Sleep(time.Second - settleTime/2) // the last part has begun
+			synctest.Wait()
+			assert.False(t, b.settles(b.due), "the entry has run")
+			assert.True(t, b.settles(b.due.Add(time.Second)), "the entry has stood still")
+			assert.False(t, b.settles(b.due), "the entry has run since")
+		})
+	})
 	t.Run("each word of the runner begins the wait anew", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			b := &silenceBound{allowed: time.Second, lives: func() bool { return false }, hedge: func() bool {
