Try a request again whose runs ended in an outage

Ruled out: letting any request be tried without an answer, which would end more runners than three for each that is at fault. Change: where half of a service's runs, three at least, end within 200 ms, the crashes are marked as those of an outage, which entries tell each other. A request that has fewer than three others is tried as one that was answered before. Repeats of a request that ends runners come one after the other, and each trial that ends its runner counts by itself, so that the third holds it back for good.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -93,6 +93,7 @@
 	// suspects are the crashes that this entry knows of, observed those that it has seen itself.
 	suspects poison.Tracker
 	observed poison.Tracker
+	outages  poison.Outages
 	// crashed is told when the entry itself has seen a crash, or that one is no longer held against a request.
 	crashed broadcast.Signal
 	budgets retry.Shares
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/poison"
+	"github.com/rillreach/rillreach/roster"
 )
 
 // identity is the fingerprint of a request, worked out once for all its attempts.
@@ -68,13 +71,23 @@
 		Answered: g.suspects.WasAnswered(x.fingerprint()),
 	}
 	now := g.Clock.Now()
-	g.suspects.Record(now, crash)
-	g.observed.Record(now, crash)
+	crashes := append(g.outages.Note(now, x.service.Name, g.listed(x.service.Name, t.runner), crash), crash)
+	g.suspects.Record(now, crashes...)
+	g.observed.Record(now, crashes...)
 	g.crashed.Wake()
 	g.Log.Info("runner ended under a request", "decision", "suspect", "request", x.wire.ID, "fingerprint", crash.Request.String(), "runner", crash.Runner,
 		"generation", crash.Generation, "crashes", g.suspects.Crashes(now, crash.Request))
 }
 
+// listed is how many runs of a service are listed, with one that has just ended.
+func (g *Gateway) listed(service rillreach.ServiceID, ended *roster.Runner) int {
+	group := g.state.Roster.Group(service)
+	if slices.Contains(group, ended) {
+		return len(group)
+	}
+	return len(group) + 1
+}
+
 // clearSuspicion remembers that a runner has answered the request, and lifts the suspicion of those like it.
 func (g *Gateway) clearSuspicion(x *exchange) {
 	now := g.Clock.Now()
--- a/poison/crash.go
+++ b/poison/crash.go
@@ -24,6 +24,8 @@
 	Trial bool `cbor:"7,keyasint,omitempty"`
 	// Answered says that runners had answered such requests before, as far as whoever saw the crash knows.
 	Answered bool `cbor:"8,keyasint,omitempty"`
+	// Outage says that most runs of the service ended at that moment, so that the request is one suspect among many.
+	Outage bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Check reports what is wrong with the message.
@@ -46,6 +48,7 @@
 	c.Cleared = c.Cleared || other.Cleared
 	c.Trial = c.Trial || other.Trial
 	c.Answered = c.Answered || other.Answered
+	c.Outage = c.Outage || other.Outage
 	return c
 }
 
--- a/poison/trial.go
+++ b/poison/trial.go
@@ -13,7 +13,8 @@
 const (
 	// VerdictSend says that nothing speaks against it.
 	VerdictSend Verdict = iota
-	// VerdictTrial says that the request would be held back, but is sent once, since runners have answered it before.
+	// VerdictTrial says that the request would be held back, but is sent once, since runners have answered it before or its crashes are those of
+	// an outage.
 	VerdictTrial
 	// VerdictQuarantine says that it must not be sent.
 	VerdictQuarantine
@@ -37,7 +38,7 @@
 	switch {
 	case n < MostCrashes:
 		return VerdictSend
-	case !t.wasAnswered(f) || now.Before(t.trials[f]) || now.Before(t.nextTrial(now, f)):
+	case !t.mayBeTried(now, f) || now.Before(t.trials[f]) || now.Before(t.nextTrial(now, f)):
 		return VerdictQuarantine
 	}
 	if t.trials == nil {
@@ -47,6 +48,21 @@
 	return VerdictTrial
 }
 
+// mayBeTried reports that something speaks for a request that would be held back: runners have answered it before, or without those of an
+// outage its crashes would not be enough; the lock is held.
+func (t *Tracker) mayBeTried(now time.Time, f Fingerprint) bool {
+	if t.wasAnswered(f) {
+		return true
+	}
+	alone := 0
+	for _, e := range t.requests[f] {
+		if r := e.Value.(*record); r.counts(now) && !r.crash.Outage {
+			alone++
+		}
+	}
+	return alone < MostCrashes
+}
+
 // WasAnswered reports that runners have answered such requests.
 func (t *Tracker) WasAnswered(f Fingerprint) bool {
 	t.mu.Lock()
