Send nothing to the runners of an evacuated zone

Cause: nothing read the platform's evacuations. Ruled out: a mark on each runner; a runner that is listed during the evacuation would have none. Change: entries list and watch the evacuated zones where the settings bound them, and leave their runners out where each choice of a runner begins: first sends, second attempts, waiting and resumed requests, and the holders that parts are fetched from. An entry takes requests only once the list is there. Entries of an evacuated zone hear of the engines in others again. Not done: runners' agents go on loading weights in such a zone, so that it comes back with the newest.

--- a/deployment/settings.go
+++ b/deployment/settings.go
@@ -22,6 +22,8 @@
 	RetryRatio  float64
 	RetryWindow time.Duration
 	RetrySlack  float64
+	// Evacuation is how soon a zone that is evacuated gets nothing more; zero where none ever is.
+	Evacuation time.Duration
 	// Weights is how soon new weights are in use.
 	Weights time.Duration
 }
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -59,7 +59,7 @@
 // look begins to follow the agents of new runners, and ends with those of runners that are gone or that are to be asked otherwise.
 func (a *agents) look(ctx context.Context) {
 	groups := a.gateway.engineGroups()
-	a.gateway.local.update(groups, a.gateway.Settings.Zone)
+	a.gateway.updateLocalServices(groups)
 	wanted := a.wanted(groups)
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- /dev/null
+++ b/gateway/evacuation_test.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/internal/standin/site"
+)
+
+// TestEvacuatedZone has an operator evacuate a zone, and take that back.
+func TestEvacuatedZone(t *testing.T) {
+	begin := func(t *testing.T, zones ...string) (*world, []*site.Runner) {
+		t.Helper()
+		store := site.NewStore()
+		store.Put("config", "main", defaultConfig())
+		var runners []*site.Runner
+		for _, zone := range zones {
+			r := &site.Runner{ID: "r-" + zone, Handle: func(w http.ResponseWriter, req *http.Request) { site.Answer(w, req, zone) }}
+			r.Start()
+			t.Cleanup(r.Stop)
+			listed := record(r, "ready")
+			listed["zone"] = zone
+			store.Put("servers", r.ID, listed)
+			runners = append(runners, r)
+		}
+		return beginWith(t, store, func(s *deployment.Settings) { s.Bounds.Evacuation = 5 * time.Second }), runners
+	}
+	served := func(t *testing.T, w *world) map[string]bool {
+		t.Helper()
+		zones := map[string]bool{}
+		for range 40 {
+			if got := w.call(t, "POST", "/once/x", "body"); got.status == http.StatusOK {
+				zones[got.body] = true
+			}
+		}
+		return zones
+	}
+	t.Run("its runners get nothing until the evacuation is taken back", func(t *testing.T) {
+		w, _ := begin(t, "z1", "z2")
+		defer w.stop()
+		w.awaitReady(t)
+		w.store.Put("evacuations", "z1", jsonMap{})
+		w.eventually(t, func() bool { return w.gateway.state.Evacuations().Has("z1") })
+		assert.Equal(t, map[string]bool{"z2": true}, served(t, w))
+		w.store.Remove("evacuations", "z1")
+		w.eventually(t, func() bool { return served(t, w)["z1"] })
+	})
+	t.Run("an entry that starts meanwhile knows of it before its first request", func(t *testing.T) {
+		w, runners := begin(t, "z1", "z2")
+		w.awaitReady(t)
+		w.store.Put("evacuations", "z1", jsonMap{})
+		w.stop()
+		later := beginWith(t, w.store, func(s *deployment.Settings) { s.Bounds.Evacuation = 5 * time.Second })
+		defer later.stop()
+		later.awaitReady(t)
+		assert.Equal(t, map[string]bool{"z2": true}, served(t, later))
+		assert.Empty(t, runners[0].Runs())
+	})
+	t.Run("with all zones evacuated requests are refused at once", func(t *testing.T) {
+		w, _ := begin(t, "z1")
+		defer w.stop()
+		w.awaitReady(t)
+		w.store.Put("evacuations", "z1", jsonMap{})
+		w.eventually(t, func() bool { return w.gateway.state.Evacuations().Has("z1") })
+		got := w.call(t, "POST", "/once/x", "body")
+		assertOwn(t, got, http.StatusServiceUnavailable)
+		assert.NotEmpty(t, got.header.Get("Retry-After"))
+	})
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -71,6 +71,8 @@
 	Configs rillreach.Source[*deployment.Config]
 	Runners rillreach.Source[*deployment.Runner]
 	Weights rillreach.Source[deployment.NamedWeights]
+	// Evacuations are the zones whose runners are to get nothing; they are followed where the settings bound how soon they are in force.
+	Evacuations rillreach.Source[rillreach.ZoneID]
 	// Callers and Readiness are the listeners for callers and for the balancer's question.
 	Callers   net.Listener
 	Readiness net.Listener
@@ -147,7 +149,7 @@
 	})
 	defer stop()
 	followed := &agents{gateway: g, pool: peers}
-	return controller.Run(life, g.Log,
+	controllers := []rillreach.Controller{
 		g.state.ConfigFollower(g.Configs, g.watchWait()),
 		g.state.RunnersFollower(g.Runners, g.watchWait(), g.gatherRunners(), g.restarted),
 		g.state.WeightsFollower(g.Weights, weightsWait),
@@ -159,7 +161,16 @@
 		peers,
 		followed,
 		&crashReporter{gateway: g, pool: peers, agents: followed},
-	)
+	}
+	if g.Settings.Bounds.Evacuation > 0 {
+		controllers = append(controllers, g.state.EvacuationsFollower(g.Evacuations, g.evacuationsWait()))
+	}
+	return controller.Run(life, g.Log, controllers...)
+}
+
+// evacuationsWait is how long one watch of the evacuated zones waits: one that hangs is noticed within their bound.
+func (g *Gateway) evacuationsWait() time.Duration {
+	return max(g.Settings.Bounds.Evacuation-watchMargin, leastWatch)
 }
 
 // watchWait is how long one watch of what is bound in time waits.
--- a/gateway/local_zone.go
+++ b/gateway/local_zone.go
@@ -39,6 +39,14 @@
 	l.enough = enough
 }
 
+// updateLocalServices counts the engines of the entry's own zone, none of which can be used while it is evacuated.
+func (g *Gateway) updateLocalServices(groups map[rillreach.ServiceID][]*roster.Runner) {
+	if g.state.Evacuations().Has(g.Settings.Zone) {
+		groups = nil
+	}
+	g.local.update(groups, g.Settings.Zone)
+}
+
 // countIn is how many of the runners are in the zone and don't leave.
 func countIn(group []*roster.Runner, zone rillreach.ZoneID) int {
 	n := 0
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -42,8 +42,12 @@
 	asked := x.sends.asked()
 	conversation := hash.String(conversation(x))
 	meanRead := g.reads.mean()
+	evacuations := g.state.Evacuations()
 	for i := range group.views {
 		v := &group.views[i]
+		if evacuations.Has(v.Zone) {
+			continue
+		}
 		state := g.versionAt(x, o, v)
 		if v.Leaving || !state.window.Admits(now, v.Wait) {
 			continue
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -125,6 +125,7 @@
 			Bounds: deployment.Bounds{Grace: 8 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100},
 		},
 		Configs: platform.Configs(client), Runners: platform.Runners(client), Weights: platform.Weights(client),
+		Evacuations: platform.Evacuations(client),
 		Callers: callers, Readiness: readiness, Log: logOf(t), Metrics: metrics,
 	}
 	change(w.gateway.Settings)
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -56,6 +56,8 @@
 	// unknownService are the runners whose service the configuration doesn't name.
 	unknownService map[rillreach.InstanceID]deployment.Runner
 
+	evacuations evacuationState
+
 	badConfig, badRunners, badWeights unreadable
 
 	mu      sync.Mutex
@@ -98,8 +100,10 @@
 	return all
 }
 
-// Complete reports that configuration and runners are known.
-func (s *State) Complete() bool { return s.config.Load() != nil && s.listed.Load() }
+// Complete reports that configuration, runners and, where they are followed, evacuated zones are known.
+func (s *State) Complete() bool {
+	return s.config.Load() != nil && s.listed.Load() && s.evacuations.known()
+}
 
 // SetConfig takes a configuration over, unless it is older than the one in force.
 func (s *State) SetConfig(c *deployment.Config) {
