Send a cold runner no more than it bears, from all entries together

Cause: what records tell of a runner's slow start was dropped, and a service's rate for it never read, so that entries sent to a runner that had just started as to any other. Ways weighed: a share of the rate by the number of entries (25 entries that each send one a second break a bound of 21.5 once they agree on a runner, and 830 always); one entry in turn by hash and time slot (it needs all entries to agree on who there is); the runner's agent as the only one that allots. Kept: the last. An entry that is cut off from the agent sends nothing to its cold runner, and no message is made for it: permits ride on the bulletins that are sent anyway. Prompts wait for permits in the line. Runners without an agent get requests of one entry spaced by the number of entries: the bound is kept there only while entries don't outnumber it.

--- a/bulletin/bulletin.go
+++ b/bulletin/bulletin.go
@@ -61,6 +61,8 @@
 	Notices []notify.Notice `cbor:"9,keyasint,omitempty"`
 	// Crashes are those that the follower has not been told of.
 	Crashes []poison.Crash `cbor:"10,keyasint,omitempty"`
+	// Permits is how many requests the follower may send to the runner while that is cold, within slowstart.Validity after Clock.
+	Permits int `cbor:"11,keyasint,omitempty"`
 }
 
 // Run is the run that the agent speaks for.
@@ -155,6 +157,9 @@
 	if b.Load.LoadsAt < 0 {
 		return errors.Newf("bulletin names a load at %d ms", b.Load.LoadsAt)
 	}
+	if b.Permits < 0 {
+		return errors.Newf("bulletin gives %d permits", b.Permits)
+	}
 	for _, n := range b.Notices {
 		if err := n.Check(); err != nil {
 			return err
--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -196,7 +196,7 @@
 	return &gateway.Gateway{
 		Settings: p.settings, Configs: platform.Configs(p.store), Runners: platform.Runners(p.store), Weights: platform.Weights(p.store),
 		Evacuations: platform.Evacuations(p.store),
-		Callers: callers, Readiness: readiness, Log: p.log, Metrics: p.metrics,
+		Callers:     callers, Readiness: readiness, Log: p.log, Metrics: p.metrics,
 	}
 }
 
--- a/deployment/config.go
+++ b/deployment/config.go
@@ -110,11 +110,19 @@
 	Managed bool
 }
 
+// SlowStart is how long runners are cold after a start, and how many requests a second one bears then; zero where that is not bounded.
+type SlowStart struct {
+	Duration  time.Duration
+	PerSecond float64
+}
+
 // Service is a group of runners, or a store.
 type Service struct {
 	Name rillreach.ServiceID
 	// MaxConns is how many connections a runner takes from all callers together.
 	MaxConns int
+	// SlowStart says how little a runner bears after its start.
+	SlowStart SlowStart
 	// Engine is set where the runners are model engines.
 	Engine *Engine
 	// Store is set where the service is a store of KV cache.
--- a/deployment/runner.go
+++ b/deployment/runner.go
@@ -25,6 +25,10 @@
 	Revision uint64
 	// Leaving says that the runner is about to end and takes nothing new.
 	Leaving bool
+	// Cold is for how much longer after its record was written the runner bears few requests, and ColdUntil when that ends at the latest, by the
+	// clock of the process that has read the record; zero where it doesn't.
+	Cold      time.Duration
+	ColdUntil time.Time
 	// Weights are the versions of the models that it has loaded.
 	Weights map[rillreach.ModelID]WeightVersion
 }
--- a/deployment/settings.go
+++ b/deployment/settings.go
@@ -24,6 +24,10 @@
 	RetrySlack  float64
 	// Evacuation is how soon a zone that is evacuated gets nothing more; zero where none ever is.
 	Evacuation time.Duration
+	// SlowStartOver and SlowStartSlack bound the requests that a cold runner gets in any one second from all entries: what it bears a second
+	// times the one, plus the other.
+	SlowStartOver  float64
+	SlowStartSlack float64
 	// Weights is how soon new weights are in use.
 	Weights time.Duration
 }
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -46,9 +46,13 @@
 // offset is where among so many candidates a choice begins to look.
 func (g *Gateway) offset(n int) int { return int(g.seq.Add(1) % uint64(n)) }
 
-// assign makes a choice the target of the next attempt, and counts the request as running there.
+// assign makes a choice the target of the next attempt, and counts the request as running there. It returns nil where the runner is cold and
+// another request has just taken the last permit.
 func (g *Gateway) assign(x *exchange, o *options, choice place.Choice, now time.Time) *target {
 	i := choice.Index
+	if !o.runners[i].TakePermit(now) {
+		return nil
+	}
 	t := &target{
 		runner: o.runners[i], view: *o.views[i], choice: choice, held: o.question.Tokens, plan: o.plans[i],
 		reading: o.candidates[i].Missing, before: o.candidates[i].Reading,
@@ -76,7 +80,7 @@
 		"weights", t.weights, "replacedFor", g.replacedFor(x, t.weights, now).String(),
 		"held", now.Sub(x.arrived).String(), "before", t.before, "perToken", o.question.Speed.PerToken.String(), "base", o.question.Speed.Base.String(),
 		"missing", t.reading, "again", t.plan.Again, "fetched", t.plan.Fetched, "fetchUntil", fetchUntil,
-		"avoided", t.view.Avoid, "reported", t.view.Reported, "loading", t.view.Load.Busy, "reportAge", t.view.ReportAge.String(),
+		"avoided", t.view.Avoid, "cold", t.view.Cold, "reported", t.view.Reported, "loading", t.view.Load.Busy, "reportAge", t.view.ReportAge.String(),
 		"listAge", g.listAge(now).String())
 }
 
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -16,7 +16,7 @@
 		{Name: "rillreach.runners.leaving", Description: "listed runners that take nothing new", Read: func() float64 { return float64(g.countRunners(true)) }},
 		{Name: "rillreach.runners.avoided", Description: "listed runners that are left alone for their answers", Read: func() float64 { return float64(g.countRunners(false)) }},
 		{Name: "rillreach.runners.age", Description: "seconds since the list of runners was known to be complete", Read: func() float64 { return g.listAge(time.Now()).Seconds() }},
-		{Name: "rillreach.zones.evacuated", Description: "zones whose runners get nothing", Read: func() float64 { return float64(g.state.Evacuations().Len()) }},
+		{Name: "rillreach.zones.evacuated", Description: "zones whose runners get nothing", Read: func() float64 { return float64(len(g.state.Evacuations())) }},
 		{Name: "rillreach.requests.running", Description: "requests that run", Read: func() float64 { return float64(g.running.Count()) }},
 		{Name: "rillreach.requests.waiting", Description: "prompts that wait at the entry for room at a model engine", Read: func() float64 { return float64(g.line.len()) }},
 		{Name: "rillreach.requests.suspected", Description: "requests that were under way at a runner that ended, and not answered since", Read: g.suspectCount},
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -69,7 +69,11 @@
 	if choice.Index < 0 || !g.budgets.Spend(now, x.service.Name) {
 		return false
 	}
-	h := &hedge{first: a, reason: reason, attempt: g.newAttempt(a.parent, x, g.assign(x, o, choice, now))}
+	t := g.assign(x, o, choice, now)
+	if t == nil {
+		return false
+	}
+	h := &hedge{first: a, reason: reason, attempt: g.newAttempt(a.parent, x, t)}
 	if reason == hedgeLoading {
 		h.patience = time.AfterFunc(hedgePatience, h.drop)
 	}
--- a/gateway/line.go
+++ b/gateway/line.go
@@ -204,6 +204,9 @@
 	switch {
 	case choice.Index >= 0:
 		t := g.assign(x, o, choice, now)
+		if t == nil {
+			return decision{}, false
+		}
 		*o.views[choice.Index] = t.runner.View(now) // the next request finds less room there
 		return decision{target: t}, true
 	case w.request.Lost(now):
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -28,6 +28,7 @@
 	g.applyCrashes(b.Crashes)
 	g.budgets.SetEntries(b.Followers)
 	g.stores.clock.hear(b.Clock, now)
+	g.learnPermits(runner, b, now)
 	for i := range b.Holders {
 		if h := &b.Holders[i]; h.Store {
 			g.stores.learn(b.Runner, b.Clock, h, now)
@@ -52,6 +53,7 @@
 		g.Metrics.InvalidReport()
 		return
 	}
+	g.noteReturn(r, &load, now)
 	r.SetReport(roster.Report{At: now, Load: load, LoadsAt: loadsAt(b, now)})
 	g.line.changed()
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -35,6 +35,7 @@
 // options looks at all runners of the request's service. What each would read and fetch is added by planAt.
 func (g *Gateway) options(x *exchange, all *runnerViews, now time.Time) *options {
 	o := &options{question: g.question(x), versions: map[deployment.WeightVersion]*versionState{}}
+	g.spacePermits(x, g.state.Roster.Group(x.service.Name), now)
 	group := all.of(x.service.Name)
 	o.views = make([]*roster.View, 0, len(group.views))
 	o.runners = make([]*roster.Runner, 0, len(group.views))
@@ -45,7 +46,7 @@
 	evacuations := g.state.Evacuations()
 	for i := range group.views {
 		v := &group.views[i]
-		if evacuations.Has(v.Zone) {
+		if evacuations.Has(v.Zone) || closed(v) && !x.needsEngine() {
 			continue
 		}
 		state := g.versionAt(x, o, v)
--- a/gateway/poison_world_test.go
+++ b/gateway/poison_world_test.go
@@ -85,9 +85,7 @@
 	t.Helper()
 	s := &sharedSite{store: site.NewStore(), engine: &site.Engine{Model: site.Model, Version: 1}}
 	config := defaultConfig()
-	config["services"] = append(config["services"].([]jsonMap), jsonMap{
-		"name": "e", "engine": jsonMap{"slots": 64, "kv_capacity_tokens": 40000, "kv_token_bytes": 18432, "link_mbps": 130000, "models": []jsonMap{{"name": site.Model}}},
-	})
+	config["services"] = append(config["services"].([]jsonMap), engineService())
 	s.store.Put("config", "main", config)
 	for _, r := range runners {
 		r.Start()
@@ -107,6 +105,13 @@
 	return s
 }
 
+// engineService is the service of the site's engine.
+func engineService() jsonMap {
+	return jsonMap{
+		"name": "e", "engine": jsonMap{"slots": 64, "kv_capacity_tokens": 40000, "kv_token_bytes": 18432, "link_mbps": 130000, "models": []jsonMap{{"name": site.Model}}},
+	}
+}
+
 // entry starts an entry, and waits until it serves and hears the agent.
 func (s *sharedSite) entry(t *testing.T, name string) *world {
 	t.Helper()
@@ -128,8 +133,8 @@
 	client := platform.NewStore(netip.MustParseAddrPort(strings.TrimPrefix(s.server.URL, "http://")))
 	agent := &sidecar.Sidecar{
 		Settings: &deployment.Settings{
-			Name: "side-1", Zone: "z1", Host: s.agent.Addr(), FirstPort: s.agent.Port(), LastPort: s.agent.Port(), Runner: s.engine.Address(),
-			Bounds: deployment.Bounds{Weights: weightsBound},
+			Name: "side-1", Zone: "z1", Host: s.agent.Addr(), FirstPort: s.agent.Port(), LastPort: s.agent.Port(), Runner: s.engine.Address(), Service: "e",
+			Bounds: deployment.Bounds{Weights: weightsBound, SlowStartOver: coldBound.Over, SlowStartSlack: coldBound.Slack},
 		},
 		Configs: platform.Configs(client), Runners: platform.Runners(client), Weights: platform.Weights(client),
 		Runner: platform.NewRunner(s.engine.Address()), Listener: l, Log: logr.Discard(),
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -26,7 +26,7 @@
 	free := 0
 	good := o.anyGood()
 	for i := range o.views {
-		if good && !o.candidates[i].Suits() || q.claimed[o.runners[i]] {
+		if good && !o.candidates[i].Suits() || q.claimed[o.runners[i]] || closed(o.views[i]) {
 			continue
 		}
 		room := g.roomOf(o, i, q.senders)
--- /dev/null
+++ b/gateway/slow_start.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rillreach/rillreach/bulletin"
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/roster"
+	"github.com/rillreach/rillreach/slowstart"
+)
+
+// learnPermits takes over the permits that a runner's agent gives this entry. Those of a bulletin that was long on its way end sooner.
+func (g *Gateway) learnPermits(r *roster.Runner, b *bulletin.Bulletin, now time.Time) {
+	if r == nil || b.Permits == 0 {
+		return
+	}
+	until := now.Add(slowstart.Validity)
+	if clock, known := g.stores.clock.read(now); known && b.Clock != 0 {
+		until = until.Add(-max(0, clock.Sub(time.UnixMilli(b.Clock))))
+	}
+	r.Permit(b.Permits, until)
+}
+
+// noteReturn takes a runner for cold whose agent speaks of it again after a silence, in which it may have started anew.
+func (g *Gateway) noteReturn(r *roster.Runner, load *deployment.Load, now time.Time) {
+	before := r.View(now)
+	wasSilent := before.Reported && before.Load.Silent || !before.Reported && before.ReportAge > 0
+	if wasSilent && !load.Silent {
+		g.state.StartSlowly(r, now)
+	}
+}
+
+// spacePermits gives the entry permits for cold runners of a service without agents, as if all entries sent as often as it may.
+func (g *Gateway) spacePermits(x *exchange, runners []*roster.Runner, now time.Time) {
+	rate := x.service.SlowStart.PerSecond
+	if x.service.Engine != nil || rate <= 0 {
+		return
+	}
+	space := time.Duration(float64(g.budgets.Entries()) / rate * float64(time.Second))
+	for _, r := range runners {
+		r.SpacePermits(now, space)
+	}
+}
+
+// closed reports that a runner takes no request of this entry now, since it is cold and there is no permit.
+func closed(v *roster.View) bool { return v.Cold && !v.Permitted }
--- /dev/null
+++ b/gateway/slow_start_test.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/internal/standin/site"
+	"github.com/rillreach/rillreach/slowstart"
+)
+
+// coldBound is what a cold runner of these tests may get in any one second.
+var coldBound = slowstart.Limits{PerSecond: 8, Over: 1.5, Slack: 4}
+
+const (
+	// coldFor is how long it is cold, coldLoad how many requests come meanwhile, one after the other, and coldPrompts how many prompts at once.
+	coldFor     = 3 * time.Second
+	coldLoad    = 60
+	coldPrompts = 20
+)
+
+// arrivals are the moments at which requests reached a runner.
+type arrivals struct {
+	mu sync.Mutex
+	at []time.Time
+}
+
+func (a *arrivals) add() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.at = append(a.at, time.Now())
+}
+
+// mostIn is the most that came in any span of the length.
+func (a *arrivals) mostIn(span time.Duration) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	most := 0
+	for i, first := range a.at {
+		n, _ := slices.BinarySearchFunc(a.at, first.Add(span), func(at, end time.Time) int { return at.Compare(end) })
+		most = max(most, n-i)
+	}
+	return most
+}
+
+func (a *arrivals) len() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.at)
+}
+
+// withSlowStart adds to a configuration how a service's runners start.
+func withSlowStart(config jsonMap, service string) jsonMap {
+	for _, s := range config["services"].([]jsonMap) {
+		if s["name"] == service {
+			s["cold_start_s"], s["cold_per_s"] = coldFor.Seconds(), coldBound.PerSecond
+		}
+	}
+	return config
+}
+
+func setColdBounds(s *deployment.Settings) {
+	s.Bounds.SlowStartOver, s.Bounds.SlowStartSlack = coldBound.Over, coldBound.Slack
+}
+
+func assertColdBound(t *testing.T, a *arrivals) {
+	t.Helper()
+	assert.LessOrEqual(t, float64(a.mostIn(time.Second)), coldBound.PerSecond*coldBound.Over+coldBound.Slack)
+}
+
+// TestColdRunnerWithoutAgent has many requests come at once while the only runner of a plain service is cold.
+func TestColdRunnerWithoutAgent(t *testing.T) {
+	var reached arrivals
+	r := &site.Runner{ID: "cold", Handle: func(w http.ResponseWriter, req *http.Request) {
+		reached.add()
+		site.Answer(w, req, "sound")
+	}}
+	r.Start()
+	defer r.Stop()
+	store := site.NewStore()
+	store.Put("config", "main", withSlowStart(defaultConfig(), "plain"))
+	listed := record(r, "ready")
+	listed["cold_remaining_ms"] = coldFor.Milliseconds()
+	store.Put("servers", r.ID, listed)
+	w := beginWith(t, store, setColdBounds)
+	defer w.stop()
+	w.awaitReady(t)
+	for range coldLoad {
+		w.call(t, "POST", "/once/x", "body")
+	}
+	assertColdBound(t, &reached)
+	assert.NotZero(t, reached.len())
+	listed["cold_remaining_ms"] = 0
+	store.Put("servers", r.ID, listed)
+	w.eventually(t, func() bool { return w.call(t, "POST", "/once/x", "body").status == http.StatusOK })
+	for range coldLoad {
+		require.Equal(t, http.StatusOK, w.call(t, "POST", "/once/x", "body").status, "a warm runner takes all")
+	}
+}
+
+// TestColdEngine has prompts come to two entries at once while the only engine is cold: they wait for permits of its agent, which the entries
+// share.
+func TestColdEngine(t *testing.T) {
+	s := beginShared(t)
+	var reached arrivals
+	s.engine.Handle = func(w http.ResponseWriter, req *http.Request) {
+		reached.add()
+		site.Answer(w, req, "sound")
+	}
+	config := defaultConfig()
+	config["routes"] = append(config["routes"].([]jsonMap), routeOf("prompt", "streaming", "e", jsonMap{"resumable": true, "target_latency_ms": 4000}))
+	config["services"] = append(config["services"].([]jsonMap), engineService())
+	s.store.Put("config", "main", withSlowStart(config, "e"))
+	one, two := s.entry(t, "entry-1"), s.entry(t, "entry-2")
+	listed := site.EngineRecordOf(s.engine.Address(), "ready", 1)
+	listed["cold_remaining_ms"] = coldFor.Milliseconds()
+	s.store.Put("servers", s.engine.ID, listed)
+	for _, w := range []*world{one, two} {
+		w.eventually(t, func() bool { return w.gateway.state.Roster.Find("engine").View(time.Now()).Cold })
+	}
+	var wg sync.WaitGroup
+	var served arrivals
+	for i := range coldPrompts {
+		w := []*world{one, two}[i%2]
+		wg.Go(func() {
+			if read(t, w.prompt(t, fmt.Sprint("/prompt/", i)), "GET").status == http.StatusOK {
+				served.add()
+			}
+		})
+	}
+	wg.Wait()
+	assertColdBound(t, &reached)
+	assert.NotZero(t, served.len())
+}
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -126,7 +126,7 @@
 		},
 		Configs: platform.Configs(client), Runners: platform.Runners(client), Weights: platform.Weights(client),
 		Evacuations: platform.Evacuations(client),
-		Callers: callers, Readiness: readiness, Log: logOf(t), Metrics: metrics,
+		Callers:     callers, Readiness: readiness, Log: logOf(t), Metrics: metrics,
 	}
 	change(w.gateway.Settings)
 	w.callers, w.ready = callers.Addr().String(), readiness.Addr().String()
--- a/localstate/runners.go
+++ b/localstate/runners.go
@@ -61,6 +61,7 @@
 			s.setAside(now, u.Value)
 		default:
 			s.noteStart(u.Value)
+			noteCold(u.Value, now)
 			delete(s.unknownService, u.Value.ID)
 			list = append(list, *u.Value)
 		}
@@ -92,11 +93,19 @@
 		s.setAside(now, u.Value)
 	default:
 		s.noteStart(u.Value)
+		noteCold(u.Value, now)
 		delete(s.unknownService, u.Value.ID)
 		s.noteRunners(s.Roster.Put(*u.Value))
 	}
 }
 
+// noteCold works out until when a runner is cold at the latest: its record may have been written just now.
+func noteCold(r *deployment.Runner, now time.Time) {
+	if r.Cold > 0 {
+		r.ColdUntil = now.Add(r.Cold)
+	}
+}
+
 // removeRunner takes a runner out of use, at the given moment or at once where that is zero; entries is held.
 func (s *State) removeRunner(now time.Time, name string, doubtful time.Time) {
 	id := rillreach.InstanceID(name)
--- a/localstate/runs.go
+++ b/localstate/runs.go
@@ -1,6 +1,8 @@
 package localstate
 
 import (
+	"time"
+
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/roster"
@@ -11,6 +13,9 @@
 // or a later run of it is known, so that this word is late.
 func (s *State) Observe(run rillreach.InstanceRun) *roster.Runner {
 	runner, changes := s.Roster.Observe(run)
+	if len(changes) > 0 && runner != nil {
+		s.StartSlowly(runner, time.Now())
+	}
 	s.noteRunners(changes)
 	return runner
 }
--- a/poison/outage_test.go
+++ b/poison/outage_test.go
@@ -12,19 +12,19 @@
 func TestOutages(t *testing.T) {
 	const listed = 6
 	for name, c := range map[string]struct {
-		moments []time.Duration
+		moments []int
 		outage  int
 	}{
-		"half of the runs together":           {moments: []time.Duration{0, 50, 150}, outage: 3},
-		"fewer":                               {moments: []time.Duration{0, 50}},
-		"half of the runs one by one":         {moments: []time.Duration{0, 300, 600}},
-		"half of the runs, the last one late": {moments: []time.Duration{0, 50, 300}},
+		"half of the runs together":           {moments: []int{0, 50, 150}, outage: 3},
+		"fewer":                               {moments: []int{0, 50}},
+		"half of the runs one by one":         {moments: []int{0, 300, 600}},
+		"half of the runs, the last one late": {moments: []int{0, 50, 300}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var o Outages
 			var found []Crash
 			for i, ms := range c.moments {
-				found = o.Note(start.Add(ms*time.Millisecond), "s", listed, crash(1, fmt.Sprint("r", i)))
+				found = o.Note(start.Add(time.Duration(ms)*time.Millisecond), "s", listed, crash(1, fmt.Sprint("r", i)))
 			}
 			assert.Len(t, found, c.outage)
 			for _, f := range found {
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -8,6 +8,7 @@
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/slowstart"
 )
 
 const (
@@ -60,6 +61,11 @@
 	leaving bool
 	// displaced says that a record which was written later names the runner's address.
 	displaced bool
+	// coldUntil is when the runner is no longer cold at the latest, permits are those to send to it until then.
+	coldUntil time.Time
+	permits   slowstart.Permits
+	// lastBegun is when the last request was sent to the runner.
+	lastBegun time.Time
 	// sent are this process's latest requests, which the report may not show yet.
 	sent recentSends
 }
@@ -89,11 +95,14 @@
 	// SentHeld and SentReading are what this process's requests take and read that the report may not show yet, in tokens.
 	SentHeld    int
 	SentReading int
+	// Cold says that the runner bears few requests, so that each takes a permit, and Permitted that one is there.
+	Cold      bool
+	Permitted bool
 }
 
 // newRunner is a run of which nothing is known but its record, which lapses at the given moment unless that is zero.
 func newRunner(info deployment.Runner, gone time.Time) *Runner {
-	r := &Runner{info: info, gone: gone}
+	r := &Runner{info: info, gone: gone, coldUntil: info.ColdUntil}
 	r.over, r.end = context.WithCancel(context.Background())
 	return r
 }
@@ -117,6 +126,8 @@
 		v.ReportAge = now.Sub(r.report.At)
 	}
 	v.SentHeld, v.SentReading = r.sent.since(r.report.At.Add(-reportLag))
+	v.Cold = now.Before(r.coldUntil)
+	v.Permitted = v.Cold && r.permits.Any(now)
 	v.Leaving = v.Leaving || r.leaving || r.displaced || v.Reported && r.report.Load.Leaving
 	v.Weights = newest(v.Weights, r.weights)
 	if v.Reported && !r.report.LoadsAt.IsZero() {
@@ -157,6 +168,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.wait.sent(now)
+	r.lastBegun = now
 	r.sent.add(now, reading, held)
 	r.running++
 	r.reading += reading
@@ -282,6 +294,9 @@
 func (r *Runner) relist(info deployment.Runner) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if info.Revision != r.info.Revision {
+		r.coldUntil = info.ColdUntil
+	}
 	r.info, r.gone = info, time.Time{}
 }
 
--- a/sidecar/follower.go
+++ b/sidecar/follower.go
@@ -8,6 +8,7 @@
 	"github.com/rillreach/rillreach/bulletin"
 	"github.com/rillreach/rillreach/holdings"
 	"github.com/rillreach/rillreach/notify"
+	"github.com/rillreach/rillreach/slowstart"
 )
 
 func newFollower(p *publisher) *follower {
@@ -27,6 +28,8 @@
 	untold map[*holder]backlog
 	// crashes is how far it has been told of the crashes that the agent knows.
 	crashes uint64
+	// permits is what it has been allotted of what a cold runner bears.
+	permits slowstart.Share
 	told    bulletin.Bulletin
 	toldAt  time.Time
 }
@@ -63,11 +66,21 @@
 	if !changed && len(b.Crashes) == 0 && f.sameLoad(&b) && sameRevisions(f.told.Notices, b.Notices) && time.Since(f.toldAt) < quietMost {
 		return b, false
 	}
+	b.Permits = f.allot()
 	slim := b.Without(&f.told)
 	f.told, f.toldAt = b, time.Now()
 	return slim, true
 }
 
+// allot gives the follower its permits for the runner, whether that is cold or not: whoever sends to it knows that.
+func (f *follower) allot() int {
+	if f.sparse {
+		return 0
+	}
+	p := f.publisher
+	return p.permits.Take(time.Now(), &f.permits, int(p.sending.Load()), p.sidecar.slowStart())
+}
+
 // sameLoad reports that the runner is as the follower was told.
 func (f *follower) sameLoad(b *bulletin.Bulletin) bool {
 	was, is := f.told.Load, b.Load
--- a/sidecar/publisher.go
+++ b/sidecar/publisher.go
@@ -11,6 +11,7 @@
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/internal/broadcast"
 	"github.com/rillreach/rillreach/peer"
+	"github.com/rillreach/rillreach/slowstart"
 )
 
 const (
@@ -32,6 +33,9 @@
 type publisher struct {
 	sidecar   *Sidecar
 	followers atomic.Int64
+	// sending are the followers that send to the runner, and share the permits for it.
+	sending atomic.Int64
+	permits slowstart.Allotter
 	// serving are the followers that the agent waits for when it ends, urgent wakes them.
 	serving followerGroup
 	urgent  broadcast.Signal
@@ -88,6 +92,10 @@
 	}()
 	f := newFollower(p)
 	f.sparse = follow.Sparse
+	if !f.sparse {
+		p.sending.Add(1)
+		defer p.sending.Add(-1)
+	}
 	f.far = follow.Zone != "" && follow.Zone != p.sidecar.Settings.Zone
 	var pacer pacer
 	for ctx.Err() == nil {
--- /dev/null
+++ b/slowstart/permits.go
@@ -0,0 +1,46 @@
+package slowstart
+
+import (
+	"slices"
+	"time"
+)
+
+// mostPermits bounds the permits that are kept for one runner.
+const mostPermits = 64
+
+// Permits are those that an entry has for one runner, by when they end; the zero value has none.
+type Permits struct{ ends []time.Time }
+
+// Add takes permits that may be used until the given moment.
+func (p *Permits) Add(n int, until time.Time) {
+	n = min(n, mostPermits-len(p.ends))
+	for range n {
+		p.ends = append(p.ends, until)
+	}
+}
+
+// Any reports that a request may begin.
+func (p *Permits) Any(now time.Time) bool {
+	p.expire(now)
+	return len(p.ends) > 0
+}
+
+// Take uses the permit that ends first, and reports whether there is one.
+func (p *Permits) Take(now time.Time) bool {
+	p.expire(now)
+	if len(p.ends) == 0 {
+		return false
+	}
+	first := 0
+	for i, end := range p.ends {
+		if end.Before(p.ends[first]) {
+			first = i
+		}
+	}
+	p.ends = slices.Delete(p.ends, first, first+1)
+	return true
+}
+
+func (p *Permits) expire(now time.Time) {
+	p.ends = slices.DeleteFunc(p.ends, func(end time.Time) bool { return !now.Before(end) })
+}
