Tell the rate at which waiting prompts are admitted from their first moments on

Cause: the rate is a moving sum over three seconds, which began at zero each time. For the first second or more in which prompts wait it was several times too low, so that prompts were refused as a backlog that would have been served: after an outage, before cold engines, at the head of a burst. Ruled out: the bound on a standing backlog, which wasn't reached. Time in which nobody waits doesn't count as time in which nothing is admitted. Measured: TestColdEngine, 20 prompts at once before an engine that takes 8 a second, served 7 before (13 refused after 0.4 s with 5 s left), all 20 now.

--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -66,8 +66,10 @@
 	}
 }
 
-// noteStanding records whether requests that can be in time wait; the lock is held.
+// noteStanding records whether requests wait, and whether some that can be in time do; the lock is held.
 func (l *line) noteStanding(now time.Time) {
+	l.backlog.Waiting(now, len(l.waiting) > 0)
+	l.late.Waiting(now, len(l.waiting) > 0)
 	l.standing.Note(now, slices.ContainsFunc(l.waiting, func(w *waitingRequest) bool { return !w.request.Late(now) }))
 }
 
--- a/gateway/slow_start_test.go
+++ b/gateway/slow_start_test.go
@@ -137,5 +137,5 @@
 	}
 	wg.Wait()
 	assertColdBound(t, &reached)
-	assert.NotZero(t, served.len())
+	assert.Equal(t, coldPrompts, served.len(), "those that wait are served")
 }
