Keep requests and KV cache in their allowed regions

Cause: allowed regions of routes and client accounts were read nowhere, and settings' regions of zones neither. Change: runners in zones outside are left out where each choice begins, stores outside are neither asked nor saved to, and the regions are part of the salt, so that no other request finds and moves what such a prompt left. Where route and account both limit, both bind. Ruled out: keeping bodies out of other processes' regions; entries send bodies to runners alone. Measured: TestAllowedRegions fails without the look (both routes), and passes with it.

--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -156,7 +157,7 @@
 			p.log.Error(err, "settings refused, the last good ones stay", "decision", "reload")
 			continue
 		}
-		p.log.Info("settings read again", "decision", "reload", "changed", *s != *p.settings)
+		p.log.Info("settings read again", "decision", "reload", "changed", !reflect.DeepEqual(s, p.settings))
 	}
 }
 
--- a/deployment/config.go
+++ b/deployment/config.go
@@ -65,6 +65,8 @@
 	Public bool
 	// Resumable says that a stream may go on at another runner.
 	Resumable bool
+	// Regions are those in which its requests may run and their KV cache may be kept, nil for all.
+	Regions []rillreach.RegionID
 }
 
 // Once reports that a request of the route must not run twice.
@@ -137,6 +139,8 @@
 	Priority *int
 	// Isolated says that the account shares no KV cache with others.
 	Isolated bool
+	// Regions are those in which its requests may run and their KV cache may be kept, nil for all.
+	Regions []rillreach.RegionID
 }
 
 // Limits bound what a caller may send.
--- a/deployment/settings.go
+++ b/deployment/settings.go
@@ -34,10 +34,12 @@
 
 // Settings are what the platform tells a process at its start.
 type Settings struct {
-	Name   string
-	Zone   rillreach.ZoneID
-	Host   netip.Addr
-	Bounds Bounds
+	Name string
+	Zone rillreach.ZoneID
+	Host netip.Addr
+	// Regions are the regions of the availability zones.
+	Regions map[rillreach.ZoneID]rillreach.RegionID
+	Bounds  Bounds
 	// Store is the address of the platform's object store.
 	Store netip.AddrPort
 	// Callers and Readiness are the addresses of an entry for callers and for the balancer's question.
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -101,9 +101,9 @@
 // oldFrom is how long after the naming of new weights answers on the old ones are as good as others.
 const oldFrom = 1200 * time.Millisecond
 
-// salt keeps KV cache apart by model, weights and, for an isolated account, the account.
+// salt keeps KV cache apart by model, weights, regions and, for an isolated account, the account.
 func salt(x *exchange, version deployment.WeightVersion) string {
-	s := deployment.Salt{Model: x.wire.Prompt.Model, Weights: version}
+	s := deployment.Salt{Model: x.wire.Prompt.Model, Weights: version, Regions: x.regions}
 	if x.account != nil && x.account.Isolated {
 		s.Account = x.account.Name
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -20,6 +20,9 @@
 	config  *deployment.Config
 	route   *deployment.Route
 	account *deployment.Account
+	// regions are those in which the request may run and what it leaves may be kept, where limited says that not all are.
+	regions []rillreach.RegionID
+	limited bool
 	service *deployment.Service
 	arrived time.Time
 	// ends is when the final answer is due.
@@ -66,7 +69,7 @@
 // fork is the request as a second attempt takes it; where both are sent is recorded in one place.
 func (x *exchange) fork() *exchange {
 	return &exchange{
-		request: x.request, wire: x.wire, call: x.call, config: x.config, route: x.route, account: x.account, service: x.service,
+		request: x.request, wire: x.wire, call: x.call, config: x.config, route: x.route, account: x.account, regions: x.regions, limited: x.limited, service: x.service,
 		arrived: x.arrived, ends: x.ends, sends: x.sends, identity: x.identity, trial: x.trial, buffered: x.buffered, progress: x.snapshot(),
 	}
 }
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/platform"
 )
@@ -57,6 +58,7 @@
 	if refusal := x.authenticate(); refusal != nil {
 		return refusal
 	}
+	x.regions, x.limited = deployment.AllowedRegions(x.route, x.account)
 	x.ends = x.arrived.Add(x.route.Timeout)
 	if x.wire.Patience > 0 && x.wire.Patience < x.route.Timeout {
 		x.ends = x.arrived.Add(x.wire.Patience)
--- a/gateway/kept.go
+++ b/gateway/kept.go
@@ -77,6 +77,9 @@
 	}
 	p.until = clock.Add(fetchWithin)
 	for _, s := range x.config.Stores() {
+		if !g.allows(x, s.Zone) {
+			continue
+		}
 		until, busy, ok := g.stores.usable(s.Address, p.salt, now)
 		if !ok || until.Before(clock.Add(leastFetch)) {
 			continue
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -46,7 +46,7 @@
 	evacuations := g.state.Evacuations()
 	for i := range group.views {
 		v := &group.views[i]
-		if evacuations.Has(v.Zone) || closed(v) && !x.needsEngine() {
+		if evacuations.Has(v.Zone) || !g.allows(x, v.Zone) || closed(v) && !x.needsEngine() {
 			continue
 		}
 		state := g.versionAt(x, o, v)
--- /dev/null
+++ b/gateway/regions_test.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/internal/standin/site"
+)
+
+// TestAllowedRegions has a runner in each of two regions, and routes and accounts that allow one of them, the other or both.
+func TestAllowedRegions(t *testing.T) {
+	store := site.NewStore()
+	store.Put("config", "main", configOf(
+		1,
+		routeOf("near", "non_idempotent", "plain", jsonMap{"allowed_regions": []string{"here"}}),
+		routeOf("far", "non_idempotent", "plain", jsonMap{"allowed_regions": []string{"there"}}),
+		routeOf("any", "non_idempotent", "plain", nil),
+		routeOf("none", "non_idempotent", "plain", jsonMap{"allowed_regions": []string{"elsewhere"}}),
+	))
+	for _, zone := range []string{"z1", "z2"} {
+		r := &site.Runner{ID: "r-" + zone, Handle: func(w http.ResponseWriter, req *http.Request) { site.Answer(w, req, zone) }}
+		r.Start()
+		t.Cleanup(r.Stop)
+		listed := record(r, "ready")
+		listed["zone"] = zone
+		store.Put("servers", r.ID, listed)
+	}
+	w := beginWith(t, store, func(s *deployment.Settings) {
+		s.Regions = map[rillreach.ZoneID]rillreach.RegionID{"z1": "here", "z2": "there"}
+	})
+	defer w.stop()
+	w.awaitReady(t)
+	for route, want := range map[string]map[string]bool{
+		"near": {"z1": true}, "far": {"z2": true},
+	} {
+		t.Run("requests of the route "+route, func(t *testing.T) {
+			got := map[string]bool{}
+			for range 40 {
+				got[w.call(t, "POST", "/"+route+"/x", "body").body] = true
+			}
+			assert.Equal(t, want, got)
+		})
+	}
+	t.Run("others run in the entry's own zone while nothing is to be gained elsewhere", func(t *testing.T) {
+		assert.Equal(t, "z1", w.call(t, "POST", "/any/x", "body").body)
+	})
+	t.Run("a request that may run nowhere is refused at once", func(t *testing.T) {
+		assertOwn(t, w.call(t, "POST", "/none/x", "body"), http.StatusServiceUnavailable)
+	})
+}
--- a/ids.go
+++ b/ids.go
@@ -21,6 +21,8 @@
 	Incarnation string
 	// ZoneID names an availability zone.
 	ZoneID string
+	// RegionID names a region, which holds availability zones.
+	RegionID string
 	// RequestID names one request of a caller across all its attempts.
 	RequestID string
 )
