Say why a request has no runner: zones evacuated, runners cold, or regions not allowed

Cause: each of these was refused as "no-runner" with 50 ms to come back, which sends the caller against the same wall. Change: what was left out is counted where the choice begins; the refusal names it and asks callers back after about a second, or 0.2 s while runners are cold. explain shows evacuated zones among what a process believed. Measured: TestEvacuatedZone and TestColdRunnerWithoutAgent read the reasons.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -131,6 +131,8 @@
 		return ""
 	case line.Message == "configuration in force":
 		return "configuration"
+	case line.Message == "evacuated zones":
+		return "evacuations"
 	case line.Message == "weights named":
 		return "weights " + text("model")
 	case strings.HasPrefix(line.Message, "dependency "):
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -181,10 +181,7 @@
 	if x.needsEngine() {
 		return g.line.admit(ctx, x)
 	}
-	if t := g.choose(x, time.Now()); t != nil {
-		return t, ""
-	}
-	return nil, verdictNoRunner
+	return g.choose(x, time.Now())
 }
 
 // maxConns is how many connections this entry may have to one runner.
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -33,14 +33,20 @@
 	cancelled atomic.Bool
 }
 
-// choose decides on the runner for the next attempt, or returns nil where there is none.
-func (g *Gateway) choose(x *exchange, now time.Time) *target {
+// choose decides on the runner for the next attempt, or says why there is none.
+func (g *Gateway) choose(x *exchange, now time.Time) (*target, string) {
 	o := g.options(x, g.viewsAt(now), now)
 	if len(o.views) == 0 {
-		return nil
+		verdict, after := o.leftOut.refusal()
+		x.comeBack = after
+		return nil, verdict
 	}
 	choice := place.Choose(o.question, o.candidates, g.offset(len(o.views)))
-	return g.assign(x, o, choice, now)
+	if t := g.assign(x, o, choice, now); t != nil {
+		return t, ""
+	}
+	x.comeBack = coldComeBack
+	return nil, verdictCold
 }
 
 // offset is where among so many candidates a choice begins to look.
--- a/gateway/evacuation_test.go
+++ b/gateway/evacuation_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/internal/standin/site"
@@ -68,6 +70,9 @@
 		w.eventually(t, func() bool { return w.gateway.state.Evacuations().Has("z1") })
 		got := w.call(t, "POST", "/once/x", "body")
 		assertOwn(t, got, http.StatusServiceUnavailable)
-		assert.NotEmpty(t, got.header.Get("Retry-After"))
+		assert.Contains(t, got.body, verdictEvacuated)
+		after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		assert.InDelta(t, evacuationComeBack.Seconds(), after, evacuationComeBack.Seconds()/2)
 	})
 }
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -200,6 +200,11 @@
 	verdictLeft     = "caller-left"
 	verdictTimedOut = "timed-out"
 	verdictNoRunner = "no-runner"
+	// verdictCold says that all runners left are cold and have as much as they bear, verdictEvacuated that they are in evacuated zones, and
+	// verdictElsewhere that they are in regions in which the request may not run.
+	verdictCold      = "runners-cold"
+	verdictEvacuated = "zone-evacuated"
+	verdictElsewhere = "region-not-allowed"
 	// verdictNoRoom says that no engine had room in time, verdictBacklog that none will have, for what waits already, and
 	// verdictLeftLine that the request's time or its caller's patience ended before one had.
 	verdictNoRoom   = "no-room"
--- a/gateway/line.go
+++ b/gateway/line.go
@@ -198,7 +198,9 @@
 	g, x := l.gateway, w.exchange
 	o := g.options(x, views, now)
 	if len(o.views) == 0 {
-		return decision{verdict: verdictNoRunner}, true
+		verdict, after := o.leftOut.refusal()
+		x.comeBack = after
+		return decision{verdict: verdict}, true
 	}
 	choice, room := g.chooseWithRoom(x, o, roomQuery{claimed: claimed, senders: l.senders(claimed), idle: w.request.GivesWay(now)}, now)
 	switch {
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -23,6 +23,8 @@
 	// plans are those of the candidates that were looked at in full.
 	plans    []fetch.Plan
 	versions map[deployment.WeightVersion]*versionState
+	// leftOut counts runners that may not take the request.
+	leftOut leftOut
 }
 
 // versionState is what holds for a request at all runners that have one version of its model's weights.
@@ -46,7 +48,7 @@
 	evacuations := g.state.Evacuations()
 	for i := range group.views {
 		v := &group.views[i]
-		if evacuations.Has(v.Zone) || !g.allows(x, v.Zone) || closed(v) && !x.needsEngine() {
+		if o.leftOut.add(evacuations.Has(v.Zone), !g.allows(x, v.Zone), closed(v) && !x.needsEngine()) {
 			continue
 		}
 		state := g.versionAt(x, o, v)
--- a/gateway/slow_start_test.go
+++ b/gateway/slow_start_test.go
@@ -97,6 +97,7 @@
 	}
 	assertColdBound(t, &reached)
 	assert.NotZero(t, reached.len())
+	assert.Contains(t, w.call(t, "POST", "/once/x", "body").body, verdictCold)
 	listed["cold_remaining_ms"] = 0
 	store.Put("servers", r.ID, listed)
 	w.eventually(t, func() bool { return w.call(t, "POST", "/once/x", "body").status == http.StatusOK })
