Serve late, rather than refuse, prompts that wait for permits

Cause: after a loss of power all engines are cold, and prompts wait for permits. A wait of half a second counted as a standing backlog, under which late prompts are refused at once; and a rate told from one or two admissions refused others. Two of three entries that were watched refused 48 prompts in a second, while permits came faster than prompts. Callers had waited through the outage, and come back once. Change: a wait for permits is no backlog, since there is more room once it ends. A rate is told from 0.5 s on. Permits accrue from the agent's start at the greatest rate that the bound allows (14.6 a second in place of 11, where 11 are borne, 1.5 times that and 5 are allowed), and end after 0.2 s in place of 0.3. Followers that are told seldom may have two at once. Ruled out: entries that were slow to start (0.05 s from the start to the first choice). TestBoundHolds, 10^5 drawn runs with these constants: no breach.

--- a/admission/backlog.go
+++ b/admission/backlog.go
@@ -10,7 +10,7 @@
 	// takes to pass.
 	rateMemory = 3 * time.Second
 	// leastObserved is for how long requests have to have waited before a rate is told from what was admitted meanwhile.
-	leastObserved = 200 * time.Millisecond
+	leastObserved = 500 * time.Millisecond
 	// leastRetry and mostRetry bound when a refused caller is asked to come back.
 	leastRetry = 50 * time.Millisecond
 	mostRetry  = 5 * time.Second
--- a/gateway/line.go
+++ b/gateway/line.go
@@ -43,6 +43,8 @@
 	backlog  admission.Backlog
 	late     admission.Backlog
 	standing admission.Standing
+	// awaitsPermits says that some that wait do so for permits to send to cold engines.
+	awaitsPermits bool
 	wake     chan struct{}
 }
 
@@ -171,6 +173,7 @@
 	views := l.gateway.viewsAt(now)
 	drain := l.drainTime(now)
 	blocked, before := 0, 0
+	l.awaitsPermits = false
 	l.waiting = slices.DeleteFunc(l.waiting, func(w *waitingRequest) bool {
 		d, done := decision{}, false
 		if blocked < mostBlocked {
@@ -217,6 +220,7 @@
 	case room >= 0 && claimed != nil:
 		claimed[o.runners[room]] = true
 	}
+	l.awaitsPermits = l.awaitsPermits || o.leftOut.cold > 0
 	return decision{}, false
 }
 
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -26,7 +26,11 @@
 	free := 0
 	good := o.anyGood()
 	for i := range o.views {
-		if good && !o.candidates[i].Suits() || q.claimed[o.runners[i]] || closed(o.views[i]) {
+		if good && !o.candidates[i].Suits() || q.claimed[o.runners[i]] {
+			continue
+		}
+		if closed(o.views[i]) {
+			o.leftOut.cold++
 			continue
 		}
 		room := g.roomOf(o, i, q.senders)
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -66,11 +66,12 @@
 	}
 }
 
-// noteStanding records whether requests wait, and whether some that can be in time do; the lock is held.
+// noteStanding records whether requests wait, and whether some that can be in time do; the lock is held. A wait for permits is no backlog: it ends
+// with the slow start, after which there is more room than before.
 func (l *line) noteStanding(now time.Time) {
 	l.backlog.Waiting(now, len(l.waiting) > 0)
 	l.late.Waiting(now, len(l.waiting) > 0)
-	l.standing.Note(now, slices.ContainsFunc(l.waiting, func(w *waitingRequest) bool { return !w.request.Late(now) }))
+	l.standing.Note(now, !l.awaitsPermits && slices.ContainsFunc(l.waiting, func(w *waitingRequest) bool { return !w.request.Late(now) }))
 }
 
 // drainTime is how long it takes until all that wait now are admitted, as far as is known.
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -72,6 +72,7 @@
 		s.Clock = node.SystemClock()
 	}
 	s.publisher = &publisher{sidecar: s}
+	s.publisher.permits.Start(time.Now())
 	s.state.Hasten = s.publisher.relayPace
 	s.own = &holder{
 		place: s.Settings.Runner, client: s.Runner, log: s.Log,
--- a/slowstart/allotter.go
+++ b/slowstart/allotter.go
@@ -6,13 +6,14 @@
 )
 
 // Validity is for how long a permit may be used after it was allotted.
-const Validity = 300 * time.Millisecond
+const Validity = 200 * time.Millisecond
 
 const (
 	// burstShare is the part of the slack that may be allotted at once; the rest is left for clocks that are read early or late.
 	burstShare = 0.8
-	// leastBurst lets a permit be allotted whole.
+	// leastBurst lets a permit be allotted whole, leastShare lets followers that are told seldom have their part of the rate.
 	leastBurst = 1.0
+	leastShare = 2.0
 )
 
 // Limits are what a cold runner bears, and the bound that all senders together have to keep.
@@ -35,7 +36,7 @@
 
 // rate is how many permits are allotted a second: those of one second and of the validity before it may be used together.
 func (l Limits) rate() float64 {
-	return max(0, min(l.PerSecond, (l.most()-l.burst())/(1+Validity.Seconds())))
+	return max(0, min(l.PerSecond*max(l.Over, 1), (l.most()-l.burst())/(1+Validity.Seconds())))
 }
 
 // bucket is a token bucket; its zero value is empty and begins to fill at the first look.
@@ -52,13 +53,20 @@
 	b.at = now
 }
 
-// Allotter allots the permits for one runner. Its zero value is ready, begins with none, since an earlier process may just have allotted some, and
-// may be used by several goroutines.
+// Allotter allots the permits for one runner. Its zero value is ready, and it may be used by several goroutines. It begins with no permit, since an
+// earlier process may just have allotted some.
 type Allotter struct {
 	mu     sync.Mutex
 	bucket bucket
 }
 
+// Start lets permits accrue from now on; without it they do from the first that is asked for.
+func (a *Allotter) Start(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.bucket.at = now
+}
+
 // Share is what one follower has been allotted; its zero value is that of a follower that has just come.
 type Share struct{ bucket bucket }
 
@@ -74,7 +82,7 @@
 		share.bucket.tokens = 1
 	}
 	parts := float64(max(followers, 1))
-	share.bucket.fill(now, l.rate()/parts, max(1, l.burst()/parts))
+	share.bucket.fill(now, l.rate()/parts, max(leastShare, l.burst()/parts))
 	n := int(min(a.bucket.tokens, share.bucket.tokens))
 	a.bucket.tokens -= float64(n)
 	share.bucket.tokens -= float64(n)
--- a/slowstart/slowstart_test.go
+++ b/slowstart/slowstart_test.go
@@ -28,6 +28,7 @@
 // restart is an agent's new process, which its followers come to anew.
 func (f *fleet) restart() {
 	f.allotter, f.shares = &Allotter{}, map[int]*Share{}
+	f.allotter.Start(f.now)
 }
 
 // tell has an entry told, which may come for the first time.
