--- a/gateway/line.go
+++ b/gateway/line.go
@@ -45,7 +45,7 @@
 	standing admission.Standing
 	// awaitsPermits says that some that wait do so for permits to send to cold engines.
 	awaitsPermits bool
-	wake     chan struct{}
+	wake          chan struct{}
 }
 
 func newLine(g *Gateway) *line {
--- a/gateway/slow_start_test.go
+++ b/gateway/slow_start_test.go
@@ -137,7 +137,7 @@
 	for i := range coldPrompts {
 		w := []*world{one, two}[i%2]
 		wg.Go(func() {
-			time.Sleep(max(0, time.Duration(i-coldAtOnce)) * coldPause)
+			time.Sleep(coldPause * time.Duration(max(0, i-coldAtOnce)))
 			if read(t, w.prompt(t, fmt.Sprint("/prompt/", i)), "GET").status == http.StatusOK {
 				served.add()
 			}
