--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -16,6 +16,7 @@
 		{Name: "rillreach.runners.leaving", Description: "listed runners that take nothing new", Read: func() float64 { return float64(g.countRunners(true)) }},
 		{Name: "rillreach.runners.avoided", Description: "listed runners that are left alone for their answers", Read: func() float64 { return float64(g.countRunners(false)) }},
 		{Name: "rillreach.runners.age", Description: "seconds since the list of runners was known to be complete", Read: func() float64 { return g.listAge(time.Now()).Seconds() }},
+		{Name: "rillreach.runners.cold", Description: "listed runners that get requests by permits alone", Read: func() float64 { return float64(g.countCold()) }},
 		{Name: "rillreach.zones.evacuated", Description: "zones whose runners get nothing", Read: func() float64 { return float64(len(g.state.Evacuations())) }},
 		{Name: "rillreach.requests.running", Description: "requests that run", Read: func() float64 { return float64(g.running.Count()) }},
 		{Name: "rillreach.requests.waiting", Description: "prompts that wait at the entry for room at a model engine", Read: func() float64 { return float64(g.line.len()) }},
@@ -52,6 +53,18 @@
 	return 0
 }
 
+// countCold counts the runners that are cold.
+func (g *Gateway) countCold() int {
+	n := 0
+	now := time.Now()
+	for _, r := range g.state.Roster.All() {
+		if r.View(now).Cold {
+			n++
+		}
+	}
+	return n
+}
+
 // countRunners counts the runners that leave, or those that are avoided.
 func (g *Gateway) countRunners(leaving bool) int {
 	n := 0
