Log a long list of runners in two lines

Change: more than 100 changes at once are counted in one line, and so are runners that tell no start. Measured: TestLongListIsLoggedShort.

--- a/localstate/runners.go
+++ b/localstate/runners.go
@@ -53,6 +53,7 @@
 	now := time.Now()
 	s.retainRunners(all)
 	var list []deployment.Runner
+	var unstarted []*deployment.Runner
 	for _, u := range all {
 		switch {
 		case !admit(s.Log, "runners", &s.badRunners, u):
@@ -60,12 +61,15 @@
 		case !s.serviceKnown(u.Value):
 			s.setAside(now, u.Value)
 		default:
-			s.noteStart(u.Value)
+			if s.noteStart(u.Value) {
+				unstarted = append(unstarted, u.Value)
+			}
 			noteCold(u.Value, now)
 			delete(s.unknownService, u.Value.ID)
 			list = append(list, *u.Value)
 		}
 	}
+	s.logUnstarted(unstarted)
 	s.noteRunners(s.Roster.Replace(now, list, doubtfulUntil(returned)))
 	s.listed.Store(true)
 }
@@ -92,7 +96,9 @@
 	case !s.serviceKnown(u.Value):
 		s.setAside(now, u.Value)
 	default:
-		s.noteStart(u.Value)
+		if s.noteStart(u.Value) {
+			s.logUnstarted([]*deployment.Runner{u.Value})
+		}
 		noteCold(u.Value, now)
 		delete(s.unknownService, u.Value.ID)
 		s.noteRunners(s.Roster.Put(*u.Value))
@@ -121,7 +127,20 @@
 	return returned.Add(returnTime)
 }
 
+// mostLogged is how many changes at once have a line each: the first list of a large fleet has thousands, which would take longer to log than to
+// take over.
+const mostLogged = 100
+
+// logRunners logs what changed, of many changes at once just how many there are of each kind.
 func (s *State) logRunners(changes []roster.Change) {
+	if len(changes) > mostLogged {
+		counts := map[roster.Event]int{}
+		for _, c := range changes {
+			counts[c.Event]++
+		}
+		s.Log.Info("runners changed", "decision", "list", "counts", counts)
+		return
+	}
 	for _, c := range changes {
 		s.Log.Info("runner "+string(c.Event), "decision", c.Event, "runner", c.Runner.ID, "generation", c.Runner.Generation, "service", c.Runner.Service,
 			"zone", c.Runner.Zone, "leaving", c.Runner.Leaving, "weights", c.Runner.Weights)
--- a/localstate/runners_test.go
+++ b/localstate/runners_test.go
@@ -317,3 +317,20 @@
 		assert.InDelta(t, 0, gauge(t, s, "rillreach.objects.unreadable.weights"), 0)
 	})
 }
+
+// TestLongListIsLoggedShort: the first list of a large fleet costs a process that starts two lines, and not one or two for each runner.
+func TestLongListIsLoggedShort(t *testing.T) {
+	for runners, lines := range map[int]int{mostLogged: 2 * mostLogged, mostLogged + 1: 2} {
+		t.Run(fmt.Sprint(runners, " runners"), func(t *testing.T) {
+			logged := 0
+			s := &State{Log: funcr.New(func(_, _ string) { logged++ }, funcr.Options{})}
+			var all []runnerUpdate
+			for i := range runners {
+				all = append(all, whole(fmt.Sprint("r", i), uint64(i+1), "s"))
+			}
+			s.listRunners(all, time.Time{})
+			assert.Equal(t, lines, logged)
+			assert.Equal(t, runners, s.Roster.Len())
+		})
+	}
+}
--- a/localstate/runs.go
+++ b/localstate/runs.go
@@ -30,23 +30,32 @@
 	}
 }
 
-// noteStart counts each record that does not say when its runner started, and logs the first of several in a row. Only the runners'
-// follower calls it.
-func (s *State) noteStart(info *deployment.Runner) {
+// noteStart counts each record that does not say when its runner started, and reports whether it is the first of several in a row. Only the
+// runners' follower calls it.
+func (s *State) noteStart(info *deployment.Runner) (first bool) {
 	if info.Generation != 0 {
 		delete(s.unstarted, info.ID)
-		return
+		return false
 	}
 	revision, known := s.unstarted[info.ID]
-	if !known {
-		s.Log.Info("record of a runner tells no start", "decision", "use", "runner", info.ID, "revision", info.Revision)
-	}
 	if known && revision == info.Revision {
-		return // it was listed again
+		return false // it was listed again
 	}
 	if s.unstarted == nil {
 		s.unstarted = map[rillreach.InstanceID]uint64{}
 	}
 	s.unstarted[info.ID] = info.Revision
 	s.Metrics.UnknownStart(telemetry.StartInRecord)
+	return !known
+}
+
+// logUnstarted logs the runners whose records have begun to tell no start, of many at once just how many.
+func (s *State) logUnstarted(runners []*deployment.Runner) {
+	if len(runners) > mostLogged {
+		s.Log.Info("records of runners tell no start", "decision", "use", "count", len(runners))
+		return
+	}
+	for _, info := range runners {
+		s.Log.Info("record of a runner tells no start", "decision", "use", "runner", info.ID, "revision", info.Revision)
+	}
 }
