Count a runner as cold whose service became known after its record

Cause: the time until which a runner is cold was worked out where its record was used at once, and not where it was set aside until a configuration named its service: such a runner counted as warm. Ruled out: records that are listed again (they don't begin the time anew, which a test holds now). Measured: TestColdRunners, "one whose service wasn't known before" fails before.

--- a/bulletin/bulletin_test.go
+++ b/bulletin/bulletin_test.go
@@ -99,3 +99,7 @@
 func TestImpossibleStart(t *testing.T) {
 	assert.Error(t, Bulletin{Load: Load{LoadsAt: -1}}.Check())
 }
+
+func TestImpossiblePermits(t *testing.T) {
+	assert.Error(t, Bulletin{Permits: -1}.Check())
+}
--- a/localstate/services.go
+++ b/localstate/services.go
@@ -22,6 +22,7 @@
 // service; entries is held.
 func (s *State) setAside(now time.Time, r *deployment.Runner) {
 	s.logRunners(s.Roster.Remove(now, r.ID, time.Time{}))
+	noteCold(r, now)
 	if s.unknownService == nil {
 		s.unknownService = map[rillreach.InstanceID]deployment.Runner{}
 	}
