Have requests wait for the configuration in an entry's first second

Change: for the first second after its start an entry has requests wait for configuration and list; after that they are refused at once as before. Ruled out: a shorter time to come back, which uses up the caller's try as well. Measured: TestRequestBeforeTheConfiguration (503 before).

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -101,6 +101,8 @@
 	budgets retry.Shares
 	running node.Inflight
 	seq     atomic.Uint64
+	// began is when Run was called.
+	began time.Time
 	// leaving says that plan holds what was planned for the stop; over ends when requests without an answer get their last one.
 	leaving atomic.Bool
 	plan    drain.Stop
@@ -117,6 +119,7 @@
 
 // Run serves until the context ends, then stops in order within the grace.
 func (g *Gateway) Run(ctx context.Context) error {
+	g.began = time.Now()
 	g.state.Log, g.state.Metrics, g.state.Restarted = g.Log, g.Metrics, g.runnerRestarted
 	g.state.Suspended = node.Suspended
 	g.state.Relays, g.state.Trust = &g.relays, g.trustRelays()
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -22,6 +22,7 @@
 	g.running.Add()
 	defer g.running.Done()
 	x := newExchange(w, r)
+	g.awaitState(r.Context())
 	refusal := g.admit(x)
 	if refusal == nil {
 		refusal = g.take(x)
