Evacuate a zone in the soak

Cause: evacuations were tested with one entry and without faults. Change: half of the soak's runners and engines are in a second zone; a schedule of its own (--evacuate) evacuates it beside kills, pauses, stops, a store that is away or forgets, crashes. A judge finds requests that reach its runners later than settings allow, from entries in touch.

--- a/internal/standin/site/specs.go
+++ b/internal/standin/site/specs.go
@@ -67,7 +67,7 @@
 }
 
 // RecordOf is the record of a plain runner.
-func RecordOf(address netip.AddrPort, state string) any {
+func RecordOf(address netip.AddrPort, state string) map[string]any {
 	return map[string]any{
 		"service": plainService, "address": address.String(), "zone": "z", "slots": 64, "state": state,
 		"version": runnerVersion, "cold_remaining_ms": 0, "sequence": 1,
@@ -125,6 +125,7 @@
 retry_window_s = 10
 budget_slack = 54
 version_ms = 10000
+evacuation_ms = 5000
 [platform]
 address = %q
 `, s.Name, s.Host, runner, s.PeerPort, s.PeerPort, s.Callers, s.Readiness, s.Store)
--- a/soak/engine.go
+++ b/soak/engine.go
@@ -78,7 +78,7 @@
 		one.Born = e.born
 	}
 	one.Handle = func(w http.ResponseWriter, r *http.Request) {
-		begun := run{ID: site.RequestID(r), Runner: label, At: time.Now(), Weights: one.Weights(), Fatal: fatalOf(r)}
+		begun := run{ID: site.RequestID(r), Runner: label, Zone: zoneOf(e.number), At: time.Now(), Weights: one.Weights(), Fatal: fatalOf(r)}
 		if begun.Fatal != "" {
 			e.ledger.endUnder(begun, e.fatal)
 		}
@@ -110,7 +110,9 @@
 func (e *engine) record() (id string, spec map[string]any) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.current.ID, e.current.RecordAt(e.proxy.address(), "ready")
+	spec = e.current.RecordAt(e.proxy.address(), "ready")
+	spec["zone"] = zoneOf(e.number)
+	return e.current.ID, spec
 }
 
 // pause is how long the engine takes for each event of a request.
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -32,6 +32,8 @@
 		w.injectRollout(a)
 	case faultFatal:
 		w.injectFatal(a)
+	case faultEvacuate:
+		w.injectEvacuation(a)
 	default:
 		w.injectAtEngine(a, n)
 	}
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -83,6 +83,7 @@
 	r.judgeRefused(runs, add)
 	r.judgeOrders(add)
 	r.judgeFatal(add)
+	r.judgeEvacuations(add)
 	r.judgeLives(timed, add)
 	if timed {
 		r.judgeWeights(add)
--- a/soak/main.go
+++ b/soak/main.go
@@ -33,6 +33,7 @@
 			&cli.IntFlag{Name: "callers", Value: defaultCallers, Usage: "how many callers"},
 			&cli.BoolFlag{Name: "rollout", Usage: "name weights as well that no agent loads in time, while requests wait at engines"},
 			&cli.BoolFlag{Name: "fatal", Usage: "only requests that end their runners, beside kills and pauses"},
+			&cli.BoolFlag{Name: "evacuate", Usage: "only evacuations of a zone, beside kills, pauses, stops and a store that is away"},
 			&cli.StringFlag{Name: "binary", Usage: "the program; built from the sources where it is not set"},
 			&cli.StringFlag{Name: "keep", Usage: "folder for logs of a seed that failed"},
 		},
@@ -62,6 +63,9 @@
 	if c.Bool("fatal") {
 		actions = engineSchedule(c.Uint64("seed"), c.Duration("for"), fatalFaults)
 	}
+	if c.Bool("evacuate") {
+		actions = engineSchedule(c.Uint64("seed"), c.Duration("for"), evacuationFaults)
+	}
 	if c.Bool("rollout") {
 		actions = inOrder(append(actions, rollout(c.Uint64("seed"))))
 	}
--- a/soak/record.go
+++ b/soak/record.go
@@ -46,7 +46,9 @@
 type run struct {
 	ID     string
 	Runner string
-	At     time.Time
+	// Zone is the runner's.
+	Zone string
+	At   time.Time
 	// First is when its first event went out, zero where none did; Until is when the runner's work on it ended, zero where it goes on.
 	First time.Time
 	Until time.Time
@@ -84,6 +86,8 @@
 	// Left is when each runner's leaving was acknowledged, Removed when each key was taken away.
 	Left    map[string]time.Time
 	Removed map[string]time.Time
+	// Evacuated are the times in which the far zone was evacuated.
+	Evacuated []span
 	// Quiet is when the last fault was over.
 	Quiet time.Time
 }
--- a/soak/runner.go
+++ b/soak/runner.go
@@ -135,7 +135,7 @@
 }
 
 func (p *place) handle(id string, w http.ResponseWriter, r *http.Request) {
-	one := run{ID: site.RequestID(r), Runner: id, At: time.Now(), Fatal: fatalOf(r)}
+	one := run{ID: site.RequestID(r), Runner: id, Zone: zoneOf(p.number), At: time.Now(), Fatal: fatalOf(r)}
 	if one.Fatal != "" {
 		p.ledger.endUnder(one, p.fatal)
 	}
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -60,6 +60,14 @@
 // fatalFaults are the faults beside which such a request must be held back all the same.
 var fatalFaults = []fault{faultFatal, faultFatal, faultFatal, faultKill, faultPause, faultAgentKill, faultAgentPause, faultCrash, faultEngine}
 
+// faultEvacuate is drawn by itself as well, beside those of evacuationFaults.
+const faultEvacuate fault = "evacuate a zone"
+
+// evacuationFaults are the faults beside which nothing may be sent to an evacuated zone all the same.
+var evacuationFaults = []fault{
+	faultEvacuate, faultEvacuate, faultKill, faultPause, faultStop, faultForget, faultStoreDown, faultStoreMute, faultCrash, faultEngine, faultAgentKill,
+}
+
 // loadFaults are those without which streams would seldom meet loads and refusals, engineFaults all of them.
 var (
 	loadFaults   = []fault{faultNames, faultLoadsAtOnce, faultRefuse, faultFreeze, faultSlow}
--- a/soak/world.go
+++ b/soak/world.go
@@ -47,6 +47,7 @@
 	disturbed map[int][]span
 	cutOffs   map[int][]span
 	harmed    map[string][]span
+	evacuated []span
 	last      time.Time
 	work      sync.WaitGroup
 }
@@ -148,7 +149,9 @@
 }
 
 func (w *world) list(p *place, id, state string) {
-	w.store.Put("servers", id, site.RecordOf(p.proxy.address(), state))
+	spec := site.RecordOf(p.proxy.address(), state)
+	spec["zone"] = zoneOf(p.number)
+	w.store.Put("servers", id, spec)
 }
 
 // configure writes the next version, without the keys that are taken away.
@@ -235,7 +238,7 @@
 	r := &record{
 		Runs: slices.Clone(w.ledger.runs), Orders: slices.Clone(w.ledger.orders), Disturbed: w.disturbed, Left: maps.Clone(w.left),
 		Removed: w.removed, Quiet: w.last, Named: maps.Clone(w.named), Loaded: map[string]uint64{}, Ended: time.Now(),
-		Harmed: w.harmed, CutOff: maps.Clone(w.cutOffs), Entries: map[int]history{},
+		Harmed: w.harmed, Evacuated: slices.Clone(w.evacuated), CutOff: maps.Clone(w.cutOffs), Entries: map[int]history{},
 	}
 	for _, n := range w.engines {
 		id, weights := n.run()
