--- a/roster/roster.go
+++ b/roster/roster.go
@@ -3,7 +3,6 @@
 import (
 	"net/netip"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -169,34 +168,6 @@
 	r.settle(info.Address)
 }
 
-// joinGroup adds a runner to those of its service. In a list it's added at the end, since to keep the order each time takes a time that grows with
-// the square of their number.
-func (r *Roster) joinGroup(runner *Runner, info *deployment.Runner) {
-	group := r.byService[info.Service]
-	if r.unsorted[info.Service] {
-		r.byService[info.Service] = append(group, runner)
-		return
-	}
-	group = append(slices.Clone(group), runner)
-	r.byService[info.Service] = group
-	if r.unsorted != nil {
-		r.unsorted[info.Service] = true
-		return
-	}
-	slices.SortFunc(group, byIdentifier)
-}
-
-// sortGroups puts the runners in order that a list has added.
-func (r *Roster) sortGroups() {
-	for service := range r.unsorted {
-		slices.SortFunc(r.byService[service], byIdentifier)
-	}
-	r.unsorted = nil
-}
-
-// byIdentifier compares runners by their identifiers, which never change.
-func byIdentifier(a, b *Runner) int { return strings.Compare(string(a.info.ID), string(b.info.ID)) }
-
 // leave takes a runner off the look-ups by service and address.
 func (r *Roster) leave(runner *Runner, info *deployment.Runner) {
 	is := func(other *Runner) bool { return other == runner }
@@ -208,45 +179,6 @@
 	r.settle(info.Address)
 }
 
-// resettle settles a runner's address once it has left.
-func (r *Roster) resettle(runner *Runner) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.settle(runner.Info().Address)
-}
-
-// settle decides which run has the address: of several records the one that was written last and whose runner hasn't left. The others'
-// runs are over, and their records are left over or another writer's copies, until that one goes, leaves or names another address.
-func (r *Roster) settle(address netip.AddrPort) {
-	occupant := r.occupant(address)
-	for _, runner := range r.byAddress[address] {
-		runner.setDisplaced(runner != occupant)
-	}
-}
-
-// occupant is the runner that has the address, or nil.
-func (r *Roster) occupant(address netip.AddrPort) *Runner {
-	var occupant *Runner
-	for _, runner := range r.byAddress[address] {
-		if occupant == nil || before(runner, occupant) {
-			occupant = runner
-		}
-	}
-	return occupant
-}
-
-// before reports that one runner goes before the other at an address, whichever was heard of first.
-func before(one, other *Runner) bool {
-	if left := one.left(); left != other.left() {
-		return !left
-	}
-	a, b := one.Info(), other.Info()
-	if a.Revision != b.Revision {
-		return a.Revision > b.Revision
-	}
-	return a.ID > b.ID
-}
-
 // lapse removes a runner, or marks when it is to be removed.
 func (r *Roster) lapse(runner *Runner, now, doubtful time.Time) Change {
 	runner.mu.Lock()
