Use permits for whichever run the entry knows beside an agent

Cause: a runner that has crashed comes back under another name and is cold; its agent learns the name up to 1.2 s later than entries do, and its permits, which were for the earlier run, were dropped meanwhile. Change: permits are for the address of the runner beside the agent, whose run the entry looks up. The bound is on what one runner gets, so that permits of an earlier run take nothing from it. TestLocalZone reads the same fact from a struct.

--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -34,10 +34,17 @@
 	following map[netip.AddrPort]*followed
 }
 
+// wantedAgent is an agent that is to be followed.
+type wantedAgent struct {
+	// runner is the address of the runner beside it.
+	runner netip.AddrPort
+	// sparse says that it's asked for little.
+	sparse bool
+}
+
 // followed is an agent that is followed.
 type followed struct {
-	// sparse says that it was asked for little.
-	sparse bool
+	wanted wantedAgent
 	stop   context.CancelFunc
 	// heard is when its last bulletin came, in nanoseconds by the entry's clock.
 	heard atomic.Int64
@@ -64,25 +71,25 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for address, f := range a.following {
-		if sparse, ok := wanted[address]; !ok || sparse != f.sparse {
+		if w, ok := wanted[address]; !ok || w != f.wanted {
 			f.stop()
 			delete(a.following, address)
 		}
 	}
-	for address, sparse := range wanted {
+	for address, w := range wanted {
 		if a.following[address] == nil {
-			a.following[address] = a.follow(ctx, address, sparse)
+			a.following[address] = a.follow(ctx, address, w)
 		}
 	}
 }
 
 // follow begins to follow an agent.
-func (a *agents) follow(ctx context.Context, address netip.AddrPort, sparse bool) *followed {
+func (a *agents) follow(ctx context.Context, address netip.AddrPort, w wantedAgent) *followed {
 	one, stop := context.WithCancel(ctx)
 	g := a.gateway
-	f := &followed{sparse: sparse, stop: stop}
+	f := &followed{wanted: w, stop: stop}
 	take := g.learn
-	if sparse {
+	if w.sparse {
 		take = g.learnSparse
 	}
 	s := &subscribe.Subscription{
@@ -90,8 +97,9 @@
 		Take: func(b *bulletin.Bulletin, now time.Time) {
 			f.heard.Store(g.Clock.Now().UnixNano())
 			take(b, now)
+			g.learnPermits(w.runner, b, now)
 		},
-		Ask: bulletin.Follow{Name: rillreach.InstanceID(g.Settings.Name), Zone: g.Settings.Zone, Sparse: sparse},
+		Ask: bulletin.Follow{Name: rillreach.InstanceID(g.Settings.Name), Zone: g.Settings.Zone, Sparse: w.sparse},
 	}
 	a.wg.Go(func() { s.Run(one) })
 	return f
@@ -110,14 +118,15 @@
 	return live
 }
 
-// wanted are the addresses of the agents beside runners of engines, and whether they are asked for little.
-func (a *agents) wanted(groups map[rillreach.ServiceID][]*roster.Runner) map[netip.AddrPort]bool {
-	wanted := map[netip.AddrPort]bool{}
+// wanted are the agents beside runners of engines, by their addresses.
+func (a *agents) wanted(groups map[rillreach.ServiceID][]*roster.Runner) map[netip.AddrPort]wantedAgent {
+	wanted := map[netip.AddrPort]wantedAgent{}
 	for service, group := range groups {
 		local := a.gateway.local.has(service)
 		for _, r := range group {
 			info := r.Info()
-			wanted[netip.AddrPortFrom(info.Address.Addr(), a.gateway.Settings.FirstPort)] = local && info.Zone != a.gateway.Settings.Zone
+			address := netip.AddrPortFrom(info.Address.Addr(), a.gateway.Settings.FirstPort)
+			wanted[address] = wantedAgent{runner: info.Address, sparse: local && info.Zone != a.gateway.Settings.Zone}
 		}
 	}
 	return wanted
--- a/gateway/local_zone_test.go
+++ b/gateway/local_zone_test.go
@@ -29,8 +29,8 @@
 	t.Run("a zone with engines enough has little told of those in others", func(t *testing.T) {
 		g, _ := beforeLocalEngines(localFrom)
 		sparse := 0
-		for _, little := range (&agents{gateway: g}).wanted(g.engineGroups()) {
-			if little {
+		for _, w := range (&agents{gateway: g}).wanted(g.engineGroups()) {
+			if w.sparse {
 				sparse++
 			}
 		}
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -28,7 +28,6 @@
 	g.applyCrashes(b.Crashes)
 	g.budgets.SetEntries(b.Followers)
 	g.stores.clock.hear(b.Clock, now)
-	g.learnPermits(runner, b, now)
 	for i := range b.Holders {
 		if h := &b.Holders[i]; h.Store {
 			g.stores.learn(b.Runner, b.Clock, h, now)
--- a/gateway/slow_start.go
+++ b/gateway/slow_start.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/rillreach/rillreach/bulletin"
@@ -9,9 +10,14 @@
 	"github.com/rillreach/rillreach/slowstart"
 )
 
-// learnPermits takes over the permits that a runner's agent gives this entry. Those of a bulletin that was long on its way end sooner.
-func (g *Gateway) learnPermits(r *roster.Runner, b *bulletin.Bulletin, now time.Time) {
-	if r == nil || b.Permits == 0 {
+// learnPermits takes over the permits that the agent beside the runner at an address gives this entry. They are for whichever run is there, which
+// the agent may learn of later than the entry. Those of a bulletin that was long on its way end sooner.
+func (g *Gateway) learnPermits(address netip.AddrPort, b *bulletin.Bulletin, now time.Time) {
+	if b.Permits == 0 {
+		return
+	}
+	r := g.state.Roster.At(address)
+	if r == nil {
 		return
 	}
 	until := now.Add(slowstart.Validity)
--- a/gateway/slow_start_test.go
+++ b/gateway/slow_start_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/rillreach/rillreach/bulletin"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/internal/standin/site"
 	"github.com/rillreach/rillreach/slowstart"
@@ -153,3 +154,17 @@
 	assertColdBound(t, &reached, began)
 	assert.Equal(t, coldPrompts, served.len(), "those that wait are served")
 }
+
+// TestPermitsOfAnEarlierRun: a runner that has crashed comes back under another name and is cold; its agent still names the earlier run.
+func TestPermitsOfAnEarlierRun(t *testing.T) {
+	g, _ := beforeEngines(1)
+	now := time.Now()
+	later := g.state.Roster.Find("r0").Info()
+	later.ID, later.ColdUntil, later.Revision = "r0-again", now.Add(time.Minute), later.Revision+1
+	g.state.Roster.Put(later)
+	cold := g.state.Roster.At(later.Address)
+	require.Equal(t, later.ID, cold.Info().ID)
+	require.False(t, cold.View(now).Permitted)
+	g.learnPermits(later.Address, &bulletin.Bulletin{Runner: "r0", Permits: 1}, now)
+	assert.True(t, cold.View(now).Permitted)
+}
