--- a/gateway/line.go
+++ b/gateway/line.go
@@ -43,9 +43,9 @@
 	backlog  admission.Backlog
 	late     admission.Backlog
 	standing admission.Standing
-	// awaitsPermits says that some that wait do so for permits to send to cold engines.
-	awaitsPermits bool
-	wake          chan struct{}
+	// mostCold says that most engines were cold when requests were last decided on.
+	mostCold bool
+	wake     chan struct{}
 }
 
 func newLine(g *Gateway) *line {
@@ -173,7 +173,6 @@
 	views := l.gateway.viewsAt(now)
 	drain := l.drainTime(now)
 	blocked, before := 0, 0
-	l.awaitsPermits = false
 	l.waiting = slices.DeleteFunc(l.waiting, func(w *waitingRequest) bool {
 		d, done := decision{}, false
 		if blocked < mostBlocked {
@@ -205,6 +204,7 @@
 		x.comeBack = after
 		return decision{verdict: verdict}, true
 	}
+	l.mostCold = o.mostCold()
 	choice, room := g.chooseWithRoom(x, o, roomQuery{claimed: claimed, senders: l.senders(claimed), idle: w.request.GivesWay(now)}, now)
 	switch {
 	case choice.Index >= 0:
@@ -220,7 +220,6 @@
 	case room >= 0 && claimed != nil:
 		claimed[o.runners[room]] = true
 	}
-	l.awaitsPermits = l.awaitsPermits || o.leftOut.cold > 0
 	return decision{}, false
 }
 
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -30,7 +30,6 @@
 			continue
 		}
 		if closed(o.views[i]) {
-			o.leftOut.cold++
 			continue
 		}
 		room := g.roomOf(o, i, q.senders)
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -38,7 +38,13 @@
 // shed ends the wait of a request that won't be served, so that its caller isn't held for nothing; it reports whether it did. That is one
 // which those before it keep from an engine until its caller has gone, and under a backlog that lasts one that can't be in time: requests
 // that can be go before it, also those that are yet to come.
+//
+// While most engines are cold nobody is turned away so: what the waiting know of the rate is that of permits, and more is to be had once the slow start
+// ends.
 func (l *line) shed(w *waitingRequest, before int, now time.Time) (decision, bool) {
+	if l.mostCold {
+		return decision{}, false
+	}
 	wait, known := l.waitBehind(w, before, now)
 	lost := known && w.request.Lost(now.Add(wait))
 	if !lost && !l.standing.Dooms(now, w.request, wait) {
@@ -66,12 +72,9 @@
 	}
 }
 
-// noteStanding records whether requests wait, and whether some that can be in time do; the lock is held. A wait for permits is no backlog: it ends
-// with the slow start, after which there is more room than before.
+// noteStanding records whether requests that can be in time wait; the lock is held. A wait for engines that are cold is no backlog.
 func (l *line) noteStanding(now time.Time) {
-	l.backlog.Waiting(now, len(l.waiting) > 0)
-	l.late.Waiting(now, len(l.waiting) > 0)
-	l.standing.Note(now, !l.awaitsPermits && slices.ContainsFunc(l.waiting, func(w *waitingRequest) bool { return !w.request.Late(now) }))
+	l.standing.Note(now, !l.mostCold && slices.ContainsFunc(l.waiting, func(w *waitingRequest) bool { return !w.request.Late(now) }))
 }
 
 // drainTime is how long it takes until all that wait now are admitted, as far as is known.
--- a/gateway/slow_start.go
+++ b/gateway/slow_start.go
@@ -48,5 +48,16 @@
 	}
 }
 
+// mostCold reports that most of the runners that may take a request are cold.
+func (o *options) mostCold() bool {
+	cold := 0
+	for _, v := range o.views {
+		if v.Cold {
+			cold++
+		}
+	}
+	return 2*cold > len(o.views)
+}
+
 // closed reports that a runner takes no request of this entry now, since it is cold and there is no permit.
 func closed(v *roster.View) bool { return v.Cold && !v.Permitted }
--- a/slowstart/allotter.go
+++ b/slowstart/allotter.go
@@ -6,7 +6,7 @@
 )
 
 // Validity is for how long a permit may be used after it was allotted.
-const Validity = 200 * time.Millisecond
+const Validity = 500 * time.Millisecond
 
 const (
 	// burstShare is the part of the slack that may be allotted at once; the rest is left for clocks that are read early or late.
