Write a stopping entry's own answers out before they count as given

A stop waits for requests that run and then for three quiet looks of 1 ms, while the server writes an answer out only after its request has ceased to count. Change: an answer of the entry's own is flushed while the entry stops, before the request ceases to count. After: TestLastAnswerIsFlushed, which fails without the flush. Whole answers that are passed on are not changed.

--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -97,7 +97,11 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	h.Set("Content-Length", strconv.Itoa(len(reason)+1))
 	x.writer.WriteHeader(status)
-	if _, err := x.writer.Write([]byte(reason + "\n")); err != nil {
+	_, err := x.writer.Write([]byte(reason + "\n"))
+	if err == nil && g.leaving.Load() {
+		err = http.NewResponseController(x.writer).Flush() // the process may end before the server does so, once the request counts as running no more
+	}
+	if err != nil {
 		g.Log.Info("answer not taken", "decision", "drop", "request", x.wire.ID, "cause", err.Error())
 	}
 }
--- a/gateway/stop_test.go
+++ b/gateway/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -234,3 +235,16 @@
 		assert.Contains(t, []int{http.StatusOK, http.StatusBadGateway, http.StatusServiceUnavailable}, got.status)
 	}
 }
+
+// TestLastAnswerIsFlushed: a stop waits for requests that run, and the server writes an answer out only after the request has ceased to.
+func TestLastAnswerIsFlushed(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		t.Run(fmt.Sprint("leaving: ", leaving), func(t *testing.T) {
+			g := &Gateway{}
+			g.leaving.Store(leaving)
+			recorder := httptest.NewRecorder()
+			g.answer(newExchange(recorder, httptest.NewRequest(http.MethodGet, "/", http.NoBody)), http.StatusServiceUnavailable, "entry-stops", 0)
+			assert.Equal(t, leaving, recorder.Flushed)
+		})
+	}
+}
