--- a/soak/evacuate_test.go
+++ b/soak/evacuate_test.go
@@ -14,10 +14,7 @@
 	binary := buildProgram(t)
 	for _, seed := range []uint64{1, 2} {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			w, err := newWorld(binary, t.TempDir(), size{Entries: 3, Runners: 4, Callers: 30}, t.Logf)
-			require.NoError(t, err)
-			defer w.close()
-			r := w.play(engineSchedule(seed, shortLength, evacuationFaults), shortLength)
+			r := playFaults(t, binary, seed, 4, evacuationFaults)
 			require.NotEmpty(t, r.Evacuated)
 			assert.Empty(t, judge(r, false))
 		})
--- a/soak/fatal_test.go
+++ b/soak/fatal_test.go
@@ -15,15 +15,20 @@
 	binary := buildProgram(t)
 	for _, seed := range []uint64{1, 2} {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			w, err := newWorld(binary, t.TempDir(), size{Entries: 3, Runners: 6, Callers: 30}, t.Logf)
-			require.NoError(t, err)
-			defer w.close()
-			r := w.play(engineSchedule(seed, shortLength, fatalFaults), shortLength)
-			assert.Empty(t, judge(r, false))
+			assert.Empty(t, judge(playFaults(t, binary, seed, 6, fatalFaults), false))
 		})
 	}
 }
 
+// playFaults plays a schedule of faults that are drawn by themselves, before so many runners and as many engines.
+func playFaults(t *testing.T, binary string, seed uint64, runners int, from []fault) *record {
+	t.Helper()
+	w, err := newWorld(binary, t.TempDir(), size{Entries: 3, Runners: runners, Callers: 30}, t.Logf)
+	require.NoError(t, err)
+	defer w.close()
+	return w.play(engineSchedule(seed, shortLength, from), shortLength)
+}
+
 // TestJudgeFatal holds sends of a fatal request against when entries have to know it.
 func TestJudgeFatal(t *testing.T) {
 	start := time.Unix(1000, 0)
