See a runner's return where its report is taken, and count runners by one function

Cause: each bulletin made a copy of all that is known of its runner, hundreds a second at an entry, just to see whether it had been silent; countCold stood beside countRunners; runners of engines were looked up for a spacing that concerns others alone; a lock guarded what one controller writes. Change: SetReport says whether the runner returns; countRunners takes what to count; the look-up follows the check; the lock is gone. No behaviour is meant to change.

--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rillreach/rillreach/notify"
+	"github.com/rillreach/rillreach/roster"
 	"github.com/rillreach/rillreach/telemetry"
 )
 
@@ -13,10 +14,10 @@
 		{Name: "rillreach.config.version", Description: "version of the configuration in force", Read: g.configVersion},
 		{Name: "rillreach.config.age", Description: "seconds since the configuration was known to be the newest", Read: func() float64 { return g.configAge(time.Now()).Seconds() }},
 		{Name: "rillreach.runners", Description: "runners that are listed", Read: func() float64 { return float64(g.state.Roster.Len()) }},
-		{Name: "rillreach.runners.leaving", Description: "listed runners that take nothing new", Read: func() float64 { return float64(g.countRunners(true)) }},
-		{Name: "rillreach.runners.avoided", Description: "listed runners that are left alone for their answers", Read: func() float64 { return float64(g.countRunners(false)) }},
+		{Name: "rillreach.runners.leaving", Description: "listed runners that take nothing new", Read: func() float64 { return g.countRunners(func(v roster.View) bool { return v.Leaving }) }},
+		{Name: "rillreach.runners.avoided", Description: "listed runners that are left alone for their answers", Read: func() float64 { return g.countRunners(func(v roster.View) bool { return v.Avoid }) }},
 		{Name: "rillreach.runners.age", Description: "seconds since the list of runners was known to be complete", Read: func() float64 { return g.listAge(time.Now()).Seconds() }},
-		{Name: "rillreach.runners.cold", Description: "listed runners that get requests by permits alone", Read: func() float64 { return float64(g.countCold()) }},
+		{Name: "rillreach.runners.cold", Description: "listed runners that get requests by permits alone", Read: func() float64 { return g.countRunners(func(v roster.View) bool { return v.Cold }) }},
 		{Name: "rillreach.zones.evacuated", Description: "zones whose runners get nothing", Read: func() float64 { return float64(len(g.state.Evacuations())) }},
 		{Name: "rillreach.requests.running", Description: "requests that run", Read: func() float64 { return float64(g.running.Count()) }},
 		{Name: "rillreach.requests.waiting", Description: "prompts that wait at the entry for room at a model engine", Read: func() float64 { return float64(g.line.len()) }},
@@ -53,27 +54,14 @@
 	return 0
 }
 
-// countCold counts the runners that are cold.
-func (g *Gateway) countCold() int {
+// countRunners counts the runners of which something holds.
+func (g *Gateway) countRunners(holds func(roster.View) bool) float64 {
 	n := 0
 	now := time.Now()
 	for _, r := range g.state.Roster.All() {
-		if r.View(now).Cold {
+		if holds(r.View(now)) {
 			n++
 		}
 	}
-	return n
-}
-
-// countRunners counts the runners that leave, or those that are avoided.
-func (g *Gateway) countRunners(leaving bool) int {
-	n := 0
-	now := time.Now()
-	for _, r := range g.state.Roster.All() {
-		v := r.View(now)
-		if leaving && v.Leaving || !leaving && v.Avoid {
-			n++
-		}
-	}
-	return n
+	return float64(n)
 }
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -52,8 +52,9 @@
 		g.Metrics.InvalidReport()
 		return
 	}
-	g.noteReturn(r, &load, now)
-	r.SetReport(roster.Report{At: now, Load: load, LoadsAt: loadsAt(b, now)})
+	if r.SetReport(roster.Report{At: now, Load: load, LoadsAt: loadsAt(b, now)}) {
+		g.state.StartSlowly(r, now) // it may have started anew in its silence
+	}
 	g.line.changed()
 }
 
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -37,7 +37,7 @@
 // options looks at all runners of the request's service. What each would read and fetch is added by planAt.
 func (g *Gateway) options(x *exchange, all *runnerViews, now time.Time) *options {
 	o := &options{question: g.question(x), versions: map[deployment.WeightVersion]*versionState{}}
-	g.spacePermits(x, g.state.Roster.Group(x.service.Name), now)
+	g.spacePermits(x, now)
 	group := all.of(x.service.Name)
 	o.views = make([]*roster.View, 0, len(group.views))
 	o.runners = make([]*roster.Runner, 0, len(group.views))
--- a/gateway/slow_start.go
+++ b/gateway/slow_start.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/rillreach/rillreach/bulletin"
-	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/roster"
 	"github.com/rillreach/rillreach/slowstart"
 )
@@ -27,23 +26,14 @@
 	r.Permit(b.Permits, until)
 }
 
-// noteReturn takes a runner for cold whose agent speaks of it again after a silence, in which it may have started anew.
-func (g *Gateway) noteReturn(r *roster.Runner, load *deployment.Load, now time.Time) {
-	before := r.View(now)
-	wasSilent := before.Reported && before.Load.Silent || !before.Reported && before.ReportAge > 0
-	if wasSilent && !load.Silent {
-		g.state.StartSlowly(r, now)
-	}
-}
-
 // spacePermits gives the entry permits for cold runners of a service without agents, as if all entries sent as often as it may.
-func (g *Gateway) spacePermits(x *exchange, runners []*roster.Runner, now time.Time) {
+func (g *Gateway) spacePermits(x *exchange, now time.Time) {
 	rate := x.service.SlowStart.PerSecond
 	if x.service.Engine != nil || rate <= 0 {
 		return
 	}
 	space := time.Duration(float64(g.budgets.Entries()) / rate * float64(time.Second))
-	for _, r := range runners {
+	for _, r := range g.state.Roster.Group(x.service.Name) {
 		r.SpacePermits(now, space)
 	}
 }
--- a/localstate/evacuations.go
+++ b/localstate/evacuations.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,13 +34,12 @@
 	return next
 }
 
-// evacuationState is the evacuations that are in force; its zero value follows none.
+// evacuationState is the evacuations that are in force, which their follower alone changes; its zero value follows none.
 type evacuationState struct {
 	// followed says that somebody asks for the list, and listed that it has come.
 	followed atomic.Bool
 	listed   atomic.Bool
 	current  atomic.Pointer[Evacuations]
-	mu       sync.Mutex
 }
 
 // known reports that nothing is missing: the list has come, or nobody follows it.
@@ -79,8 +77,6 @@
 
 // setEvacuations puts other zones in force. The runners of one that is evacuated no longer may have turned cold, and their records tell so later.
 func (s *State) setEvacuations(next Evacuations) {
-	s.evacuations.mu.Lock()
-	defer s.evacuations.mu.Unlock()
 	before := s.Evacuations()
 	if maps.Equal(before, next) {
 		return
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -268,10 +268,13 @@
 	r.weights[model] = max(r.weights[model], version)
 }
 
-// SetReport records what the runner's agent says of it.
-func (r *Runner) SetReport(report Report) {
+// SetReport records what the runner's agent says of it, and reports whether it answers again after a silence of its own or of its agent.
+func (r *Runner) SetReport(report Report) (returned bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	age := report.At.Sub(r.report.At)
+	returned = !r.report.At.IsZero() && !report.Load.Silent && (r.report.Load.Silent || age >= reportAge)
 	r.report = report
 	r.sent.forget(report.At.Add(-reportLag))
+	return returned
 }
