Log and count answers in which a runner names a limit

Change: the head of an answer is decoded for the limit, an entry logs each answer that names one and counts it. Nothing is decided by it yet.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -125,6 +125,7 @@
 	}
 	a.answer = answer
 	answer.Rest = a.head.Rest
+	a.noteLimit()
 	if a.head.NotRun {
 		g.notRun(x, t, answer, a.head)
 		return false
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -29,6 +29,7 @@
 	error    metric.Float64Histogram
 	reports  metric.Int64Counter
 	hedges   metric.Int64Counter
+	limited  metric.Int64Counter
 	starts   metric.Int64Counter
 	restarts metric.Float64Histogram
 }
@@ -71,6 +72,9 @@
 	if m.hedges, err = m.meter.Int64Counter("rillreach.hedges", metric.WithDescription("second attempts that were begun beside a running one, by reason and by what became of them")); err != nil {
 		return errors.Wrap(err, "make counter of second attempts")
 	}
+	if m.limited, err = m.meter.Int64Counter("rillreach.answers.limited", metric.WithDescription("answers of runners that name a limit on requests")); err != nil {
+		return errors.Wrap(err, "make counter of limited answers")
+	}
 	return m.makeStarts()
 }
 
@@ -135,6 +139,14 @@
 	m.reports.Add(context.Background(), 1)
 }
 
+// LimitedAnswer counts an answer whose runner names a limit on requests.
+func (m *Metrics) LimitedAnswer() {
+	if m == nil {
+		return
+	}
+	m.limited.Add(context.Background(), 1)
+}
+
 // Hedge counts a second attempt that has ended.
 func (m *Metrics) Hedge(reason, outcome string) {
 	if m == nil {
