Part the allotting of permits from slow start

Cause: what sums over entries knew of cold runners alone; a runner that names a limit needs the same. Change: package permit has the allotter, the shares of followers and the permits an entry holds, by a rate that its user gives; slowstart keeps the limits of cold runners and their rate. The drawn tests stay with the limits that they prove. No behaviour is meant to change. Measured: slowstart, permit, roster and gateway's tests of cold runners pass.

--- a/bulletin/bulletin.go
+++ b/bulletin/bulletin.go
@@ -61,7 +61,7 @@
 	Notices []notify.Notice `cbor:"9,keyasint,omitempty"`
 	// Crashes are those that the follower has not been told of.
 	Crashes []poison.Crash `cbor:"10,keyasint,omitempty"`
-	// Permits is how many requests the follower may send to the runner while that is cold, within slowstart.Validity after Clock.
+	// Permits is how many requests the follower may send to the runner while that is cold, within permit.Validity after Clock.
 	Permits int `cbor:"11,keyasint,omitempty"`
 }
 
--- a/gateway/slow_start.go
+++ b/gateway/slow_start.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/rillreach/rillreach/bulletin"
+	"github.com/rillreach/rillreach/permit"
 	"github.com/rillreach/rillreach/roster"
-	"github.com/rillreach/rillreach/slowstart"
 )
 
 // learnPermits takes over the permits that the agent beside the runner at an address gives this entry. They are for whichever run is there, which
@@ -19,7 +19,7 @@
 	if r == nil {
 		return
 	}
-	until := now.Add(slowstart.Validity)
+	until := now.Add(permit.Validity)
 	if clock, known := g.stores.clock.read(now); known && b.Clock != 0 {
 		until = until.Add(-max(0, clock.Sub(time.UnixMilli(b.Clock))))
 	}
--- a/slowstart/allotter.go
+++ b/permit/allotter.go
@@ -1,4 +1,4 @@
-package slowstart
+package permit
 
 import (
 	"sync"
@@ -8,35 +8,13 @@
 // Validity is for how long a permit may be used after it was allotted.
 const Validity = 500 * time.Millisecond
 
-const (
-	// burstShare is the part of the slack that may be allotted at once; the rest is left for clocks that are read early or late.
-	burstShare = 0.8
-	// leastBurst lets a permit be allotted whole, leastShare lets followers that are told seldom have their part of the rate.
-	leastBurst = 1.0
-	leastShare = 2.0
-)
+// leastShare lets followers that are told seldom have their part of the rate, in permits.
+const leastShare = 2.0
 
-// Limits are what a cold runner bears, and the bound that all senders together have to keep.
-type Limits struct {
-	// PerSecond is how many requests a second it bears; zero says that nothing is bounded.
+// Rate is how many permits are allotted a second, and at once at the most; the zero value allots none.
+type Rate struct {
 	PerSecond float64
-	// Over and Slack give the most in any one second: PerSecond times Over, plus Slack.
-	Over  float64
-	Slack float64
-}
-
-// Bounded reports that cold runners bear only so many requests.
-func (l Limits) Bounded() bool { return l.PerSecond > 0 }
-
-// most is the bound on any one second.
-func (l Limits) most() float64 { return l.PerSecond*max(l.Over, 1) + l.Slack }
-
-// burst is how many permits may be allotted at once.
-func (l Limits) burst() float64 { return max(leastBurst, l.Slack*burstShare) }
-
-// rate is how many permits are allotted a second: those of one second and of the validity before it may be used together.
-func (l Limits) rate() float64 {
-	return max(0, min(l.PerSecond*max(l.Over, 1), (l.most()-l.burst())/(1+Validity.Seconds())))
+	Burst     float64
 }
 
 // bucket is a token bucket; its zero value is empty and begins to fill at the first look.
@@ -71,18 +49,18 @@
 type Share struct{ bucket bucket }
 
 // Take allots permits to one of so many followers, at most its share of the rate.
-func (a *Allotter) Take(now time.Time, share *Share, followers int, l Limits) int {
-	if !l.Bounded() {
+func (a *Allotter) Take(now time.Time, share *Share, followers int, r Rate) int {
+	if r.PerSecond <= 0 {
 		return 0
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.bucket.fill(now, l.rate(), l.burst())
+	a.bucket.fill(now, r.PerSecond, r.Burst)
 	if share.bucket.at.IsZero() {
 		share.bucket.tokens = 1
 	}
 	parts := float64(max(followers, 1))
-	share.bucket.fill(now, l.rate()/parts, max(leastShare, l.burst()/parts))
+	share.bucket.fill(now, r.PerSecond/parts, max(leastShare, r.Burst/parts))
 	n := int(min(a.bucket.tokens, share.bucket.tokens))
 	a.bucket.tokens -= float64(n)
 	share.bucket.tokens -= float64(n)
--- a/slowstart/permits.go
+++ b/permit/set.go
@@ -1,32 +1,32 @@
-package slowstart
+package permit
 
 import (
 	"slices"
 	"time"
 )
 
-// mostPermits bounds the permits that are kept for one runner.
-const mostPermits = 64
+// mostHeld bounds the permits that are kept for one runner.
+const mostHeld = 64
 
-// Permits are those that an entry has for one runner, by when they end; the zero value has none.
-type Permits struct{ ends []time.Time }
+// Set are the permits that an entry has for one runner, by when they end; the zero value has none.
+type Set struct{ ends []time.Time }
 
 // Add takes permits that may be used until the given moment.
-func (p *Permits) Add(n int, until time.Time) {
-	n = min(n, mostPermits-len(p.ends))
+func (p *Set) Add(n int, until time.Time) {
+	n = min(n, mostHeld-len(p.ends))
 	for range n {
 		p.ends = append(p.ends, until)
 	}
 }
 
 // Any reports that a request may begin.
-func (p *Permits) Any(now time.Time) bool {
+func (p *Set) Any(now time.Time) bool {
 	p.expire(now)
 	return len(p.ends) > 0
 }
 
 // Take uses the permit that ends first, and reports whether there is one.
-func (p *Permits) Take(now time.Time) bool {
+func (p *Set) Take(now time.Time) bool {
 	p.expire(now)
 	if len(p.ends) == 0 {
 		return false
@@ -41,6 +41,6 @@
 	return true
 }
 
-func (p *Permits) expire(now time.Time) {
+func (p *Set) expire(now time.Time) {
 	p.ends = slices.DeleteFunc(p.ends, func(end time.Time) bool { return !now.Before(end) })
 }
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -8,7 +8,7 @@
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/deployment"
-	"github.com/rillreach/rillreach/slowstart"
+	"github.com/rillreach/rillreach/permit"
 )
 
 const (
@@ -63,7 +63,7 @@
 	displaced bool
 	// coldUntil is when the runner is no longer cold at the latest, permits are those to send to it until then.
 	coldUntil time.Time
-	permits   slowstart.Permits
+	permits   permit.Set
 	// lastBegun is when the last request was sent to the runner.
 	lastBegun time.Time
 	// sent are this process's latest requests, which the report may not show yet.
--- a/sidecar/follower.go
+++ b/sidecar/follower.go
@@ -8,7 +8,7 @@
 	"github.com/rillreach/rillreach/bulletin"
 	"github.com/rillreach/rillreach/holdings"
 	"github.com/rillreach/rillreach/notify"
-	"github.com/rillreach/rillreach/slowstart"
+	"github.com/rillreach/rillreach/permit"
 )
 
 func newFollower(p *publisher) *follower {
@@ -29,7 +29,7 @@
 	// crashes is how far it has been told of the crashes that the agent knows.
 	crashes uint64
 	// permits is what it has been allotted of what a cold runner bears.
-	permits slowstart.Share
+	permits permit.Share
 	told    bulletin.Bulletin
 	toldAt  time.Time
 }
@@ -78,7 +78,7 @@
 		return 0
 	}
 	p := f.publisher
-	return p.permits.Take(time.Now(), &f.permits, int(p.sending.Load()), p.sidecar.slowStart())
+	return p.permits.Take(time.Now(), &f.permits, int(p.sending.Load()), p.sidecar.slowStart().Rate())
 }
 
 // sameLoad reports that the runner is as the follower was told.
--- a/sidecar/publisher.go
+++ b/sidecar/publisher.go
@@ -11,7 +11,7 @@
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/internal/broadcast"
 	"github.com/rillreach/rillreach/peer"
-	"github.com/rillreach/rillreach/slowstart"
+	"github.com/rillreach/rillreach/permit"
 )
 
 const (
@@ -35,7 +35,7 @@
 	followers atomic.Int64
 	// sending are the followers that send to the runner, and share the permits for it.
 	sending atomic.Int64
-	permits slowstart.Allotter
+	permits permit.Allotter
 	// serving are the followers that the agent waits for when it ends, urgent wakes them.
 	serving followerGroup
 	urgent  broadcast.Signal
