Keep all entries together within the limit that a runner names

Cause: what a runner says of itself in its answers had no place among what is believed of it: the head of an answer was read for its id, seal and mark alone. Class: the freshest word of a component is passed on and not believed. H2 (each entry for itself) is what would have been left by keeping it at each entry alone. Change: an observation has the limit, and when it was asked for and heard; a later one counts, of answers that crossed the tighter. An agent shares the limit out by permits: the engine's own, for any other runner one that all entries choose by a hash; entries report to it, again each half second, which is its lease. Where the agent is silent for 1.6 s entries space their requests by themselves at random phases. roster.Runner.Admit is the one gate for cold and limited runners. Where all runners have as much as they take a plain request is refused at once with the time to the next permit; prompts wait as for cold engines.

--- /dev/null
+++ b/backpressure/throttle.go
@@ -0,0 +1,91 @@
+package backpressure
+
+import (
+	"time"
+
+	"github.com/rillreach/rillreach/permit"
+)
+
+// allotterSilence is how long a sender waits for whoever allots permits before it spaces its requests by itself: four times the longest pause
+// between two messages.
+const allotterSilence = 1600 * time.Millisecond
+
+// Throttle keeps one sender within a runner's limit; its zero value lets everything through. It isn't safe for concurrent use.
+type Throttle struct {
+	observed Observation
+	permits  permit.Set
+	// allotted is when permits were last allotted, or the limit was first observed.
+	allotted time.Time
+	// next is when the next request may begin while nobody allots permits, and space the time between two.
+	next  time.Time
+	space time.Duration
+}
+
+// Observed is the observation that counts.
+func (t *Throttle) Observed() Observation { return t.observed }
+
+// Limited reports that each request takes a permit.
+func (t *Throttle) Limited() bool { return t.observed.Limit.Bounded }
+
+// Observe takes over what an answer said, and reports whether another limit holds from now on. Permits of an earlier limit are given up.
+func (t *Throttle) Observe(now time.Time, o Observation) (changed bool) {
+	if !o.Limit.Bounded && !t.Limited() {
+		return false
+	}
+	was := t.observed.Limit
+	t.observed = Merge(t.observed, o)
+	if t.observed.Limit == was {
+		return false
+	}
+	if !was.Bounded {
+		t.allotted, t.next = now, time.Time{}
+	}
+	t.permits = permit.Set{}
+	return true
+}
+
+// Allot takes over permits that were allotted under a limit, if it is the one that holds.
+func (t *Throttle) Allot(now time.Time, under Limit, n int, until time.Time) {
+	if t.observed.Limit != under || !under.Bounded {
+		return
+	}
+	t.allotted, t.next = now, time.Time{}
+	t.permits.Add(n, until)
+}
+
+// Space gives a permit now and then while nobody allots them, as if so many senders did alike. The phase, from 0 to 1, says when in its time the first
+// one comes, so that those of senders who were told together don't. It reports whether there is a new one.
+func (t *Throttle) Space(now time.Time, senders int, phase float64) bool {
+	if !t.Limited() || now.Sub(t.allotted) < allotterSilence || t.permits.Any(now) {
+		return false
+	}
+	t.space = t.observed.Limit.space(senders)
+	switch {
+	case t.next.IsZero():
+		t.next = now.Add(time.Duration(phase * float64(t.space)))
+	case t.next.After(now.Add(t.space)):
+		t.next = now.Add(t.space) // the limit was lower, or there were more senders
+	}
+	if now.Before(t.next) {
+		return false
+	}
+	t.permits.Add(1, now.Add(t.space))
+	return true
+}
+
+// Admits reports that a request may begin.
+func (t *Throttle) Admits(now time.Time) bool { return !t.Limited() || t.permits.Any(now) }
+
+// Take uses a permit where one is needed, and reports whether a request may begin.
+func (t *Throttle) Take(now time.Time) bool {
+	if !t.Limited() {
+		return true
+	}
+	if !t.permits.Take(now) {
+		return false
+	}
+	if !t.next.IsZero() {
+		t.next = now.Add(t.space)
+	}
+	return true
+}
--- a/bulletin/bulletin.go
+++ b/bulletin/bulletin.go
@@ -63,6 +63,8 @@
 	Crashes []poison.Crash `cbor:"10,keyasint,omitempty"`
 	// Permits is how many requests the follower may send to the runner while that is cold, within permit.Validity after Clock.
 	Permits int `cbor:"11,keyasint,omitempty"`
+	// Quotas are what the follower may send to runners that name a limit.
+	Quotas []Quota `cbor:"12,keyasint,omitempty"`
 }
 
 // Run is the run that the agent speaks for.
@@ -160,24 +162,34 @@
 	if b.Permits < 0 {
 		return errors.Newf("bulletin gives %d permits", b.Permits)
 	}
-	for _, n := range b.Notices {
-		if err := n.Check(); err != nil {
-			return err
-		}
+	if err := checkEach(b.Quotas); err != nil {
+		return err
 	}
-	for _, c := range b.Crashes {
-		if err := c.Check(); err != nil {
-			return err
-		}
+	if err := checkEach(b.Notices); err != nil {
+		return err
 	}
-	for _, h := range b.Holders {
-		if !h.Place.IsValid() {
-			return errors.New("bulletin names a holder without an address")
-		}
-		for _, c := range h.Changes {
-			if err := c.Check(); err != nil {
-				return err
-			}
+	if err := checkEach(b.Crashes); err != nil {
+		return err
+	}
+	return checkEach(b.Holders)
+}
+
+// Check reports what is wrong with the message.
+func (h *Holder) Check() error {
+	if !h.Place.IsValid() {
+		return errors.New("bulletin names a holder without an address")
+	}
+	return checkEach(h.Changes)
+}
+
+// checkEach reports the first fault of the parts of a message.
+func checkEach[T any, P interface {
+	*T
+	Check() error
+}](parts []T) error {
+	for i := range parts {
+		if err := P(&parts[i]).Check(); err != nil {
+			return err
 		}
 	}
 	return nil
--- /dev/null
+++ b/bulletin/quota_test.go
@@ -0,0 +1,28 @@
+package bulletin
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach/backpressure"
+)
+
+func TestCheckLimits(t *testing.T) {
+	sound := RunnerLimit{Runner: "r", Limit: backpressure.Limit{Bounded: true, PerSecond: 1.1}, AskedAt: 5, HeardAt: 7}
+	report := func(change func(*RunnerLimit)) error {
+		l := sound
+		change(&l)
+		return LimitReport{Limits: []RunnerLimit{sound, l}}.Check()
+	}
+	require.NoError(t, report(func(*RunnerLimit) {}))
+	require.Error(t, report(func(l *RunnerLimit) { l.Runner = "" }))
+	require.Error(t, report(func(l *RunnerLimit) { l.HeardAt = 4 }), "heard before it was asked for")
+	require.Error(t, report(func(l *RunnerLimit) { l.AskedAt = 0 }))
+	require.Error(t, report(func(l *RunnerLimit) { l.Limit.PerSecond = -1 }))
+	require.Error(t, report(func(l *RunnerLimit) { l.Limit.PerSecond = math.NaN() }))
+	require.NoError(t, Bulletin{Quotas: []Quota{{RunnerLimit: sound, Permits: 1}}}.Check())
+	require.Error(t, Bulletin{Quotas: []Quota{{RunnerLimit: sound, Permits: -1}}}.Check())
+	require.Error(t, Bulletin{Quotas: []Quota{{}}}.Check())
+}
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -98,6 +98,7 @@
 			f.heard.Store(g.Clock.Now().UnixNano())
 			take(b, now)
 			g.learnPermits(w.runner, b, now)
+			g.learnQuotas(b, now)
 		},
 		Ask: bulletin.Follow{Name: rillreach.InstanceID(g.Settings.Name), Zone: g.Settings.Zone, Sparse: w.sparse},
 	}
@@ -125,9 +126,14 @@
 		local := a.gateway.local.has(service)
 		for _, r := range group {
 			info := r.Info()
-			address := netip.AddrPortFrom(info.Address.Addr(), a.gateway.Settings.FirstPort)
+			address := a.gateway.agentBeside(info.Address)
 			wanted[address] = wantedAgent{runner: info.Address, sparse: local && info.Zone != a.gateway.Settings.Zone}
 		}
 	}
 	return wanted
 }
+
+// agentBeside is the address of the agent beside an engine.
+func (g *Gateway) agentBeside(engine netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(engine.Addr(), g.Settings.FirstPort)
+}
--- a/gateway/backpressure_test.go
+++ b/gateway/backpressure_test.go
@@ -134,6 +134,14 @@
 		s := beginShared(t, &site.Runner{ID: "limited", Handle: limited.handle})
 		assertLimitKept(t, &limited, s.entries(t, limitEntries), func(w *world) { w.call(t, "POST", "/once/x", "body") })
 	})
+	t.Run("a plain runner whose limit no agent shares out any more", func(t *testing.T) {
+		t.Parallel()
+		limited := limitedRunner{body: "limited"}
+		s := beginShared(t, &site.Runner{ID: "limited", Handle: limited.handle})
+		entries := s.entries(t, limitEntries)
+		time.AfterFunc(limitFor/4, s.stop)
+		assertLimitKept(t, &limited, entries, func(w *world) { w.call(t, "POST", "/once/x", "body") })
+	})
 	t.Run("an engine", func(t *testing.T) {
 		t.Parallel()
 		limited := limitedRunner{body: "limited"}
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -45,18 +45,20 @@
 	if t := g.assign(x, o, choice, now); t != nil {
 		return t, ""
 	}
-	x.comeBack = coldComeBack
-	return nil, verdictCold
+	o.leftOut.addThrottled(o.views[choice.Index])
+	verdict, after := o.leftOut.refusal()
+	x.comeBack = after
+	return nil, verdict
 }
 
 // offset is where among so many candidates a choice begins to look.
 func (g *Gateway) offset(n int) int { return int(g.seq.Add(1) % uint64(n)) }
 
-// assign makes a choice the target of the next attempt, and counts the request as running there. It returns nil where the runner is cold and
-// another request has just taken the last permit.
+// assign makes a choice the target of the next attempt, and counts the request as running there. It returns nil where the runner may no longer be
+// given one: another request has just taken the last permit.
 func (g *Gateway) assign(x *exchange, o *options, choice place.Choice, now time.Time) *target {
 	i := choice.Index
-	if !o.runners[i].TakePermit(now) {
+	if !o.runners[i].Admit(now) {
 		return nil
 	}
 	t := &target{
@@ -86,7 +88,7 @@
 		"weights", t.weights, "replacedFor", g.replacedFor(x, t.weights, now).String(),
 		"held", now.Sub(x.arrived).String(), "before", t.before, "perToken", o.question.Speed.PerToken.String(), "base", o.question.Speed.Base.String(),
 		"missing", t.reading, "again", t.plan.Again, "fetched", t.plan.Fetched, "fetchUntil", fetchUntil,
-		"avoided", t.view.Avoid, "cold", t.view.Cold, "reported", t.view.Reported, "loading", t.view.Load.Busy, "reportAge", t.view.ReportAge.String(),
+		"avoided", t.view.Avoid, "cold", t.view.Cold, "limited", t.view.Limit.Bounded, "reported", t.view.Reported, "loading", t.view.Load.Busy, "reportAge", t.view.ReportAge.String(),
 		"listAge", g.listAge(now).String())
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -99,6 +99,8 @@
 	// crashed is told when the entry itself has seen a crash, or that one is no longer held against a request.
 	crashed broadcast.Signal
 	budgets retry.Shares
+	// limited are the runners that name a limit.
+	limited limitedRunners
 	running node.Inflight
 	seq     atomic.Uint64
 	// began is when Run was called.
@@ -164,6 +166,7 @@
 		peers,
 		followed,
 		&crashReporter{gateway: g, pool: peers, agents: followed},
+		&limitReporter{gateway: g, pool: peers, agents: followed},
 	}
 	if g.Settings.Bounds.Evacuation > 0 {
 		controllers = append(controllers, g.state.EvacuationsFollower(g.Evacuations, g.evacuationsWait()))
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -18,6 +18,7 @@
 		{Name: "rillreach.runners.avoided", Description: "listed runners that are left alone for their answers", Read: func() float64 { return g.countRunners(func(v roster.View) bool { return v.Avoid }) }},
 		{Name: "rillreach.runners.age", Description: "seconds since the list of runners was known to be complete", Read: func() float64 { return g.listAge(time.Now()).Seconds() }},
 		{Name: "rillreach.runners.cold", Description: "listed runners that get requests by permits alone", Read: func() float64 { return g.countRunners(func(v roster.View) bool { return v.Cold }) }},
+		{Name: "rillreach.runners.limited", Description: "listed runners that name a limit on requests", Read: func() float64 { return g.countRunners(func(v roster.View) bool { return v.Limit.Bounded }) }},
 		{Name: "rillreach.zones.evacuated", Description: "zones whose runners get nothing", Read: func() float64 { return float64(len(g.state.Evacuations())) }},
 		{Name: "rillreach.requests.running", Description: "requests that run", Read: func() float64 { return float64(g.running.Count()) }},
 		{Name: "rillreach.requests.waiting", Description: "prompts that wait at the entry for room at a model engine", Read: func() float64 { return float64(g.line.len()) }},
--- a/gateway/left_out.go
+++ b/gateway/left_out.go
@@ -1,37 +1,63 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/rillreach/rillreach/roster"
+)
 
 const (
 	// evacuationComeBack is when a caller may come back whose request could only run in evacuated zones: evacuations last for seconds at the least.
 	evacuationComeBack = time.Second
 	// coldComeBack is the same where all runners are cold and have as much as they bear.
 	coldComeBack = 200 * time.Millisecond
+	// limitComeBack and mostLimitComeBack bound the same where all runners name limits and have as much as those allow.
+	limitComeBack     = 50 * time.Millisecond
+	mostLimitComeBack = 2 * time.Second
 )
 
 // leftOut counts the runners of a service that may not take a request, by why.
-type leftOut struct{ evacuated, elsewhere, cold int }
+type leftOut struct {
+	evacuated, elsewhere, cold, limited int
+	// perSecond is what those that are limited take together, in requests a second.
+	perSecond float64
+}
 
 // add counts a runner for which one of the reasons holds, the first that does, and reports that one does.
-func (l *leftOut) add(evacuated, elsewhere, cold bool) bool {
+func (l *leftOut) add(v *roster.View, evacuated, elsewhere, throttled bool) bool {
 	switch {
 	case evacuated:
 		l.evacuated++
 	case elsewhere:
 		l.elsewhere++
-	case cold:
-		l.cold++
+	case throttled:
+		l.addThrottled(v)
 	default:
 		return false
 	}
 	return true
 }
 
+// addThrottled counts a runner that takes no request now.
+func (l *leftOut) addThrottled(v *roster.View) {
+	if v.Limit.Bounded {
+		l.limited++
+		l.perSecond += v.Limit.PerSecond
+		return
+	}
+	l.cold++
+}
+
+// throttled reports that a runner takes no request of this entry now, since it is cold or names a limit and there is no permit.
+func throttled(v *roster.View) bool { return !v.Permitted }
+
 // refusal is why a request has no runner, where no other was left, and when its caller may come back; zero where that isn't known.
 func (l *leftOut) refusal() (verdict string, after time.Duration) {
 	switch {
 	case l.cold > 0:
 		return verdictCold, coldComeBack
+	case l.limited > 0:
+		return verdictLimited, l.nextUnderLimit()
 	case l.evacuated > 0:
 		return verdictEvacuated, evacuationComeBack
 	case l.elsewhere > 0:
@@ -40,3 +66,11 @@
 		return verdictNoRunner, 0
 	}
 }
+
+// nextUnderLimit is how long the runners that are limited take to take one more request.
+func (l *leftOut) nextUnderLimit() time.Duration {
+	if l.perSecond*mostLimitComeBack.Seconds() <= 1 {
+		return mostLimitComeBack
+	}
+	return max(limitComeBack, time.Duration(float64(time.Second)/l.perSecond))
+}
--- a/gateway/local_zone.go
+++ b/gateway/local_zone.go
@@ -79,6 +79,12 @@
 	return groups
 }
 
+// servesModels reports that the runners of a service are engines, which have agents.
+func (g *Gateway) servesModels(service rillreach.ServiceID) bool {
+	config := g.state.Config()
+	return config != nil && config.Services[service] != nil && config.Services[service].Engine != nil
+}
+
 // learnSparse takes over a bulletin of an agent that was asked for little: what its runner held when more was heard of it is out of date.
 func (g *Gateway) learnSparse(b *bulletin.Bulletin, now time.Time) {
 	if r := g.state.Roster.Find(b.Runner); r != nil {
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -48,7 +48,7 @@
 	evacuations := g.state.Evacuations()
 	for i := range group.views {
 		v := &group.views[i]
-		if o.leftOut.add(evacuations.Has(v.Zone), !g.allows(x, v.Zone), closed(v) && !x.needsEngine()) {
+		if o.leftOut.add(v, evacuations.Has(v.Zone), !g.allows(x, v.Zone), throttled(v) && !x.needsEngine()) {
 			continue
 		}
 		state := g.versionAt(x, o, v)
--- a/gateway/runner_limit.go
+++ b/gateway/runner_limit.go
@@ -1,11 +1,70 @@
 package gateway
 
-// noteLimit records that the runner's answer names a limit.
-func (a *attempt) noteLimit() {
-	if !a.head.Limit.Bounded {
-		return
-	}
-	a.gateway.Metrics.LimitedAnswer()
-	a.gateway.Log.Info("runner names a limit", "decision", "note", "request", a.exchange.wire.ID, "runner", a.target.view.ID,
-		"perSecond", a.head.Limit.PerSecond)
+import (
+	"time"
+
+	"github.com/rillreach/rillreach/backpressure"
+	"github.com/rillreach/rillreach/bulletin"
+	"github.com/rillreach/rillreach/roster"
+)
+
+// clockSlack is by how much the runners' clock may be read differently by two processes.
+const clockSlack = 20 * time.Millisecond
+
+// observeLimit takes over what the head of an answer says of its runner's limit.
+func (a *attempt) observeLimit(now time.Time) {
+	g, r, limit := a.gateway, a.target.runner, a.head.Limit
+	if limit.Bounded {
+		g.Metrics.LimitedAnswer()
+	}
+	if r.ObserveLimit(now, backpressure.Observation{Limit: limit, Asked: a.asked, Heard: now}) {
+		g.Log.Info("limit of a runner changed", "decision", "throttle", "request", a.exchange.wire.ID, "runner", a.target.view.ID,
+			"bounded", limit.Bounded, "perSecond", limit.PerSecond)
+		g.limitChanged(r)
+	}
+}
+
+// limitChanged has the runner's limit reported, and those that wait looked at.
+func (g *Gateway) limitChanged(r *roster.Runner) {
+	g.limited.add(r)
+	g.limited.changed.Wake()
+	g.line.changed()
+}
+
+// learnQuotas takes over what an agent allots to this entry for runners that name a limit.
+func (g *Gateway) learnQuotas(b *bulletin.Bulletin, now time.Time) {
+	for i := range b.Quotas {
+		q := &b.Quotas[i]
+		limit := &q.RunnerLimit
+		r := g.state.Observe(limit.Run())
+		if r == nil {
+			continue
+		}
+		if r.ObserveLimit(now, g.stores.clock.toLocal(limit.Observation(), now)) {
+			g.Log.Info("limit of a runner changed", "decision", "throttle", "agent", b.Runner, "runner", limit.Runner,
+				"bounded", limit.Limit.Bounded, "perSecond", limit.Limit.PerSecond)
+			g.limitChanged(r)
+		}
+		r.AllotLimit(now, limit.Limit, q.Permits, g.permitsEnd(b, now))
+		if q.Permits > 0 {
+			g.line.changed()
+		}
+	}
+}
+
+// toLocal gives an observation by the runners' clock the times of this process's.
+func (c *runnersClock) toLocal(o backpressure.Observation, now time.Time) backpressure.Observation {
+	clock, known := c.read(now)
+	if !known {
+		clock = o.Heard // all that is known is that it was not later
+	}
+	o.Asked, o.Heard = now.Add(o.Asked.Sub(clock)), now.Add(o.Heard.Sub(clock))
+	return o
+}
+
+// toShared gives an observation of this process the times of the runners' clock, and reports whether that is known.
+func (c *runnersClock) toShared(o backpressure.Observation, now time.Time) (backpressure.Observation, bool) {
+	clock, known := c.read(now)
+	o.Asked, o.Heard = clock.Add(o.Asked.Sub(now)), clock.Add(o.Heard.Sub(now))
+	return o.Widen(clockSlack), known
 }
--- a/gateway/slow_start.go
+++ b/gateway/slow_start.go
@@ -6,7 +6,6 @@
 
 	"github.com/rillreach/rillreach/bulletin"
 	"github.com/rillreach/rillreach/permit"
-	"github.com/rillreach/rillreach/roster"
 )
 
 // learnPermits takes over the permits that the agent beside the runner at an address gives this entry. They are for whichever run is there, which
@@ -19,11 +18,16 @@
 	if r == nil {
 		return
 	}
+	r.Permit(b.Permits, g.permitsEnd(b, now))
+}
+
+// permitsEnd is until when the permits of a bulletin may be used.
+func (g *Gateway) permitsEnd(b *bulletin.Bulletin, now time.Time) time.Time {
 	until := now.Add(permit.Validity)
 	if clock, known := g.stores.clock.read(now); known && b.Clock != 0 {
 		until = until.Add(-max(0, clock.Sub(time.UnixMilli(b.Clock))))
 	}
-	r.Permit(b.Permits, until)
+	return until
 }
 
 // spacePermits gives the entry permits for cold runners of a service without agents, as if all entries sent as often as it may.
@@ -48,6 +52,3 @@
 	}
 	return 2*cold > len(o.views)
 }
-
-// closed reports that a runner takes no request of this entry now, since it is cold and there is no permit.
-func closed(v *roster.View) bool { return v.Cold && !v.Permitted }
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -39,7 +39,8 @@
 	MethodStatus
 	MethodFollow
 	MethodCrashes
-	maxMethod = MethodCrashes
+	MethodLimits
+	maxMethod = MethodLimits
 )
 
 // Frame is the unit of traffic on a connection.
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/backpressure"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/permit"
 )
@@ -64,6 +65,8 @@
 	// coldUntil is when the runner is no longer cold at the latest, permits are those to send to it until then.
 	coldUntil time.Time
 	permits   permit.Set
+	// throttle keeps this process within the limit that the runner names.
+	throttle backpressure.Throttle
 	// lastBegun is when the last request was sent to the runner.
 	lastBegun time.Time
 	// sent are this process's latest requests, which the report may not show yet.
@@ -95,8 +98,10 @@
 	// SentHeld and SentReading are what this process's requests take and read that the report may not show yet, in tokens.
 	SentHeld    int
 	SentReading int
-	// Cold says that the runner bears few requests, so that each takes a permit, and Permitted that one is there.
+	// Cold says that the runner bears few requests, and Limit is the one that it names: under both each request takes a permit. Permitted says that one
+	// may be sent now.
 	Cold      bool
+	Limit     backpressure.Limit
 	Permitted bool
 }
 
@@ -127,7 +132,8 @@
 	}
 	v.SentHeld, v.SentReading = r.sent.since(r.report.At.Add(-reportLag))
 	v.Cold = now.Before(r.coldUntil)
-	v.Permitted = v.Cold && r.permits.Any(now)
+	v.Limit = r.throttle.Observed().Limit
+	v.Permitted = (!v.Cold || r.permits.Any(now)) && r.throttle.Admits(now)
 	v.Leaving = v.Leaving || r.leaving || r.displaced || v.Reported && r.report.Load.Leaving
 	v.Weights = newest(v.Weights, r.weights)
 	if v.Reported && !r.report.LoadsAt.IsZero() {
--- a/roster/slow_start.go
+++ b/roster/slow_start.go
@@ -18,13 +18,6 @@
 	r.permits.Add(n, until)
 }
 
-// TakePermit uses a permit where the runner is cold, and reports whether a request may be sent to it.
-func (r *Runner) TakePermit(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return !now.Before(r.coldUntil) || r.permits.Take(now)
-}
-
 // SpacePermits gives a permit where the last request was sent to the runner so long ago, for runners without an agent.
 func (r *Runner) SpacePermits(now time.Time, space time.Duration) {
 	r.mu.Lock()
--- a/sidecar/follower.go
+++ b/sidecar/follower.go
@@ -30,8 +30,10 @@
 	crashes uint64
 	// permits is what it has been allotted of what a cold runner bears.
 	permits permit.Share
-	told    bulletin.Bulletin
-	toldAt  time.Time
+	// quotas are what it has been allotted of what runners take that name a limit.
+	quotas map[rillreach.InstanceID]*permit.Share
+	told   bulletin.Bulletin
+	toldAt time.Time
 }
 
 // next makes the next bulletin; worth says that it tells something new, or that the follower has heard nothing for long.
@@ -62,11 +64,13 @@
 	b.Namings = f.publisher.namings(b.Clock)
 	b.Notices = f.publisher.notices()
 	f.addCrashes(&b, s.now())
+	limits := s.quotas.current(time.Now())
 	changed := f.addHolders(&b)
-	if !changed && len(b.Crashes) == 0 && f.sameLoad(&b) && sameRevisions(f.told.Notices, b.Notices) && time.Since(f.toldAt) < quietMost {
+	if !changed && len(b.Crashes) == 0 && f.sameLimits(limits) && f.sameLoad(&b) && sameRevisions(f.told.Notices, b.Notices) && time.Since(f.toldAt) < quietMost {
 		return b, false
 	}
 	b.Permits = f.allot()
+	b.Quotas = f.allotQuotas(time.Now(), limits)
 	slim := b.Without(&f.told)
 	f.told, f.toldAt = b, time.Now()
 	return slim, true
--- a/sidecar/publisher.go
+++ b/sidecar/publisher.go
@@ -120,7 +120,7 @@
 func (p *publisher) pace(f *follower) time.Duration {
 	s := p.sidecar
 	switch {
-	case f.sparse && len(s.stores.all()) > 0:
+	case f.sparse && (len(s.stores.all()) > 0 || len(f.told.Quotas) > 0):
 		return quietMost
 	case f.sparse:
 		return sparseEvery
--- /dev/null
+++ b/sidecar/quotas_test.go
@@ -0,0 +1,43 @@
+package sidecar
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/backpressure"
+	"github.com/rillreach/rillreach/bulletin"
+)
+
+func limitOf(generation rillreach.Generation, at int64, perSecond float64) *bulletin.RunnerLimit {
+	return &bulletin.RunnerLimit{
+		Runner: "r", Generation: generation, Limit: backpressure.Limit{Bounded: perSecond > 0, PerSecond: perSecond}, AskedAt: at, HeardAt: at + 1,
+	}
+}
+
+func TestQuotas(t *testing.T) {
+	now := time.Unix(1000, 0)
+	t.Run("a limit is shared out for as long as an entry reports it", func(t *testing.T) {
+		var q quotas
+		assert.True(t, q.report(now, limitOf(1, 100, 3)))
+		assert.False(t, q.report(now.Add(quotaLease), limitOf(1, 100, 3)), "told again")
+		assert.Len(t, q.current(now.Add(2*quotaLease)), 1)
+		assert.Empty(t, q.current(now.Add(2*quotaLease+1)))
+	})
+	t.Run("what an entry knows from earlier takes nothing back", func(t *testing.T) {
+		var q quotas
+		q.report(now, limitOf(1, 100, 3))
+		assert.False(t, q.report(now, limitOf(1, 90, 0)))
+		assert.True(t, q.report(now, limitOf(1, 110, 0)))
+		assert.False(t, q.report(now, limitOf(1, 100, 3)))
+	})
+	t.Run("the limit of an earlier run ends with it", func(t *testing.T) {
+		var q quotas
+		q.report(now, limitOf(1, 100, 3))
+		q.report(now, limitOf(2, 50, 0))
+		assert.False(t, q.report(now, limitOf(1, 200, 3)))
+		assert.False(t, q.current(now)[0].observed.Limit.Bounded)
+	})
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -59,6 +59,8 @@
 	starts    startLog
 	// crashes are what entries have reported; the agent tells those that follow it.
 	crashes poison.Tracker
+	// quotas are the limits of runners that the agent shares out.
+	quotas quotas
 	// restarted is told when the runner beside the agent may be another run.
 	restarted chan struct{}
 }
@@ -82,6 +84,7 @@
 	mux := &peer.Mux{Log: s.Log}
 	mux.Handle(peer.MethodFollow, s.publisher.serve)
 	peer.Answer(mux, peer.MethodCrashes, s.takeCrashes)
+	peer.Answer(mux, peer.MethodLimits, s.takeLimits)
 	self, err := fleet.Self(rillreach.RoleAgent, s.Settings)
 	if err != nil {
 		return err
