--- a/gateway/runner_limit.go
+++ b/gateway/runner_limit.go
@@ -14,9 +14,6 @@
 // observeLimit takes over what the head of an answer says of its runner's limit.
 func (a *attempt) observeLimit(now time.Time) {
 	g, r, limit := a.gateway, a.target.runner, a.head.Limit
-	if limit.Bounded {
-		g.Metrics.LimitedAnswer()
-	}
 	if r.ObserveLimit(now, backpressure.Observation{Limit: limit, Asked: a.asked, Heard: now}) {
 		g.Log.Info("limit of a runner changed", "decision", "throttle", "request", a.exchange.wire.ID, "runner", a.target.view.ID,
 			"bounded", limit.Bounded, "perSecond", limit.PerSecond)
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -29,7 +29,7 @@
 	error    metric.Float64Histogram
 	reports  metric.Int64Counter
 	hedges   metric.Int64Counter
-	limited  metric.Int64Counter
+	pressure metric.Int64Counter
 	starts   metric.Int64Counter
 	restarts metric.Float64Histogram
 }
@@ -72,8 +72,8 @@
 	if m.hedges, err = m.meter.Int64Counter("rillreach.hedges", metric.WithDescription("second attempts that were begun beside a running one, by reason and by what became of them")); err != nil {
 		return errors.Wrap(err, "make counter of second attempts")
 	}
-	if m.limited, err = m.meter.Int64Counter("rillreach.answers.limited", metric.WithDescription("answers of runners that name a limit on requests")); err != nil {
-		return errors.Wrap(err, "make counter of limited answers")
+	if m.pressure, err = m.meter.Int64Counter("rillreach.answers.backpressure", metric.WithDescription("answers in which runners ask for less, by what they ask for")); err != nil {
+		return errors.Wrap(err, "make counter of backpressure")
 	}
 	return m.makeStarts()
 }
@@ -139,12 +139,12 @@
 	m.reports.Add(context.Background(), 1)
 }
 
-// LimitedAnswer counts an answer whose runner names a limit on requests.
-func (m *Metrics) LimitedAnswer() {
+// Backpressure counts an answer whose runner asks for less: a limit, a rest, or nothing more since it leaves.
+func (m *Metrics) Backpressure(kind string) {
 	if m == nil {
 		return
 	}
-	m.limited.Add(context.Background(), 1)
+	m.pressure.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind)))
 }
 
 // Hedge counts a second attempt that has ended.
