Send nothing more to a runner whose answer says that it leaves

Change: whoever answers for the chosen run is believed: leaving is kept with the run, which the list can't take back. roster.Runner.Admit says why a runner may not be given a request (leaving, limited, cold), by the same function as the views that choices are made of; a plain request whose runner is denied at the last moment is decided on again, in place of being refused while others are there.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -128,8 +128,7 @@
 	}
 	a.answer = answer
 	answer.Rest = a.head.Rest
-	a.observeLimit(time.Now())
-	a.noteBackpressure()
+	a.believe(time.Now())
 	if a.head.NotRun {
 		g.notRun(x, t, answer, a.head)
 		return false
--- a/gateway/backpressure.go
+++ b/gateway/backpressure.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "github.com/rillreach/rillreach/platform"
+import (
+	"time"
+
+	"github.com/rillreach/rillreach/platform"
+)
 
 // Kinds of what runners ask for in their answers.
 const (
@@ -9,6 +13,18 @@
 	askRest    = "rest"
 )
 
+// believe takes over what the runner says of itself in the head of its answer, unless another run has answered in its place.
+func (a *attempt) believe(now time.Time) {
+	if a.head.OtherRunner && a.head.Instance != a.target.view.ID {
+		return
+	}
+	a.noteBackpressure()
+	a.observeLimit(now)
+	if a.head.Leaving {
+		a.target.runner.Leaves()
+	}
+}
+
 // noteBackpressure records what the runner asks for in the head of its answer.
 func (a *attempt) noteBackpressure() {
 	asks := asksOf(&a.head)
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -33,22 +33,21 @@
 	cancelled atomic.Bool
 }
 
-// choose decides on the runner for the next attempt, or says why there is none.
+// choose decides on the runner for the next attempt, or says why there is none. One that may no longer be given the request once it is chosen is
+// left out by the next look.
 func (g *Gateway) choose(x *exchange, now time.Time) (*target, string) {
-	o := g.options(x, g.viewsAt(now), now)
-	if len(o.views) == 0 {
-		verdict, after := o.leftOut.refusal()
-		x.comeBack = after
-		return nil, verdict
+	for {
+		o := g.options(x, g.viewsAt(now), now)
+		if len(o.views) == 0 {
+			verdict, after := o.leftOut.refusal()
+			x.comeBack = after
+			return nil, verdict
+		}
+		choice := place.Choose(o.question, o.candidates, g.offset(len(o.views)))
+		if t := g.assign(x, o, choice, now); t != nil {
+			return t, ""
+		}
 	}
-	choice := place.Choose(o.question, o.candidates, g.offset(len(o.views)))
-	if t := g.assign(x, o, choice, now); t != nil {
-		return t, ""
-	}
-	o.leftOut.addThrottled(o.views[choice.Index])
-	verdict, after := o.leftOut.refusal()
-	x.comeBack = after
-	return nil, verdict
 }
 
 // offset is where among so many candidates a choice begins to look.
@@ -58,7 +57,8 @@
 // given one: another request has just taken the last permit.
 func (g *Gateway) assign(x *exchange, o *options, choice place.Choice, now time.Time) *target {
 	i := choice.Index
-	if !o.runners[i].Admit(now) {
+	if denial := o.runners[i].Admit(now); denial != "" {
+		o.views[i].Denied = denial
 		return nil
 	}
 	t := &target{
--- a/gateway/left_out.go
+++ b/gateway/left_out.go
@@ -23,33 +23,37 @@
 	perSecond float64
 }
 
-// add counts a runner for which one of the reasons holds, the first that does, and reports that one does.
-func (l *leftOut) add(v *roster.View, evacuated, elsewhere, throttled bool) bool {
+// add counts a runner for which one of the reasons holds, the first that does, and reports that one does. One that only lacks a permit is counted where
+// the request doesn't wait for that.
+func (l *leftOut) add(v *roster.View, evacuated, elsewhere, waits bool) bool {
 	switch {
 	case evacuated:
 		l.evacuated++
 	case elsewhere:
 		l.elsewhere++
-	case throttled:
-		l.addThrottled(v)
-	default:
+	case v.Denied == "" || waits && lacksPermit(v):
 		return false
+	default:
+		l.addDenied(v)
 	}
 	return true
 }
 
-// addThrottled counts a runner that takes no request now.
-func (l *leftOut) addThrottled(v *roster.View) {
-	if v.Limit.Bounded {
+// addDenied counts a runner that may not be given a request now.
+func (l *leftOut) addDenied(v *roster.View) {
+	switch v.Denied {
+	case roster.DeniedLimited:
 		l.limited++
 		l.perSecond += v.Limit.PerSecond
-		return
+	case roster.DeniedCold:
+		l.cold++
 	}
-	l.cold++
 }
 
-// throttled reports that a runner takes no request of this entry now, since it is cold or names a limit and there is no permit.
-func throttled(v *roster.View) bool { return !v.Permitted }
+// lacksPermit reports that a runner would take a request of this entry if there were a permit.
+func lacksPermit(v *roster.View) bool {
+	return v.Denied == roster.DeniedCold || v.Denied == roster.DeniedLimited
+}
 
 // refusal is why a request has no runner, where no other was left, and when its caller may come back; zero where that isn't known.
 func (l *leftOut) refusal() (verdict string, after time.Duration) {
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -48,11 +48,11 @@
 	evacuations := g.state.Evacuations()
 	for i := range group.views {
 		v := &group.views[i]
-		if o.leftOut.add(v, evacuations.Has(v.Zone), !g.allows(x, v.Zone), throttled(v) && !x.needsEngine()) {
+		if o.leftOut.add(v, evacuations.Has(v.Zone), !g.allows(x, v.Zone), x.needsEngine()) {
 			continue
 		}
 		state := g.versionAt(x, o, v)
-		if v.Leaving || !state.window.Admits(now, v.Wait) {
+		if !state.window.Admits(now, v.Wait) {
 			continue
 		}
 		c := g.candidate(x, v, conversation, meanRead)
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -29,7 +29,7 @@
 		if good && !o.candidates[i].Suits() || q.claimed[o.runners[i]] {
 			continue
 		}
-		if throttled(o.views[i]) {
+		if lacksPermit(o.views[i]) {
 			continue
 		}
 		room := g.roomOf(o, i, q.senders)
--- a/gateway/slow_start_test.go
+++ b/gateway/slow_start_test.go
@@ -14,6 +14,7 @@
 	"github.com/rillreach/rillreach/bulletin"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/internal/standin/site"
+	"github.com/rillreach/rillreach/roster"
 	"github.com/rillreach/rillreach/slowstart"
 )
 
@@ -164,7 +165,7 @@
 	g.state.Roster.Put(later)
 	cold := g.state.Roster.At(later.Address)
 	require.Equal(t, later.ID, cold.Info().ID)
-	require.False(t, cold.View(now).Permitted)
+	require.Equal(t, roster.DeniedCold, cold.View(now).Denied)
 	g.learnPermits(later.Address, &bulletin.Bulletin{Runner: "r0", Permits: 1}, now)
-	assert.True(t, cold.View(now).Permitted)
+	assert.Empty(t, cold.View(now).Denied)
 }
--- a/roster/admit.go
+++ b/roster/admit.go
@@ -6,15 +6,59 @@
 	"github.com/rillreach/rillreach/backpressure"
 )
 
-// Admit reports whether the runner may be given a request now, and uses the permits that this takes.
-func (r *Runner) Admit(now time.Time) bool {
+// Denial is why a runner may not be given a request now; the zero value says that it may.
+type Denial string
+
+// The denials, in the order in which they are looked for.
+const (
+	// DeniedLeaving says that the runner is about to end.
+	DeniedLeaving Denial = "leaving"
+	// DeniedLimited says that it has as much as the limit allows that it names, and DeniedCold that it is cold and has as much as it bears.
+	DeniedLimited Denial = "limited"
+	DeniedCold    Denial = "cold"
+)
+
+// Admit uses the permits that a request takes now, or says why the runner may not be given one.
+func (r *Runner) Admit(now time.Time) Denial {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	cold := now.Before(r.coldUntil)
-	if cold && !r.permits.Any(now) || !r.throttle.Take(now) {
-		return false
+	denial := r.denial(now)
+	if denial == "" {
+		r.throttle.Take(now)
+		r.takeCold(now)
+	}
+	return denial
+}
+
+// denial is why the runner may not be given a request now; the lock is held.
+func (r *Runner) denial(now time.Time) Denial {
+	switch {
+	case r.isLeaving(now):
+		return DeniedLeaving
+	case !r.throttle.Admits(now):
+		return DeniedLimited
+	case now.Before(r.coldUntil) && !r.permits.Any(now):
+		return DeniedCold
+	default:
+		return ""
+	}
+}
+
+// isLeaving reports that the runner takes nothing new, by its record, its agent or itself; the lock is held.
+func (r *Runner) isLeaving(now time.Time) bool {
+	return r.info.Leaving || r.leaving || r.displaced || r.reported(now) && r.report.Load.Leaving
+}
+
+// reported reports that the runner's own report is recent; the lock is held.
+func (r *Runner) reported(now time.Time) bool {
+	return !r.report.At.IsZero() && now.Sub(r.report.At) < reportAge
+}
+
+// takeCold uses a permit where the runner is cold; the lock is held.
+func (r *Runner) takeCold(now time.Time) {
+	if now.Before(r.coldUntil) {
+		r.permits.Take(now)
 	}
-	return !cold || r.permits.Take(now)
 }
 
 // ObserveLimit takes over what an answer of the runner said of its limit, and reports whether another one holds from now on.
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -98,11 +98,11 @@
 	// SentHeld and SentReading are what this process's requests take and read that the report may not show yet, in tokens.
 	SentHeld    int
 	SentReading int
-	// Cold says that the runner bears few requests, and Limit is the one that it names: under both each request takes a permit. Permitted says that one
-	// may be sent now.
-	Cold      bool
-	Limit     backpressure.Limit
-	Permitted bool
+	// Cold says that the runner bears few requests, and Limit is the one that it names: under both each request takes a permit.
+	Cold  bool
+	Limit backpressure.Limit
+	// Denied is why the runner may not be given a request now.
+	Denied Denial
 }
 
 // newRunner is a run of which nothing is known but its record, which lapses at the given moment unless that is zero.
@@ -125,7 +125,7 @@
 	defer r.mu.Unlock()
 	v := View{
 		Runner: r.info, Running: r.running, Reading: r.reading, Held: r.held, Avoid: now.Before(r.avoid), Failures: r.failures,
-		Wait: r.wait.expected(now), Load: r.report.Load, Reported: !r.report.At.IsZero() && now.Sub(r.report.At) < reportAge, Heard: r.heard,
+		Wait: r.wait.expected(now), Load: r.report.Load, Reported: r.reported(now), Heard: r.heard,
 	}
 	if !r.report.At.IsZero() {
 		v.ReportAge = now.Sub(r.report.At)
@@ -133,8 +133,8 @@
 	v.SentHeld, v.SentReading = r.sent.since(r.report.At.Add(-reportLag))
 	v.Cold = now.Before(r.coldUntil)
 	v.Limit = r.throttle.Observed().Limit
-	v.Permitted = (!v.Cold || r.permits.Any(now)) && r.throttle.Admits(now)
-	v.Leaving = v.Leaving || r.leaving || r.displaced || v.Reported && r.report.Load.Leaving
+	v.Denied = r.denial(now)
+	v.Leaving = r.isLeaving(now)
 	v.Weights = newest(v.Weights, r.weights)
 	if v.Reported && !r.report.LoadsAt.IsZero() {
 		v.LoadScheduled, v.LoadIn = true, max(0, r.report.LoadsAt.Sub(now))
