Leave a runner that asks for rest alone for just that long

Cause: the Retry-After of a runner was read by nobody; a refusal ejected it for 0.3 s, doubled up to 2.4 s, ended by the next answer that spoke for it, and a sealed 503 counted as a failure, which nothing but its own answers take back. Change: such an answer has the runner rest in place of an ejection or a failure; of several the latest end counts; Runner.Admit denies it. A plain request that nobody takes is refused at once with the time to the end of the first rest; a prompt waits if that is in time for it, and is refused otherwise.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -250,7 +250,7 @@
 		}
 	case head.OtherRunner && x.wire.Prompt != nil:
 		g.learnWeights(x, t, head)
-	default:
+	case head.RetryAfter == 0: // it has not said for how long it wants nothing
 		t.runner.Eject(time.Now())
 	}
 }
--- a/gateway/backpressure.go
+++ b/gateway/backpressure.go
@@ -23,6 +23,9 @@
 	if a.head.Leaving {
 		a.target.runner.Leaves()
 	}
+	if a.head.RetryAfter > 0 {
+		a.target.runner.Rest(now.Add(a.head.RetryAfter))
+	}
 }
 
 // noteBackpressure records what the runner asks for in the head of its answer.
--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -39,9 +39,7 @@
 	for {
 		o := g.options(x, g.viewsAt(now), now)
 		if len(o.views) == 0 {
-			verdict, after := o.leftOut.refusal()
-			x.comeBack = after
-			return nil, verdict
+			return nil, o.leftOut.refuse(x)
 		}
 		choice := place.Choose(o.question, o.candidates, g.offset(len(o.views)))
 		if t := g.assign(x, o, choice, now); t != nil {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -44,9 +44,11 @@
 	identity *identity
 	// trial says that it is sent once though runners have ended under it.
 	trial bool
-	// reason is why the last attempt failed, comeBack how long the requests that wait take to be admitted, where that was why.
-	reason   string
-	comeBack time.Duration
+	// reason is why the last attempt failed, comeBack how long the requests that wait take to be admitted, and notBefore when runners take requests
+	// again, where that was why.
+	reason    string
+	comeBack  time.Duration
+	notBefore time.Time
 
 	*progress
 }
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -202,9 +202,10 @@
 	verdictTimedOut = "timed-out"
 	verdictNoRunner = "no-runner"
 	// verdictCold says that all runners left are cold and have as much as they bear, verdictLimited that they have as much as the limits that they name
-	// allow, verdictEvacuated that they are in evacuated zones, and verdictElsewhere that they are in regions in which the request may not run.
+	// allow, verdictResting that they rest, verdictEvacuated that they are in evacuated zones, and verdictElsewhere that they are in regions in which the request may not run.
 	verdictCold      = "runners-cold"
 	verdictLimited   = "runners-limited"
+	verdictResting   = "runners-resting"
 	verdictEvacuated = "zone-evacuated"
 	verdictElsewhere = "region-not-allowed"
 	// verdictNoRoom says that no engine had room in time, verdictBacklog that none will have, for what waits already, and
--- a/gateway/left_out.go
+++ b/gateway/left_out.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rillreach/rillreach/admission"
 	"github.com/rillreach/rillreach/roster"
 )
 
@@ -18,9 +19,11 @@
 
 // leftOut counts the runners of a service that may not take a request, by why.
 type leftOut struct {
-	evacuated, elsewhere, cold, limited int
+	evacuated, elsewhere, cold, limited, resting int
 	// perSecond is what those that are limited take together, in requests a second.
 	perSecond float64
+	// restEnds is when the first of those that rest takes requests again.
+	restEnds time.Time
 }
 
 // add counts a runner for which one of the reasons holds, the first that does, and reports that one does. One that only lacks a permit is counted where
@@ -47,6 +50,11 @@
 		l.perSecond += v.Limit.PerSecond
 	case roster.DeniedCold:
 		l.cold++
+	case roster.DeniedResting:
+		l.resting++
+		if l.restEnds.IsZero() || v.RestUntil.Before(l.restEnds) {
+			l.restEnds = v.RestUntil
+		}
 	}
 }
 
@@ -55,22 +63,41 @@
 	return v.Denied == roster.DeniedCold || v.Denied == roster.DeniedLimited
 }
 
-// refusal is why a request has no runner, where no other was left, and when its caller may come back; zero where that isn't known.
-func (l *leftOut) refusal() (verdict string, after time.Duration) {
+// refuse records why the request has no runner, where no other was left, and when its caller may come back.
+func (l *leftOut) refuse(x *exchange) (verdict string) {
+	x.comeBack, x.notBefore = 0, time.Time{}
 	switch {
 	case l.cold > 0:
-		return verdictCold, coldComeBack
+		x.comeBack = coldComeBack
+		return verdictCold
 	case l.limited > 0:
-		return verdictLimited, l.nextUnderLimit()
+		x.comeBack = l.nextUnderLimit()
+		return verdictLimited
+	case l.resting > 0:
+		x.notBefore = l.restEnds
+		return verdictResting
 	case l.evacuated > 0:
-		return verdictEvacuated, evacuationComeBack
+		x.comeBack = evacuationComeBack
+		return verdictEvacuated
 	case l.elsewhere > 0:
-		return verdictElsewhere, evacuationComeBack
+		x.comeBack = evacuationComeBack
+		return verdictElsewhere
 	default:
-		return verdictNoRunner, 0
+		return verdictNoRunner
 	}
 }
 
+// endsInTime reports that no runner is left but for rests of which the first ends early enough for the request.
+func (l *leftOut) endsInTime(r admission.Request) bool {
+	if l.resting == 0 || l.cold+l.limited > 0 {
+		return false
+	}
+	if r.Begun {
+		return !r.Lost(l.restEnds)
+	}
+	return !r.Late(l.restEnds)
+}
+
 // nextUnderLimit is how long the runners that are limited take to take one more request.
 func (l *leftOut) nextUnderLimit() time.Duration {
 	if l.perSecond*mostLimitComeBack.Seconds() <= 1 {
--- a/gateway/line.go
+++ b/gateway/line.go
@@ -199,10 +199,12 @@
 func (l *line) decide(w *waitingRequest, views *runnerViews, claimed map[*roster.Runner]bool, drain time.Duration, now time.Time) (decision, bool) {
 	g, x := l.gateway, w.exchange
 	o := g.options(x, views, now)
-	if len(o.views) == 0 {
-		verdict, after := o.leftOut.refusal()
-		x.comeBack = after
-		return decision{verdict: verdict}, true
+	switch {
+	case len(o.views) > 0:
+	case o.leftOut.endsInTime(w.request):
+		return decision{}, false
+	default:
+		return decision{verdict: o.leftOut.refuse(x)}, true
 	}
 	l.mostCold = o.mostCold()
 	choice, room := g.chooseWithRoom(x, o, roomQuery{claimed: claimed, senders: l.senders(claimed), idle: w.request.GivesWay(now)}, now)
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -75,16 +75,23 @@
 	g.answer(x, status, verdict, after)
 }
 
-// comeBack is when a request that has not run should be sent again: once the requests that wait are admitted, or soon where that
-// was not the reason.
+// comeBack is when a request that has not run should be sent again: once a runner has rested, or the requests that wait are admitted, or soon where
+// neither was the reason.
 func comeBack(x *exchange) time.Duration {
+	if !x.notBefore.IsZero() {
+		return max(0, time.Until(x.notBefore)) + time.Duration(rand.Float64()*float64(restSpread))
+	}
 	if x.comeBack > 0 {
 		return admission.RetryAfter(x.comeBack, rand.Float64())
 	}
 	return min(comeBackSoon, x.route.Target/8)
 }
 
-const comeBackSoon = 50 * time.Millisecond
+const (
+	comeBackSoon = 50 * time.Millisecond
+	// restSpread is the time over which callers come back once a rest has ended.
+	restSpread = 300 * time.Millisecond
+)
 
 // answer writes an answer of the entry's own.
 func (g *Gateway) answer(x *exchange, status int, reason string, after time.Duration) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -31,7 +31,7 @@
 		t.runner.SetWeights(x.wire.Prompt.Model, a.head.Weights)
 	}
 	status := a.answer.Response.StatusCode
-	if status >= failureStatus {
+	if status >= failureStatus && a.head.RetryAfter == 0 { // one that asks for rest says by itself for how long it is to be left alone
 		share := t.runner.Failed(time.Now())
 		g.Log.Info("runner failed the request", "decision", "judge", "request", x.wire.ID, "runner", t.view.ID, "status", status, "failures", share)
 	}
--- a/roster/admit.go
+++ b/roster/admit.go
@@ -13,6 +13,8 @@
 const (
 	// DeniedLeaving says that the runner is about to end.
 	DeniedLeaving Denial = "leaving"
+	// DeniedResting says that it has asked for rest.
+	DeniedResting Denial = "resting"
 	// DeniedLimited says that it has as much as the limit allows that it names, and DeniedCold that it is cold and has as much as it bears.
 	DeniedLimited Denial = "limited"
 	DeniedCold    Denial = "cold"
@@ -35,6 +37,8 @@
 	switch {
 	case r.isLeaving(now):
 		return DeniedLeaving
+	case now.Before(r.restUntil):
+		return DeniedResting
 	case !r.throttle.Admits(now):
 		return DeniedLimited
 	case now.Before(r.coldUntil) && !r.permits.Any(now):
@@ -61,6 +65,15 @@
 	}
 }
 
+// Rest leaves the runner alone until the given moment, or longer where it has asked for that.
+func (r *Runner) Rest(until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if until.After(r.restUntil) {
+		r.restUntil = until
+	}
+}
+
 // ObserveLimit takes over what an answer of the runner said of its limit, and reports whether another one holds from now on.
 func (r *Runner) ObserveLimit(now time.Time, o backpressure.Observation) (changed bool) {
 	r.mu.Lock()
--- /dev/null
+++ b/roster/admit_test.go
@@ -0,0 +1,58 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rillreach/rillreach/backpressure"
+	"github.com/rillreach/rillreach/deployment"
+)
+
+func TestAdmit(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limit := backpressure.Limit{Bounded: true, PerSecond: 2}
+	limited := func(r *Runner) {
+		r.ObserveLimit(now, backpressure.Observation{Limit: limit, Asked: now.Add(-2), Heard: now.Add(-1)})
+	}
+	assertDenied := func(t *testing.T, denial Denial, r *Runner, now time.Time) {
+		t.Helper()
+		assert.Equal(t, denial, r.View(now).Denied, "what a choice sees")
+		assert.Equal(t, denial, r.Admit(now), "what the send is told")
+	}
+	t.Run("of several rests the one that ends last counts", func(t *testing.T) {
+		r := newRunner(deployment.Runner{}, time.Time{})
+		r.Rest(now.Add(3 * time.Second))
+		r.Rest(now.Add(time.Second))
+		assertDenied(t, DeniedResting, r, now.Add(3*time.Second-1))
+		assertDenied(t, "", r, now.Add(3*time.Second))
+	})
+	t.Run("a cold runner with a limit takes a permit of each", func(t *testing.T) {
+		r := newRunner(deployment.Runner{ColdUntil: now.Add(time.Minute)}, time.Time{})
+		limited(r)
+		r.AllotLimit(now, limit, 2, now.Add(time.Second))
+		assertDenied(t, DeniedCold, r, now)
+		r.Permit(1, now.Add(time.Second))
+		assertDenied(t, "", r, now)
+		assertDenied(t, DeniedCold, r, now)
+		r.Permit(1, now.Add(time.Second))
+		assertDenied(t, "", r, now)
+		assertDenied(t, DeniedLimited, r, now)
+	})
+	t.Run("permits, the end of a rest and a record don't bring back one that leaves", func(t *testing.T) {
+		r := newRunner(deployment.Runner{}, time.Time{})
+		r.setLeaving()
+		r.Rest(now)
+		limited(r)
+		r.AllotLimit(now, limit, 1, now.Add(time.Second))
+		r.relist(deployment.Runner{Revision: 2})
+		assertDenied(t, DeniedLeaving, r, now)
+	})
+	t.Run("an answer that speaks for it ends no rest", func(t *testing.T) {
+		r := newRunner(deployment.Runner{}, time.Time{})
+		r.Rest(now.Add(time.Second))
+		r.Well(now)
+		assertDenied(t, DeniedResting, r, now)
+	})
+}
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -65,6 +65,8 @@
 	// coldUntil is when the runner is no longer cold at the latest, permits are those to send to it until then.
 	coldUntil time.Time
 	permits   permit.Set
+	// restUntil is when the rest ends that the runner has asked for.
+	restUntil time.Time
 	// throttle keeps this process within the limit that the runner names.
 	throttle backpressure.Throttle
 	// lastBegun is when the last request was sent to the runner.
@@ -101,8 +103,9 @@
 	// Cold says that the runner bears few requests, and Limit is the one that it names: under both each request takes a permit.
 	Cold  bool
 	Limit backpressure.Limit
-	// Denied is why the runner may not be given a request now.
-	Denied Denial
+	// Denied is why the runner may not be given a request now, and RestUntil when the rest ends that it has asked for.
+	Denied    Denial
+	RestUntil time.Time
 }
 
 // newRunner is a run of which nothing is known but its record, which lapses at the given moment unless that is zero.
@@ -133,7 +136,7 @@
 	v.SentHeld, v.SentReading = r.sent.since(r.report.At.Add(-reportLag))
 	v.Cold = now.Before(r.coldUntil)
 	v.Limit = r.throttle.Observed().Limit
-	v.Denied = r.denial(now)
+	v.Denied, v.RestUntil = r.denial(now), r.restUntil
 	v.Leaving = r.isLeaving(now)
 	v.Weights = newest(v.Weights, r.weights)
 	if v.Reported && !r.report.LoadsAt.IsZero() {
