Believe refusals of agents in the requests that come after

In our own interface an agent's refusal (it leaves, its queue is full for so long) counted for the one request that it refused: the next one of the conversation was sent there first again, until a notice or an acknowledgement's hint came. Class: the freshest word of a component is passed on and not believed. Change: a refusal not run for leaving marks that incarnation as leaving; one for a full queue is kept as the hint of its wait. A refusal that speaks of the request alone (its deadline) is held against nobody.

--- a/filter/dispatch/dispatch.go
+++ b/filter/dispatch/dispatch.go
@@ -88,6 +88,7 @@
 		}
 		tried = append(tried, m.ID)
 		refusal := asRefusal(err)
+		f.believe(m, refusal)
 		mayHaveRun = mayHaveRun || refusal.Outcome == rillreach.OutcomeUnknown
 		verdict := f.decide(ctx, x, refusal, attempt)
 		f.logAttempt(x, m, attempt, refusal, verdict)
--- a/filter/dispatch/once.go
+++ b/filter/dispatch/once.go
@@ -79,6 +79,7 @@
 		if refusal = f.tryOwner(ctx, x, m, attempt); refusal == nil {
 			return nil, false
 		}
+		f.believe(m, refusal)
 		unknown = unknown || refusal.Outcome == rillreach.OutcomeUnknown
 		if refusal.Owner || refusal.Reason != rillreach.ReasonCut || x.Began || ctx.Err() != nil || !f.Budget.Spend() {
 			break
