Have runners of the soak ask for less in their answers alone

Change: runners and engines name a limit, turn requests away with a rest, and leave without telling the store, drawn by themselves beside kills, stops, pauses and a store that is away (--backpressure); judged by what each entry was told.

--- a/soak/engine.go
+++ b/soak/engine.go
@@ -22,6 +22,8 @@
 	proxy  *proxy
 	ledger *ledger
 	number int
+	// pressure is what the engine asks for in its answers.
+	pressure pressure
 	// fatal ends the run and starts another soon, unless that is being done; it reports whether it ended it.
 	fatal func() bool
 
@@ -70,7 +72,7 @@
 // begin begins a new run; e.mu is held.
 func (e *engine) begin(id string, weights uint64, told bool) {
 	e.runs++
-	label := fmt.Sprintf("%s-%d", e.name(), e.runs)
+	label := e.labelOf(e.runs)
 	e.born = max(e.born+1, time.Now().UnixMilli())
 	one := &site.Engine{Model: site.Model, Version: weights, LoadTime: loadTime, Queue: e.queueing, Refuses: e.refuses}
 	one.ID = id
@@ -82,6 +84,9 @@
 		if begun.Fatal != "" {
 			e.ledger.endUnder(begun, e.fatal)
 		}
+		if e.pressure.take(e.ledger, label, w, r) {
+			return
+		}
 		open := e.ledger.begin(begun)
 		streamPieces(w, r, open, e.pause(r))
 	}
@@ -97,6 +102,16 @@
 	}
 }
 
+// labelOf names one of the runs that lived here, also among those with the same id.
+func (e *engine) labelOf(run int) string { return fmt.Sprintf("%s-%d", e.name(), run) }
+
+// label names the run that lives here now.
+func (e *engine) label() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.labelOf(e.runs)
+}
+
 // carryOut gives a late order to the run with the id, which may have started again meanwhile.
 func (e *engine) carryOut(id string, o site.Order) {
 	e.mu.Lock()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -30,12 +30,22 @@
 		w.operate(a)
 	case faultRollout:
 		w.injectRollout(a)
+	case faultFatal, faultEvacuate, faultLimit, faultRest, faultLeaveUntold:
+		w.injectSeparate(a, p, n)
+	default:
+		w.injectAtEngine(a, n)
+	}
+}
+
+// injectSeparate does one of the faults that are drawn by themselves.
+func (w *world) injectSeparate(a action, p *place, n *engine) {
+	switch a.Fault {
 	case faultFatal:
 		w.injectFatal(a)
 	case faultEvacuate:
 		w.injectEvacuation(a)
 	default:
-		w.injectAtEngine(a, n)
+		w.injectPressure(a, p, n)
 	}
 }
 
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -84,6 +84,7 @@
 	r.judgeOrders(add)
 	r.judgeFatal(add)
 	r.judgeEvacuations(add)
+	r.judgePressure(add)
 	r.judgeLives(timed, add)
 	if timed {
 		r.judgeWeights(add)
--- a/soak/main.go
+++ b/soak/main.go
@@ -34,6 +34,7 @@
 			&cli.BoolFlag{Name: "rollout", Usage: "name weights as well that no agent loads in time, while requests wait at engines"},
 			&cli.BoolFlag{Name: "fatal", Usage: "only requests that end their runners, beside kills and pauses"},
 			&cli.BoolFlag{Name: "evacuate", Usage: "only evacuations of a zone, beside kills, pauses, stops and a store that is away"},
+			&cli.BoolFlag{Name: "backpressure", Usage: "only runners that ask for less in their answers, beside kills, pauses, stops and a store that is away"},
 			&cli.StringFlag{Name: "binary", Usage: "the program; built from the sources where it is not set"},
 			&cli.StringFlag{Name: "keep", Usage: "folder for logs of a seed that failed"},
 		},
@@ -58,17 +59,7 @@
 		}
 	}
 	n := size{Entries: c.Int("entries"), Runners: c.Int("runners"), Callers: c.Int("callers")}
-	actions := schedule(c.Uint64("seed"), c.Duration("for"))
-	actions = inOrder(append(actions, engineSchedule(c.Uint64("seed"), c.Duration("for"), engineFaults)...))
-	if c.Bool("fatal") {
-		actions = engineSchedule(c.Uint64("seed"), c.Duration("for"), fatalFaults)
-	}
-	if c.Bool("evacuate") {
-		actions = engineSchedule(c.Uint64("seed"), c.Duration("for"), evacuationFaults)
-	}
-	if c.Bool("rollout") {
-		actions = inOrder(append(actions, rollout(c.Uint64("seed"))))
-	}
+	actions := drawActions(c, c.Uint64("seed"), c.Duration("for"))
 	broken, err := playSeed(binary, dir, c.Uint64("seed"), actions, c.Duration("for"), n, printf)
 	if err != nil {
 		return err
@@ -87,6 +78,20 @@
 	return errors.Newf("seed %d: %d promises broken; logs in %s", c.Uint64("seed"), len(broken), dir)
 }
 
+// drawActions draws the faults that the flags ask for.
+func drawActions(c *cli.Command, seed uint64, length time.Duration) []action {
+	actions := inOrder(append(schedule(seed, length), engineSchedule(seed, length, engineFaults)...))
+	for flag, from := range map[string][]fault{"fatal": fatalFaults, "evacuate": evacuationFaults, "backpressure": pressureFaults} {
+		if c.Bool(flag) {
+			actions = engineSchedule(seed, length, from)
+		}
+	}
+	if c.Bool("rollout") {
+		actions = inOrder(append(actions, rollout(seed)))
+	}
+	return actions
+}
+
 func printf(format string, args ...any) { _, _ = fmt.Printf(format+"\n", args...) }
 
 // playSeed plays one schedule and returns the promises that were broken.
--- a/soak/runner.go
+++ b/soak/runner.go
@@ -17,6 +17,8 @@
 	mu     sync.Mutex
 	runs   []run
 	orders []given
+	// arrivals are what runners that ask for less get, and others.
+	arrivals []arrival
 }
 
 // begin notes that a run has begun, and returns where the rest of it is noted.
@@ -57,6 +59,8 @@
 	proxy  *proxy
 	ledger *ledger
 	number int
+	// pressure is what the runner asks for in its answers.
+	pressure pressure
 	// fatal ends the run and starts another soon, unless that is being done; it reports whether it ended it.
 	fatal func() bool
 
@@ -139,6 +143,9 @@
 	if one.Fatal != "" {
 		p.ledger.endUnder(one, p.fatal)
 	}
+	if p.pressure.take(p.ledger, id, w, r) {
+		return
+	}
 	if k := kindOf(r); k.streams() {
 		streamPieces(w, r, p.ledger.begin(one), lasts(k, one.ID)/pieces)
 		return
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -68,6 +68,18 @@
 	faultEvacuate, faultEvacuate, faultKill, faultPause, faultStop, faultForget, faultStoreDown, faultStoreMute, faultCrash, faultEngine, faultAgentKill,
 }
 
+// The faults of runners that ask for less in their answers alone. They are drawn by themselves as well, beside others of pressureFaults.
+const (
+	faultLimit       fault = "runner names a limit"
+	faultRest        fault = "runner turns requests away and asks for rest"
+	faultLeaveUntold fault = "runner says in its answers alone that it leaves"
+)
+
+// pressureFaults are the faults beside which runners get no more than they ask for all the same.
+var pressureFaults = []fault{
+	faultLimit, faultLimit, faultRest, faultRest, faultLeaveUntold, faultKill, faultPause, faultStop, faultAgentKill, faultAgentPause, faultStoreDown, faultStoreMute,
+}
+
 // loadFaults are those without which streams would seldom meet loads and refusals, engineFaults all of them.
 var (
 	loadFaults   = []fault{faultNames, faultLoadsAtOnce, faultRefuse, faultFreeze, faultSlow}
--- a/soak/world.go
+++ b/soak/world.go
@@ -236,7 +236,7 @@
 	w.ledger.mu.Lock()
 	defer w.ledger.mu.Unlock()
 	r := &record{
-		Runs: slices.Clone(w.ledger.runs), Orders: slices.Clone(w.ledger.orders), Disturbed: w.disturbed, Left: maps.Clone(w.left),
+		Runs: slices.Clone(w.ledger.runs), Arrivals: slices.Clone(w.ledger.arrivals), Orders: slices.Clone(w.ledger.orders), Disturbed: w.disturbed, Left: maps.Clone(w.left),
 		Removed: w.removed, Quiet: w.last, Named: maps.Clone(w.named), Loaded: map[string]uint64{}, Ended: time.Now(),
 		Harmed: w.harmed, Evacuated: slices.Clone(w.evacuated), CutOff: maps.Clone(w.cutOffs), Entries: map[int]history{},
 	}
