Space a sender's requests by a type of its own

Change: permit.Spacer, taken out of backpressure.Throttle; its behaviour is the same but for the tests that it has now. Measured: backpressure and permit pass.

--- a/backpressure/throttle.go
+++ b/backpressure/throttle.go
@@ -16,9 +16,8 @@
 	permits  permit.Set
 	// allotted is when permits were last allotted, or the limit was first observed.
 	allotted time.Time
-	// next is when the next request may begin while nobody allots permits, and space the time between two.
-	next  time.Time
-	space time.Duration
+	// spacer spaces requests while nobody allots permits.
+	spacer permit.Spacer
 }
 
 // Observed is the observation that counts.
@@ -38,7 +37,8 @@
 		return false
 	}
 	if !was.Bounded {
-		t.allotted, t.next = now, time.Time{}
+		t.allotted = now
+		t.spacer.Reset()
 	}
 	t.permits = permit.Set{}
 	return true
@@ -49,27 +49,22 @@
 	if t.observed.Limit != under || !under.Bounded {
 		return
 	}
-	t.allotted, t.next = now, time.Time{}
+	t.allotted = now
+	t.spacer.Reset()
 	t.permits.Add(n, until)
 }
 
-// Space gives a permit now and then while nobody allots them, as if so many senders did alike. The phase, from 0 to 1, says when in its time the first
-// one comes, so that those of senders who were told together don't. It reports whether there is a new one.
+// Space gives a permit now and then while nobody allots them, as if so many senders did alike, and reports whether there is a new one. The phase is that
+// of permit.Spacer.
 func (t *Throttle) Space(now time.Time, senders int, phase float64) bool {
 	if !t.Limited() || now.Sub(t.allotted) < allotterSilence || t.permits.Any(now) {
 		return false
 	}
-	t.space = t.observed.Limit.space(senders)
-	switch {
-	case t.next.IsZero():
-		t.next = now.Add(time.Duration(phase * float64(t.space)))
-	case t.next.After(now.Add(t.space)):
-		t.next = now.Add(t.space) // the limit was lower, or there were more senders
-	}
-	if now.Before(t.next) {
+	space := t.observed.Limit.space(senders)
+	if !t.spacer.Due(now, space, phase) {
 		return false
 	}
-	t.permits.Add(1, now.Add(t.space))
+	t.permits.Add(1, now.Add(space))
 	return true
 }
 
@@ -84,8 +79,6 @@
 	if !t.permits.Take(now) {
 		return false
 	}
-	if !t.next.IsZero() {
-		t.next = now.Add(t.space)
-	}
+	t.spacer.Used(now)
 	return true
 }
