Spread the first requests to a cold runner without an agent over its time

Each entry sent its first request at once, or so long after its last one, which all had sent just before: 25 entries send 25 requests in one second, where 11 x 1.5 + 5 are allowed. Ruled out: an agent that shares the rate out, as for limits: where entries have few requests its permits of 0.5 s go unused, and all plain runners are cold together after a loss of power. Change: the first request comes at a random phase of the time between two.

--- a/gateway/slow_start.go
+++ b/gateway/slow_start.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -38,7 +39,7 @@
 	}
 	space := time.Duration(float64(g.budgets.Entries()) / rate * float64(time.Second))
 	for _, r := range g.state.Roster.Group(x.service.Name) {
-		r.SpacePermits(now, space)
+		r.SpacePermits(now, space, rand.Float64())
 	}
 }
 
--- a/roster/admit.go
+++ b/roster/admit.go
@@ -62,6 +62,7 @@
 func (r *Runner) takeCold(now time.Time) {
 	if now.Before(r.coldUntil) {
 		r.permits.Take(now)
+		r.spacer.Used(now)
 	}
 }
 
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -65,12 +65,12 @@
 	// coldUntil is when the runner is no longer cold at the latest, permits are those to send to it until then.
 	coldUntil time.Time
 	permits   permit.Set
+	// spacer spaces those where the runner has no agent.
+	spacer permit.Spacer
 	// restUntil is when the rest ends that the runner has asked for.
 	restUntil time.Time
 	// throttle keeps this process within the limit that the runner names.
 	throttle backpressure.Throttle
-	// lastBegun is when the last request was sent to the runner.
-	lastBegun time.Time
 	// sent are this process's latest requests, which the report may not show yet.
 	sent recentSends
 }
@@ -177,7 +177,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.wait.sent(now)
-	r.lastBegun = now
 	r.sent.add(now, reading, held)
 	r.running++
 	r.reading += reading
--- a/roster/slow_start.go
+++ b/roster/slow_start.go
@@ -18,12 +18,15 @@
 	r.permits.Add(n, until)
 }
 
-// SpacePermits gives a permit where the last request was sent to the runner so long ago, for runners without an agent.
-func (r *Runner) SpacePermits(now time.Time, space time.Duration) {
+// SpacePermits gives a permit now and then, with so much time between two, for runners without an agent. The phase is that of permit.Spacer.
+func (r *Runner) SpacePermits(now time.Time, space time.Duration, phase float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !now.Before(r.coldUntil) || r.permits.Any(now) || now.Sub(r.lastBegun) < space {
+	if !now.Before(r.coldUntil) {
+		r.spacer.Reset()
 		return
 	}
-	r.permits.Add(1, now.Add(space))
+	if !r.permits.Any(now) && r.spacer.Due(now, space, phase) {
+		r.permits.Add(1, now.Add(space))
+	}
 }
