Apply bulletins at an entry, in place of learning them

Cause: STYLE.md: what an entry does with an agent's message is called apply elsewhere; learn and news stop a newcomer. Change: names alone, in gateway and its tests: applyBulletin and its parts, noteWeights, the file bulletins.go. No behaviour and no assertion changes.

--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -88,17 +88,17 @@
 	one, stop := context.WithCancel(ctx)
 	g := a.gateway
 	f := &followed{wanted: w, stop: stop}
-	take := g.learn
+	take := g.applyBulletin
 	if w.sparse {
-		take = g.learnSparse
+		take = g.applySparseBulletin
 	}
 	s := &subscribe.Subscription{
 		Pool: a.pool, Agent: address, Log: g.Log,
 		Take: func(b *bulletin.Bulletin, now time.Time) {
 			f.heard.Store(g.Clock.Now().UnixNano())
 			take(b, now)
-			g.learnPermits(w.runner, b, now)
-			g.learnQuotas(b, now)
+			g.applyPermits(w.runner, b, now)
+			g.applyQuotas(b, now)
 		},
 		Ask: bulletin.Follow{Name: rillreach.InstanceID(g.Settings.Name), Zone: g.Settings.Zone, Sparse: w.sparse},
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -249,14 +249,14 @@
 		default: // the list is going to be asked for already
 		}
 	case head.OtherRunner && x.wire.Prompt != nil:
-		g.learnWeights(x, t, head)
+		g.noteWeights(x, t, head)
 	case head.RetryAfter == 0: // it has not said for how long it wants nothing
 		t.runner.Eject(time.Now())
 	}
 }
 
-// learnWeights takes from a refusal that the runner has other weights than were expected.
-func (g *Gateway) learnWeights(x *exchange, t *target, head platform.Answer) {
+// noteWeights takes from a refusal that the runner has other weights than were expected.
+func (g *Gateway) noteWeights(x *exchange, t *target, head platform.Answer) {
 	version := head.Weights
 	if version == 0 {
 		named, _ := g.state.Weights(x.wire.Prompt.Model)
--- a/gateway/news.go
+++ b/gateway/bulletins.go
@@ -14,14 +14,14 @@
 // not spoil it for long.
 const clockDrift = 0.001
 
-// learn takes a bulletin over.
-func (g *Gateway) learn(b *bulletin.Bulletin, now time.Time) {
+// applyBulletin takes a bulletin over.
+func (g *Gateway) applyBulletin(b *bulletin.Bulletin, now time.Time) {
 	runner := g.state.Observe(b.Run())
-	g.learnLoad(runner, b, now)
+	g.applyLoad(runner, b, now)
 	for _, w := range b.Named {
 		g.state.AdoptWeights(w)
 	}
-	g.learnNamings(b, now)
+	g.applyNamings(b, now)
 	for _, n := range b.Notices {
 		g.relays.Hear(n, now)
 	}
@@ -30,16 +30,16 @@
 	g.stores.clock.hear(b.Clock, now)
 	for i := range b.Holders {
 		if h := &b.Holders[i]; h.Store {
-			g.stores.learn(b.Runner, b.Clock, h, now)
+			g.stores.apply(b.Runner, b.Clock, h, now)
 		} else {
-			g.stores.learnRunner(b.Run(), h)
+			g.stores.applyRunner(b.Run(), h)
 		}
 	}
 }
 
-// learnLoad takes over how the runner is, which is nil where it is not listed or the bulletin is late. A report that can't be true is
+// applyLoad takes over how the runner is, which is nil where it is not listed or the bulletin is late. A report that can't be true is
 // not used: the runner counts as one without a report.
-func (g *Gateway) learnLoad(r *roster.Runner, b *bulletin.Bulletin, now time.Time) {
+func (g *Gateway) applyLoad(r *roster.Runner, b *bulletin.Bulletin, now time.Time) {
 	if r == nil {
 		return
 	}
@@ -66,8 +66,8 @@
 	return now.Add(time.Duration(b.Load.LoadsAt-b.Clock) * time.Millisecond)
 }
 
-// learnNamings takes over when versions of weights were named: an entry that has just started knows only that they are.
-func (g *Gateway) learnNamings(b *bulletin.Bulletin, now time.Time) {
+// applyNamings takes over when versions of weights were named: an entry that has just started knows only that they are.
+func (g *Gateway) applyNamings(b *bulletin.Bulletin, now time.Time) {
 	if b.Clock == 0 {
 		return
 	}
--- a/gateway/news_test.go
+++ b/gateway/bulletins_test.go
@@ -24,7 +24,7 @@
 		t.Run(name, func(t *testing.T) {
 			g, x := beforeEngines(0)
 			g.state.Roster.Put(deployment.Runner{ID: "r", Service: "s"})
-			g.learn(&bulletin.Bulletin{Runner: "r", Load: load}, now)
+			g.applyBulletin(&bulletin.Bulletin{Runner: "r", Load: load}, now)
 			assert.False(t, g.state.Roster.Find("r").View(now).Reported)
 			choice, _ := g.chooseWithRoom(x, g.options(x, g.viewsAt(now), now), roomQuery{senders: 1}, now)
 			assert.Equal(t, 0, choice.Index)
@@ -33,7 +33,7 @@
 	t.Run("one that makes sense counts", func(t *testing.T) {
 		g, _ := beforeEngines(0)
 		g.state.Roster.Put(deployment.Runner{ID: "r", Service: "s"})
-		g.learn(&bulletin.Bulletin{Runner: "r", Load: bulletin.Load{Running: 2, Unread: 1, Used: 100}}, now)
+		g.applyBulletin(&bulletin.Bulletin{Runner: "r", Load: bulletin.Load{Running: 2, Unread: 1, Used: 100}}, now)
 		assert.Equal(t, 100, g.state.Roster.Find("r").View(now).Load.Used)
 	})
 }
@@ -45,7 +45,7 @@
 		g, _ := beforeEngines(0)
 		g.state.Roster.Put(deployment.Runner{ID: "r", Service: "s"})
 		b.Runner = "r"
-		g.learn(b, now)
+		g.applyBulletin(b, now)
 		return g.state.Roster.Find("r").View(now)
 	}
 	t.Run("a load that is told of is scheduled", func(t *testing.T) {
--- a/gateway/choose_bench_test.go
+++ b/gateway/choose_bench_test.go
@@ -67,7 +67,7 @@
 		x.config.Services[name] = &deployment.Service{Name: name, Store: &deployment.CacheStore{
 			Address: place, Zone: rillreach.ZoneID(fmt.Sprintf("z%d", i%3)), CapacityTokens: 1e6, LinkBitsPerSecond: 1e11,
 		}}
-		g.stores.learn("agent", now.UnixMilli(), &bulletin.Holder{Place: place, Store: true, Whole: true, Changes: []holdings.Change{opening, conversation}}, now)
+		g.stores.apply("agent", now.UnixMilli(), &bulletin.Holder{Place: place, Store: true, Whole: true, Changes: []holdings.Change{opening, conversation}}, now)
 	}
 }
 
--- a/gateway/local_zone.go
+++ b/gateway/local_zone.go
@@ -85,12 +85,12 @@
 	return config != nil && config.Services[service] != nil && config.Services[service].Engine != nil
 }
 
-// learnSparse takes over a bulletin of an agent that was asked for little: what its runner held when more was heard of it is out of date.
-func (g *Gateway) learnSparse(b *bulletin.Bulletin, now time.Time) {
+// applySparseBulletin takes over a bulletin of an agent that was asked for little: what its runner held when more was heard of it is out of date.
+func (g *Gateway) applySparseBulletin(b *bulletin.Bulletin, now time.Time) {
 	if r := g.state.Roster.Find(b.Runner); r != nil {
 		if place := r.Info().Address; g.stores.index.Total(place) > 0 {
 			g.stores.index.Forget(place)
 		}
 	}
-	g.learn(b, now)
+	g.applyBulletin(b, now)
 }
--- a/gateway/local_zone_test.go
+++ b/gateway/local_zone_test.go
@@ -71,7 +71,7 @@
 	info := g.state.Roster.Find("r1").Info()
 	key := holdings.Key{Salt: "1/m", Part: "p"}
 	g.stores.index.Apply(info.Address, []holdings.Change{{Key: key, Tokens: 5}})
-	g.learnSparse(&bulletin.Bulletin{Runner: info.ID, Load: bulletin.Load{Running: 3}}, time.Now())
+	g.applySparseBulletin(&bulletin.Bulletin{Runner: info.ID, Load: bulletin.Load{Running: 3}}, time.Now())
 	assert.Empty(t, g.stores.index.Holders(key))
 	assert.Equal(t, 3, g.state.Roster.Find(info.ID).View(time.Now()).Load.Running)
 }
--- a/gateway/namings_test.go
+++ b/gateway/namings_test.go
@@ -20,6 +20,6 @@
 	x.wire.Prompt = &deployment.Prompt{Model: model}
 	admits := func() bool { return g.window(x, 1).Admits(now, 0) }
 	assert.True(t, admits(), "as far as it knows, they were named just now")
-	g.learn(&bulletin.Bulletin{Clock: 1_000_000, Namings: []bulletin.Naming{{Model: model, Version: 2, At: 1_000_000 - 9_000}}}, now)
+	g.applyBulletin(&bulletin.Bulletin{Clock: 1_000_000, Namings: []bulletin.Naming{{Model: model, Version: 2, At: 1_000_000 - 9_000}}}, now)
 	assert.False(t, admits())
 }
--- a/gateway/restart_test.go
+++ b/gateway/restart_test.go
@@ -41,7 +41,7 @@
 	g, _ := beforeEngines(0)
 	g.state.Restarted = g.runnerRestarted
 	g.state.Roster.Put(deployment.Runner{ID: "r", Service: "s", Address: enginePlace, Generation: earlier})
-	g.learn(told(earlier, 7, 800, true), time.Now())
+	g.applyBulletin(told(earlier, 7, 800, true), time.Now())
 	g.state.Roster.Find("r").Eject(time.Now())
 	require.Equal(t, map[netip.AddrPort]int{enginePlace: 800}, g.stores.index.Holders(partKey))
 	return g
@@ -64,15 +64,15 @@
 	t.Run("the word of its agent is enough", func(t *testing.T) {
 		g := hearing(t)
 		over := g.state.Roster.Find("r").Over()
-		g.learn(empty, time.Now())
+		g.applyBulletin(empty, time.Now())
 		assertForgotten(t, g)
 		<-over
 	})
 	t.Run("a new start that is heard of twice does nothing the second time", func(t *testing.T) {
 		g := hearing(t)
-		g.learn(told(later, 3, 500, true), time.Now())
+		g.applyBulletin(told(later, 3, 500, true), time.Now())
 		one := g.state.Roster.Find("r")
-		g.learn(&bulletin.Bulletin{Runner: "r", Generation: later, Load: bulletin.Load{Waiting: 3}}, time.Now())
+		g.applyBulletin(&bulletin.Bulletin{Runner: "r", Generation: later, Load: bulletin.Load{Waiting: 3}}, time.Now())
 		assert.Same(t, one, g.state.Roster.Find("r"))
 		assert.Equal(t, map[netip.AddrPort]int{enginePlace: 500}, g.stores.index.Holders(partKey))
 	})
@@ -80,30 +80,30 @@
 		for name, whole := range map[string]bool{"everything": true, "a change": false} {
 			t.Run(name, func(t *testing.T) {
 				g := hearing(t)
-				g.learn(empty, time.Now())
-				g.learn(told(earlier, 9, 900, whole), time.Now())
+				g.applyBulletin(empty, time.Now())
+				g.applyBulletin(told(earlier, 9, 900, whole), time.Now())
 				assertForgotten(t, g)
 			})
 		}
 	})
 	t.Run("what it says of a store counts all the same", func(t *testing.T) {
 		g := hearing(t)
-		g.learn(empty, time.Now())
+		g.applyBulletin(empty, time.Now())
 		late := told(earlier, 9, 900, true)
 		late.Holders[0].Place, late.Holders[0].Store = storePlace, true
-		g.learn(late, time.Now())
+		g.applyBulletin(late, time.Now())
 		assert.Equal(t, map[netip.AddrPort]int{storePlace: 900}, g.stores.index.Holders(partKey))
 	})
 	t.Run("the list may come after the agent's word, and leaves what the later run holds", func(t *testing.T) {
 		g := hearing(t)
-		g.learn(told(later, 3, 500, true), time.Now())
+		g.applyBulletin(told(later, 3, 500, true), time.Now())
 		g.state.Roster.Put(record)
 		g.runnerRestarted(record) // as though the list had been the first to tell, and were only now done with
 		assert.Equal(t, map[netip.AddrPort]int{enginePlace: 500}, g.stores.index.Holders(partKey))
 	})
 	t.Run("an unknown start is no new one", func(t *testing.T) {
 		g := hearing(t)
-		g.learn(&bulletin.Bulletin{Runner: "r", Load: bulletin.Load{Waiting: 4}}, time.Now())
+		g.applyBulletin(&bulletin.Bulletin{Runner: "r", Load: bulletin.Load{Waiting: 4}}, time.Now())
 		v := g.state.Roster.Find("r").View(time.Now())
 		assert.Equal(t, 4, v.Load.Waiting)
 		assert.True(t, v.Avoid)
@@ -142,7 +142,7 @@
 	w.eventually(t, func() bool { return w.gateway.state.Roster.Find("e1") != nil })
 	g := w.gateway
 	first := g.state.Roster.Find("e1")
-	g.stores.learnRunner(first.Info().Run(), &bulletin.Holder{Place: e.Address(), Whole: true, Changes: []holdings.Change{{Key: partKey, Tokens: 800}}})
+	g.stores.applyRunner(first.Info().Run(), &bulletin.Holder{Place: e.Address(), Whole: true, Changes: []holdings.Change{{Key: partKey, Tokens: 800}}})
 	require.Equal(t, 800, g.stores.index.Total(e.Address()))
 	e.Restart(later)
 	w.store.Put("servers", e.ID, e.Record("ready"))
--- a/gateway/runner_limit.go
+++ b/gateway/runner_limit.go
@@ -28,8 +28,8 @@
 	g.line.changed()
 }
 
-// learnQuotas takes over what an agent allots to this entry for runners that name a limit.
-func (g *Gateway) learnQuotas(b *bulletin.Bulletin, now time.Time) {
+// applyQuotas takes over what an agent allots to this entry for runners that name a limit.
+func (g *Gateway) applyQuotas(b *bulletin.Bulletin, now time.Time) {
 	for i := range b.Quotas {
 		q := &b.Quotas[i]
 		limit := &q.RunnerLimit
--- a/gateway/slow_start.go
+++ b/gateway/slow_start.go
@@ -9,9 +9,9 @@
 	"github.com/rillreach/rillreach/permit"
 )
 
-// learnPermits takes over the permits that the agent beside the runner at an address gives this entry. They are for whichever run is there, which
+// applyPermits takes over the permits that the agent beside the runner at an address gives this entry. They are for whichever run is there, which
 // the agent may learn of later than the entry. Those of a bulletin that was long on its way end sooner.
-func (g *Gateway) learnPermits(address netip.AddrPort, b *bulletin.Bulletin, now time.Time) {
+func (g *Gateway) applyPermits(address netip.AddrPort, b *bulletin.Bulletin, now time.Time) {
 	if b.Permits == 0 {
 		return
 	}
--- a/gateway/slow_start_test.go
+++ b/gateway/slow_start_test.go
@@ -169,6 +169,6 @@
 	cold := g.state.Roster.At(later.Address)
 	require.Equal(t, later.ID, cold.Info().ID)
 	require.Equal(t, roster.DeniedCold, cold.View(now).Denied)
-	g.learnPermits(later.Address, &bulletin.Bulletin{Runner: "r0", Permits: 1}, now)
+	g.applyPermits(later.Address, &bulletin.Bulletin{Runner: "r0", Permits: 1}, now)
 	assert.Empty(t, cold.View(now).Denied)
 }
--- a/gateway/stores.go
+++ b/gateway/stores.go
@@ -50,14 +50,14 @@
 	busyUntil time.Time
 }
 
-// learnRunner takes over what a run holds, as its agent says.
-func (b *storeBook) learnRunner(run rillreach.InstanceRun, h *bulletin.Holder) {
+// applyRunner takes over what a run holds, as its agent says.
+func (b *storeBook) applyRunner(run rillreach.InstanceRun, h *bulletin.Holder) {
 	b.index.Update(holdings.Update{Place: h.Place, Run: run, Whole: h.Whole, Changes: h.Changes})
 }
 
-// learn takes over what an agent says of a store.
-func (b *storeBook) learn(agent rillreach.InstanceID, clock int64, h *bulletin.Holder, now time.Time) {
-	if !b.learnStore(agent, clock, h, now) {
+// apply takes over what an agent says of a store.
+func (b *storeBook) apply(agent rillreach.InstanceID, clock int64, h *bulletin.Holder, now time.Time) {
+	if !b.applyStore(agent, clock, h, now) {
 		return
 	}
 	if h.Whole {
@@ -67,9 +67,9 @@
 	b.index.Apply(h.Place, h.Changes)
 }
 
-// learnStore takes over the state of a store; it reports whether the agent is the one that looks after it: the last that
+// applyStore takes over the state of a store; it reports whether the agent is the one that looks after it: the last that
 // told everything anew.
-func (b *storeBook) learnStore(agent rillreach.InstanceID, clock int64, h *bulletin.Holder, now time.Time) bool {
+func (b *storeBook) applyStore(agent rillreach.InstanceID, clock int64, h *bulletin.Holder, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.stores == nil {
