--- /dev/null
+++ b/bench/policy/events.go
@@ -0,0 +1,40 @@
+package policy
+
+import (
+	"container/heap"
+	"time"
+)
+
+// event is something that happens at a simulated time.
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+// events is a heap of what is to happen, the earliest first.
+type events []event
+
+func (h events) Len() int { return len(h) }
+
+func (h events) Less(i, j int) bool {
+	return h[i].at < h[j].at || (h[i].at == h[j].at && h[i].seq < h[j].seq)
+}
+
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+func (h *events) Push(x any) { *h = append(*h, x.(event)) }
+
+func (h *events) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+func (s *simulation) after(at time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.queue, event{at: at, seq: s.seq, do: do})
+}
+
+func (s *simulation) clock() time.Time { return time.Unix(0, int64(s.now)) }
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"net/http"
 	"syscall"
 	"time"
 
@@ -244,58 +243,6 @@
 	return true
 }
 
-func (w *world) injectLink(a action, p *place) {
-	w.harm(p.name(), a.For)
-	if a.Fault == faultReset {
-		w.harm(p.name(), 0)
-		p.proxy.reset()
-		w.later(0, func() {})
-		return
-	}
-	w.disturbAll(a.For) // a runner that is out of reach makes no entry late by its own fault
-	set := func(on bool) func(x *proxy) {
-		return func(x *proxy) {
-			switch a.Fault {
-			case faultDelay:
-				x.delay = 0
-				if on {
-					x.delay = a.For / 20
-				}
-			case faultSilence:
-				x.silent = on
-			case faultOneWay:
-				x.oneWay = on
-			}
-		}
-	}
-	p.proxy.set(set(true))
-	w.later(a.For, func() { p.proxy.set(set(false)) })
-}
-
-func (w *world) injectStore(a action, e *entry) {
-	switch a.Fault {
-	case faultForget:
-		w.store.Forget()
-	case faultStoreDown:
-		w.disturbAll(a.For)
-		for _, one := range w.entries {
-			w.cutOff(one, a.For)
-		}
-		w.store.Fail(http.StatusServiceUnavailable)
-		w.later(a.For, func() { w.store.Fail(0) })
-	case faultStoreMute:
-		w.disturb(e, a.For)
-		w.cutOff(e, a.For)
-		w.mute(a, &e.process)
-	}
-}
-
-func (w *world) disturbAll(d time.Duration) {
-	for _, e := range w.entries {
-		w.disturb(e, d)
-	}
-}
-
 func (w *world) removeKey(which int) {
 	key := w.keys()[1+which%keyCount]
 	w.mu.Lock()
