Hold limits while an engine's agent starts again in the tests

Cause: an agent that starts anew knows of no limit until entries report it again; no test had that. Change: a subtest of TestLimitOfRunnerIsKept; what happens meanwhile is done by the test's own goroutine.

--- a/gateway/backpressure_test.go
+++ b/gateway/backpressure_test.go
@@ -103,14 +103,16 @@
 
 // assertLimitKept has a load come while the runner names a limit, and asserts that the runner gets no more than that allows, and is in use again
 // once it names none.
-func assertLimitKept(t *testing.T, l *limitedRunner, entries []*world, send func(*world)) {
+func assertLimitKept(t *testing.T, l *limitedRunner, entries []*world, send func(*world), meanwhile func()) {
 	t.Helper()
 	stop := load(limitEvery, entries, send)
 	defer stop()
 	require.Eventually(t, func() bool { return l.reached.len() >= limitEntries }, wait, time.Millisecond)
 	l.on.Store(true)
 	began := time.Now()
-	time.Sleep(limitFor)
+	time.Sleep(limitFor / 3)
+	meanwhile()
+	time.Sleep(time.Until(began.Add(limitFor)))
 	l.on.Store(false)
 	lifted := l.reached.len()
 	// While all its senders are in touch, each has been told within the first moments.
@@ -126,21 +128,32 @@
 		t.Parallel()
 		limited := limitedRunner{body: "limited"}
 		s := beginShared(t, &site.Runner{ID: "limited", Handle: limited.handle}, &site.Runner{ID: "sound"})
-		assertLimitKept(t, &limited, s.entries(t, limitEntries), func(w *world) { w.call(t, "POST", "/once/x", "body") })
+		assertLimitKept(t, &limited, s.entries(t, limitEntries), func(w *world) { w.call(t, "POST", "/once/x", "body") }, func() {})
 	})
 	t.Run("a plain runner alone", func(t *testing.T) {
 		t.Parallel()
 		limited := limitedRunner{body: "limited"}
 		s := beginShared(t, &site.Runner{ID: "limited", Handle: limited.handle})
-		assertLimitKept(t, &limited, s.entries(t, limitEntries), func(w *world) { w.call(t, "POST", "/once/x", "body") })
+		assertLimitKept(t, &limited, s.entries(t, limitEntries), func(w *world) { w.call(t, "POST", "/once/x", "body") }, func() {})
 	})
 	t.Run("a plain runner whose limit no agent shares out any more", func(t *testing.T) {
 		t.Parallel()
 		limited := limitedRunner{body: "limited"}
 		s := beginShared(t, &site.Runner{ID: "limited", Handle: limited.handle})
 		entries := s.entries(t, limitEntries)
-		time.AfterFunc(limitFor/4, s.stop)
-		assertLimitKept(t, &limited, entries, func(w *world) { w.call(t, "POST", "/once/x", "body") })
+		assertLimitKept(t, &limited, entries, func(w *world) { w.call(t, "POST", "/once/x", "body") }, s.stop)
+	})
+	t.Run("an engine whose agent starts again meanwhile, and knows of no limit", func(t *testing.T) {
+		t.Parallel()
+		limited := limitedRunner{body: "limited"}
+		s := beginShared(t)
+		s.withPrompts()
+		s.engine.Handle = limited.handle
+		entries := s.entries(t, limitEntries)
+		var n atomic.Int64
+		assertLimitKept(t, &limited, entries, func(w *world) {
+			read(t, w.prompt(t, fmt.Sprint("/prompt/", n.Add(1))), "GET")
+		}, func() { s.restartAgent(t) })
 	})
 	t.Run("an engine", func(t *testing.T) {
 		t.Parallel()
@@ -151,6 +164,6 @@
 		var n atomic.Int64
 		assertLimitKept(t, &limited, s.entries(t, limitEntries), func(w *world) {
 			read(t, w.prompt(t, fmt.Sprint("/prompt/", n.Add(1))), "GET")
-		})
+		}, func() {})
 	})
 }
