Name the times of an observation sent and received

Cause: asked and heard are words of ours; STYLE.md asks for the field's. And a choice with room looked only for a permit that lacks, not for the other denials that it may have been told since. Change: names in backpressure, bulletin, sidecar and gateway; the choice leaves out whatever is denied. Measured: backpressure, bulletin, sidecar, roster, and gateway's tests of limits, rests, leavings and cold runners pass; the linter finds nothing.

--- a/backpressure/backpressure_test.go
+++ b/backpressure/backpressure_test.go
@@ -15,9 +15,9 @@
 
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
-// saw is an answer that was asked for and heard so many milliseconds after the start, and names a limit, or none where that is negative.
-func saw(asked, heard int, perSecond float64) Observation {
-	o := Observation{Asked: at(asked), Heard: at(heard)}
+// saw is an answer to a request sent so many milliseconds after the start, received so many after it, that names a limit, or none where that is negative.
+func saw(sent, received int, perSecond float64) Observation {
+	o := Observation{Sent: at(sent), Received: at(received)}
 	if perSecond >= 0 {
 		o.Limit = Limit{Bounded: true, PerSecond: perSecond}
 	}
@@ -27,24 +27,24 @@
 func TestMerge(t *testing.T) {
 	none := -1.0
 	for name, c := range map[string]struct {
-		known, heard Observation
-		limit        float64
+		known, next Observation
+		limit       float64
 	}{
-		"the first":                              {Observation{}, saw(0, 1, 3), 3},
-		"a later one without a limit":            {saw(0, 10, 3), saw(10, 20, none), none},
-		"one without that was asked for earlier": {saw(0, 10, 3), saw(5, 20, none), 3},
-		"a late one with a limit":                {saw(10, 20, none), saw(0, 9, 3), none},
-		"one with a limit that has crossed":      {saw(10, 20, none), saw(0, 30, 3), 3},
-		"a later higher limit":                   {saw(0, 10, 3), saw(11, 12, 5), 5},
-		"a higher limit that has crossed":        {saw(0, 10, 3), saw(9, 12, 5), 3},
-		"a limit of nothing":                     {saw(0, 10, 3), saw(9, 12, 0), 0},
+		"the first":                          {Observation{}, saw(0, 1, 3), 3},
+		"a later one without a limit":        {saw(0, 10, 3), saw(10, 20, none), none},
+		"one without, to an earlier request": {saw(0, 10, 3), saw(5, 20, none), 3},
+		"a late one with a limit":            {saw(10, 20, none), saw(0, 9, 3), none},
+		"one with a limit that has crossed":  {saw(10, 20, none), saw(0, 30, 3), 3},
+		"a later higher limit":               {saw(0, 10, 3), saw(11, 12, 5), 5},
+		"a higher limit that has crossed":    {saw(0, 10, 3), saw(9, 12, 5), 3},
+		"a limit of nothing":                 {saw(0, 10, 3), saw(9, 12, 0), 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			assertLimit(t, c.limit, Merge(c.known, c.heard))
-			assertLimit(t, c.limit, Merge(c.heard, c.known))
+			assertLimit(t, c.limit, Merge(c.known, c.next))
+			assertLimit(t, c.limit, Merge(c.next, c.known))
 		})
 	}
-	t.Run("a limit is taken back by what was asked for after all answers that named it", func(t *testing.T) {
+	t.Run("a limit is taken back by an answer to a request sent after all answers that named it", func(t *testing.T) {
 		crossed := Merge(saw(0, 10, 3), saw(2, 30, 3))
 		assertLimit(t, 3, Merge(crossed, saw(20, 40, none)))
 		assertLimit(t, none, Merge(crossed, saw(30, 40, none)))
@@ -86,7 +86,7 @@
 	}
 	for i := range senders {
 		f.reaches[i] = true
-		f.throttles[i].Observe(start, Observation{Limit: f.limit, Asked: start, Heard: start})
+		f.throttles[i].Observe(start, Observation{Limit: f.limit, Sent: start, Received: start})
 	}
 	return f
 }
--- a/backpressure/observation.go
+++ b/backpressure/observation.go
@@ -5,14 +5,14 @@
 // Observation is the limit that an answer named, or that it named none; the zero value is of no answer. Times are of one clock.
 type Observation struct {
 	Limit Limit
-	// Asked is when the request was sent, Heard when the head of its answer came: the runner spoke in between.
-	Asked time.Time
-	Heard time.Time
+	// Sent is when the request was sent, Received when the head of its answer came: the runner spoke in between.
+	Sent     time.Time
+	Received time.Time
 }
 
 // Widen allows for times that were read from another clock.
 func (o Observation) Widen(by time.Duration) Observation {
-	o.Asked, o.Heard = o.Asked.Add(-by), o.Heard.Add(by)
+	o.Sent, o.Received = o.Sent.Add(-by), o.Received.Add(by)
 	return o
 }
 
@@ -31,12 +31,12 @@
 }
 
 // precedes reports that the runner spoke certainly earlier than in the other observation.
-func (o Observation) precedes(other Observation) bool { return !other.Asked.Before(o.Heard) }
+func (o Observation) precedes(other Observation) bool { return !other.Sent.Before(o.Received) }
 
 // until is the observation as one that only an answer later than the other, too, takes back.
 func (o Observation) until(other Observation) Observation {
-	if other.Heard.After(o.Heard) {
-		o.Heard = other.Heard
+	if other.Received.After(o.Received) {
+		o.Received = other.Received
 	}
 	return o
 }
--- a/bulletin/quota.go
+++ b/bulletin/quota.go
@@ -15,9 +15,9 @@
 	Runner     rillreach.InstanceID `cbor:"1,keyasint"`
 	Generation rillreach.Generation `cbor:"2,keyasint,omitempty"`
 	Limit      backpressure.Limit   `cbor:"3,keyasint"`
-	// AskedAt is when the request was sent, and HeardAt when its answer came, on the runners' clock, in milliseconds.
-	AskedAt int64 `cbor:"4,keyasint"`
-	HeardAt int64 `cbor:"5,keyasint"`
+	// SentAt is when the request was sent, and ReceivedAt when its answer came, on the runners' clock, in milliseconds.
+	SentAt     int64 `cbor:"4,keyasint"`
+	ReceivedAt int64 `cbor:"5,keyasint"`
 }
 
 // Run is the run that answered.
@@ -27,7 +27,7 @@
 
 // Observation is the answer by the runners' clock.
 func (l *RunnerLimit) Observation() backpressure.Observation {
-	return backpressure.Observation{Limit: l.Limit, Asked: time.UnixMilli(l.AskedAt), Heard: time.UnixMilli(l.HeardAt)}
+	return backpressure.Observation{Limit: l.Limit, Sent: time.UnixMilli(l.SentAt), Received: time.UnixMilli(l.ReceivedAt)}
 }
 
 // Check reports what is wrong with the message.
@@ -35,8 +35,8 @@
 	switch {
 	case l.Runner == "":
 		return errors.New("limit names no runner")
-	case l.AskedAt <= 0 || l.HeardAt < l.AskedAt:
-		return errors.Newf("limit of runner %s was asked at %d ms and heard at %d ms", l.Runner, l.AskedAt, l.HeardAt)
+	case l.SentAt <= 0 || l.ReceivedAt < l.SentAt:
+		return errors.Newf("limit of runner %s was sent at %d ms and received at %d ms", l.Runner, l.SentAt, l.ReceivedAt)
 	default:
 		return l.Limit.Check()
 	}
--- a/bulletin/quota_test.go
+++ b/bulletin/quota_test.go
@@ -10,7 +10,7 @@
 )
 
 func TestCheckLimits(t *testing.T) {
-	sound := RunnerLimit{Runner: "r", Limit: backpressure.Limit{Bounded: true, PerSecond: 1.1}, AskedAt: 5, HeardAt: 7}
+	sound := RunnerLimit{Runner: "r", Limit: backpressure.Limit{Bounded: true, PerSecond: 1.1}, SentAt: 5, ReceivedAt: 7}
 	report := func(change func(*RunnerLimit)) error {
 		l := sound
 		change(&l)
@@ -18,8 +18,8 @@
 	}
 	require.NoError(t, report(func(*RunnerLimit) {}))
 	require.Error(t, report(func(l *RunnerLimit) { l.Runner = "" }))
-	require.Error(t, report(func(l *RunnerLimit) { l.HeardAt = 4 }), "heard before it was asked for")
-	require.Error(t, report(func(l *RunnerLimit) { l.AskedAt = 0 }))
+	require.Error(t, report(func(l *RunnerLimit) { l.ReceivedAt = 4 }), "received before it was sent")
+	require.Error(t, report(func(l *RunnerLimit) { l.SentAt = 0 }))
 	require.Error(t, report(func(l *RunnerLimit) { l.Limit.PerSecond = -1 }))
 	require.Error(t, report(func(l *RunnerLimit) { l.Limit.PerSecond = math.NaN() }))
 	require.NoError(t, Bulletin{Quotas: []Quota{{RunnerLimit: sound, Permits: 1}}}.Check())
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -28,8 +28,8 @@
 	// unwatch takes back what is to be done when the runner's run turns out to be over.
 	unwatch func() bool
 
-	// asked is when the request was sent.
-	asked  time.Time
+	// sentAt is when the request was sent.
+	sentAt time.Time
 	answer *forward.Answer
 	head   platform.Answer
 	// ahead is what was read of the answer before it is passed on, had the last event that the caller has from another attempt.
@@ -114,7 +114,7 @@
 	call := x.call
 	call.Header = g.directions(x, t).Header(x.request.Header)
 	x.sends.add(t.view.ID)
-	a.asked = time.Now()
+	a.sentAt = time.Now()
 	answer, err := g.pool.Do(a.waiting, t.view.Address, g.maxConns(x), &call, func(resp *http.Response) bool {
 		a.head = platform.DecodeAnswer(resp.StatusCode, resp.Header)
 		return a.head.Request == x.wire.ID || a.head.Request == "" && x.wire.ID == ""
--- a/gateway/limit_reporter.go
+++ b/gateway/limit_reporter.go
@@ -151,7 +151,7 @@
 	o, known := g.stores.clock.toShared(r.Limit(), now)
 	run := r.Info().Run()
 	return agent, bulletin.RunnerLimit{
-		Runner: run.ID, Generation: run.Generation, Limit: o.Limit, AskedAt: o.Asked.UnixMilli(), HeardAt: o.Heard.UnixMilli(),
+		Runner: run.ID, Generation: run.Generation, Limit: o.Limit, SentAt: o.Sent.UnixMilli(), ReceivedAt: o.Received.UnixMilli(),
 	}, ok && known
 }
 
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -29,7 +29,7 @@
 		if good && !o.candidates[i].Suits() || q.claimed[o.runners[i]] {
 			continue
 		}
-		if lacksPermit(o.views[i]) {
+		if o.views[i].Denied != "" {
 			continue
 		}
 		room := g.roomOf(o, i, q.senders)
--- a/gateway/runner_limit.go
+++ b/gateway/runner_limit.go
@@ -14,7 +14,7 @@
 // observeLimit takes over what the head of an answer says of its runner's limit.
 func (a *attempt) observeLimit(now time.Time) {
 	g, r, limit := a.gateway, a.target.runner, a.head.Limit
-	if r.ObserveLimit(now, backpressure.Observation{Limit: limit, Asked: a.asked, Heard: now}) {
+	if r.ObserveLimit(now, backpressure.Observation{Limit: limit, Sent: a.sentAt, Received: now}) {
 		g.Log.Info("limit of a runner changed", "decision", "throttle", "request", a.exchange.wire.ID, "runner", a.target.view.ID,
 			"bounded", limit.Bounded, "perSecond", limit.PerSecond)
 		g.limitChanged(r)
@@ -53,15 +53,15 @@
 func (c *runnersClock) toLocal(o backpressure.Observation, now time.Time) backpressure.Observation {
 	clock, known := c.read(now)
 	if !known {
-		clock = o.Heard // all that is known is that it was not later
+		clock = o.Received // all that is known is that it was not later
 	}
-	o.Asked, o.Heard = now.Add(o.Asked.Sub(clock)), now.Add(o.Heard.Sub(clock))
+	o.Sent, o.Received = now.Add(o.Sent.Sub(clock)), now.Add(o.Received.Sub(clock))
 	return o
 }
 
 // toShared gives an observation of this process the times of the runners' clock, and reports whether that is known.
 func (c *runnersClock) toShared(o backpressure.Observation, now time.Time) (backpressure.Observation, bool) {
 	clock, known := c.read(now)
-	o.Asked, o.Heard = clock.Add(o.Asked.Sub(now)), clock.Add(o.Heard.Sub(now))
+	o.Sent, o.Received = clock.Add(o.Sent.Sub(now)), clock.Add(o.Received.Sub(now))
 	return o.Widen(clockSlack), known
 }
--- a/roster/admit_test.go
+++ b/roster/admit_test.go
@@ -14,7 +14,7 @@
 	now := time.Unix(1000, 0)
 	limit := backpressure.Limit{Bounded: true, PerSecond: 2}
 	limited := func(r *Runner) {
-		r.ObserveLimit(now, backpressure.Observation{Limit: limit, Asked: now.Add(-2), Heard: now.Add(-1)})
+		r.ObserveLimit(now, backpressure.Observation{Limit: limit, Sent: now.Add(-2), Received: now.Add(-1)})
 	}
 	assertDenied := func(t *testing.T, denial Denial, r *Runner, now time.Time) {
 		t.Helper()
--- a/sidecar/quotas.go
+++ b/sidecar/quotas.go
@@ -80,7 +80,7 @@
 func (q *currentQuota) limit() bulletin.RunnerLimit {
 	return bulletin.RunnerLimit{
 		Runner: q.run.ID, Generation: q.run.Generation, Limit: q.observed.Limit,
-		AskedAt: q.observed.Asked.UnixMilli(), HeardAt: q.observed.Heard.UnixMilli(),
+		SentAt: q.observed.Sent.UnixMilli(), ReceivedAt: q.observed.Received.UnixMilli(),
 	}
 }
 
--- a/sidecar/quotas_test.go
+++ b/sidecar/quotas_test.go
@@ -13,7 +13,7 @@
 
 func limitOf(generation rillreach.Generation, at int64, perSecond float64) *bulletin.RunnerLimit {
 	return &bulletin.RunnerLimit{
-		Runner: "r", Generation: generation, Limit: backpressure.Limit{Bounded: perSecond > 0, PerSecond: perSecond}, AskedAt: at, HeardAt: at + 1,
+		Runner: "r", Generation: generation, Limit: backpressure.Limit{Bounded: perSecond > 0, PerSecond: perSecond}, SentAt: at, ReceivedAt: at + 1,
 	}
 }
 
