Report a limit once for each answer that names it

Cause: each entry that knew of a limit reported it twice a second, 206 reports a second to one agent before 103 entries; and an agent forgot a limit that nobody reported for 2 s, so that it had to be. Ruled out: the short lease with fewer reports: under half a request a second it ends before a permit has accrued, and nobody ever sends what would lift the limit. Change: an entry reports what its own answers said, what an agent seems not to know, and a limit under which nothing was allotted for a second; the lease is 15 s, longer than the time between two requests under the lowest limit. So that an agent which was silent for a while doesn't allot beside its successor for that long, an entry takes permits only of the agent that it would report to.

--- a/backpressure/limit.go
+++ b/backpressure/limit.go
@@ -18,7 +18,8 @@
 	burstTime = 500 * time.Millisecond
 	// leastBurst lets a permit be allotted whole.
 	leastBurst = 1.0
-	// leastPerSecond is how many requests a second are sent under the lowest limits, so that one that is lifted is seen to be.
+	// leastPerSecond is how many requests a second are sent under the lowest limits, so that one that is lifted is seen to be; agents keep a limit for
+	// longer than the time between two.
 	leastPerSecond = 0.1
 )
 
--- a/backpressure/throttle.go
+++ b/backpressure/throttle.go
@@ -54,10 +54,13 @@
 	t.permits.Add(n, until)
 }
 
+// SinceAllotted is for how long nobody has allotted permits, counted from the first observation of the limit at the earliest.
+func (t *Throttle) SinceAllotted(now time.Time) time.Duration { return now.Sub(t.allotted) }
+
 // Space gives a permit now and then while nobody allots them, as if so many senders did alike, and reports whether there is a new one. The phase is that
 // of permit.Spacer.
 func (t *Throttle) Space(now time.Time, senders int, phase float64) bool {
-	if !t.Limited() || now.Sub(t.allotted) < allotterSilence || t.permits.Any(now) {
+	if !t.Limited() || t.SinceAllotted(now) < allotterSilence || t.permits.Any(now) {
 		return false
 	}
 	space := t.observed.Limit.space(senders)
--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/bulletin"
 	"github.com/rillreach/rillreach/controller/subscribe"
+	"github.com/rillreach/rillreach/internal/hash"
 	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/peer"
 	"github.com/rillreach/rillreach/roster"
@@ -98,7 +100,7 @@
 			f.heard.Store(g.Clock.Now().UnixNano())
 			take(b, now)
 			g.applyPermits(w.runner, b, now)
-			g.applyQuotas(b, now)
+			a.applyQuotas(address, b, now)
 		},
 		Ask: bulletin.Follow{Name: rillreach.InstanceID(g.Settings.Name), Zone: g.Settings.Zone, Sparse: w.sparse},
 	}
@@ -119,6 +121,30 @@
 	return live
 }
 
+// allotterOf is the agent among those that shares out a runner's limit, if there is one: an engine's own, for any other runner the first by a hash.
+func (a *agents) allotterOf(r *roster.Runner, live []netip.AddrPort) (netip.AddrPort, bool) {
+	info := r.Info()
+	if a.gateway.servesModels(info.Service) {
+		own := a.gateway.agentBeside(info.Address)
+		return own, slices.Contains(live, own)
+	}
+	key := hash.String(string(info.ID))
+	var chosen netip.AddrPort
+	var most uint64
+	for _, agent := range live {
+		if rank := hash.Mix(key, hash.String(agent.String())); !chosen.IsValid() || rank > most {
+			chosen, most = agent, rank
+		}
+	}
+	return chosen, chosen.IsValid()
+}
+
+// allots reports that an agent is the one that shares out a runner's limit.
+func (a *agents) allots(agent netip.AddrPort, r *roster.Runner) bool {
+	allotter, ok := a.allotterOf(r, a.live(a.gateway.Clock.Now()))
+	return ok && allotter == agent
+}
+
 // wanted are the agents beside runners of engines, by their addresses.
 func (a *agents) wanted(groups map[rillreach.ServiceID][]*roster.Runner) map[netip.AddrPort]wantedAgent {
 	wanted := map[netip.AddrPort]wantedAgent{}
--- a/gateway/runner_limit.go
+++ b/gateway/runner_limit.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/rillreach/rillreach/backpressure"
@@ -14,22 +15,27 @@
 // observeLimit takes over what the head of an answer says of its runner's limit.
 func (a *attempt) observeLimit(now time.Time) {
 	g, r, limit := a.gateway, a.target.runner, a.head.Limit
-	if r.ObserveLimit(now, backpressure.Observation{Limit: limit, Sent: a.sentAt, Received: now}) {
+	changed := r.ObserveLimit(now, backpressure.Observation{Limit: limit, Sent: a.sentAt, Received: now})
+	if changed || limit.Bounded {
+		g.limited.noteUnreported(r, now)
+	}
+	if changed {
 		g.Log.Info("limit of a runner changed", "decision", "throttle", "request", a.exchange.wire.ID, "runner", a.target.view.ID,
 			"bounded", limit.Bounded, "perSecond", limit.PerSecond)
-		g.limitChanged(r)
+		g.limitChanged(r, now)
 	}
 }
 
-// limitChanged has the runner's limit reported, and those that wait looked at.
-func (g *Gateway) limitChanged(r *roster.Runner) {
-	g.limited.add(r)
+// limitChanged has the runner's limit looked at, and those that wait.
+func (g *Gateway) limitChanged(r *roster.Runner, now time.Time) {
+	g.limited.noteChanged(r, now)
 	g.limited.changed.Wake()
 	g.line.changed()
 }
 
-// applyQuotas takes over what an agent allots to this entry for runners that name a limit.
-func (g *Gateway) applyQuotas(b *bulletin.Bulletin, now time.Time) {
+// applyQuotas takes over what an agent says of runners that name a limit, and what it allots to this entry for those that are its to share out.
+func (a *agents) applyQuotas(agent netip.AddrPort, b *bulletin.Bulletin, now time.Time) {
+	g := a.gateway
 	for i := range b.Quotas {
 		q := &b.Quotas[i]
 		limit := &q.RunnerLimit
@@ -40,7 +46,13 @@
 		if r.ObserveLimit(now, g.stores.clock.toLocal(limit.Observation(), now)) {
 			g.Log.Info("limit of a runner changed", "decision", "throttle", "agent", b.Runner, "runner", limit.Runner,
 				"bounded", limit.Limit.Bounded, "perSecond", limit.Limit.PerSecond)
-			g.limitChanged(r)
+			g.limitChanged(r, now)
+		}
+		if r.Limit().Limit != limit.Limit {
+			g.limited.noteUnreported(r, now) // the agent doesn't know of a later answer
+		}
+		if !a.allots(agent, r) {
+			continue // it shared the limit out before
 		}
 		r.AllotLimit(now, limit.Limit, q.Permits, g.permitsEnd(b, now))
 		if q.Permits > 0 {
--- a/permit/spacer_test.go
+++ b/permit/spacer_test.go
@@ -9,7 +9,7 @@
 
 func TestSpacer(t *testing.T) {
 	const space = 4 * time.Second
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	t.Run("the first request comes at its phase", func(t *testing.T) {
 		var s Spacer
 		assert.False(t, s.Due(at(0), space, 0.5))
--- a/roster/admit.go
+++ b/roster/admit.go
@@ -96,6 +96,13 @@
 	r.throttle.Allot(now, under, n, until)
 }
 
+// SinceAllotted is for how long nobody has allotted permits under the runner's limit.
+func (r *Runner) SinceAllotted(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.throttle.SinceAllotted(now)
+}
+
 // SpaceLimit gives a permit now and then while nobody allots them; see backpressure.Throttle.
 func (r *Runner) SpaceLimit(now time.Time, senders int, phase float64) bool {
 	r.mu.Lock()
--- a/sidecar/quotas.go
+++ b/sidecar/quotas.go
@@ -12,9 +12,9 @@
 	"github.com/rillreach/rillreach/permit"
 )
 
-// quotaLease is for how long the agent allots permits for a runner after an entry has last reported its limit: entries that know of a limit report it
-// every half second, and to another agent once this one has been silent.
-const quotaLease = 2 * time.Second
+// quotaLease is for how long the agent allots permits for a runner after an entry has last reported its limit, longer than the time between two
+// answers under the lowest limit: entries report each answer that names one.
+const quotaLease = 15 * time.Second
 
 // quotas are the limits that the agent shares out among its followers; the zero value has none.
 type quotas struct {
--- a/sidecar/quotas_test.go
+++ b/sidecar/quotas_test.go
@@ -26,6 +26,12 @@
 		assert.Len(t, q.current(now.Add(2*quotaLease)), 1)
 		assert.Empty(t, q.current(now.Add(2*quotaLease+1)))
 	})
+	t.Run("a low limit is shared out until its next answer can come", func(t *testing.T) {
+		var q quotas
+		q.report(now, limitOf(1, 100, 0.05))
+		next := now.Add(time.Duration(float64(time.Second) / q.current(now)[0].observed.Limit.Rate().PerSecond))
+		assert.Len(t, q.current(next), 1)
+	})
 	t.Run("what an entry knows from earlier takes nothing back", func(t *testing.T) {
 		var q quotas
 		q.report(now, limitOf(1, 100, 3))
