Tell an agent of a limit that was lifted long ago

Cause: read: an entry that hears an agent allot under a limit which the entry saw lifted more than three seconds before noted that for its next report, and dropped the runner as one that has named no limit for long before it reported. What callers would have seen: nothing, until an entry that still believes the limit sends its next request. Change: what is to be reported is kept for as long as a limit that was just lifted. Measured: TestLimitedRunners is new; of its five subtests the one on this failed before.

--- a/gateway/limited_runners.go
+++ b/gateway/limited_runners.go
@@ -43,7 +43,11 @@
 func (l *limitedRunners) noteUnreported(r *roster.Runner, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.of(r).observed = now
+	known := l.of(r)
+	known.observed = now
+	if known.changed.IsZero() {
+		known.changed = now // it is kept for as long as one whose limit was just lifted
+	}
 }
 
 // of is what is known of a runner; the lock is held.
--- /dev/null
+++ b/gateway/limited_runners_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/rillreach/rillreach/backpressure"
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/roster"
+)
+
+func TestLimitedRunners(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limit := backpressure.Limit{Bounded: true, PerSecond: 2}
+	begin := func() (*roster.Roster, *roster.Runner, *limitedRunners) {
+		list := &roster.Roster{}
+		list.Put(deployment.Runner{ID: "r", Service: "s", Address: enginePlace})
+		return list, list.Find("r"), &limitedRunners{}
+	}
+	t.Run("an answer is reported once", func(t *testing.T) {
+		list, r, limited := begin()
+		r.ObserveLimit(now, backpressure.Observation{Limit: limit, Sent: now, Received: now})
+		limited.noteChanged(r, now)
+		limited.noteUnreported(r, now)
+		assert.Len(t, limited.unreported(limited.current(list, now), now), 1)
+		limited.setReported([]*roster.Runner{r}, now)
+		assert.Empty(t, limited.unreported(limited.current(list, now), now))
+	})
+	t.Run("and one that comes while another is reported, too", func(t *testing.T) {
+		list, r, limited := begin()
+		limited.noteUnreported(r, now.Add(1))
+		limited.setReported([]*roster.Runner{r}, now)
+		assert.Len(t, limited.unreported(limited.current(list, now), now), 1)
+	})
+	t.Run("a limit under which nothing is allotted is reported again", func(t *testing.T) {
+		list, r, limited := begin()
+		r.ObserveLimit(now, backpressure.Observation{Limit: limit, Sent: now, Received: now})
+		limited.noteChanged(r, now)
+		assert.Empty(t, limited.unreported(limited.current(list, now), now.Add(limitUntold-1)))
+		assert.Len(t, limited.unreported(limited.current(list, now), now.Add(limitUntold)), 1)
+	})
+	t.Run("an agent that tells of a limit which was lifted long ago is told so", func(t *testing.T) {
+		list, r, limited := begin()
+		limited.noteUnreported(r, now)
+		assert.Len(t, limited.unreported(limited.current(list, now), now), 1)
+	})
+	t.Run("runners that are gone, or have named no limit for long, are left out", func(t *testing.T) {
+		list, r, limited := begin()
+		limited.noteChanged(r, now)
+		assert.Len(t, limited.current(list, now.Add(limitLiftedFor-1)), 1)
+		assert.Empty(t, limited.current(list, now.Add(limitLiftedFor)))
+		limited.noteChanged(r, now)
+		list.Remove(now, "r", time.Time{})
+		assert.Empty(t, limited.current(list, now))
+	})
+}
