Send the rest of a begun answer again where a runner refuses it

Cause: a refusal as not run counted as one of the runners that the route allows, so that a route of two attempts had none left; and a request for which nobody had room in that moment was given up, which is right for one that can be told when to come back, and not for one that can't be told anything any more. Evidence: request given up decision=runners-used began=true in the failing tests; the users' record has just these sends (one run, one refusal). Change: once an answer has begun, runners that have refused all that was sent to them don't count. A begun prompt isn't shed from the line for a backlog. Each resend spends the retry budget as before. Ruled out: counting refusals for requests without an answer in another way: these are refused at once and told when to come back, as before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -103,7 +103,7 @@
 // awaitFirstWord bounds the wait for the runner's answer where another runner may be asked beside it.
 func (a *attempt) awaitFirstWord() {
 	x := a.exchange
-	if !x.route.Once() && len(x.sends.used())+1 < x.route.MaxRunners {
+	if !x.route.Once() && x.runnersLeft() > 1 {
 		a.silence.begin(firstWordAfter(x.route))
 	}
 }
@@ -122,6 +122,7 @@
 	if err != nil {
 		if errors.Is(err, forward.ErrNotSent) {
 			x.sends.drop(t.view.ID)
+			x.untaken++
 		}
 		a.failed(err)
 		return false
@@ -239,6 +240,8 @@
 // notRun judges a runner's word that it has not run the request.
 func (g *Gateway) notRun(x *exchange, t *target, answer *forward.Answer, head platform.Answer) {
 	x.reason = "runner-refused"
+	x.untaken++
+	x.sends.refused(t.view.ID)
 	g.Log.Info("runner refused", "decision", "judge", "request", x.wire.ID, "runner", t.view.ID,
 		"status", answer.Response.StatusCode, "began", x.began, "rest", head.RetryAfter.String(), "otherRunner", head.OtherRunner, "answeredBy", head.Instance, "weights", head.Weights)
 	switch {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -32,6 +32,8 @@
 	maybeRan bool
 	// exhausted says that no runner is left to be asked.
 	exhausted bool
+	// untaken is how many sends in a row no runner took, or could not be made.
+	untaken int
 	// waited is how long the last runner that began on the request took from the send to its first token.
 	waited time.Duration
 	// first is when the first event went to the caller.
@@ -66,6 +68,8 @@
 	// began says that the head of an answer has gone to the caller, lastEvent is the last whole event that the caller has.
 	began     bool
 	lastEvent string
+	// passedAt is when the last part of the answer went to the caller.
+	passedAt time.Time
 }
 
 // fork is the request as a second attempt takes it; where both are sent is recorded in one place.
@@ -79,25 +83,44 @@
 func (p *progress) snapshot() *progress {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return &progress{began: p.began, lastEvent: p.lastEvent}
+	return &progress{began: p.began, lastEvent: p.lastEvent, passedAt: p.passedAt}
 }
 
 // begin records that the head of an answer goes to the caller.
 func (p *progress) begin() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.began = true
+	p.began, p.passedAt = true, time.Now()
 }
 
-// passed records the last event that went to the caller.
+// passed records a part of the answer that went to the caller, with its last event where it has a whole one.
 func (p *progress) passed(event string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lastEvent = event
+	p.passedAt = time.Now()
+	if event != "" {
+		p.lastEvent = event
+	}
+}
+
+// lastPassed is when the last part of the answer went to the caller, its head where no other has.
+func (p *progress) lastPassed() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.passedAt
 }
 
 // mayMove reports whether the route allows the request one more runner.
-func (x *exchange) mayMove() bool { return len(x.sends.used()) < x.route.MaxRunners }
+func (x *exchange) mayMove() bool { return x.runnersLeft() > 0 }
+
+// runnersLeft is how many more runners the route allows the request. Once an answer has begun, a runner that has refused the rest of it doesn't count:
+// nothing has run there, and no refusal can be passed on to the caller.
+func (x *exchange) runnersLeft() int {
+	if x.began {
+		return x.route.MaxRunners - len(x.sends.mayHaveRun())
+	}
+	return x.route.MaxRunners - len(x.sends.used())
+}
 
 // needsEngine reports that the request has a prompt for a model engine.
 func (x *exchange) needsEngine() bool {
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -188,7 +188,7 @@
 		if done {
 			return
 		}
-		if verdict := g.again(ctx, x); verdict != "" {
+		if verdict := g.awaitResend(ctx, x); verdict != "" {
 			g.giveUp(ctx, x, verdict)
 			return
 		}
@@ -250,7 +250,7 @@
 	case g.isQuarantined(x):
 		return verdictCrashesRunners
 	case !g.budgets.Spend(now, x.service.Name):
-		return "budget-spent"
+		return verdictNoBudget
 	default:
 		return ""
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -201,9 +201,8 @@
 	if err != nil {
 		g.cut(x, a.target, errors.Wrap(err, "caller takes no more"))
 	}
-	if last != "" {
-		x.passed(last)
-	}
+	x.untaken = 0
+	x.passed(last)
 }
 
 // shouldMove reports that it is worth having another runner go on with a stream, since its own waits for its requests to end before it
--- a/gateway/sends.go
+++ b/gateway/sends.go
@@ -14,6 +14,8 @@
 	// tried are the runners that were asked, also those that could not be reached, and runners those that the request was sent to.
 	tried   []rillreach.InstanceID
 	runners []rillreach.InstanceID
+	// refusals are the sends of these that runners have refused as not run, by runner.
+	refusals []rillreach.InstanceID
 }
 
 // add records that the request goes to the runner.
@@ -35,6 +37,26 @@
 	}
 }
 
+// refused records that the runner has not run what was sent to it.
+func (s *sends) refused(id rillreach.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refusals = append(s.refusals, id)
+}
+
+// mayHaveRun are the runners that the request was sent to and that have not refused all of it, each once.
+func (s *sends) mayHaveRun() []rillreach.InstanceID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	open := slices.Clone(s.runners)
+	for _, id := range s.refusals {
+		if i := slices.Index(open, id); i >= 0 {
+			open = slices.Delete(open, i, i+1)
+		}
+	}
+	return slices.Compact(slices.Sorted(slices.Values(open)))
+}
+
 // allowAgain lets the request's only runner be asked once more.
 func (s *sends) allowAgain() {
 	s.mu.Lock()
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -39,10 +39,10 @@
 // which those before it keep from an engine until its caller has gone, and under a backlog that lasts one that can't be in time: requests
 // that can be go before it, also those that are yet to come.
 //
-// While most engines are cold nobody is turned away so: what the waiting know of the rate is that of permits, and more is to be had once the slow start
+// A request whose answer has begun waits to its end. While most engines are cold nobody is turned away so: what the waiting know of the rate is that of permits, and more is to be had once the slow start
 // ends.
 func (l *line) shed(w *waitingRequest, before int, now time.Time) (decision, bool) {
-	if l.mostCold {
+	if l.mostCold || w.request.Begun {
 		return decision{}, false
 	}
 	wait, known := l.waitBehind(w, before, now)
