--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -124,6 +124,9 @@
 	if err := metrics.Gauge("rillreach.store.calls", "calls that were made to the object store", func() float64 { return float64(p.store.Calls.Load()) }); err != nil {
 		return err
 	}
+	if err := metrics.Gauge("rillreach.store.era", "era of the object store, which rises when it comes back from a copy", func() float64 { return float64(p.store.Era()) }); err != nil {
+		return err
+	}
 	p.log.Info("starting", "decision", "start", "zone", s.Zone, "store", s.Store, "memoryMB", s.MemoryMB)
 	life, end := context.WithCancel(context.Background())
 	defer end()
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -111,6 +111,9 @@
 	defer s.mu.Unlock()
 	before := s.config.Load()
 	if before != nil && c.Revision <= before.Revision {
+		if c.Version != before.Version {
+			s.Log.Info("configuration not taken", "decision", "keep", "version", c.Version, "revision", c.Revision, "kept", before.Version, "keptRevision", before.Revision)
+		}
 		return
 	}
 	s.setServices(c)
