--- /dev/null
+++ b/internal/standin/site/restore.go
@@ -0,0 +1,63 @@
+package site
+
+import (
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+)
+
+// Copy is what the store held at a moment.
+type Copy struct {
+	objects  map[string]map[string]object
+	events   []event
+	floor    uint64
+	revision uint64
+}
+
+// Copy takes a copy of all that the store holds.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{objects: cloneObjects(s.objects), events: slices.Clone(s.events), floor: s.floor, revision: s.revision}
+}
+
+// Restore has the store go on from a copy: what was written since is lost, its revisions are given out again, watches are cut, and the era rises.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects, s.events = cloneObjects(c.objects), slices.Clone(c.events)
+	s.floor, s.revision = c.floor, c.revision
+	s.era++
+	s.wake()
+}
+
+// HideEra leaves the era out of the store's answers, or tells it again.
+func (s *Store) HideEra(hidden bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.eraHidden = hidden
+}
+
+func cloneObjects(objects map[string]map[string]object) map[string]map[string]object {
+	clone := make(map[string]map[string]object, len(objects))
+	for kind, named := range objects {
+		clone[kind] = maps.Clone(named)
+	}
+	return clone
+}
+
+// tellEra sets the era on an answer.
+func (s *Store) tellEra(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.eraHidden {
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	}
+}
+
+func (s *Store) currentEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -23,9 +23,12 @@
 	events   []event
 	floor    uint64
 	revision uint64
-	status   int
-	changed  chan struct{}
-	calls    int
+	// era counts the copies that the store has come back from, and begins at one; eraHidden leaves it out of answers.
+	era       uint64
+	eraHidden bool
+	status    int
+	changed   chan struct{}
+	calls     int
 }
 
 type object struct {
@@ -48,7 +51,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{objects: map[string]map[string]object{}, changed: make(chan struct{})}
+	return &Store{objects: map[string]map[string]object{}, changed: make(chan struct{}), era: 1}
 }
 
 // Put writes an object as an operator or a runner does, and returns its revision.
@@ -115,6 +118,7 @@
 	s.calls++
 	status := s.status
 	s.mu.Unlock()
+	s.tellEra(w)
 	if status != 0 {
 		w.WriteHeader(status)
 		return
@@ -166,8 +170,12 @@
 		return
 	}
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	era := s.currentEra()
 	for {
 		events, at, changed, status := s.since(kind, since)
+		if s.currentEra() != era {
+			panic(http.ErrAbortHandler) // a watch that waits is cut
+		}
 		if status != 0 {
 			w.WriteHeader(status)
 			return
@@ -193,7 +201,7 @@
 	if s.status != 0 {
 		return nil, 0, nil, s.status
 	}
-	if since < s.floor {
+	if since < s.floor || since > s.revision {
 		return nil, 0, nil, http.StatusGone
 	}
 	for _, e := range s.events {
