Order words of the store by its era, and values of two eras by their versions

Cause: a revision of the store is read as an age. The store had come back from a copy, and gave revisions out again; three configurations had revisions that weren't above the known one, and were taken for older. The class: a number that is monotonic within one history is compared across two. Evidence: history is gone from revision 29, then no configuration in force for versions 26, 28 and 32; version 35 with revision 35 was the first above. Change: rillreach.Revision is era and number in one type, compared in one place. Of two eras a configuration and a name of weights count by their own versions, so that a copy takes none back and a newer one is in force whatever its revision. Notices carry the era; a relay of an earlier one confirms nothing. The fencing token of orders has the era above the revision. Ruled out: forgetting what was known with each new era (a copy's older versions would come in force); asking by version alone (within an era the store's own order is the truth, and records have none).

--- a/bulletin/bulletin_test.go
+++ b/bulletin/bulletin_test.go
@@ -26,7 +26,7 @@
 	}
 	for version := range rapid.IntRange(0, 2).Draw(t, "named") {
 		b.Namings = append(b.Namings, Naming{Model: "m", Version: deployment.WeightVersion(version + 1), At: 5})
-		b.Named = append(b.Named, deployment.NamedWeights{Model: "m", Version: deployment.WeightVersion(version + 1), Revision: 7})
+		b.Named = append(b.Named, deployment.NamedWeights{Model: "m", Version: deployment.WeightVersion(version + 1), Revision: rillreach.Revision{Number: 7}})
 	}
 	return b
 }
@@ -56,7 +56,7 @@
 	b := Bulletin{
 		Runner: "i-0123456789abcdef", Clock: 1_790_000_000_000, Followers: 21,
 		Load:  Load{Running: 12, Used: 30000, Unread: 3, Weights: map[rillreach.ModelID]deployment.WeightVersion{"a-model-with-a-name": 3}},
-		Named: []deployment.NamedWeights{{Model: "a-model-with-a-name", Version: 3, Revision: 123456}},
+		Named: []deployment.NamedWeights{{Model: "a-model-with-a-name", Version: 3, Revision: rillreach.Revision{Number: 123456}}},
 	}
 	next := b
 	next.Load.Running++
--- a/controller/follow/follow.go
+++ b/controller/follow/follow.go
@@ -19,6 +19,8 @@
 	// an instance has seconds after the store's return to know everything again.
 	firstPause = 100 * time.Millisecond
 	mostPause  = 800 * time.Millisecond
+	// firstWait is how long the first watch after a loss waits: its answer tells whether the source has come back from a copy.
+	firstWait = time.Millisecond
 )
 
 // Controller follows one kind of objects; exported fields are set before Run.
@@ -48,6 +50,8 @@
 	Ready func(ctx context.Context)
 	// Asked is called before each question to the source, and before the wait for word of the relays; it may be nil.
 	Asked func()
+	// Restored is told, before Listed, that the list is the first since the source has come back from a copy; it may be nil.
+	Restored func(now time.Time)
 	// Listed takes all objects after each list; returned is when the source last came back, zero where it never was lost.
 	Listed func(all []rillreach.Update[T], returned time.Time)
 	// Changed takes one change; returned is as with Listed.
@@ -77,7 +81,7 @@
 		c.Ready(ctx)
 	}
 	wait := firstPause
-	var revision uint64
+	var revision rillreach.Revision
 	listed := false
 	for ctx.Err() == nil {
 		var err error
@@ -90,7 +94,7 @@
 		if listed {
 			revision, err = c.watch(ctx, revision)
 		} else {
-			revision, err = c.list(ctx)
+			revision, err = c.list(ctx, revision)
 		}
 		switch {
 		case err == nil:
@@ -123,7 +127,7 @@
 }
 
 // await waits until a watch is worth a call; it reports false where the context ends before.
-func (c *Controller[T]) await(ctx context.Context, revision uint64) bool {
+func (c *Controller[T]) await(ctx context.Context, revision rillreach.Revision) bool {
 	if c.Relays == nil {
 		return true
 	}
@@ -161,19 +165,26 @@
 	}
 }
 
-func (c *Controller[T]) list(ctx context.Context) (uint64, error) {
+// list takes all objects over; the revision is the one that was followed before, zero where none was.
+func (c *Controller[T]) list(ctx context.Context, before rillreach.Revision) (rillreach.Revision, error) {
 	all, revision, err := c.Source.List(ctx)
 	if err != nil {
-		return 0, err
+		return before, err
 	}
 	c.regain()
+	if before.Era != 0 && revision.Era > before.Era {
+		c.restored(before, revision)
+	}
 	c.Listed(all, c.returned)
 	c.confirm(revision, true)
 	return revision, nil
 }
 
-func (c *Controller[T]) watch(ctx context.Context, from uint64) (uint64, error) {
+func (c *Controller[T]) watch(ctx context.Context, from rillreach.Revision) (rillreach.Revision, error) {
 	pace, _ := c.pace()
+	if !c.lostAt.IsZero() {
+		pace.Wait = firstWait
+	}
 	changes, revision, err := c.Source.Watch(ctx, from, pace.Wait)
 	if err != nil {
 		return from, err
@@ -187,7 +198,7 @@
 }
 
 // confirm records that what is known is the source's at a revision.
-func (c *Controller[T]) confirm(revision uint64, changed bool) {
+func (c *Controller[T]) confirm(revision rillreach.Revision, changed bool) {
 	if c.Progress != nil {
 		c.Progress.Answered(time.Now(), revision, changed)
 	}
@@ -196,6 +207,15 @@
 	}
 }
 
+// restored records that the source has come back from a copy, which may lack what was known.
+func (c *Controller[T]) restored(before, revision rillreach.Revision) {
+	c.returned = time.Now()
+	c.Log.Info("source has come back from a copy", "decision", "merge", "kind", c.Kind, "before", before, "revision", revision)
+	if c.Restored != nil {
+		c.Restored(c.returned)
+	}
+}
+
 func (c *Controller[T]) lost(ctx context.Context, err error) {
 	if !c.lostAt.IsZero() || ctx.Err() != nil {
 		return
--- a/controller/follow/follow_test.go
+++ b/controller/follow/follow_test.go
@@ -26,28 +26,30 @@
 type step struct {
 	updates  []update
 	revision uint64
-	err      error
+	// era is that of the source; zero stands for the first.
+	era uint64
+	err error
 }
 
-func (s *script) next() ([]update, uint64, error) {
+func (s *script) next() ([]update, rillreach.Revision, error) {
 	if len(s.steps) == 0 {
 		s.end()
-		return nil, 0, context.Canceled
+		return nil, rillreach.Revision{}, context.Canceled
 	}
 	one := s.steps[0]
 	s.steps = s.steps[1:]
-	return one.updates, one.revision, one.err
+	return one.updates, rillreach.Revision{Era: max(one.era, 1), Number: one.revision}, one.err
 }
 
 // List gives the next answer.
-func (s *script) List(context.Context) ([]update, uint64, error) {
+func (s *script) List(context.Context) ([]update, rillreach.Revision, error) {
 	s.lists++
 	return s.next()
 }
 
 // Watch gives the next answer.
-func (s *script) Watch(_ context.Context, revision uint64, _ time.Duration) ([]update, uint64, error) {
-	s.from = append(s.from, revision)
+func (s *script) Watch(_ context.Context, revision rillreach.Revision, _ time.Duration) ([]update, rillreach.Revision, error) {
+	s.from = append(s.from, revision.Number)
 	return s.next()
 }
 
--- a/controller/follow/relays_test.go
+++ b/controller/follow/relays_test.go
@@ -20,22 +20,25 @@
 	watches  int
 }
 
+// at is the source's revision.
+func (c *counted) at() rillreach.Revision { return rillreach.Revision{Number: c.revision.Load()} }
+
 // List gives nothing.
-func (c *counted) List(context.Context) ([]update, uint64, error) {
-	return nil, c.revision.Load(), nil
+func (c *counted) List(context.Context) ([]update, rillreach.Revision, error) {
+	return nil, c.at(), nil
 }
 
 // Watch gives a change where there is one, else nothing once the wait is over.
-func (c *counted) Watch(ctx context.Context, revision uint64, wait time.Duration) ([]update, uint64, error) {
+func (c *counted) Watch(ctx context.Context, revision rillreach.Revision, wait time.Duration) ([]update, rillreach.Revision, error) {
 	c.watches++
-	if newest := c.revision.Load(); newest > revision {
+	if newest := c.at(); newest.After(revision) {
 		return []update{{Name: "a"}}, newest, nil
 	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(wait):
 	}
-	return nil, c.revision.Load(), ctx.Err()
+	return nil, c.at(), ctx.Err()
 }
 
 // followWithRelays follows for a time while a function speaks for the relays, and gives the calls and when the first change came.
@@ -63,7 +66,7 @@
 // sayEvery has a relay say each half second, for a time, that there is nothing after the revision.
 func sayEvery(relays *notify.Tracker, revision uint64, d time.Duration) {
 	for begun := time.Now(); time.Since(begun) < d; time.Sleep(500 * time.Millisecond) {
-		relays.Hear(notify.Notice{Kind: notify.KindConfig, Revision: revision}, time.Now())
+		relays.Hear(notify.Notice{Kind: notify.KindConfig, Revision: rillreach.Revision{Number: revision}}, time.Now())
 	}
 }
 
@@ -81,7 +84,7 @@
 		_, changed := followWithRelays(t, minute, func(r *notify.Tracker, source *counted) {
 			sayEvery(r, 5, 10*time.Second)
 			source.revision.Store(8)
-			r.Hear(notify.Notice{Kind: notify.KindConfig, Revision: 8}, time.Now())
+			r.Hear(notify.Notice{Kind: notify.KindConfig, Revision: rillreach.Revision{Number: 8}}, time.Now())
 		})
 		assert.Equal(t, 10*time.Second, changed)
 	})
--- a/deployment/config.go
+++ b/deployment/config.go
@@ -155,8 +155,8 @@
 // Config is one version of the operators' configuration.
 type Config struct {
 	Version int64
-	// Revision is that of the object which holds the configuration; it only grows.
-	Revision uint64
+	// Revision is that of the object which holds the configuration.
+	Revision rillreach.Revision
 	Routes   []Route
 	Services map[rillreach.ServiceID]*Service
 	Accounts []Account
--- a/deployment/runner.go
+++ b/deployment/runner.go
@@ -22,7 +22,7 @@
 	Zone       rillreach.ZoneID
 	Slots      int
 	// Revision is that of the record's last change.
-	Revision uint64
+	Revision rillreach.Revision
 	// Leaving says that the runner is about to end and takes nothing new.
 	Leaving bool
 	// Cold is for how much longer after its record was written the runner bears few requests, and ColdUntil when that ends at the latest, by the
@@ -61,8 +61,16 @@
 type NamedWeights struct {
 	Model   rillreach.ModelID `cbor:"1,keyasint"`
 	Version WeightVersion     `cbor:"2,keyasint"`
-	// Revision is that of the object which names the version; it only grows, and so serves as a fencing token.
-	Revision uint64 `cbor:"3,keyasint"`
+	// Revision is that of the object which names the version.
+	Revision rillreach.Revision `cbor:"3,keyasint"`
+}
+
+// eraBits is where in a fencing token the era begins, above the store's counter of changes.
+const eraBits = 32
+
+// Fence is the fencing token of orders for the version. It grows with each name that is written, also where the store gives revisions out again.
+func (w NamedWeights) Fence() uint64 {
+	return (max(w.Revision.Era, 1)-1)<<eraBits + w.Revision.Number
 }
 
 // Load is what a runner reports of itself.
--- a/gateway/limits_test.go
+++ b/gateway/limits_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/internal/standin/site"
 )
@@ -94,7 +95,7 @@
 	t.Run("a connection may rest for as long as the configuration in force says", func(t *testing.T) {
 		g := &Gateway{}
 		assert.Equal(t, defaultIdle+idleSlack, g.idleAllowed())
-		g.state.SetConfig(&deployment.Config{Revision: 1, Limits: deployment.Limits{IdleTimeout: time.Minute}})
+		g.state.SetConfig(&deployment.Config{Revision: rillreach.Revision{Number: 1}, Limits: deployment.Limits{IdleTimeout: time.Minute}})
 		assert.Equal(t, time.Minute+idleSlack, g.idleAllowed())
 	})
 }
--- a/gateway/loads_soon_test.go
+++ b/gateway/loads_soon_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/internal/standin/site"
 	"github.com/rillreach/rillreach/roster"
@@ -74,7 +75,7 @@
 	}
 	name := func(version deployment.WeightVersion) func(*Gateway, *exchange, *roster.Report) {
 		return func(g *Gateway, _ *exchange, _ *roster.Report) {
-			g.state.SetWeights(deployment.NamedWeights{Model: benchModel, Version: version, Revision: 9})
+			g.state.SetWeights(deployment.NamedWeights{Model: benchModel, Version: version, Revision: rillreach.Revision{Number: 9}})
 		}
 	}
 	t.Run("one whose load may begin before the stream does", func(t *testing.T) {
--- a/gateway/namings_test.go
+++ b/gateway/namings_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/bulletin"
 	"github.com/rillreach/rillreach/deployment"
 )
@@ -15,7 +16,7 @@
 	const model = "m"
 	now := time.Now()
 	g := &Gateway{Settings: &deployment.Settings{Bounds: deployment.Bounds{Weights: 10 * time.Second}}}
-	g.state.SetWeights(deployment.NamedWeights{Model: model, Version: 2, Revision: 2})
+	g.state.SetWeights(deployment.NamedWeights{Model: model, Version: 2, Revision: rillreach.Revision{Number: 2}})
 	x := &exchange{service: &deployment.Service{Engine: &deployment.Engine{}}}
 	x.wire.Prompt = &deployment.Prompt{Model: model}
 	admits := func() bool { return g.window(x, 1).Admits(now, 0) }
--- a/gateway/records_test.go
+++ b/gateway/records_test.go
@@ -34,7 +34,7 @@
 			w.store.Put("servers", name, spec)
 		}
 		last := w.store.Put("servers", "turns", record(turns, "ready"))
-		w.eventually(t, func() bool { return w.gateway.state.Roster.Find("turns").Info().Revision == last })
+		w.eventually(t, func() bool { return w.gateway.state.Roster.Find("turns").Info().Revision.Number == last })
 		assert.Equal(t, 2, used())
 		assertServed(t)
 	})
@@ -67,7 +67,7 @@
 	t.Run("a list that holds such records gives the others", func(t *testing.T) {
 		w.store.Forget()
 		last := w.store.Put("servers", "good", record(good, "ready"))
-		w.eventually(t, func() bool { return w.gateway.state.Roster.Find("good").Info().Revision == last })
+		w.eventually(t, func() bool { return w.gateway.state.Roster.Find("good").Info().Revision.Number == last })
 		assert.Equal(t, 2, used())
 		assertServed(t)
 	})
--- a/gateway/slow_start_test.go
+++ b/gateway/slow_start_test.go
@@ -164,7 +164,7 @@
 	g, _ := beforeEngines(1)
 	now := time.Now()
 	later := g.state.Roster.Find("r0").Info()
-	later.ID, later.ColdUntil, later.Revision = "r0-again", now.Add(time.Minute), later.Revision+1
+	later.ID, later.ColdUntil, later.Revision.Number = "r0-again", now.Add(time.Minute), later.Revision.Number+1
 	g.state.Roster.Put(later)
 	cold := g.state.Roster.At(later.Address)
 	require.Equal(t, later.ID, cold.Info().ID)
--- a/localstate/namings.go
+++ b/localstate/namings.go
@@ -157,11 +157,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known, ok := s.weights[w.Model]
-	if ok && w.Revision <= known.Revision {
-		if w.Revision == known.Revision && !found {
-			s.named[w.Model][len(s.named[w.Model])-1].found = false // it had come from another process first
-			s.namingsVersion.Add(1)
-		}
+	switch {
+	case ok && w.Revision == known.Revision:
+		s.confirmNaming(w, found)
+		return
+	case ok && !supersedes(w, known):
+		return
+	case ok && w.Version == known.Version:
+		s.weights[w.Model] = w // the same name, written again
 		return
 	}
 	if s.weights == nil {
@@ -176,6 +179,21 @@
 	}
 }
 
+// confirmNaming records that the newest name of a model's weights, which is known, has just been given: it had come from another process first.
+func (s *State) confirmNaming(w deployment.NamedWeights, found bool) {
+	if found {
+		return
+	}
+	namings := s.named[w.Model]
+	namings[len(namings)-1].found = false
+	s.namingsVersion.Add(1)
+}
+
+// supersedes reports that a name of a model's weights takes the place of the one that is known.
+func supersedes(next, known deployment.NamedWeights) bool {
+	return rillreach.Supersedes(next.Revision, next.Version, known.Revision, known.Version)
+}
+
 // WeightsFollower keeps the named weights in step with their source.
 func (s *State) WeightsFollower(source rillreach.Source[deployment.NamedWeights], wait time.Duration) rillreach.Controller {
 	take := func(u rillreach.Update[deployment.NamedWeights], found bool) {
@@ -193,7 +211,7 @@
 		Listed: func(all []rillreach.Update[deployment.NamedWeights], _ time.Time) {
 			s.badWeights.retain(namesOf(all))
 			for _, u := range all {
-				if u.Err == nil && u.Value.Revision <= s.revisionOf(u.Value.Model) {
+				if u.Err == nil && s.hasNamed(u.Value) {
 					s.badWeights.remove(u.Name)
 					continue // a list says nothing about the time of what is known already
 				}
@@ -204,9 +222,10 @@
 	}
 }
 
-// revisionOf is that of the newest name of a model's weights which this process knows, zero where it knows none.
-func (s *State) revisionOf(model rillreach.ModelID) uint64 {
+// hasNamed reports that a name of weights is known already, or older than what is known.
+func (s *State) hasNamed(w deployment.NamedWeights) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.weights[model].Revision
+	known, ok := s.weights[w.Model]
+	return ok && !supersedes(w, known)
 }
--- a/localstate/relays_test.go
+++ b/localstate/relays_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/controller/follow"
 	"github.com/rillreach/rillreach/notify"
 )
@@ -53,6 +54,6 @@
 	var s State
 	now := time.Now()
 	assert.Empty(t, s.Notices(now))
-	s.runnersProgress.Answered(now.Add(-time.Second), 7, true)
-	assert.Equal(t, []notify.Notice{{Kind: notify.KindRunners, Revision: 7, Age: time.Second}}, s.Notices(now))
+	s.runnersProgress.Answered(now.Add(-time.Second), rillreach.Revision{Number: 7}, true)
+	assert.Equal(t, []notify.Notice{{Kind: notify.KindRunners, Revision: rillreach.Revision{Number: 7}, Age: time.Second}}, s.Notices(now))
 }
--- a/localstate/runners_test.go
+++ b/localstate/runners_test.go
@@ -30,21 +30,21 @@
 	for _, c := range id {
 		port = 31*port + uint16(c)
 	}
-	return runnerUpdate{Name: id, Revision: revision, Value: &deployment.Runner{
-		ID: rillreach.InstanceID(id), Revision: revision, Service: service, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), port),
+	return runnerUpdate{Name: id, Revision: rillreach.Revision{Number: revision}, Value: &deployment.Runner{
+		ID: rillreach.InstanceID(id), Revision: rillreach.Revision{Number: revision}, Service: service, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, 1}), port),
 	}}
 }
 
 func bad(id string, revision uint64) runnerUpdate {
-	return runnerUpdate{Name: id, Revision: revision, Err: errBad}
+	return runnerUpdate{Name: id, Revision: rillreach.Revision{Number: revision}, Err: errBad}
 }
 
 func gone(id string, revision uint64) runnerUpdate {
-	return runnerUpdate{Name: id, Revision: revision, Gone: true}
+	return runnerUpdate{Name: id, Revision: rillreach.Revision{Number: revision}, Gone: true}
 }
 
 func configNaming(revision uint64, services ...rillreach.ServiceID) *deployment.Config {
-	c := &deployment.Config{Revision: revision, Services: map[rillreach.ServiceID]*deployment.Service{}}
+	c := &deployment.Config{Revision: rillreach.Revision{Number: revision}, Services: map[rillreach.ServiceID]*deployment.Service{}}
 	for _, name := range services {
 		c.Services[name] = &deployment.Service{Name: name}
 	}
@@ -283,15 +283,15 @@
 		c, ok := s.ConfigFollower(nil, time.Second).(*follow.Controller[*deployment.Config])
 		require.True(t, ok)
 		inForce := configNaming(1, "s")
-		broken := rillreach.Update[*deployment.Config]{Name: "main", Revision: 2, Err: errBad}
-		c.Listed([]rillreach.Update[*deployment.Config]{{Name: "main", Revision: 1, Value: inForce}}, time.Time{})
+		broken := rillreach.Update[*deployment.Config]{Name: "main", Revision: rillreach.Revision{Number: 2}, Err: errBad}
+		c.Listed([]rillreach.Update[*deployment.Config]{{Name: "main", Revision: rillreach.Revision{Number: 1}, Value: inForce}}, time.Time{})
 		c.Changed(broken, time.Time{})
 		c.Listed([]rillreach.Update[*deployment.Config]{broken}, time.Time{})
 		assert.Same(t, inForce, s.Config())
 		assert.Equal(t, 1, *lines)
 		assert.InDelta(t, 1, gauge(t, s, "rillreach.objects.unreadable.config"), 0)
-		c.Changed(rillreach.Update[*deployment.Config]{Name: "main", Revision: 3, Value: configNaming(3, "s")}, time.Time{})
-		assert.Equal(t, uint64(3), s.Config().Revision)
+		c.Changed(rillreach.Update[*deployment.Config]{Name: "main", Revision: rillreach.Revision{Number: 3}, Value: configNaming(3, "s")}, time.Time{})
+		assert.Equal(t, rillreach.Revision{Number: 3}, s.Config().Revision)
 		assert.InDelta(t, 0, gauge(t, s, "rillreach.objects.unreadable.config"), 0)
 	})
 	t.Run("a bad name of weights changes nothing of what is in force, and is logged once", func(t *testing.T) {
@@ -300,10 +300,10 @@
 		require.True(t, ok)
 		named := func(revision uint64) rillreach.Update[deployment.NamedWeights] {
 			return rillreach.Update[deployment.NamedWeights]{
-				Name: "m", Revision: revision, Value: deployment.NamedWeights{Model: "m", Version: deployment.WeightVersion(revision), Revision: revision},
+				Name: "m", Revision: rillreach.Revision{Number: revision}, Value: deployment.NamedWeights{Model: "m", Version: deployment.WeightVersion(revision), Revision: rillreach.Revision{Number: revision}},
 			}
 		}
-		broken := rillreach.Update[deployment.NamedWeights]{Name: "m", Revision: 2, Err: errBad}
+		broken := rillreach.Update[deployment.NamedWeights]{Name: "m", Revision: rillreach.Revision{Number: 2}, Err: errBad}
 		c.Listed([]rillreach.Update[deployment.NamedWeights]{named(1)}, time.Time{})
 		c.Changed(broken, time.Time{})
 		c.Listed([]rillreach.Update[deployment.NamedWeights]{broken}, time.Time{})
--- a/localstate/runs.go
+++ b/localstate/runs.go
@@ -42,7 +42,7 @@
 		return false // it was listed again
 	}
 	if s.unstarted == nil {
-		s.unstarted = map[rillreach.InstanceID]uint64{}
+		s.unstarted = map[rillreach.InstanceID]rillreach.Revision{}
 	}
 	s.unstarted[info.ID] = info.Revision
 	s.Metrics.UnknownStart(telemetry.StartInRecord)
--- a/localstate/runs_test.go
+++ b/localstate/runs_test.go
@@ -15,7 +15,7 @@
 // started is an update with the record of a run of the runner "a".
 func started(revision uint64, generation rillreach.Generation) rillreach.Update[*deployment.Runner] {
 	u := update("a")
-	u.Revision, u.Value.Revision, u.Value.Generation = revision, revision, generation
+	u.Revision, u.Value.Revision, u.Value.Generation = rillreach.Revision{Number: revision}, rillreach.Revision{Number: revision}, generation
 	return u
 }
 
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -1,5 +1,5 @@
 // Package localstate is a process's copy of what the platform's object store says of the site: the configuration, the
-// runners, and the weights that the operators name. None of it ever goes back to an older revision.
+// runners, and the weights that the operators name. None of it ever goes back to an older version, also where the store comes back from a copy.
 package localstate
 
 import (
@@ -49,7 +49,7 @@
 	configAt atomic.Int64
 	listed   atomic.Bool
 	// unstarted are the revisions of the last records of runners that tell no start.
-	unstarted map[rillreach.InstanceID]uint64
+	unstarted map[rillreach.InstanceID]rillreach.Revision
 
 	// entries guards that configuration and runners agree on which services are known; it's taken after mu.
 	entries sync.Mutex
@@ -110,7 +110,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.config.Load()
-	if before != nil && c.Revision <= before.Revision {
+	if before != nil && !rillreach.Supersedes(c.Revision, c.Version, before.Revision, before.Version) {
 		if c.Version != before.Version {
 			s.Log.Info("configuration not taken", "decision", "keep", "version", c.Version, "revision", c.Revision, "kept", before.Version, "keptRevision", before.Revision)
 		}
--- a/localstate/state_test.go
+++ b/localstate/state_test.go
@@ -19,15 +19,15 @@
 func TestNothingGoesBack(t *testing.T) {
 	t.Run("a configuration of an older revision is left out", func(t *testing.T) {
 		s := state()
-		s.SetConfig(&deployment.Config{Version: 7, Revision: 10})
-		s.SetConfig(&deployment.Config{Version: 5, Revision: 9})
-		s.SetConfig(&deployment.Config{Version: 5, Revision: 10})
+		s.SetConfig(&deployment.Config{Version: 7, Revision: rillreach.Revision{Number: 10}})
+		s.SetConfig(&deployment.Config{Version: 5, Revision: rillreach.Revision{Number: 9}})
+		s.SetConfig(&deployment.Config{Version: 5, Revision: rillreach.Revision{Number: 10}})
 		assert.Equal(t, int64(7), s.Config().Version)
 	})
 	t.Run("weights of an older revision are left out", func(t *testing.T) {
 		s := state()
-		s.SetWeights(deployment.NamedWeights{Model: "m", Version: 3, Revision: 10})
-		s.SetWeights(deployment.NamedWeights{Model: "m", Version: 2, Revision: 9})
+		s.SetWeights(deployment.NamedWeights{Model: "m", Version: 3, Revision: rillreach.Revision{Number: 10}})
+		s.SetWeights(deployment.NamedWeights{Model: "m", Version: 2, Revision: rillreach.Revision{Number: 9}})
 		named, since := s.Weights("m")
 		assert.Equal(t, deployment.WeightVersion(3), named.Version)
 		assert.False(t, since.IsZero())
@@ -72,18 +72,18 @@
 	calls int
 }
 
-func (h *heldSource) List(context.Context) ([]rillreach.Update[*deployment.Runner], uint64, error) {
-	return nil, 1, nil
+func (h *heldSource) List(context.Context) ([]rillreach.Update[*deployment.Runner], rillreach.Revision, error) {
+	return nil, rillreach.Revision{Number: 1}, nil
 }
 
-func (h *heldSource) Watch(ctx context.Context, _ uint64, _ time.Duration) ([]rillreach.Update[*deployment.Runner], uint64, error) {
+func (h *heldSource) Watch(ctx context.Context, _ rillreach.Revision, _ time.Duration) ([]rillreach.Update[*deployment.Runner], rillreach.Revision, error) {
 	h.calls++
 	if h.calls > 1 {
 		<-ctx.Done()
-		return nil, 0, ctx.Err()
+		return nil, rillreach.Revision{}, ctx.Err()
 	}
 	time.Sleep(h.held)
-	return nil, 1, nil
+	return nil, rillreach.Revision{Number: 1}, nil
 }
 
 // TestListAfterStall: an answer that waited for a process that stood still is as old as the question, so that an agent does not speak for
--- a/localstate/unreadable.go
+++ b/localstate/unreadable.go
@@ -12,18 +12,18 @@
 // unreadable are the objects of one kind that cannot be read, by name with their revisions; its zero value is empty and ready.
 type unreadable struct {
 	mu        sync.Mutex
-	revisions map[string]uint64
+	revisions map[string]rillreach.Revision
 }
 
 // add reports that this revision of the object is new here.
-func (u *unreadable) add(name string, revision uint64) bool {
+func (u *unreadable) add(name string, revision rillreach.Revision) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if known, ok := u.revisions[name]; ok && known == revision {
 		return false
 	}
 	if u.revisions == nil {
-		u.revisions = map[string]uint64{}
+		u.revisions = map[string]rillreach.Revision{}
 	}
 	u.revisions[name] = revision
 	return true
--- a/notify/notice.go
+++ b/notify/notice.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/rillreach/rillreach"
 )
 
 // Kind is a kind of objects.
@@ -19,7 +21,7 @@
 type Notice struct {
 	Kind Kind `cbor:"1,keyasint"`
 	// Revision is the store's when the relay last saw a change of the kind.
-	Revision uint64 `cbor:"2,keyasint"`
+	Revision rillreach.Revision `cbor:"2,keyasint"`
 	// Age is how long before this notice the store last answered the relay.
 	Age time.Duration `cbor:"3,keyasint,omitempty"`
 }
--- a/notify/progress.go
+++ b/notify/progress.go
@@ -3,22 +3,24 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/rillreach/rillreach"
 )
 
 // Progress is how far a process has followed the objects of one kind; its zero value has not begun.
 type Progress struct {
 	mu       sync.Mutex
-	revision uint64
+	revision rillreach.Revision
 	answered time.Time
 }
 
 // Answered records an answer of the store at a revision, which had changes or not.
-func (p *Progress) Answered(now time.Time, revision uint64, changed bool) {
+func (p *Progress) Answered(now time.Time, revision rillreach.Revision, changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.answered = now
-	if changed {
-		p.revision = max(p.revision, revision)
+	if changed && revision.After(p.revision) {
+		p.revision = revision
 	}
 }
 
--- a/notify/tracker.go
+++ b/notify/tracker.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/internal/broadcast"
 )
 
@@ -17,7 +18,7 @@
 
 // heard is what is known of one kind.
 type heard struct {
-	revision  uint64
+	revision  rillreach.Revision
 	confirmed time.Time
 }
 
@@ -28,7 +29,7 @@
 	}
 }
 
-// take takes over a notice; it reports whether it tells of a newer revision.
+// take takes over a notice; it reports whether it tells of a newer revision. A relay that has not heard of the store's present era confirms nothing.
 func (t *Tracker) take(n Notice, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -36,11 +37,19 @@
 		t.kinds = map[Kind]heard{}
 	}
 	h := t.kinds[n.Kind]
+	if n.Revision.Era < h.revision.Era {
+		return false
+	}
+	newer := n.Revision.After(h.revision)
+	if n.Revision.Era > h.revision.Era {
+		h.confirmed = time.Time{}
+	}
+	if newer {
+		h.revision = n.Revision
+	}
 	if at := now.Add(-n.Age); at.After(h.confirmed) {
 		h.confirmed = at
 	}
-	newer := n.Revision > h.revision
-	h.revision = max(h.revision, n.Revision)
 	t.kinds[n.Kind] = h
 	return newer
 }
@@ -56,10 +65,10 @@
 }
 
 // Due reports that a process that has followed a kind up to a revision should ask the store: a relay has seen a later change, or none has
-// told for longer than the given time that there is none.
-func (t *Tracker) Due(kind Kind, revision uint64, now time.Time, trust time.Duration) bool {
+// told in the revision's era for longer than the given time that there is none.
+func (t *Tracker) Due(kind Kind, revision rillreach.Revision, now time.Time, trust time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.kinds[kind]
-	return h.revision > revision || now.Sub(h.confirmed) > trust
+	return h.revision.After(revision) || h.revision.Era < revision.Era || now.Sub(h.confirmed) > trust
 }
--- a/roster/address.go
+++ b/roster/address.go
@@ -38,7 +38,7 @@
 	}
 	a, b := one.Info(), other.Info()
 	if a.Revision != b.Revision {
-		return a.Revision > b.Revision
+		return a.Revision.After(b.Revision)
 	}
 	return a.ID > b.ID
 }
--- a/roster/admit_test.go
+++ b/roster/admit_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/backpressure"
 	"github.com/rillreach/rillreach/deployment"
 )
@@ -46,7 +47,7 @@
 		r.Rest(now)
 		limited(r)
 		r.AllotLimit(now, limit, 1, now.Add(time.Second))
-		r.relist(deployment.Runner{Revision: 2})
+		r.relist(deployment.Runner{Revision: rillreach.Revision{Number: 2}})
 		assertDenied(t, DeniedLeaving, r, now)
 	})
 	t.Run("an answer that speaks for it ends no rest", func(t *testing.T) {
--- a/roster/restart_test.go
+++ b/roster/restart_test.go
@@ -190,7 +190,7 @@
 		r := &Roster{}
 		r.Put(runOf(earlier))
 		other := info("b")
-		other.Revision = 9
+		other.Revision = rillreach.Revision{Number: 9}
 		r.Put(other)
 		assert.True(t, r.Find("a").View(start).Leaving)
 		assert.False(t, isOver(r.Find("a")))
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -59,7 +59,7 @@
 
 func TestLeftOverRecords(t *testing.T) {
 	old, fresh := info("old"), info("fresh")
-	old.Revision, fresh.Revision = 5, 9
+	old.Revision, fresh.Revision = rillreach.Revision{Number: 5}, rillreach.Revision{Number: 9}
 	for name, order := range map[string][]deployment.Runner{"the old one first": {old, fresh}, "the fresh one first": {fresh, old}} {
 		t.Run("of two records with one address the one written last counts, "+name, func(t *testing.T) {
 			var r Roster
@@ -75,7 +75,7 @@
 
 func TestRecordsThatChangePlaces(t *testing.T) {
 	one, other := info("one"), info("other")
-	one.Revision, other.Revision = 5, 9
+	one.Revision, other.Revision = rillreach.Revision{Number: 5}, rillreach.Revision{Number: 9}
 	t.Run("a runner has its address again once the later record goes", func(t *testing.T) {
 		var r Roster
 		r.Replace(start, []deployment.Runner{one, other}, time.Time{})
--- a/sidecar/collector_bench_test.go
+++ b/sidecar/collector_bench_test.go
@@ -22,7 +22,7 @@
 	for i := range runners {
 		s.state.Roster.Put(deployment.Runner{ID: rillreach.InstanceID(fmt.Sprintf("i-%010x", i)), Service: "s", Address: address(0, byte(i))})
 	}
-	config := &deployment.Config{Revision: 1, Services: map[rillreach.ServiceID]*deployment.Service{"s": {Name: "s"}}}
+	config := &deployment.Config{Revision: rillreach.Revision{Number: 1}, Services: map[rillreach.ServiceID]*deployment.Service{"s": {Name: "s"}}}
 	for i := range stores {
 		name := rillreach.ServiceID(fmt.Sprint("store", i))
 		config.Services[name] = &deployment.Service{Name: name, Store: &deployment.CacheStore{Address: address(1, byte(i)), Managed: true}}
--- a/sidecar/loader.go
+++ b/sidecar/loader.go
@@ -149,7 +149,7 @@
 func (l *loader) order(ctx context.Context, self deployment.Runner, load deployment.Load, named deployment.NamedWeights) {
 	l.given = platform.Order{
 		Runner: self.ID, Model: named.Model, Weights: named.Version,
-		Holder: l.sidecar.Settings.Name, Fence: named.Revision, After: load.Orders,
+		Holder: l.sidecar.Settings.Name, Fence: named.Fence(), After: load.Orders,
 	}
 	l.givenTo, l.givenAt = self.Run(), time.Now()
 	answer, err := l.sidecar.Runner.Order(ctx, l.given)
@@ -158,7 +158,7 @@
 		return
 	}
 	l.sidecar.Log.Info("order given", "decision", answer.Verdict, "runner", self.ID, "generation", answer.Generation, "model", named.Model, "weights", named.Version,
-		"fence", named.Revision, "after", load.Orders)
+		"fence", named.Fence(), "after", load.Orders)
 	if answer.Verdict != platform.OrderRefused { // a refusal may be another runner's at the address
 		l.sidecar.state.Observe(rillreach.InstanceRun{ID: self.ID, Generation: answer.Generation})
 	}
--- a/sidecar/restart_test.go
+++ b/sidecar/restart_test.go
@@ -117,7 +117,7 @@
 		l := &loader{sidecar: s}
 		for i, generation := range runs {
 			self := deployment.Runner{ID: "r1", Service: "s", Address: addressOf(runner.URL), Generation: generation}
-			l.decide(t.Context(), self, deployment.Load{Orders: uint64(i)}, deployment.NamedWeights{Model: "m", Version: 2, Revision: 5}, 1, time.Hour)
+			l.decide(t.Context(), self, deployment.Load{Orders: uint64(i)}, deployment.NamedWeights{Model: "m", Version: 2, Revision: rillreach.Revision{Number: 5}}, 1, time.Hour)
 		}
 		return e.given()
 	}
--- a/sidecar/turn_test.go
+++ b/sidecar/turn_test.go
@@ -37,7 +37,7 @@
 		s.state.Roster.Put(self)
 		l := &loader{sidecar: s}
 		do(func(named, loaded deployment.WeightVersion, since time.Duration, busy bool) {
-			l.decide(t.Context(), self, deployment.Load{Busy: busy}, deployment.NamedWeights{Model: "m", Version: named, Revision: uint64(named)}, loaded, since)
+			l.decide(t.Context(), self, deployment.Load{Busy: busy}, deployment.NamedWeights{Model: "m", Version: named, Revision: rillreach.Revision{Number: uint64(named)}}, loaded, since)
 		})
 		return e.given()
 	}
--- a/source.go
+++ b/source.go
@@ -18,7 +18,7 @@
 	Name  string
 	Value T
 	// Revision is that of the object's last change.
-	Revision uint64
+	Revision Revision
 	// Gone says that the object no longer exists.
 	Gone bool
 	// Err says why the object cannot be understood; Value is then empty, and so is the name where that cannot be read either.
@@ -28,8 +28,8 @@
 // Source gives the objects of one kind and their changes.
 type Source[T any] interface {
 	// List returns all objects and the revision from which a watch misses nothing.
-	List(ctx context.Context) ([]Update[T], uint64, error)
+	List(ctx context.Context) ([]Update[T], Revision, error)
 	// Watch waits for changes after a revision, at the longest for wait, and returns the revision to go on from; it gives
-	// ErrHistoryGone where the revision is too old.
-	Watch(ctx context.Context, revision uint64, wait time.Duration) ([]Update[T], uint64, error)
+	// ErrHistoryGone where the revision is too old, or of an earlier era than the store's.
+	Watch(ctx context.Context, revision Revision, wait time.Duration) ([]Update[T], Revision, error)
 }
