Let a copy of the store take back no leaving, removal, evacuation or new runner

Cause: the first list after the store has come back from a copy was believed like any other, though it may lack the last seconds: a runner that leaves was ready again, one that was removed was listed again, one that the copy lacks was removed at once, evacuations that were begun or lifted went back. Change: the follower tells that a list is the first of a later era. A run that was known to leave goes on leaving, keeps newer weights and isn't cold again; a record that says the same as before stays behind newer ones at its address. A runner that the copy lacks is doubtful for as long as after any return of the store. One that was removed is held back until it has written its record again, or for 5 s, in which the platform removes the record of a runner that is gone. Evacuations stay as they are known for 10 s, but for what changes since the return. Ruled out: telling a rewritten record by its sequence: heartbeats raise it without an event, so that a copy may hold a higher one than is known. Conclusion: a process that starts within these seconds still believes the copy.

--- a/localstate/evacuations.go
+++ b/localstate/evacuations.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,12 +35,21 @@
 	return next
 }
 
-// evacuationState is the evacuations that are in force, which their follower alone changes; its zero value follows none.
+// restoreTime is how long after the store has come back from a copy everything that it lacks may take to be written again.
+const restoreTime = 10 * time.Second
+
+// evacuationState is the evacuations that are in force; its zero value follows none.
 type evacuationState struct {
 	// followed says that somebody asks for the list, and listed that it has come.
 	followed atomic.Bool
 	listed   atomic.Bool
 	current  atomic.Pointer[Evacuations]
+
+	// mu guards what follows, and each change of current.
+	mu sync.Mutex
+	// stored are the zones that the store has evacuated, which count once trusted has passed: a copy may lack an evacuation, or have one that was lifted.
+	stored  Evacuations
+	trusted time.Time
 }
 
 // known reports that nothing is missing: the list has come, or nobody follows it.
@@ -61,21 +71,63 @@
 	s.evacuations.followed.Store(true)
 	return &follow.Controller[rillreach.ZoneID]{
 		Kind: "evacuations", Source: source, Wait: wait, Log: s.Log,
+		Restored: s.evacuations.distrust,
 		Listed: func(all []rillreach.Update[rillreach.ZoneID], _ time.Time) {
 			zones := Evacuations{}
 			for name := range namesOf(all) {
 				zones[rillreach.ZoneID(name)] = struct{}{}
 			}
-			s.setEvacuations(zones)
+			s.listEvacuations(zones, time.Now())
 			s.evacuations.listed.Store(true)
 		},
 		Changed: func(u rillreach.Update[rillreach.ZoneID], _ time.Time) {
-			s.setEvacuations(s.Evacuations().with(rillreach.ZoneID(u.Name), !u.Gone))
+			s.changeEvacuation(rillreach.ZoneID(u.Name), !u.Gone)
 		},
 	}
 }
 
-// setEvacuations puts other zones in force. The runners of one that is evacuated no longer may have turned cold, and their records tell so later.
+// distrust records that the store has come back from a copy.
+func (s *evacuationState) distrust(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.trusted = now.Add(restoreTime)
+}
+
+// listEvacuations takes over a whole list, at once unless it may be a copy's.
+func (s *State) listEvacuations(zones Evacuations, now time.Time) {
+	e := &s.evacuations
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stored = zones
+	if now.Before(e.trusted) {
+		s.Log.Info("evacuated zones of a copy are not taken yet", "decision", "keep", "listed", slices.Sorted(maps.Keys(zones)), "kept", slices.Sorted(maps.Keys(e.get())))
+		return
+	}
+	s.setEvacuations(zones)
+}
+
+// changeEvacuation takes over a change, which is none of a copy.
+func (s *State) changeEvacuation(zone rillreach.ZoneID, evacuated bool) {
+	e := &s.evacuations
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stored = e.stored.with(zone, evacuated)
+	s.setEvacuations(e.get().with(zone, evacuated))
+}
+
+// settleEvacuations puts in force what the store has once all has been written again that a copy lacked.
+func (s *State) settleEvacuations(now time.Time) {
+	e := &s.evacuations
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.trusted.IsZero() || now.Before(e.trusted) {
+		return
+	}
+	e.trusted = time.Time{}
+	s.setEvacuations(e.stored)
+}
+
+// setEvacuations puts other zones in force; the lock is held. The runners of one that is evacuated no longer may have turned cold, and their records tell so later.
 func (s *State) setEvacuations(next Evacuations) {
 	before := s.Evacuations()
 	if maps.Equal(before, next) {
--- a/localstate/runners.go
+++ b/localstate/runners.go
@@ -25,8 +25,8 @@
 	return &follow.Controller[*deployment.Runner]{
 		Kind: "runners", Kick: kick, Source: source, Wait: wait, Gather: gather, Log: s.Log,
 		Hasten: s.Hasten, Relays: s.Relays, Topic: notify.KindRunners, Trust: s.Trust, Progress: &s.runnersProgress,
-		Asked:  func() { asked = question{at: time.Now(), suspended: s.stalls.suspension()} },
-		Listed: s.listRunners, Changed: s.changeRunner,
+		Asked:    func() { asked = question{at: time.Now(), suspended: s.stalls.suspension()} },
+		Restored: s.departures.restored, Listed: s.listRunners, Changed: s.changeRunner,
 		Confirmed: func() { s.Roster.Confirm(s.answeredAt(asked, time.Now())) },
 	}
 }
@@ -66,6 +66,9 @@
 			}
 			noteCold(u.Value, now)
 			delete(s.unknownService, u.Value.ID)
+			if s.departures.hold(*u.Value, now) {
+				continue
+			}
 			list = append(list, *u.Value)
 		}
 	}
@@ -78,6 +81,7 @@
 func (s *State) retainRunners(all []rillreach.Update[*deployment.Runner]) {
 	listed := namesOf(all)
 	s.badRunners.retain(listed)
+	s.departures.retain(listed)
 	maps.DeleteFunc(s.unknownService, func(id rillreach.InstanceID, _ deployment.Runner) bool { return !listed[string(id)] })
 }
 
@@ -90,6 +94,7 @@
 	switch {
 	case u.Gone:
 		s.badRunners.remove(u.Name)
+		s.departures.drop(rillreach.InstanceID(u.Name))
 		s.removeRunner(now, u.Name, doubtfulUntil(returned))
 	case !admit(s.Log, "runners", &s.badRunners, u):
 		s.removeRunner(now, u.Name, time.Time{})
@@ -101,6 +106,7 @@
 		}
 		noteCold(u.Value, now)
 		delete(s.unknownService, u.Value.ID)
+		s.departures.forget(u.Value.ID)
 		s.noteRunners(s.Roster.Put(*u.Value))
 	}
 }
@@ -116,7 +122,7 @@
 func (s *State) removeRunner(now time.Time, name string, doubtful time.Time) {
 	id := rillreach.InstanceID(name)
 	delete(s.unknownService, id)
-	s.logRunners(s.Roster.Remove(now, id, doubtful))
+	s.noteRunners(s.Roster.Remove(now, id, doubtful))
 }
 
 // doubtfulUntil is until when a runner that is no longer listed may still come back, zero where the store never was away.
--- a/localstate/runs.go
+++ b/localstate/runs.go
@@ -20,10 +20,14 @@
 	return runner
 }
 
-// noteRunners logs what changed, and tells of the runners that were started anew.
+// noteRunners logs what changed, remembers the runners that have gone, and tells of those that were started anew.
 func (s *State) noteRunners(changes []roster.Change) {
 	s.logRunners(changes)
+	now := time.Now()
 	for _, c := range changes {
+		if c.Event == roster.EventRemoved {
+			s.departures.add(c.Runner.ID, now)
+		}
 		if c.Event == roster.EventRestarted && s.Restarted != nil {
 			s.Restarted(c.Runner)
 		}
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -57,6 +57,7 @@
 	unknownService map[rillreach.InstanceID]deployment.Runner
 
 	evacuations evacuationState
+	departures  departures
 
 	badConfig, badRunners, badWeights unreadable
 
@@ -144,7 +145,7 @@
 	}
 }
 
-// Expirer removes runners whose doubtful time is over.
+// Expirer removes runners whose doubtful time is over, and ends the time in which a copy of the store isn't believed.
 func (s *State) Expirer() rillreach.Controller {
 	s.stalls.Suspended = s.Suspended
 	return expirer{s}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -130,6 +130,9 @@
 		return append(changes, Change{Event: EventAdded, Runner: info})
 	default:
 		before := runner.Info()
+		if info.Revision.Era > before.Revision.Era {
+			info = carryOver(before, info)
+		}
 		runner.relist(info)
 		r.reindex(runner, &before, &info)
 		return append(changes, Change{Event: EventChanged, Runner: info})
