Bring a store back from copies in the soak

Cause: the soak's store never lost what it had acknowledged, and nothing asked how long after an acknowledgement a change is in force. Each configuration brings a route of its own; a prober asks each entry for the newest one every 250 ms, and the judge holds it against 2 s from the acknowledgement.

--- a/internal/standin/site/restore.go
+++ b/internal/standin/site/restore.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/http"
+	"reflect"
 	"slices"
 	"strconv"
 )
@@ -27,7 +28,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.objects, s.events = cloneObjects(c.objects), slices.Clone(c.events)
-	s.floor, s.revision = c.floor, c.revision
+	s.floor, s.revision, s.restored = c.floor, c.revision, c.revision
 	s.era++
 	s.wake()
 }
@@ -61,3 +62,30 @@
 	defer s.mu.Unlock()
 	return s.era
 }
+
+// WriteAgain has the operator and the runners write again what a restore has lost of what they had written, but for what they have written since.
+func (s *Store) WriteAgain(lost Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for kind, named := range lost.objects {
+		for name, o := range named {
+			if !s.writtenSince(kind, name) && !reflect.DeepEqual(s.objects[kind][name].Spec, o.Spec) {
+				s.put(kind, name, o.Spec)
+			}
+		}
+	}
+	for kind, named := range s.objects {
+		for name := range named {
+			if _, there := lost.objects[kind][name]; !there && !s.writtenSince(kind, name) {
+				s.remove(kind, name)
+			}
+		}
+	}
+}
+
+// writtenSince reports that an object has been written or removed since the last restore; the lock is held.
+func (s *Store) writtenSince(kind, name string) bool {
+	return slices.ContainsFunc(s.events, func(e event) bool {
+		return e.kind == kind && e.Object.Metadata.Name == name && e.Object.Metadata.Revision > s.restored
+	})
+}
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -24,7 +24,9 @@
 	floor    uint64
 	revision uint64
 	// era counts the copies that the store has come back from, and begins at one; eraHidden leaves it out of answers.
-	era       uint64
+	era uint64
+	// restored is the revision of the copy that the store has last come back from.
+	restored  uint64
 	eraHidden bool
 	status    int
 	changed   chan struct{}
@@ -58,6 +60,11 @@
 func (s *Store) Put(kind, name string, spec any) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.put(kind, name, spec)
+}
+
+// put writes an object; the lock is held.
+func (s *Store) put(kind, name string, spec any) uint64 {
 	s.revision++
 	o := object{Metadata: metadata{Name: name, Revision: s.revision}, Spec: spec}
 	if s.objects[kind] == nil {
@@ -72,6 +79,11 @@
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.remove(kind, name)
+}
+
+// remove takes an object away; the lock is held.
+func (s *Store) remove(kind, name string) {
 	s.revision++
 	o := s.objects[kind][name]
 	o.Metadata.Revision = s.revision
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -29,7 +29,7 @@
 		w.operate(a)
 	case faultRollout:
 		w.injectRollout(a)
-	case faultFatal, faultEvacuate, faultLimit, faultRest, faultLeaveUntold:
+	case faultFatal, faultEvacuate, faultRestore, faultLimit, faultRest, faultLeaveUntold:
 		w.injectSeparate(a, p, n)
 	default:
 		w.injectAtEngine(a, n)
@@ -43,6 +43,8 @@
 		w.injectFatal(a)
 	case faultEvacuate:
 		w.injectEvacuation(a)
+	case faultRestore:
+		w.injectRestore(a)
 	default:
 		w.injectPressure(a, p, n)
 	}
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -90,6 +90,7 @@
 		r.judgeWeights(add)
 		r.judgeLeaving(add)
 		r.judgeReturn(add)
+		r.judgeProbes(add)
 	}
 	return broken
 }
--- a/soak/main.go
+++ b/soak/main.go
@@ -35,6 +35,7 @@
 			&cli.BoolFlag{Name: "fatal", Usage: "only requests that end their runners, beside kills and pauses"},
 			&cli.BoolFlag{Name: "evacuate", Usage: "only evacuations of a zone, beside kills, pauses, stops and a store that is away"},
 			&cli.BoolFlag{Name: "backpressure", Usage: "only runners that ask for less in their answers, beside kills, pauses, stops and a store that is away"},
+			&cli.BoolFlag{Name: "restore", Usage: "only a store that comes back from copies, beside changes, kills and pauses"},
 			&cli.StringFlag{Name: "binary", Usage: "the program; built from the sources where it is not set"},
 			&cli.StringFlag{Name: "keep", Usage: "folder for logs of a seed that failed"},
 		},
@@ -81,7 +82,7 @@
 // drawActions draws the faults that the flags ask for.
 func drawActions(c *cli.Command, seed uint64, length time.Duration) []action {
 	actions := inOrder(append(schedule(seed, length), engineSchedule(seed, length, engineFaults)...))
-	for flag, from := range map[string][]fault{"fatal": fatalFaults, "evacuate": evacuationFaults, "backpressure": pressureFaults} {
+	for flag, from := range map[string][]fault{"fatal": fatalFaults, "evacuate": evacuationFaults, "backpressure": pressureFaults, "restore": restoreFaults} {
 		if c.Bool(flag) {
 			actions = engineSchedule(seed, length, from)
 		}
--- a/soak/record.go
+++ b/soak/record.go
@@ -68,6 +68,8 @@
 type record struct {
 	Calls []call
 	Runs  []run
+	// Probes are what entries said of the routes of new configurations.
+	Probes []probe
 	// Arrivals are the requests that came to runners, also those that were turned away.
 	Arrivals []arrival
 	// Orders are those that engines got, in the order of their coming.
--- a/soak/world.go
+++ b/soak/world.go
@@ -38,8 +38,14 @@
 	ledger   ledger
 	report   func(format string, args ...any)
 
-	mu        sync.Mutex
-	version   int
+	// restoring is held while the store comes back from a copy, until what that has lost is written again.
+	restoring sync.Mutex
+	prober    prober
+
+	mu      sync.Mutex
+	version int
+	// versionAt is when the version was acknowledged.
+	versionAt time.Time
 	weights   uint64
 	named     map[uint64]time.Time
 	removed   map[string]time.Time
@@ -165,8 +171,10 @@
 			keys = append(keys, key)
 		}
 	}
+	defer func() { w.versionAt = time.Now() }()
 	w.store.Put("config", "main", site.ConfigOf(
 		w.version, keys,
+		site.Route{Name: versionRoute(w.version), Host: host, Kind: "idempotent", Attempts: 1},
 		site.Route{Name: string(kindRepeat), Host: host, Kind: "idempotent", Attempts: 2},
 		site.Route{Name: string(kindOnce), Host: host, Kind: "non_idempotent", Attempts: 2},
 		site.Route{Name: string(kindStream), Host: host, Kind: "streaming", Attempts: 3, Resumable: true, Timeout: streamTimeout},
@@ -215,7 +223,9 @@
 func (w *world) play(actions []action, length time.Duration) *record {
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
+	w.prober.world = w
 	callers.Go(func() { w.balancer.run(stop) })
+	callers.Go(func() { w.prober.run(stop) })
 	callers.Go(func() { w.callers.run(stop) })
 	begun := time.Now()
 	for _, a := range actions {
@@ -252,6 +262,9 @@
 	w.callers.mu.Lock()
 	defer w.callers.mu.Unlock()
 	r.Calls = slices.Clone(w.callers.calls)
+	w.prober.mu.Lock()
+	defer w.prober.mu.Unlock()
+	r.Probes = slices.Clone(w.prober.seen)
 	return r
 }
 
