Have a process that starts with a copy wait for what its peers have in force

Cause: a process that starts after the store has come back from a copy, and before the operator has written again, knows the older configuration alone, and would serve by it though its peers know better. Ruled out: keeping an entry from serving whenever a peer has a newer version: each change reaches some process first. Change: agents tell which configuration they have in force. Conclusion: the runners and evacuations that such a process believes for these seconds are still the copy's.

--- a/bulletin/bulletin.go
+++ b/bulletin/bulletin.go
@@ -63,6 +63,8 @@
 	Crashes []poison.Crash `cbor:"10,keyasint,omitempty"`
 	// Permits is how many requests the follower may send to the runner while that is cold, within permit.Validity after Clock.
 	Permits int `cbor:"11,keyasint,omitempty"`
+	// Config is the configuration that the agent has in force; nil where it has none.
+	Config *deployment.ConfigVersion `cbor:"13,keyasint,omitempty"`
 	// Quotas are what the follower may send to runners that name a limit.
 	Quotas []Quota `cbor:"12,keyasint,omitempty"`
 }
@@ -89,6 +91,9 @@
 	if maps.Equal(b.Load.Weights, before.Load.Weights) {
 		b.Load.Weights = nil
 	}
+	if b.Config != nil && before.Config != nil && *b.Config == *before.Config {
+		b.Config = nil
+	}
 	return b
 }
 
@@ -109,6 +114,9 @@
 	if b.Load.Weights == nil {
 		b.Load.Weights = before.Load.Weights
 	}
+	if b.Config == nil {
+		b.Config = before.Config
+	}
 	if b.Runner == "" {
 		return errors.New("bulletin names no runner")
 	}
--- a/bulletin/bulletin_test.go
+++ b/bulletin/bulletin_test.go
@@ -24,6 +24,7 @@
 		LoadsAt: rapid.Int64Range(0, 1e12).Draw(t, "loadsAt"),
 		Weights: map[rillreach.ModelID]deployment.WeightVersion{"m": deployment.WeightVersion(rapid.IntRange(1, 2).Draw(t, "weights"))},
 	}
+	b.Config = &deployment.ConfigVersion{Version: rapid.Int64Range(1, 2).Draw(t, "config"), Revision: rillreach.Revision{Era: 1, Number: 7}}
 	for version := range rapid.IntRange(0, 2).Draw(t, "named") {
 		b.Namings = append(b.Namings, Naming{Model: "m", Version: deployment.WeightVersion(version + 1), At: 5})
 		b.Named = append(b.Named, deployment.NamedWeights{Model: "m", Version: deployment.WeightVersion(version + 1), Revision: rillreach.Revision{Number: 7}})
--- a/deployment/config.go
+++ b/deployment/config.go
@@ -166,6 +166,15 @@
 	byKey  map[string]*Account
 }
 
+// ConfigVersion names one version of the configuration, and where the store had it.
+type ConfigVersion struct {
+	Version  int64              `cbor:"1,keyasint"`
+	Revision rillreach.Revision `cbor:"2,keyasint"`
+}
+
+// Name is the version of the configuration.
+func (c *Config) Name() ConfigVersion { return ConfigVersion{Version: c.Version, Revision: c.Revision} }
+
 // Check reports what is wrong with the configuration, and prepares it for look-ups.
 func (c *Config) Check() error {
 	c.byHost = map[string][]*Route{}
--- a/gateway/bulletins.go
+++ b/gateway/bulletins.go
@@ -21,6 +21,9 @@
 	for _, w := range b.Named {
 		g.state.AdoptWeights(w)
 	}
+	if b.Config != nil {
+		g.state.HearConfig(*b.Config, now)
+	}
 	g.applyNamings(b, now)
 	for _, n := range b.Notices {
 		g.relays.Hear(n, now)
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -58,6 +58,7 @@
 
 	evacuations evacuationState
 	departures  departures
+	peerConfig  peerConfig
 
 	badConfig, badRunners, badWeights unreadable
 
@@ -101,9 +102,11 @@
 	return all
 }
 
-// Complete reports that configuration, runners and, where they are followed, evacuated zones are known.
+// Complete reports that configuration, runners and, where they are followed, evacuated zones are known. A configuration that is older than what peers have
+// in force counts as none, for a short time: this process has started while the store had lost the newer one.
 func (s *State) Complete() bool {
-	return s.config.Load() != nil && s.listed.Load() && s.evacuations.known()
+	c := s.config.Load()
+	return c != nil && s.listed.Load() && s.evacuations.known() && !s.peerConfig.newerThan(c, time.Now())
 }
 
 // SetConfig takes a configuration over, unless it is older than the one in force.
--- a/sidecar/follower.go
+++ b/sidecar/follower.go
@@ -61,6 +61,10 @@
 			b.Load.LoadsAt = b.Clock + time.Until(next.start).Milliseconds()
 		}
 	}
+	if c := s.state.Config(); c != nil {
+		name := c.Name()
+		b.Config = &name
+	}
 	b.Namings = f.publisher.namings(b.Clock)
 	b.Notices = f.publisher.notices()
 	f.addCrashes(&b, s.now())
