Part a follower's bulletin into steps, and log a runner's new limit in one place

Ruled out: a change of behaviour is not meant. Measured: the tests of sidecar, bulletin and limits pass. Conclusion: for readers alone.

--- a/gateway/runner_limit.go
+++ b/gateway/runner_limit.go
@@ -20,14 +20,13 @@
 		g.limited.noteUnreported(r, now)
 	}
 	if changed {
-		g.Log.Info("limit of a runner changed", "decision", "throttle", "request", a.exchange.wire.ID, "runner", a.target.view.ID,
-			"bounded", limit.Bounded, "perSecond", limit.PerSecond)
-		g.limitChanged(r, now)
+		g.limitChanged(r, limit, now, "request", a.exchange.wire.ID)
 	}
 }
 
-// limitChanged has the runner's limit looked at, and those that wait.
-func (g *Gateway) limitChanged(r *roster.Runner, now time.Time) {
+// limitChanged records the runner's new limit, and what told it, and has it looked at, and those that wait.
+func (g *Gateway) limitChanged(r *roster.Runner, limit backpressure.Limit, now time.Time, teller string, id any) {
+	g.Log.Info("limit of a runner changed", "decision", "throttle", teller, id, "runner", r.Info().ID, "bounded", limit.Bounded, "perSecond", limit.PerSecond)
 	g.limited.noteChanged(r, now)
 	g.limited.changed.Wake()
 	g.line.changed()
@@ -44,9 +43,7 @@
 			continue
 		}
 		if r.ObserveLimit(now, g.stores.clock.toLocal(limit.Observation(), now)) {
-			g.Log.Info("limit of a runner changed", "decision", "throttle", "agent", b.Runner, "runner", limit.Runner,
-				"bounded", limit.Limit.Bounded, "perSecond", limit.Limit.PerSecond)
-			g.limitChanged(r, now)
+			g.limitChanged(r, limit.Limit, now, "agent", b.Runner)
 		}
 		if r.Limit().Limit != limit.Limit {
 			g.limited.noteUnreported(r, now) // the agent doesn't know of a later answer
--- a/sidecar/follower.go
+++ b/sidecar/follower.go
@@ -6,6 +6,7 @@
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/bulletin"
+	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/holdings"
 	"github.com/rillreach/rillreach/notify"
 	"github.com/rillreach/rillreach/permit"
@@ -38,7 +39,7 @@
 
 // next makes the next bulletin; worth says that it tells something new, or that the follower has heard nothing for long.
 func (f *follower) next() (b bulletin.Bulletin, worth bool) {
-	s := f.publisher.sidecar
+	s, now := f.publisher.sidecar, time.Now()
 	self := s.state.Roster.At(s.Settings.Runner)
 	load, at, next := f.publisher.get()
 	if self == nil || at.IsZero() {
@@ -48,38 +49,53 @@
 	if !reports(run, load) {
 		load, next = unreported(load), rollout{}
 	}
-	b = bulletin.Bulletin{
-		Runner: run.ID, Generation: run.Generation, Named: s.state.AllWeights(), Followers: int(f.publisher.followers.Load()),
-		Load: bulletin.Load{
-			Running: load.Running, Waiting: load.Waiting, Used: load.Used, Unread: load.Unread, Silent: load.Silent,
-			Loading: next.loading, Leaving: load.Leaving, Weights: load.Weights,
-		},
-	}
-	if !load.Clock.IsZero() {
-		b.Clock = load.Clock.Add(time.Since(at)).UnixMilli()
-		if !next.start.IsZero() {
-			b.Load.LoadsAt = b.Clock + time.Until(next.start).Milliseconds()
-		}
-	}
-	if c := s.state.Config(); c != nil {
-		name := c.Name()
-		b.Config = &name
-	}
-	b.Namings = f.publisher.namings(b.Clock)
-	b.Notices = f.publisher.notices()
+	b = bulletin.Bulletin{Runner: run.ID, Generation: run.Generation, Load: loadOf(load, next)}
+	tellClock(&b, load.Clock, now.Sub(at), next, now)
+	f.addState(&b)
 	f.addCrashes(&b, s.now())
-	limits := s.quotas.current(time.Now())
+	limits := s.quotas.current(now)
 	changed := f.addHolders(&b)
-	if !changed && len(b.Crashes) == 0 && f.sameLimits(limits) && f.sameLoad(&b) && sameRevisions(f.told.Notices, b.Notices) && time.Since(f.toldAt) < quietMost {
+	if !changed && len(b.Crashes) == 0 && f.sameLimits(limits) && f.sameLoad(&b) && sameRevisions(f.told.Notices, b.Notices) && now.Sub(f.toldAt) < quietMost {
 		return b, false
 	}
 	b.Permits = f.allot()
-	b.Quotas = f.allotQuotas(time.Now(), limits)
+	b.Quotas = f.allotQuotas(now, limits)
 	slim := b.Without(&f.told)
-	f.told, f.toldAt = b, time.Now()
+	f.told, f.toldAt = b, now
 	return slim, true
 }
 
+// loadOf is how the runner is, as followers are told.
+func loadOf(load deployment.Load, next rollout) bulletin.Load {
+	return bulletin.Load{
+		Running: load.Running, Waiting: load.Waiting, Used: load.Used, Unread: load.Unread, Silent: load.Silent,
+		Loading: next.loading, Leaving: load.Leaving, Weights: load.Weights,
+	}
+}
+
+// tellClock adds the runners' clock, as it was read some time ago, and the start of the next load by it; nothing where the clock is not known.
+func tellClock(b *bulletin.Bulletin, clock time.Time, ago time.Duration, next rollout, now time.Time) {
+	if clock.IsZero() {
+		return
+	}
+	b.Clock = clock.Add(ago).UnixMilli()
+	if !next.start.IsZero() {
+		b.Load.LoadsAt = b.Clock + next.start.Sub(now).Milliseconds()
+	}
+}
+
+// addState adds what the agent knows of the object store.
+func (f *follower) addState(b *bulletin.Bulletin) {
+	s := f.publisher.sidecar
+	b.Named, b.Followers = s.state.AllWeights(), int(f.publisher.followers.Load())
+	if c := s.state.Config(); c != nil {
+		name := c.Name()
+		b.Config = &name
+	}
+	b.Namings = f.publisher.namings(b.Clock)
+	b.Notices = f.publisher.notices()
+}
+
 // allot gives the follower its permits for the runner, whether that is cold or not: whoever sends to it knows that.
 func (f *follower) allot() int {
 	if f.sparse {
--- a/soak/judge_backpressure.go
+++ b/soak/judge_backpressure.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -126,7 +125,7 @@
 func (r *record) judgeLeavingTold(reached []pressed, tolds []told, add func(string, ...any)) {
 	first := map[int]time.Time{}
 	for _, t := range tolds {
-		if at, known := first[t.entry]; t.Leaving && (!known || cmp.Compare(t.at.UnixNano(), at.UnixNano()) < 0) {
+		if at, known := first[t.entry]; t.Leaving && (!known || t.at.Before(at)) {
 			first[t.entry] = t.at
 		}
 	}
