Name what resumes a begun answer in the field's words

Cause: from a reading of the diff: passes and isOwed say little, one constant stood at the end of its file, one number had no name. Ruled out: a change of behaviour is not meant. Measured: TestBegunAnswer* pass. Conclusion: for readers alone.

--- a/gateway/begun_answer.go
+++ b/gateway/begun_answer.go
@@ -14,12 +14,15 @@
 	// firstResendDelay and mostResendDelay bound the pause before a begun answer is sent on once more; it doubles with each send that no runner takes.
 	firstResendDelay = 25 * time.Millisecond
 	mostResendDelay  = 200 * time.Millisecond
-	// verdictNoBudget says that the retry budget is spent.
-	verdictNoBudget = "budget-spent"
+	// mostDoublings keeps the pause from overflowing.
+	mostDoublings = 8
+	// verdictNoBudget says that the retry budget is spent, verdictNoneInTime that no runner took the rest of a begun answer for as long as its caller stays.
+	verdictNoBudget   = "budget-spent"
+	verdictNoneInTime = "none-in-time"
 )
 
-// passes reports that what keeps a request from runners may be over soon.
-func passes(verdict string) bool {
+// isTransient reports that what keeps a request from runners may be over soon.
+func isTransient(verdict string) bool {
 	switch verdict {
 	case verdictNoRunner, verdictCold, verdictLimited, verdictResting, verdictEvacuated, verdictElsewhere, verdictBacklog, verdictNoBudget:
 		return true
@@ -28,8 +31,8 @@
 	}
 }
 
-// isOwed reports that the caller has a part of an answer that another runner can go on with.
-func (x *exchange) isOwed() bool { return x.began && x.route.Resumable }
+// canResume reports that the caller has a part of an answer that another runner can go on with.
+func (x *exchange) canResume() bool { return x.began && x.route.Resumable }
 
 // resendAt is when a begun answer may be sent on again: at once after the first send that no runner took, since another may have room.
 func (x *exchange) resendAt(now time.Time) time.Time {
@@ -39,7 +42,7 @@
 	if x.untaken < 2 {
 		return now
 	}
-	delay := firstResendDelay << min(x.untaken-2, 8)
+	delay := firstResendDelay << min(x.untaken-2, mostDoublings)
 	return now.Add(min(delay, mostResendDelay))
 }
 
@@ -57,7 +60,7 @@
 func (g *Gateway) awaitResend(ctx context.Context, x *exchange) string {
 	for {
 		verdict := g.again(ctx, x)
-		if !x.isOwed() || verdict != "" && !passes(verdict) {
+		if !x.canResume() || verdict != "" && !isTransient(verdict) {
 			return verdict
 		}
 		if verdict != "" {
@@ -75,6 +78,3 @@
 		}
 	}
 }
-
-// verdictNoneInTime says that no runner took the rest of a begun answer for as long as its caller stays.
-const verdictNoneInTime = "none-in-time"
