Judge no probe whose route has been replaced meanwhile, and keep what was written since a restore

Cause: two faults of the soak itself. Ruled out: the product: its lines are those of the operator's word in each case. Change: a probe counts only where its version is still the newest after the answer; what was written or removed since a restore is told by the objects, not by the history.

--- /dev/null
+++ b/internal/standin/site/restore_test.go
@@ -0,0 +1,45 @@
+package site
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// What was written or removed since a restore isn't overwritten by what that has lost, also where the history is dropped between.
+func TestWriteAgainKeepsWhatCameSince(t *testing.T) {
+	for name, between := range map[string]func(*Store){"": func(*Store) {}, ", and the history was dropped": (*Store).Forget} {
+		t.Run("written or removed since"+name, func(t *testing.T) {
+			s := NewStore()
+			s.Put("k", "kept", 1)
+			s.Put("k", "gone", 1)
+			older := s.Copy()
+			s.Put("k", "kept", 2)
+			s.Put("k", "gone", 2)
+			s.Put("k", "lost", 1)
+			s.Put("k", "again", 1)
+			lost := s.Copy()
+			s.Restore(older)
+			s.Put("k", "kept", 3)
+			s.Remove("k", "gone")
+			s.Put("k", "again", 2)
+			between(s)
+			s.WriteAgain(lost)
+			specs := map[string]any{}
+			for name, o := range s.objects["k"] {
+				specs[name] = o.Spec
+			}
+			assert.Equal(t, map[string]any{"kept": 3, "lost": 1, "again": 2}, specs)
+		})
+	}
+	t.Run("what was removed before is removed again", func(t *testing.T) {
+		s := NewStore()
+		s.Put("k", "a", 1)
+		older := s.Copy()
+		s.Remove("k", "a")
+		lost := s.Copy()
+		s.Restore(older)
+		s.WriteAgain(lost)
+		assert.Empty(t, s.objects["k"])
+	})
+}
--- a/soak/restore.go
+++ b/soak/restore.go
@@ -102,6 +102,9 @@
 	}
 	_, _ = io.Copy(io.Discard, resp.Body)
 	_ = resp.Body.Close()
+	if now, _ := p.world.versionBefore(time.Now()); now != version {
+		return // a newer one has taken its route's place meanwhile
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.seen = append(p.seen, probe{Entry: e.number, Version: version, Acked: acked, At: now, Status: resp.StatusCode})
