--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -201,8 +201,8 @@
 func newGateway(p *platformProcess, callers, readiness net.Listener) *gateway.Gateway {
 	return &gateway.Gateway{
 		Settings: p.settings, Configs: platform.Configs(p.store), Runners: platform.Runners(p.store), Weights: platform.DesiredWeights(p.store),
-		Evacuations: platform.Evacuations(p.store),
-		Callers:     callers, Readiness: readiness, Log: p.log, Metrics: p.metrics,
+		Evacuations: platform.Evacuations(p.store), Rollouts: platform.Rollouts(p.store), RolloutRecorder: p.store,
+		Callers: callers, Readiness: readiness, Log: p.log, Metrics: p.metrics,
 	}
 }
 
--- a/deployment/runner.go
+++ b/deployment/runner.go
@@ -32,6 +32,8 @@
 	ColdUntil     time.Time
 	// Weights maps each loaded model to the version of its weights.
 	Weights map[rillreach.ModelID]WeightVersion
+	// Software is the version of the runner's software.
+	Software SoftwareVersion
 }
 
 // Run returns the run that the record describes.
--- a/deployment/settings.go
+++ b/deployment/settings.go
@@ -32,6 +32,9 @@
 	SlowStartSlack  float64
 	// WeightsRollout is the time within which newly requested weights are in use.
 	WeightsRollout time.Duration `json:"Weights"`
+	// VersionExposure is the share of a service's requests that a bad software version may get during its rollout. It is
+	// zero if the deployment does not support rollouts of software.
+	VersionExposure float64
 }
 
 // Settings are the settings that the platform gives a process at its start. Operators read them, and the bounds, as JSON
--- a/deployment/settings_test.go
+++ b/deployment/settings_test.go
@@ -27,7 +27,7 @@
 	})
 	t.Run("bounds", func(t *testing.T) {
 		assert.ElementsMatch(t, []string{
-			"Contact", "RunnerStop", "Grace", "RetryRatio", "RetryWindow", "RetrySlack", "Evacuation", "SlowStartOver", "SlowStartSlack", "Weights",
+			"Contact", "RunnerStop", "Grace", "RetryRatio", "RetryWindow", "RetrySlack", "Evacuation", "SlowStartOver", "SlowStartSlack", "Weights", "VersionExposure",
 		}, keys(Bounds{}))
 	})
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -218,6 +218,9 @@
 	if cause == causeRunnerEnded {
 		a.recordCrash()
 	}
+	if cause.isRunnersFault() {
+		g.rollouts.recordAnswer(a, true)
+	}
 	now := time.Now()
 	if t.cancelled.Load() {
 		x.reason = errStartTooLate.Error()
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -30,6 +30,11 @@
 	causeUnreadableAnswer failureCause = "unreadable-answer"
 )
 
+// isRunnersFault reports whether the runner itself ended the attempt without a complete answer.
+func (c failureCause) isRunnersFault() bool {
+	return c == causeRunnerEnded || c == causeConnectionClosed || c == causeUnreadableAnswer
+}
+
 // The reasons for which the entry cancels an attempt, other than the request's deadline.
 var (
 	errSecondAttemptAnswers   = errors.New("replaced by a second attempt")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,6 +76,10 @@
 	// Evacuations is the source of evacuated zones, whose runners must get no requests. It is followed if the settings
 	// bound how soon an evacuation is in force.
 	Evacuations rillreach.Source[rillreach.ZoneID]
+	// Rollouts is the source of the requested rollouts of software versions, and RolloutRecorder records their states.
+	// They are followed if the settings bound the exposure to a bad version.
+	Rollouts        rillreach.Source[*deployment.Rollout]
+	RolloutRecorder RolloutRecorder
 	// Callers and Readiness are the listeners for callers and for the load balancer's readiness checks.
 	Callers   net.Listener
 	Readiness net.Listener
@@ -88,6 +92,7 @@
 	state         localstate.State
 	relays        notify.Tracker
 	localServices localServices
+	rollouts      rolloutController
 	cache         cacheState
 	// prefillSizes averages the tokens that requests have runners prefill, and requestSizes the tokens of KV cache
 	// that they take there.
@@ -137,6 +142,7 @@
 	g.refreshRunners = make(chan struct{}, 1)
 	g.suspects.TrialOffset = time.Duration(hash.String(g.Settings.Name) % uint64(maxTrialOffset))
 	g.queue = newAdmissionQueue(g)
+	g.rollouts.gateway = g
 	if g.Clock == nil {
 		g.Clock = node.SystemClock()
 	}
@@ -180,6 +186,10 @@
 	if g.Settings.Bounds.ZoneEvacuation > 0 {
 		controllers = append(controllers, g.state.EvacuationsFollower(g.Evacuations, g.evacuationsWatchWait()))
 	}
+	if g.Settings.Bounds.VersionExposure > 0 {
+		g.rollouts.recorder = g.RolloutRecorder
+		controllers = append(controllers, g.state.RolloutsFollower(g.Rollouts, g.watchWait()), &g.rollouts)
+	}
 	return controller.Run(runCtx, g.Log, controllers...)
 }
 
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -36,6 +36,16 @@
 
 // findOptions examines all runners of the request's service. The cost of the prompt at each is added by planCandidate.
 func (g *Gateway) findOptions(x *exchange, views *runnerViews, now time.Time) *options {
+	filter := g.rollouts.filterFor(x, views.forService(x.service.Name), now)
+	o := g.findOptionsAmong(x, views, filter, now)
+	if len(o.views) == 0 && !filter.strict && filter.target != "" {
+		return g.findOptionsAmong(x, views, versionFilter{}, now)
+	}
+	return o
+}
+
+// findOptionsAmong is findOptions for the runners that the filter does not exclude.
+func (g *Gateway) findOptionsAmong(x *exchange, views *runnerViews, filter versionFilter, now time.Time) *options {
 	o := &options{request: g.placeRequest(x), versions: map[deployment.WeightVersion]*versionState{}}
 	g.paceColdPermits(x, now)
 	group := views.forService(x.service.Name)
@@ -48,6 +58,10 @@
 	evacuations := g.state.Evacuations()
 	for i := range group.views {
 		v := &group.views[i]
+		if filter.excludes(v) {
+			o.exclusions.otherVersion++
+			continue
+		}
 		if o.exclusions.add(v, evacuations.Has(v.Zone), !g.allowsZone(x, v.Zone), x.needsEngine()) {
 			continue
 		}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -31,6 +31,7 @@
 		t.runner.SetWeights(x.wire.Prompt.Model, a.headers.Weights)
 	}
 	status := a.answer.Head.StatusCode
+	g.rollouts.recordAnswer(a, status >= minFailureStatus)
 	// A runner that asks for backoff says itself for how long to send it no requests.
 	if status >= minFailureStatus && a.headers.RetryAfter == 0 {
 		failureRate := t.runner.RecordFailure(time.Now())
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -126,8 +126,8 @@
 			Bounds: deployment.Bounds{GracePeriod: 8 * time.Second, RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 100},
 		},
 		Configs: platform.Configs(client), Runners: platform.Runners(client), Weights: platform.DesiredWeights(client),
-		Evacuations: platform.Evacuations(client),
-		Callers:     callers, Readiness: readiness, Log: testLogger(t), Metrics: metrics,
+		Evacuations: platform.Evacuations(client), Rollouts: platform.Rollouts(client), RolloutRecorder: client,
+		Callers: callers, Readiness: readiness, Log: testLogger(t), Metrics: metrics,
 	}
 	change(w.gateway.Settings)
 	w.callerAddress, w.readinessAddress = callers.Addr().String(), readiness.Addr().String()
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -142,6 +142,8 @@
 	}
 	kind, name, hasName := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
 	switch {
+	case r.Method == http.MethodPut:
+		s.putStatus(w, r, kind, strings.TrimSuffix(name, "/status"))
 	case r.URL.Query().Has("watch"):
 		s.watch(w, r, kind)
 	case hasName:
@@ -162,6 +164,38 @@
 	writeJSON(w, o)
 }
 
+// putStatus replaces the status of an object, unless the object has another revision than the call names.
+func (s *Store) putStatus(w http.ResponseWriter, r *http.Request, kind, name string) {
+	var update object
+	if err := json.NewDecoder(r.Body).Decode(&update); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[kind][name]
+	switch {
+	case !ok:
+		w.WriteHeader(http.StatusNotFound)
+		return
+	case update.Metadata.Revision != 0 && update.Metadata.Revision != o.Metadata.Revision:
+		w.WriteHeader(http.StatusConflict)
+	default:
+		s.revision++
+		o.Metadata.Revision, o.Status = s.revision, update.Status
+		s.objects[kind][name] = o
+		s.appendEvent(event{kind: kind, Object: o})
+	}
+	writeJSON(w, o)
+}
+
+// Status returns the status of an object, or nil if it has none.
+func (s *Store) Status(kind, name string) any {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.objects[kind][name].Status
+}
+
 func (s *Store) list(w http.ResponseWriter, r *http.Request, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/localstate/state.go
+++ b/localstate/state.go
@@ -60,6 +60,7 @@
 	unknownServiceRunners map[rillreach.InstanceID]deployment.Runner
 
 	evacuations    evacuationState
+	rollouts       rolloutState
 	removedRunners removedRunners
 	peerConfig     peerConfig
 
@@ -106,12 +107,12 @@
 	return all
 }
 
-// HasSynced reports whether the configuration, the runners and, if they are followed, the evacuated zones are
-// known. A configuration that is older than that of the peers does not count for a short time: this process was
+// HasSynced reports whether the configuration, the runners and, if they are followed, the evacuated zones and the
+// rollouts are known. A configuration that is older than that of the peers does not count for a short time: this process was
 // started after the store had lost the newer one.
 func (s *State) HasSynced() bool {
 	c := s.config.Load()
-	return c != nil && s.runnersListed.Load() && s.evacuations.synced() && !s.peerConfig.newerThan(c, time.Now())
+	return c != nil && s.runnersListed.Load() && s.evacuations.synced() && s.rollouts.synced() && !s.peerConfig.newerThan(c, time.Now())
 }
 
 // SetConfig puts a configuration in force unless it is older than the current one.
