--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -96,9 +96,6 @@
 
 // respond sends the entry's own answer, as opposed to a runner's.
 func (g *Gateway) respond(x *exchange, status int, reason string, retryAfter time.Duration) {
-	if x.route != nil {
-		x.extendWriteDeadline()
-	}
 	h := x.writer.Header()
 	g.setConnectionClose(h)
 	platform.SetRequestID(h, x.wire.ID)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -22,9 +22,6 @@
 	relayBufferSize = 8 << 10
 	// minFailureStatus is the lowest HTTP status that counts as a failure of the runner.
 	minFailureStatus = 500
-	// minCallerStall is the shortest time for which a caller may take nothing of its answer before its connection is
-	// closed. Until then the entry holds the rest of the answer in memory.
-	minCallerStall = 5 * time.Second
 )
 
 // relay forwards the runner's answer to the caller, and reports whether the request is finished.
@@ -84,7 +81,6 @@
 	}
 	h := g.beginAnswer(x, a.answer)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	x.extendWriteDeadline()
 	x.writer.WriteHeader(status)
 	if _, err := x.writer.Write(body); err != nil {
 		g.Log.Info("cannot write answer to caller", "decision", "drop", "request", x.wire.ID, "cause", err.Error())
@@ -129,9 +125,9 @@
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	x.writer.WriteHeader(a.answer.Head.StatusCode)
-	_, err := x.Write(prefix)
+	_, err := x.writer.Write(prefix)
 	if err == nil {
-		_, err = io.Copy(x, a)
+		_, err = io.Copy(x.writer, a)
 	}
 	if err != nil {
 		a.recordCrashOnReadError()
@@ -225,24 +221,12 @@
 }
 
 func (x *exchange) write(part []byte) error {
-	if _, err := x.Write(part); err != nil {
+	if _, err := x.writer.Write(part); err != nil {
 		return err
 	}
 	return http.NewResponseController(x.writer).Flush()
 }
 
-// Write sends part of the answer to the caller. It fails if the caller takes nothing of it for too long.
-func (x *exchange) Write(part []byte) (int, error) {
-	x.extendWriteDeadline()
-	return x.writer.Write(part)
-}
-
-// extendWriteDeadline gives the caller time to take the next part of its answer.
-func (x *exchange) extendWriteDeadline() {
-	// The HTTP server resets the deadline after the answer. An error means that the connection is closed already.
-	_ = http.NewResponseController(x.writer).SetWriteDeadline(time.Now().Add(max(minCallerStall, x.route.CallerIdleTimeout())))
-}
-
 // abortAnswer closes the connection of an answer that cannot be completed, so that the caller does not take it for a
 // complete one.
 func (g *Gateway) abortAnswer(x *exchange, t *target, cause error) {
