--- a/gateway/agents.go
+++ b/gateway/agents.go
@@ -131,6 +131,23 @@
 	return sampled
 }
 
+// followedRunners returns the runners of a service whose agents the entry follows.
+func (g *Gateway) followedRunners(service rillreach.ServiceID) []*roster.Runner {
+	if g.agents == nil {
+		return nil
+	}
+	a := g.agents
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var runners []*roster.Runner
+	for _, f := range a.following {
+		if r := g.state.Roster.ByAddress(f.subscription.runner); r != nil && r.Info().Service == service {
+			runners = append(runners, r)
+		}
+	}
+	return runners
+}
+
 // liveAgents returns the agents that have sent a bulletin recently.
 func (a *agentFollower) liveAgents(now time.Time) []netip.AddrPort {
 	a.mu.Lock()
--- a/gateway/choose_bench_test.go
+++ b/gateway/choose_bench_test.go
@@ -74,7 +74,7 @@
 
 // BenchmarkChooseWithRoom measures one decision on a prompt, without and with holders of its parts.
 func BenchmarkChooseWithRoom(b *testing.B) {
-	for _, engines := range []int{9, 52, 300} {
+	for _, engines := range []int{9, 52, 300, 625, 4200} {
 		for _, held := range []bool{false, true} {
 			b.Run(fmt.Sprintf("%d engines, parts held %t", engines, held), func(b *testing.B) {
 				g, x := gatewayWithEngines(engines)
--- a/gateway/choose_test.go
+++ b/gateway/choose_test.go
@@ -1,18 +1,24 @@
 package gateway
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/roster"
 )
 
 // Guards against a decision whose cost grows with the number of engines times the number of holders of the prompt's
 // parts. It must grow with the number of engines only.
 func TestDecisionCostGrowsWithHolders(t *testing.T) {
 	const (
-		engines   = 300
+		engines   = maxExamined
 		perEngine = 5 // memory allocations
 	)
 	g, x := gatewayWithEngines(engines)
@@ -26,6 +32,93 @@
 	assert.LessOrEqual(t, allocs, float64(perEngine*engines))
 }
 
+// Guards against decisions that examine all engines of a large service, so that their cost grows with the deployment.
+func TestDecisionExaminesAllEngines(t *testing.T) {
+	examined := func(engines int) int {
+		g, x := gatewayWithEngines(engines)
+		views := g.viewsAt(time.Now())
+		o := g.findOptions(x, views, views.now)
+		require.NotEmpty(t, o.views)
+		return max(len(views.byRunner), len(o.views))
+	}
+	assert.Equal(t, 10, examined(10))
+	assert.Equal(t, 30, examined(30))
+	for _, engines := range []int{100, 300, 900} {
+		assert.LessOrEqual(t, examined(engines), 21, "%d engines", engines)
+	}
+}
+
+func TestHomes(t *testing.T) {
+	homesOf := func(g *Gateway, x *exchange) []rillreach.InstanceID {
+		var ids []rillreach.InstanceID
+		group := g.viewsAt(time.Now()).forRequest(x)
+		for _, v := range group.views[:group.homes] {
+			ids = append(ids, v.ID)
+		}
+		return ids
+	}
+	t.Run("all entries place a conversation at the same engines", func(t *testing.T) {
+		a, x := gatewayWithEngines(100)
+		b, _ := gatewayWithEngines(100)
+		b.Settings.Name, b.Settings.Zone = "other", "z1"
+		assert.Equal(t, homesOf(a, x), homesOf(b, x))
+	})
+	t.Run("the first home that has room is chosen", func(t *testing.T) {
+		g, x := gatewayWithEngines(100)
+		now := time.Now()
+		for _, r := range g.state.Roster.ByService("s") {
+			r.SetReport(roster.Report{ReceivedAt: now.Add(2 * time.Hour)})
+		}
+		o := g.findOptions(x, g.viewsAt(now), now)
+		choice, _ := g.chooseWithRoom(x, o, roomQuery{senders: 1}, now)
+		assert.Equal(t, homesOf(g, x)[0], o.views[choice.Index].ID)
+	})
+	t.Run("another engine takes the place of a home that loads weights", func(t *testing.T) {
+		g, x := gatewayWithEngines(100)
+		before := homesOf(g, x)
+		g.state.Roster.Find(before[0]).SetReport(roster.Report{ReceivedAt: time.Now().Add(2 * time.Hour), Load: deployment.Load{LoadingWeights: true}})
+		after := homesOf(g, x)
+		assert.Equal(t, before[1:], after[:len(before)-1])
+		assert.Len(t, after, homeCandidates)
+	})
+	t.Run("a conversation stays where it is when another engine leaves", func(t *testing.T) {
+		g, x := gatewayWithEngines(100)
+		before := homesOf(g, x)
+		for _, r := range g.state.Roster.ByService("s") {
+			if id := r.Info().ID; !slices.Contains(before, id) {
+				g.state.Roster.Remove(time.Now(), id, time.Time{})
+				break
+			}
+		}
+		assert.Equal(t, before, homesOf(g, x))
+	})
+}
+
+// Guards against an entry that follows all agents, so that connections and messages grow with entries times agents.
+func TestSubscriptionsGrowWithAgents(t *testing.T) {
+	followed := func(engines int) int {
+		g, _ := gatewayWithEngines(engines)
+		groups := g.sampleGroups(map[rillreach.ServiceID][]*roster.Runner{"s": g.state.Roster.ByService("s")})
+		return len(groups["s"])
+	}
+	for _, engines := range []int{30, 100, 900} {
+		assert.LessOrEqual(t, followed(engines), maxFollowed)
+	}
+	t.Run("the agents of a zone have about as many followers each", func(t *testing.T) {
+		g, _ := gatewayWithEngines(300)
+		followers := map[rillreach.InstanceID]int{}
+		for i := range 100 {
+			g.Settings.Name = fmt.Sprint("entry-", i)
+			for _, r := range g.sampleGroups(map[rillreach.ServiceID][]*roster.Runner{"s": g.state.Roster.ByService("s")})["s"] {
+				followers[r.Info().ID]++
+			}
+		}
+		for _, n := range followers {
+			assert.LessOrEqual(t, n, 4*100*maxFollowed/100)
+		}
+	})
+}
+
 // Guards against a plan in which an engine that holds a part is its own fallback holder.
 func TestEngineFetchesFromItself(t *testing.T) {
 	g, x := gatewayWithEngines(10)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,6 +90,7 @@
 
 	state         localstate.State
 	localServices localServices
+	homes         homeRing
 	rollouts      rolloutController
 	agents        *agentFollower
 	cache         cacheState
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -95,7 +95,7 @@
 	case len(o.views) == 0:
 		return choice
 	case x.needsEngine():
-		choice, _ = g.chooseWithRoom(x, o, roomQuery{senders: g.budgets.Entries()}, now)
+		choice, _ = g.chooseWithRoom(x, o, roomQuery{senders: g.concurrentSenders(x.service.Name)}, now)
 	default:
 		choice = place.Choose(o.request, o.candidates, g.offset(len(o.views)))
 	}
--- a/gateway/kept.go
+++ b/gateway/kept.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"iter"
 	"net/netip"
 	"slices"
 	"time"
@@ -66,12 +67,28 @@
 	}
 	g.addStores(x, p, now)
 	for _, part := range p.sharedParts {
-		holders := g.cache.index.Holders(holdings.Key{Salt: p.salt, Part: part.ID})
+		holders := g.cache.index.HoldersAmong(holdings.Key{Salt: p.salt, Part: part.ID}, p.addresses(views))
 		p.holders = append(p.holders, holders)
 	}
 	return p
 }
 
+// addresses returns the addresses of the given runners and of the usable stores.
+func (p *promptState) addresses(views []*roster.View) iter.Seq[netip.AddrPort] {
+	return func(yield func(netip.AddrPort) bool) {
+		for _, v := range views {
+			if !yield(v.Address) {
+				return
+			}
+		}
+		for address, loc := range p.locations {
+			if loc.isStore && !yield(address) {
+				return
+			}
+		}
+	}
+}
+
 // addStores adds the locations of the usable stores, and sets the fetch deadline.
 func (g *Gateway) addStores(x *exchange, p *promptState, now time.Time) {
 	clock, known := g.cache.clock.estimate(now)
@@ -98,12 +115,16 @@
 // the runner itself is the nearest.
 const maxNearestHolders = 2
 
-// plan returns how the runner would obtain the shared parts.
-func (p *promptState) plan(v *roster.View) fetch.Plan {
+// plan returns how the runner would obtain the shared parts. The first home of a conversation is taken to have the parts that
+// a store has, since the requests that had them saved ran there; a store is named in case it has evicted them.
+func (p *promptState) plan(v *roster.View, firstHome bool) fetch.Plan {
 	parts := make([]fetch.Part, len(p.holders))
 	nearest := p.nearestTo(v.Zone)
 	for i, holders := range p.holders {
 		parts[i] = fetch.Part{Tokens: p.sharedParts[i].Tokens, LocalTokens: holders[v.Address], Holders: withoutAddress(nearest[i], v.Address)}
+		if firstHome && len(holders) > 0 {
+			parts[i].LocalTokens = parts[i].Tokens
+		}
 	}
 	plan := fetch.NewPlan(p.engine, parts, p.budget)
 	if len(p.holders) == 0 {
--- a/gateway/line.go
+++ b/gateway/line.go
@@ -208,7 +208,7 @@
 		return decision{verdict: o.exclusions.setRefusal(x)}, true
 	}
 	q.mostEnginesCold = o.mostlyCold()
-	choice, mostFree := g.chooseWithRoom(x, o, roomQuery{reserved: reserved, senders: q.senders(reserved), idleOnly: w.request.Deprioritized(now)}, now)
+	choice, mostFree := g.chooseWithRoom(x, o, roomQuery{reserved: reserved, senders: q.senders(x, reserved), idleOnly: w.request.Deprioritized(now)}, now)
 	switch {
 	case choice.Index >= 0:
 		t := g.assign(x, o, choice, now)
@@ -227,9 +227,9 @@
 }
 
 // senders returns the number of entries assumed to send at the same time.
-func (q *admissionQueue) senders(reserved map[*roster.Runner]bool) int {
+func (q *admissionQueue) senders(x *exchange, reserved map[*roster.Runner]bool) int {
 	if reserved == nil {
 		return 1 // no requests wait here
 	}
-	return q.gateway.budgets.Entries()
+	return q.gateway.concurrentSenders(x.service.Name)
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -23,6 +23,8 @@
 	// plans holds the fetch plans of the candidates for which planCandidate was called.
 	plans    []fetch.Plan
 	versions map[deployment.WeightVersion]*versionState
+	// firstHome is the first home of the conversation that can be used; nil if all runners are examined.
+	firstHome *roster.View
 	// exclusions counts the runners that may not take the request.
 	exclusions exclusions
 }
@@ -36,19 +38,19 @@
 
 // findOptions examines all runners of the request's service. The cost of the prompt at each is added by planCandidate.
 func (g *Gateway) findOptions(x *exchange, views *runnerViews, now time.Time) *options {
-	filter := g.rollouts.filterFor(x, views.forService(x.service.Name), now)
-	o := g.findOptionsAmong(x, views, filter, now)
+	group := views.forRequest(x)
+	filter := g.rollouts.filterFor(x, group, now)
+	o := g.findOptionsAmong(x, group, filter, now)
 	if len(o.views) == 0 && !filter.strict && filter.target != "" {
-		return g.findOptionsAmong(x, views, versionFilter{}, now)
+		return g.findOptionsAmong(x, group, versionFilter{}, now)
 	}
 	return o
 }
 
 // findOptionsAmong is findOptions for the runners that the filter does not exclude.
-func (g *Gateway) findOptionsAmong(x *exchange, views *runnerViews, filter versionFilter, now time.Time) *options {
+func (g *Gateway) findOptionsAmong(x *exchange, group *serviceViews, filter versionFilter, now time.Time) *options {
 	o := &options{request: g.placeRequest(x), versions: map[deployment.WeightVersion]*versionState{}}
 	g.paceColdPermits(x, now)
-	group := views.forService(x.service.Name)
 	o.views = make([]*roster.View, 0, len(group.views))
 	o.runners = make([]*roster.Runner, 0, len(group.views))
 	o.candidates = make([]place.Candidate, 0, len(group.views))
@@ -56,8 +58,7 @@
 	conversation := hash.String(conversationID(x))
 	meanPrefill := g.prefillSizes.mean()
 	evacuations := g.state.Evacuations()
-	for i := range group.views {
-		v := &group.views[i]
+	for i, v := range group.views {
 		if filter.excludes(v) {
 			o.exclusions.otherVersion++
 			continue
@@ -72,6 +73,12 @@
 		c := g.newCandidate(x, v, conversation, meanPrefill)
 		c.OldWeights = x.needsEngine() && sinceReplaced(state.startWindow, now) > oldWeightsGrace
 		c.Tried = slices.Contains(tried, v.ID)
+		if distance, sampled := group.distance(i); sampled {
+			c.HashDistance = distance
+		}
+		if group.isFirstHome(i) {
+			o.firstHome = v
+		}
 		o.views = append(o.views, v)
 		o.runners = append(o.runners, group.runners[i])
 		o.candidates = append(o.candidates, c)
@@ -152,7 +159,7 @@
 	if state.prompt == nil {
 		state.prompt = g.lookUpPrompt(x, weightVersion(x, v), o.views, now)
 	}
-	o.plans[i] = state.prompt.plan(v)
+	o.plans[i] = state.prompt.plan(v, v == o.firstHome)
 	applyPlan(&o.candidates[i], x.wire.Prompt, &o.plans[i])
 }
 
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -216,15 +216,15 @@
 
 // hasOtherVersion reports whether the service has a runner with another version than the given one.
 func (s *serviceViews) hasOtherVersion(version deployment.SoftwareVersion) bool {
-	return slices.ContainsFunc(s.views, func(v roster.View) bool { return v.Software != version && !v.Leaving })
+	return slices.ContainsFunc(s.views, func(v *roster.View) bool { return v.Software != version && !v.Leaving })
 }
 
 // canaryRunners returns the runners that serve the canary: as many as give each about the load that it has after the
 // rollout, since a version may be bad only under load.
 func (s *serviceViews) canaryRunners(target deployment.SoftwareVersion, exposure float64) []rillreach.InstanceID {
 	var ids []rillreach.InstanceID
-	for i := range s.views {
-		if v := &s.views[i]; v.Software == target && v.Denied == "" {
+	for _, v := range s.views {
+		if v.Software == target && v.Denied == "" {
 			ids = append(ids, v.ID)
 		}
 	}
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/admission"
 	"github.com/rillreach/rillreach/place"
 	"github.com/rillreach/rillreach/roster"
@@ -57,6 +58,16 @@
 	return slices.ContainsFunc(o.candidates, func(c place.Candidate) bool { return c.Preferred() })
 }
 
+// concurrentSenders returns the number of entries assumed to send to the same engine at the same time. In a large service,
+// an entry considers only a few engines for a request.
+func (g *Gateway) concurrentSenders(service rillreach.ServiceID) int {
+	entries, engines := g.budgets.Entries(), len(g.state.Roster.ByService(service))
+	if engines <= maxExamined {
+		return entries
+	}
+	return 1 + entries*(homeCandidates+maxFollowed)/engines
+}
+
 // engineState returns the load of an engine according to its report or, without a recent one, to this entry's own
 // requests.
 func (g *Gateway) engineState(o *options, i, senders int) admission.EngineState {
@@ -64,7 +75,7 @@
 	if !v.ReportFresh {
 		// All entries see a runner that has just started as empty, so each assumes that the others send as much as
 		// itself.
-		entries := g.budgets.Entries()
+		entries := g.concurrentSenders(v.Service)
 		queuedPrefill := time.Duration(v.QueuedPrefillTokens*entries) * o.request.Latency.PerToken
 		return admission.EngineState{Capacity: c.Capacity, UsedTokens: v.UsedTokens * entries, QueuedPrefill: queuedPrefill}
 	}
--- a/gateway/runner_views.go
+++ b/gateway/runner_views.go
@@ -4,38 +4,102 @@
 	"time"
 
 	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/internal/hash"
 	"github.com/rillreach/rillreach/roster"
 )
 
 // runnerViews caches copies of the runners' state at one moment. All waiting requests are decided on with the same
 // copies, since with hundreds of runners making them costs more than the decisions.
 type runnerViews struct {
-	roster    *roster.Roster
+	gateway   *Gateway
 	now       time.Time
+	byRunner  map[*roster.Runner]*roster.View
 	byService map[rillreach.ServiceID]*serviceViews
 }
 
-// serviceViews holds the runners of one service, in matching order.
+// serviceViews holds the runners of one service that a decision examines.
 type serviceViews struct {
 	runners []*roster.Runner
-	views   []roster.View
+	views   []*roster.View
+	// homes is the number of runners, from the first, that are the homes of the request's conversation in order of
+	// preference. It is zero if all runners are examined.
+	homes int
 }
 
 // viewsAt returns an empty cache for the given moment.
 func (g *Gateway) viewsAt(now time.Time) *runnerViews {
-	return &runnerViews{roster: &g.state.Roster, now: now, byService: map[rillreach.ServiceID]*serviceViews{}}
+	return &runnerViews{gateway: g, now: now, byRunner: map[*roster.Runner]*roster.View{}, byService: map[rillreach.ServiceID]*serviceViews{}}
 }
 
-// forService returns the runners of a service and copies their state on the first call.
-func (r *runnerViews) forService(service rillreach.ServiceID) *serviceViews {
+// view returns the copy of a runner's state, which is made on the first call.
+func (r *runnerViews) view(runner *roster.Runner) *roster.View {
+	v := r.byRunner[runner]
+	if v == nil {
+		copied := runner.View(r.now)
+		v = &copied
+		r.byRunner[runner] = v
+	}
+	return v
+}
+
+// forRequest returns the runners that a decision on the request examines: all of a small service, and of a large one the
+// usable homes of the conversation and the runners whose agents this entry follows.
+func (r *runnerViews) forRequest(x *exchange) *serviceViews {
+	service := x.service.Name
 	if group := r.byService[service]; group != nil {
 		return group
 	}
-	group := &serviceViews{runners: r.roster.ByService(service)}
-	group.views = make([]roster.View, len(group.runners))
-	for i, runner := range group.runners {
-		group.views[i] = runner.View(r.now)
+	all := r.gateway.state.Roster.ByService(service)
+	if len(all) > maxExamined {
+		return r.sample(x)
+	}
+	group := &serviceViews{runners: all, views: make([]*roster.View, len(all))}
+	copies := make([]roster.View, len(all))
+	for i, runner := range all {
+		copies[i] = runner.View(r.now)
+		group.views[i] = &copies[i]
 	}
 	r.byService[service] = group
 	return group
 }
+
+// sample returns the runners of a large service that a decision examines.
+func (r *runnerViews) sample(x *exchange) *serviceViews {
+	g, group := r.gateway, &serviceViews{}
+	var others []*roster.Runner
+	for _, runner := range g.homes.homes(&g.state.Roster, x.service.Name, hash.String(conversationID(x))) {
+		if v := r.view(runner); group.homes < homeCandidates && v.Denied == "" && !isAvoided(v) {
+			group.add(runner, v)
+			group.homes++
+			continue
+		}
+		others = append(others, runner)
+	}
+	for _, runner := range append(g.followedRunners(x.service.Name), others...) {
+		group.add(runner, r.view(runner))
+	}
+	return group
+}
+
+// add adds a runner unless it has been added before.
+func (s *serviceViews) add(runner *roster.Runner, v *roster.View) {
+	for _, added := range s.runners {
+		if added == runner {
+			return
+		}
+	}
+	s.runners = append(s.runners, runner)
+	s.views = append(s.views, v)
+}
+
+// distance returns the distance of the runner with an index from the conversation, from 0 for its first home to 1, and
+// false if the runners are not a sample.
+func (s *serviceViews) distance(i int) (float64, bool) {
+	if s.homes == 0 {
+		return 0, false
+	}
+	return min(1, float64(i)/homeCandidates), true
+}
+
+// isFirstHome reports whether the runner with an index is the conversation's first home that can be used.
+func (s *serviceViews) isFirstHome(i int) bool { return s.homes > 0 && i == 0 }
--- a/holdings/index.go
+++ b/holdings/index.go
@@ -1,6 +1,7 @@
 package holdings
 
 import (
+	"iter"
 	"net/netip"
 	"sync"
 
@@ -100,6 +101,20 @@
 	return holders
 }
 
+// HoldersAmong returns the number of tokens of a part that each of the given holders has. Those that have none are left
+// out.
+func (x *Index) HoldersAmong(key Key, among iter.Seq[netip.AddrPort]) map[netip.AddrPort]int {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	all, holders := x.byKey[key], map[netip.AddrPort]int{}
+	for holder := range among {
+		if tokens := all[holder]; tokens > 0 {
+			holders[holder] = tokens
+		}
+	}
+	return holders
+}
+
 // TotalTokens returns the number of tokens that a holder has across all parts.
 func (x *Index) TotalTokens(holder netip.AddrPort) int {
 	x.mu.RLock()
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -22,6 +22,8 @@
 	// are no longer listed.
 	latestGenerations map[rillreach.InstanceID]rillreach.Generation
 	completeAt        time.Time
+	// version increases whenever a runner is listed or delisted, or its service or address changes.
+	version uint64
 	// unsortedServices holds the services to be sorted at the end of Replace; nil outside of it.
 	unsortedServices map[rillreach.ServiceID]bool
 }
@@ -170,6 +172,7 @@
 
 // addToIndexes adds a runner to the indexes by service and by address.
 func (r *Roster) addToIndexes(runner *Runner, info *deployment.Runner) {
+	r.version++
 	r.addToService(runner, info)
 	r.byAddress[info.Address] = append(r.byAddress[info.Address], runner)
 	r.resolveAddress(info.Address)
@@ -177,6 +180,7 @@
 
 // removeFromIndexes removes a runner from the indexes by service and by address.
 func (r *Roster) removeFromIndexes(runner *Runner, info *deployment.Runner) {
+	r.version++
 	same := func(other *Runner) bool { return other == runner }
 	r.byService[info.Service] = slices.DeleteFunc(slices.Clone(r.byService[info.Service]), same)
 	r.byAddress[info.Address] = slices.DeleteFunc(r.byAddress[info.Address], same)
@@ -240,6 +244,13 @@
 	return len(r.byID)
 }
 
+// Version returns a counter that changes whenever a result of ByService may.
+func (r *Roster) Version() uint64 {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.version
+}
+
 // CompleteAt returns when the list was last known to be complete.
 func (r *Roster) CompleteAt() time.Time {
 	r.mu.RLock()
