--- a/replica/decide.go
+++ b/replica/decide.go
@@ -15,7 +15,7 @@
 	decisionInterval = time.Second
 	// registrationDelay is how long a process of a deployment that is being started waits before it reads the list for the
 	// first time, since runners register with their first heartbeat.
-	registrationDelay = 2 * time.Second
+	registrationDelay = 3500 * time.Millisecond
 	// decisionRetryDelay is the pause after a failed call.
 	decisionRetryDelay = 300 * time.Millisecond
 	// settledTime is how long the number of agents must not have changed while a deployment starts.
--- a/sidecar/feed.go
+++ b/sidecar/feed.go
@@ -46,8 +46,9 @@
 	tick        uint64
 	// encoded caches the digests of the current tick by what the subscribers know.
 	encoded map[digestKey][]byte
-	// entries are the entries that were subscribed lately, with the time until which they count.
-	entries map[rillreach.InstanceID]time.Time
+	// entries counts the subscriptions of each entry, and departed holds until when those that have left still count.
+	entries  map[rillreach.InstanceID]int
+	departed map[rillreach.InstanceID]time.Time
 
 	// agents and relays are what the feed follows, by address and by zone. Only reconcile uses them.
 	agents map[netip.AddrPort]context.CancelFunc
@@ -99,12 +100,15 @@
 
 // countEntries returns the number of entries that were subscribed lately. The lock must be held.
 func (f *feed) countEntries(now time.Time) int {
-	for name, until := range f.entries {
+	count := len(f.entries)
+	for name, until := range f.departed {
 		if now.After(until) {
-			delete(f.entries, name)
+			delete(f.departed, name)
+		} else if f.entries[name] == 0 {
+			count++
 		}
 	}
-	return len(f.entries)
+	return count
 }
 
 // reconcile follows the agents of the zone and a relay of each other zone, or nobody while the feed is not in use.
@@ -200,10 +204,10 @@
 	defer f.mu.Unlock()
 	f.subscribers++
 	if f.entries == nil {
-		f.entries = map[rillreach.InstanceID]time.Time{}
+		f.entries, f.departed = map[rillreach.InstanceID]int{}, map[rillreach.InstanceID]time.Time{}
 	}
-	if !request.Relay && request.Zone == f.table.Zone {
-		f.entries[request.Name] = time.Now().Add(24 * time.Hour) // leave sets the actual end
+	if !request.Relay { // an entry of a zone without relays counts here, too
+		f.entries[request.Name]++
 	}
 	f.sidecar.Log.Info("subscriber of digests connected", "decision", "relay", "subscriber", request.Name, "relay", request.Relay, "subscribers", f.subscribers)
 }
@@ -214,8 +218,11 @@
 	defer f.mu.Unlock()
 	f.subscribers--
 	f.usedAt = time.Now()
-	if _, ok := f.entries[request.Name]; ok {
-		f.entries[request.Name] = f.usedAt.Add(subscriberTTL)
+	if !request.Relay {
+		f.departed[request.Name] = f.usedAt.Add(subscriberTTL)
+		if f.entries[request.Name]--; f.entries[request.Name] <= 0 {
+			delete(f.entries, request.Name)
+		}
 	}
 	f.sidecar.Log.Info("subscriber of digests disconnected", "decision", "relay", "subscriber", request.Name, "subscribers", f.subscribers)
 }
