--- a/digest/stores.go
+++ b/digest/stores.go
@@ -1,7 +1,6 @@
 package digest
 
 import (
-	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -118,5 +117,3 @@
 func (s *storeEntry) lacks(after, tick uint64) bool {
 	return tick-after > maxStoreTicks && len(s.ended) == maxStoreTicks && s.ended[0].tick > after+1
 }
-
-func compareIDs(a, b rillreach.InstanceID) int { return cmp.Compare(a, b) }
--- a/digest/table.go
+++ b/digest/table.go
@@ -1,6 +1,7 @@
 package digest
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -186,14 +187,16 @@
 func (t *Table) Since(after uint64, ownZone bool) Digest {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	included := func(zone rillreach.ZoneID) bool { return !ownZone || zone == t.Zone }
 	var d Digest
 	for _, e := range t.reports {
-		if e.changedAt > after && e.changedAt <= t.tick && (!ownZone || e.report.Zone == t.Zone) && (after > 0 || !e.report.Lost) {
+		if included(e.report.Zone) && e.dueAfter(after, t.tick) {
 			d.Reports = append(d.Reports, e.report)
 		}
 	}
+	slices.SortFunc(d.Reports, func(a, b Report) int { return cmp.Compare(a.Runner, b.Runner) })
 	for address, s := range t.stores {
-		if ownZone && s.zone != t.Zone {
+		if !included(s.zone) {
 			continue
 		}
 		if update, due := s.since(address, after, t.tick); due {
@@ -201,10 +204,18 @@
 		}
 	}
 	for zone, e := range t.entries {
-		if !ownZone || zone == t.Zone {
+		if included(zone) {
 			d.Entries = append(d.Entries, ZoneEntries{Zone: zone, Count: e.count})
 		}
 	}
-	slices.SortFunc(d.Reports, func(a, b Report) int { return compareIDs(a.Runner, b.Runner) })
 	return d
 }
+
+// dueAfter reports whether the report is passed on to a subscriber that knows the reports up to a tick. One that knows none
+// need not be told of those that are lost.
+func (e *reportEntry) dueAfter(known, tick uint64) bool {
+	if known == 0 && e.report.Lost {
+		return false
+	}
+	return e.changedAt > known && e.changedAt <= tick
+}
--- a/gateway/relay_digests.go
+++ b/gateway/relay_digests.go
@@ -155,8 +155,11 @@
 		g.logInvalidReport(r.Runner, &r.Load, err)
 		return
 	}
-	report := roster.Report{ReceivedAt: now.Add(-digest.LoadAge(r.Zone == g.Settings.Zone)), Load: load, WeightLoadAt: g.relayedWeightLoadTime(&r.Load, now)}
-	if runner.SetReport(report) {
+	receivedAt := now.Add(-digest.LoadAge(r.Zone == g.Settings.Zone))
+	if receivedAt.Before(runner.ReportedAt()) {
+		return // the agent itself has sent a fresher one
+	}
+	if runner.SetReport(roster.Report{ReceivedAt: receivedAt, Load: load, WeightLoadAt: g.relayedWeightLoadTime(&r.Load, now)}) {
 		g.state.MarkCold(runner, now) // it may have restarted while it was silent
 	}
 }
--- a/replica/copy_test.go
+++ b/replica/copy_test.go
@@ -159,7 +159,7 @@
 	body, err := peer.Encode(Message{Kind: "k", At: at(1), Objects: []object{{Name: "a", Revision: at(1), Spec: []byte("{}")}}})
 	require.NoError(f, err)
 	f.Add(body)
-	f.Fuzz(func(t *testing.T, data []byte) {
+	f.Fuzz(func(_ *testing.T, data []byte) {
 		m, err := peer.Decode[Message](data)
 		if err != nil {
 			return
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -25,13 +25,21 @@
 	member   int
 }
 
+// hit is a member that a probe has met, and its distance from the probe.
+type hit struct {
+	distance uint64
+	member   int
+}
+
 // New returns a ring of members with the given hashes.
 func New(hashes []uint64) *Ring {
 	r := &Ring{points: make([]point, len(hashes))}
 	for i, h := range hashes {
 		r.points[i] = point{position: h, member: i}
 	}
-	slices.SortFunc(r.points, func(a, b point) int { return cmp.Or(cmp.Compare(a.position, b.position), cmp.Compare(a.member, b.member)) })
+	slices.SortFunc(r.points, func(a, b point) int {
+		return cmp.Or(cmp.Compare(a.position, b.position), cmp.Compare(a.member, b.member))
+	})
 	return r
 }
 
@@ -40,21 +48,13 @@
 	if len(r.points) == 0 {
 		return nil
 	}
-	var met [probes]struct {
-		distance uint64
-		member   int
-	}
+	var met [probes]hit
 	for i := range met {
 		position := hash.Mix(key, math.MaxUint64/probes*uint64(i+1))
 		p := r.successor(position)
-		met[i].distance, met[i].member = p.position-position, p.member // wraps around the circle
+		met[i] = hit{distance: p.position - position, member: p.member} // wraps around the circle
 	}
-	slices.SortFunc(met[:], func(a, b struct {
-		distance uint64
-		member   int
-	}) int {
-		return cmp.Compare(a.distance, b.distance)
-	})
+	slices.SortFunc(met[:], func(a, b hit) int { return cmp.Compare(a.distance, b.distance) })
 	members := make([]int, 0, probes)
 	for _, m := range met {
 		if !slices.Contains(members, m.member) {
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -291,14 +291,18 @@
 	r.weights[model] = max(r.weights[model], version)
 }
 
+// ReportedAt returns when the latest report of the runner's agent arrived, zero before the first.
+func (r *Runner) ReportedAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.report.ReceivedAt
+}
+
 // SetReport records the latest report of the runner's agent, and reports whether the runner has recovered from a
 // silence of its own or of its agent.
 func (r *Runner) SetReport(report Report) (recovered bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if report.ReceivedAt.Before(r.report.ReceivedAt) {
-		return false // a fresher one is known from the agent itself
-	}
 	age := report.ReceivedAt.Sub(r.report.ReceivedAt)
 	recovered = !r.report.ReceivedAt.IsZero() && !report.Load.Unresponsive && (r.report.Load.Unresponsive || age >= maxReportAge)
 	r.report = report
