--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,6 +39,8 @@
 	maxWatchWait = 3 * time.Second
 	// weightsWatchWait is how long a watch of the desired weights waits. It may be long since agents report them, too.
 	weightsWatchWait = 20 * time.Second
+	// rolloutsWatchWait is how long a watch of the rollouts waits. A change ends it at once, and rollouts are rare.
+	rolloutsWatchWait = 10 * time.Second
 	// coalesceDivisor gives the delay between watches of the runners, whose records change in quick succession, as a
 	// fraction of RunnerDrainDelay, at most maxCoalesceDelay. An entry that finds a new run at an address asks at
 	// once.
@@ -191,7 +193,7 @@
 	}
 	if g.Settings.Bounds.VersionExposure > 0 {
 		g.rollouts.recorder = g.RolloutRecorder
-		controllers = append(controllers, g.state.RolloutsFollower(g.Rollouts, g.watchWait()), &g.rollouts)
+		controllers = append(controllers, g.state.RolloutsFollower(g.Rollouts, rolloutsWatchWait), &g.rollouts)
 	}
 	return controller.Run(runCtx, g.Log, controllers...)
 }
