--- a/gateway/bulletins.go
+++ b/gateway/bulletins.go
@@ -18,12 +18,7 @@
 func (g *Gateway) applyBulletin(b *bulletin.Bulletin, now time.Time) {
 	runner := g.state.ObserveRun(b.Run())
 	g.applyLoad(runner, b, now)
-	for _, w := range b.DesiredWeights {
-		g.state.SetWeightsOfUnknownAge(w)
-	}
-	if b.Config != nil {
-		g.state.ObservePeerConfig(*b.Config, now)
-	}
+	g.applyStoreState(b.DesiredWeights, b.Config, now)
 	g.state.ApplyWeightsFirstSeen(b.Clock, b.WeightsFirstSeen, now)
 	g.applyCrashes(b.Crashes)
 	if !g.relayed() { // then only some entries follow the agent
@@ -39,6 +34,16 @@
 	}
 }
 
+// applyStoreState applies what an agent knows from the object store.
+func (g *Gateway) applyStoreState(weights []deployment.DesiredWeights, config *deployment.ConfigVersion, now time.Time) {
+	for _, w := range weights {
+		g.state.SetWeightsOfUnknownAge(w)
+	}
+	if config != nil {
+		g.state.ObservePeerConfig(*config, now)
+	}
+}
+
 // applyLoad applies a runner's load report. The runner is nil if it is not listed or the bulletin is from an earlier
 // run. An invalid report is ignored, so that the runner counts as one without a report.
 func (g *Gateway) applyLoad(r *roster.Runner, b *bulletin.Bulletin, now time.Time) {
--- a/gateway/relay_digests.go
+++ b/gateway/relay_digests.go
@@ -92,12 +92,7 @@
 func (f *digestFollower) apply(d *digest.Digest, now time.Time) {
 	g := f.gateway
 	g.cache.clock.observe(d.Clock, now)
-	for _, w := range d.DesiredWeights {
-		g.state.SetWeightsOfUnknownAge(w)
-	}
-	if d.Config != nil {
-		g.state.ObservePeerConfig(*d.Config, now)
-	}
+	g.applyStoreState(d.DesiredWeights, d.Config, now)
 	g.state.ApplyWeightsFirstSeen(d.Clock, d.WeightsFirstSeen, now)
 	g.applyCrashes(d.Crashes)
 	f.applyEntries(d.Entries)
