--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -35,6 +35,8 @@
 	// memoryLimitShare is the fraction of the process's memory that is set as Go's soft memory limit. The rest is left
 	// for sockets and stacks.
 	memoryLimitShare = 0.6
+	// gcPercent is above Go's default of 100 to collect garbage less often: the smallest instances have a seventh of a core.
+	gcPercent = 150
 	// logDrainTimeout is the maximum time to write the remaining log lines at exit.
 	logDrainTimeout = 200 * time.Millisecond
 	bytesPerMB      = 1 << 20
@@ -120,6 +122,7 @@
 	if err != nil {
 		return exitError{error: err, code: ExitUsage}
 	}
+	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * bytesPerMB * memoryLimitShare))
 	metrics, err := telemetry.New()
 	if err != nil {
