--- a/gateway/left_out.go
+++ b/gateway/left_out.go
@@ -21,7 +21,7 @@
 
 // exclusions counts the runners of a service that may not take a request, by reason.
 type exclusions struct {
-	evacuated, disallowedRegion, otherVersion, cold, limited, backingOff int
+	evacuated, disallowedRegion, cold, limited, backingOff int
 	// limitedRate is the combined limit of the limited runners, in requests per second.
 	limitedRate float64
 	// backoffEnds is when the first of the runners that asked for backoff accepts requests again.
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -60,7 +60,6 @@
 	evacuations := g.state.Evacuations()
 	for i, v := range group.views {
 		if filter.excludes(v) {
-			o.exclusions.otherVersion++
 			continue
 		}
 		if o.exclusions.add(v, evacuations.Has(v.Zone), !g.allowsZone(x, v.Zone), x.needsEngine()) {
--- a/gateway/relay_digests_test.go
+++ b/gateway/relay_digests_test.go
@@ -26,7 +26,9 @@
 	report := func(id rillreach.InstanceID, running int) digest.Report {
 		return digest.Report{Runner: id, Generation: 1, Zone: "z1", Load: bulletin.Load{Running: running}}
 	}
-	view := func(g *Gateway, id rillreach.InstanceID, now time.Time) roster.View { return g.state.Roster.Find(id).View(now) }
+	view := func(g *Gateway, id rillreach.InstanceID, now time.Time) roster.View {
+		return g.state.Roster.Find(id).View(now)
+	}
 	now := time.Now()
 	t.Run("a report holds until the relay names it again", func(t *testing.T) {
 		g, f := begin()
--- a/sidecar/feed.go
+++ b/sidecar/feed.go
@@ -161,13 +161,20 @@
 	ctx, stop := context.WithCancel(ctx)
 	s := f.sidecar
 	subscription := &subscribe.Subscription{
-		Pool: s.pool, Agent: address, Log: s.Log, OnBulletin: f.table.ApplyBulletin,
+		Pool: s.pool, Agent: address, Log: s.Log, OnBulletin: f.applyBulletin,
 		Request: bulletin.FollowRequest{Name: rillreach.InstanceID(s.Settings.Name), Zone: s.Settings.Zone, LoadOnly: true, Relay: true},
 	}
 	f.wg.Go(func() { subscription.Run(ctx) })
 	return stop
 }
 
+// applyBulletin applies a bulletin of an agent of the own zone. An agent may know when weights were requested although the
+// relay, which may have started later, does not.
+func (f *feed) applyBulletin(b *bulletin.Bulletin, now time.Time) {
+	f.table.ApplyBulletin(b, now)
+	f.sidecar.state.ApplyWeightsFirstSeen(b.Clock, b.WeightsFirstSeen, now)
+}
+
 // serve sends digests to one subscriber until it disconnects.
 func (f *feed) serve(ctx context.Context, call *peer.ServerStream) error {
 	request, err := peer.Decode[digest.Subscribe](call.Body)
--- a/sidecar/feed_test.go
+++ b/sidecar/feed_test.go
@@ -19,6 +19,7 @@
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/digest"
 	"github.com/rillreach/rillreach/internal/standin/site"
+	"github.com/rillreach/rillreach/localstate"
 	"github.com/rillreach/rillreach/peer"
 	"github.com/rillreach/rillreach/platform"
 	"github.com/rillreach/rillreach/poison"
@@ -99,7 +100,8 @@
 	reports map[rillreach.InstanceID]digest.Report
 	entries map[rillreach.ZoneID]int
 	crashes int
-	number  int
+	// firstSeen holds the versions of weights whose times are known.
+	firstSeen map[deployment.WeightVersion]bool
 }
 
 // readDigests subscribes to the agent of an engine.
@@ -107,7 +109,7 @@
 	d.t.Helper()
 	ctx, stop := context.WithCancel(context.Background())
 	d.t.Cleanup(stop)
-	r := &digestReader{reports: map[rillreach.InstanceID]digest.Report{}, entries: map[rillreach.ZoneID]int{}}
+	r := &digestReader{reports: map[rillreach.InstanceID]digest.Report{}, entries: map[rillreach.ZoneID]int{}, firstSeen: map[deployment.WeightVersion]bool{}}
 	pool := &peer.Pool{Mux: &peer.Mux{}, Log: logr.Discard(), Self: rillreach.Instance{
 		ID: rillreach.InstanceID(name), Role: rillreach.RoleEntry, Incarnation: "1", Address: netip.MustParseAddrPort("127.0.0.1:1"), Zone: "x", Side: rillreach.SideNew,
 	}}
@@ -125,8 +127,10 @@
 func (r *digestReader) apply(d *digest.Digest, _ time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.number++
 	r.crashes += len(d.Crashes)
+	for _, seen := range d.WeightsFirstSeen {
+		r.firstSeen[seen.Version] = true
+	}
 	for _, report := range d.Reports {
 		r.reports[report.Runner] = report
 	}
@@ -177,6 +181,27 @@
 	})
 }
 
+// TestRelayHidesWhenWeightsWereRequested guards against a relay that has started after new weights were requested, and that
+// keeps its entries from learning of the time, which other agents know.
+func TestRelayHidesWhenWeightsWereRequested(t *testing.T) {
+	for name, zone := range map[string]string{"an agent of its zone knows the time": "x", "an agent of another zone does": "w"} {
+		t.Run(name, func(t *testing.T) {
+			d := newZonedDeployment(t)
+			earlier, _ := d.startEngine(2, zone)
+			d.store.Put("versions", "m", map[string]any{"model": "m", "version": 1})
+			knows := func(s *Sidecar, version deployment.WeightVersion) func() bool {
+				return func() bool { w, _ := s.state.DesiredWeights("m"); return w.Version == version }
+			}
+			require.Eventually(t, knows(earlier, 1), waitTimeout, 5*time.Millisecond)
+			d.store.Put("versions", "m", map[string]any{"model": "m", "version": 2})
+			require.Eventually(t, knows(earlier, 2), waitTimeout, 5*time.Millisecond)
+			relay, _ := d.startEngine(1, "x")
+			reader := d.readDigests(relay, "entry-1")
+			require.Eventually(t, reader.has(func() bool { return reader.firstSeen[2] }), waitTimeout, 5*time.Millisecond)
+		})
+	}
+}
+
 // TestFollowersGrowWithEntries guards against agents that each serve every entry. An agent is followed by the relay alone,
 // however many entries subscribe to that.
 func TestFollowersGrowWithEntries(t *testing.T) {
@@ -191,3 +216,19 @@
 		}
 	}
 }
+
+func TestWeightsFirstSeenIsNotCorrected(t *testing.T) {
+	const clock = 100_000 // of the runners, in milliseconds
+	s := &Sidecar{Log: logr.Discard()}
+	p := &publisher{sidecar: s}
+	s.state.Log = logr.Discard()
+	s.state.SetWeights(deployment.DesiredWeights{Model: "m", Version: 2, Revision: rillreach.Revision{Number: 2}})
+	first := p.weightsFirstSeen(clock)[0].At
+	report := func(earlier time.Duration) int64 {
+		_, since := s.state.DesiredWeights("m")
+		s.state.ApplyDesiredVersion(localstate.DesiredVersion{Model: "m", Version: 2, At: since.Add(-earlier)})
+		return p.weightsFirstSeen(clock)[0].At
+	}
+	assert.Equal(t, first, report(firstSeenTolerance/4), "a difference of a message's delay is not passed on")
+	assert.Less(t, report(2*time.Second), first-1500, "a much earlier time is passed on")
+}
--- a/sidecar/publisher.go
+++ b/sidecar/publisher.go
@@ -30,6 +30,8 @@
 	// weightLoadAtTolerance is the difference below which two start times of a weight load count as equal: readings of
 	// the runners' clock vary by a few milliseconds.
 	weightLoadAtTolerance = 50 * time.Millisecond
+	// firstSeenTolerance is the difference up to which two times of one request for weights count as equal.
+	firstSeenTolerance = 200 * time.Millisecond
 )
 
 // publisher sends bulletins to the followers of the agent, with the load of its runner and what the runner and the
@@ -154,7 +156,8 @@
 }
 
 // weightsFirstSeen returns when each version of weights was requested, on the runners' clock, whose current reading is
-// given. Each time is computed only once, so that bulletins differ only if something new is known.
+// given. A time is computed again only if another agent knows a much earlier one, so that bulletins differ only if something
+// new is known, and relays do not correct each other for ever.
 func (p *publisher) weightsFirstSeen(clock int64) []bulletin.WeightsFirstSeen {
 	if clock == 0 {
 		return nil
@@ -170,7 +173,7 @@
 	for _, version := range versions {
 		seen := bulletin.WeightsFirstSeen{Model: version.Model, Version: version.Version, At: clock - time.Since(version.At).Milliseconds()}
 		i := slices.IndexFunc(p.firstSeen, func(w bulletin.WeightsFirstSeen) bool { return w.Model == seen.Model && w.Version == seen.Version })
-		if i >= 0 {
+		if i >= 0 && p.firstSeen[i].At-seen.At < firstSeenTolerance.Milliseconds() {
 			seen = p.firstSeen[i]
 		}
 		firstSeen = append(firstSeen, seen)
--- a/sidecar/zone_relay.go
+++ b/sidecar/zone_relay.go
@@ -79,6 +79,7 @@
 		s.Log.Info("reports of other zones ignored", "decision", "ignore", "zone", z.zone, "reports", ignored)
 		s.Metrics.CountInvalidReport()
 	}
+	s.state.ApplyWeightsFirstSeen(d.Clock, d.WeightsFirstSeen, now)
 	if len(d.Crashes) > 0 {
 		s.crashes.Record(s.now(), d.Crashes...)
 	}
