--- a/gateway/choose_test.go
+++ b/gateway/choose_test.go
@@ -79,7 +79,29 @@
 		g.state.Roster.Find(before[0]).SetReport(roster.Report{ReceivedAt: time.Now().Add(2 * time.Hour), Load: deployment.Load{LoadingWeights: true}})
 		after := homesOf(g, x)
 		assert.Equal(t, before[1:], after[:len(before)-1])
-		assert.Len(t, after, homeCandidates)
+		assert.Len(t, after, maxHomes)
+	})
+	t.Run("they are in the entry's own region, unless that has too few engines", func(t *testing.T) {
+		inRegion := func(zones map[rillreach.ZoneID]rillreach.RegionID) map[rillreach.ZoneID]bool {
+			g, x := gatewayWithEngines(100)
+			g.Settings.Regions = zones
+			used := map[rillreach.ZoneID]bool{}
+			for _, id := range homesOf(g, x) {
+				used[g.state.Roster.Find(id).Info().Zone] = true
+			}
+			return used
+		}
+		assert.Equal(t, map[rillreach.ZoneID]bool{"z0": true}, inRegion(map[rillreach.ZoneID]rillreach.RegionID{"z0": "here", "z1": "there", "z2": "there"}))
+		assert.Greater(t, len(inRegion(map[rillreach.ZoneID]rillreach.RegionID{"z0": "r", "z1": "r", "z2": "r"})), 1)
+	})
+	t.Run("they are where a request may run although that is not the entry's region", func(t *testing.T) {
+		g, x := gatewayWithEngines(100)
+		g.Settings.Regions = map[rillreach.ZoneID]rillreach.RegionID{"z0": "here", "z1": "there", "z2": "elsewhere"}
+		x.regionsLimited, x.regions = true, []rillreach.RegionID{"there"}
+		for _, id := range homesOf(g, x) {
+			assert.Equal(t, rillreach.ZoneID("z1"), g.state.Roster.Find(id).Info().Zone)
+		}
+		assert.NotEmpty(t, g.findOptions(x, g.viewsAt(time.Now()), time.Now()).views)
 	})
 	t.Run("a conversation stays where it is when another engine leaves", func(t *testing.T) {
 		g, x := gatewayWithEngines(100)
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -65,7 +65,7 @@
 	if engines <= maxExamined {
 		return entries
 	}
-	return 1 + entries*(homeCandidates+maxFollowed)/engines
+	return 1 + entries*(maxHomes+maxFollowed)/engines
 }
 
 // engineState returns the load of an engine according to its report or, without a recent one, to this entry's own
--- a/gateway/runner_views.go
+++ b/gateway/runner_views.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/rillreach/rillreach"
-	"github.com/rillreach/rillreach/internal/hash"
 	"github.com/rillreach/rillreach/roster"
 )
 
@@ -67,8 +66,8 @@
 func (r *runnerViews) sample(x *exchange) *serviceViews {
 	g, group := r.gateway, &serviceViews{}
 	var others []*roster.Runner
-	for _, runner := range g.homes.homes(&g.state.Roster, x.service.Name, hash.String(conversationID(x))) {
-		if v := r.view(runner); group.homes < homeCandidates && v.Denied == "" && !isAvoided(v) {
+	for _, runner := range g.homesOf(x) {
+		if v := r.view(runner); group.homes < maxHomes && v.Denied == "" && !isAvoided(v) {
 			group.add(runner, v)
 			group.homes++
 			continue
@@ -98,7 +97,7 @@
 	if s.homes == 0 {
 		return 0, false
 	}
-	return min(1, float64(i)/homeCandidates), true
+	return min(1, float64(i)/maxHomes), true
 }
 
 // isFirstHome reports whether the runner with an index is the conversation's first home that can be used.
