--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -237,8 +237,8 @@
 // recordAnswer adds the outcome of an attempt to the evidence on its service's rollout.
 func (c *rolloutController) recordAnswer(a *attempt, failed bool) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	r := c.byService[a.exchange.service.Name]
-	c.mu.Unlock()
 	if r == nil {
 		return
 	}
