--- a/gateway/choose_test.go
+++ b/gateway/choose_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/deployment"
+	"github.com/rillreach/rillreach/localstate"
 	"github.com/rillreach/rillreach/roster"
 )
 
@@ -153,3 +154,65 @@
 		assert.True(t, o.plans[i].Sources[0].IsValid())
 	}
 }
+
+// Guards against a request to a large service that is refused because no engine of its sample may take it, although others
+// may.
+func TestRefusedAlthoughEnginesOutsideSampleAreUsable(t *testing.T) {
+	t.Run("all engines of the entry's region leave", func(t *testing.T) {
+		g, x := gatewayWithEngines(100)
+		g.Settings.Regions = map[rillreach.ZoneID]rillreach.RegionID{"z0": "here", "z1": "there", "z2": "there"}
+		for _, r := range g.state.Roster.ByService("s") {
+			if info := r.Info(); info.Zone == "z0" {
+				info.Leaving = true
+				g.state.Roster.Put(info)
+			}
+		}
+		now := time.Now()
+		o := g.findOptions(x, g.viewsAt(now), now)
+		require.NotEmpty(t, o.views)
+		for _, v := range o.views {
+			assert.NotEqual(t, rillreach.ZoneID("z0"), v.Zone)
+		}
+	})
+	t.Run("one of 900 engines has the version of a completed rollout", func(t *testing.T) {
+		g, x := gatewayWithEngines(900)
+		info := g.state.Roster.Find("r500").Info()
+		info.Software = "v2"
+		g.state.Roster.Put(info)
+		completed := deployment.Rollout{Service: "s", Target: "v2", Duration: time.Minute, State: deployment.RolloutCompleted}
+		g.rollouts.gateway = g
+		g.rollouts.add("s", &activeRollout{known: localstate.KnownRollout{Rollout: completed, LearnedAt: time.Now()}})
+		for i := range 10 {
+			x.wire.Prompt.Parts[1].ID = fmt.Sprint("conversation-", i)
+			now := time.Now()
+			o := g.findOptions(x, g.viewsAt(now), now)
+			require.Len(t, o.views, 1)
+			assert.Equal(t, info.ID, o.views[0].ID)
+		}
+	})
+	t.Run("a rollout exposes requests although one of 900 engines has the current version", func(t *testing.T) {
+		g, x := gatewayWithEngines(900)
+		for _, r := range g.state.Roster.ByService("s") {
+			if info := r.Info(); info.ID != "r500" {
+				info.Software = "v2"
+				g.state.Roster.Put(info)
+			}
+		}
+		requested := deployment.Rollout{Service: "s", Target: "v2", Duration: time.Minute}
+		g.rollouts.gateway = g
+		g.rollouts.add("s", &activeRollout{known: localstate.KnownRollout{Rollout: requested, LearnedAt: time.Now()}})
+		for i := range 10 {
+			x.wire.Prompt.Parts[1].ID = fmt.Sprint("conversation-", i)
+			now := time.Now()
+			o := g.findOptions(x, g.viewsAt(now), now)
+			require.Len(t, o.views, 1)
+			assert.Equal(t, rillreach.InstanceID("r500"), o.views[0].ID)
+		}
+	})
+	t.Run("requests that wait after such a one examine samples of their own", func(t *testing.T) {
+		g, x := gatewayWithEngines(900)
+		views := g.viewsAt(time.Now())
+		views.all("s")
+		assert.LessOrEqual(t, len(g.findOptions(x, views, views.now).views), 21)
+	})
+}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -36,9 +36,19 @@
 	prompt *promptState
 }
 
-// findOptions examines all runners of the request's service. The cost of the prompt at each is added by planCandidate.
+// findOptions examines the runners of the request's service: in a large service a sample, and all others only if none of
+// the sample may take the request. The cost of the prompt at each is added by planCandidate.
 func (g *Gateway) findOptions(x *exchange, views *runnerViews, now time.Time) *options {
 	group := views.forRequest(x)
+	o := g.findOptionsIn(x, group, now)
+	if len(o.views) == 0 && group.sampled {
+		return g.findOptionsIn(x, views.all(x.service.Name), now)
+	}
+	return o
+}
+
+// findOptionsIn is findOptions for a group of runners, restricted by the rollout of the service if there is one.
+func (g *Gateway) findOptionsIn(x *exchange, group *serviceViews, now time.Time) *options {
 	filter := g.rollouts.filterFor(x, group, now)
 	o := g.findOptionsAmong(x, group, filter, now)
 	if len(o.views) == 0 && !filter.strict && filter.target != "" {
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -200,8 +200,9 @@
 		if f.onlyTarget {
 			f.canaryRunners = group.canaryRunners(f.target, c.gateway.Settings.Bounds.VersionExposure)
 		}
-		// A runner with the current version that is only busy or ejected is no reason to expose the request.
-		f.strict = !f.onlyTarget && group.hasOtherVersion(r.known.Target)
+		// A runner with the current version that is only busy or ejected, or not in the sample, is no reason to expose the
+		// request.
+		f.strict = !f.onlyTarget && (group.sampled || group.hasOtherVersion(r.known.Target))
 	}
 	return f
 }
--- a/gateway/runner_views.go
+++ b/gateway/runner_views.go
@@ -20,6 +20,8 @@
 type serviceViews struct {
 	runners []*roster.Runner
 	views   []*roster.View
+	// sampled reports whether the service has other runners.
+	sampled bool
 	// homes is the number of runners, from the first, that are the homes of the request's conversation in order of
 	// preference. It is zero if all runners are examined.
 	homes int
@@ -41,22 +43,32 @@
 	return v
 }
 
-// forRequest returns the runners that a decision on the request examines: all of a small service, and of a large one the
-// usable homes of the conversation and the runners whose agents this entry follows.
+// forRequest returns the runners that a decision on the request examines first: all of a small service, and of a large one
+// the usable homes of the conversation and the runners whose agents this entry follows.
 func (r *runnerViews) forRequest(x *exchange) *serviceViews {
-	service := x.service.Name
+	if len(r.gateway.state.Roster.ByService(x.service.Name)) > maxExamined {
+		return r.sample(x)
+	}
+	return r.all(x.service.Name)
+}
+
+// all returns all runners of a service.
+func (r *runnerViews) all(service rillreach.ServiceID) *serviceViews {
 	if group := r.byService[service]; group != nil {
 		return group
 	}
-	all := r.gateway.state.Roster.ByService(service)
-	if len(all) > maxExamined {
-		return r.sample(x)
-	}
-	group := &serviceViews{runners: all, views: make([]*roster.View, len(all))}
-	copies := make([]roster.View, len(all))
-	for i, runner := range all {
-		copies[i] = runner.View(r.now)
-		group.views[i] = &copies[i]
+	runners := r.gateway.state.Roster.ByService(service)
+	group := &serviceViews{runners: runners, views: make([]*roster.View, len(runners))}
+	if len(runners) > maxExamined {
+		for i, runner := range runners {
+			group.views[i] = r.view(runner) // a sample shares the copies
+		}
+	} else {
+		copies := make([]roster.View, len(runners))
+		for i, runner := range runners {
+			copies[i] = runner.View(r.now)
+			group.views[i] = &copies[i]
+		}
 	}
 	r.byService[service] = group
 	return group
@@ -64,7 +76,7 @@
 
 // sample returns the runners of a large service that a decision examines.
 func (r *runnerViews) sample(x *exchange) *serviceViews {
-	g, group := r.gateway, &serviceViews{}
+	g, group := r.gateway, &serviceViews{sampled: true}
 	var others []*roster.Runner
 	for _, runner := range g.homesOf(x) {
 		if v := r.view(runner); group.homes < maxHomes && v.Denied == "" && !isAvoided(v) {
