--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -35,7 +35,7 @@
 	// memoryLimitShare is the fraction of the process's memory that is set as Go's soft memory limit. The rest is left
 	// for sockets and stacks.
 	memoryLimitShare = 0.6
-	// gcPercent is above Go's default of 100 to collect garbage less often: the smallest instances have a seventh of a core.
+	// gcPercent is above Go's default of 100 to collect garbage less often, at the price of memory.
 	gcPercent = 150
 	// logDrainTimeout is the maximum time to write the remaining log lines at exit.
 	logDrainTimeout = 200 * time.Millisecond
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -23,7 +23,7 @@
 		}},
 		{Name: "rillreach.runner.holds", Description: "tokens of KV cache that the runner holds", Read: func() float64 { return float64(s.runnerHolder.tracker.TotalTokens()) }},
 		{Name: "rillreach.followers", Description: "entries that follow the agent", Read: func() float64 { return float64(s.publisher.followers.Load()) }},
-		{Name: "rillreach.relay", Description: "1 where the agent is a relay, which watches the object store for the entries of its zone", Read: func() float64 {
+		{Name: "rillreach.relay", Description: "1 where the agent is a relay, which reads the object store for other processes", Read: func() float64 {
 			if s.Replica != nil && s.Replica.ReadsStore() {
 				return 1
 			}
