Log the software version of chosen runners and which stream a request takes up

Change: 'runner chosen' and 'second attempt begins' name the version; 'stream taken up' names the stream.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -82,7 +82,7 @@
 		fetchUntil = t.prompt.fetchDeadline
 	}
 	g.Log.Info("runner chosen", "decision", "send", "request", x.wire.ID, "account", x.accountName(), "route", x.route.Name,
-		"chosen", t.view.ID, "candidates", len(o.candidates), "cost", t.choice.Cost, "estimate", t.choice.Estimate.String(), "attempt", x.sends.sendCount()+1,
+		"chosen", t.view.ID, "software", t.view.Software, "candidates", len(o.candidates), "cost", t.choice.Cost, "estimate", t.choice.Estimate.String(), "attempt", x.sends.sendCount()+1,
 		"weights", t.weights, "replacedFor", g.sinceReplaced(x, t.weights, now).String(),
 		"held", now.Sub(x.arrived).String(), "before", t.queuedPrefillTokens, "perToken", o.request.Latency.PerToken.String(), "base", o.request.Latency.Base.String(),
 		"missing", t.prefillTokens, "again", t.plan.RecomputedTokens, "fetched", t.plan.FetchedTokens, "fetchUntil", fetchUntil,
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -31,6 +31,9 @@
 		g.refuse(x, refusal)
 		return
 	}
+	if x.resumesStream() {
+		g.logResumedStream(x)
+	}
 	deadlineCtx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	ctx, cancelCause := context.WithCancelCause(deadlineCtx)
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -83,7 +83,7 @@
 	a.retireHedge()
 	a.hedge = h
 	g.Log.Info("second attempt begins", "decision", "hedge", "reason", reason, "request", x.wire.ID, "runner", a.target.view.ID,
-		"chosen", h.secondary.target.view.ID, "lastEvent", x.lastEvent)
+		"software", a.target.view.Software, "chosen", h.secondary.target.view.ID, "lastEvent", x.lastEvent)
 	h.wg.Go(h.run)
 	return true
 }
