--- a/internal/standin/site/runner.go
+++ b/internal/standin/site/runner.go
@@ -127,6 +127,21 @@
 	}
 }
 
+// StreamVersionedEvents streams the events after the request's Last-Event-Id, up to lastID. Each names the software
+// version.
+func StreamVersionedEvents(w http.ResponseWriter, req *http.Request, software string, lastID int) {
+	SetSealHeaders(w, req)
+	w.Header().Set("Content-Type", "text/event-stream")
+	from, err := strconv.Atoi(req.Header.Get("Last-Event-Id"))
+	if err != nil {
+		from = 0
+	}
+	for id := from + 1; id <= lastID; id++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", id, id, software)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
 // StreamEventsAtInterval streams the events up to lastID, one per interval, until the stream is complete or the
 // caller disconnects.
 func StreamEventsAtInterval(w http.ResponseWriter, req *http.Request, lastID int, interval time.Duration) {
