Continue a begun answer only at the software version that began it

Cause: findOptions, which all ways to a runner pass (next attempts, hedges, moves before a load of weights), didn't look at the software version of a runner, and a hedge that won was only asked whether its events follow on. Change: the first event that is sent to the caller pins the stream to its runner's service and version; the filter of findOptions, the one place that decides which runners are options, then allows that version alone, against the phase of a rollout too, but for a version whose use a rollout has ended. A hedge begun before that may not continue another version's events, checked where it wins and where it replaces the first. With no runner of the version left the answer ends at once instead of waiting for its caller.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/forward"
+	"github.com/rillreach/rillreach/pinning"
 	"github.com/rillreach/rillreach/platform"
 )
 
@@ -72,6 +73,8 @@
 	// event that the caller has.
 	headSent  bool
 	lastEvent string
+	// pin is the software version that the caller's events come from. It is zero while the caller has none.
+	pin pinning.Pin
 	// lastWriteAt is when the last part of the answer was sent to the caller.
 	lastWriteAt time.Time
 }
@@ -87,7 +90,14 @@
 func (p *progress) snapshot() *progress {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return &progress{headSent: p.headSent, lastEvent: p.lastEvent, lastWriteAt: p.lastWriteAt}
+	return &progress{headSent: p.headSent, lastEvent: p.lastEvent, pin: p.pin, lastWriteAt: p.lastWriteAt}
+}
+
+// pinTo records the software version that the caller's events come from.
+func (p *progress) pinTo(pin pinning.Pin) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pin = pin
 }
 
 // recordHead records that the head of an answer is being sent to the caller.
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -214,6 +214,8 @@
 	verdictRunnersBackingOff = "runners-resting"
 	verdictZoneEvacuated     = "zone-evacuated"
 	verdictRegionNotAllowed  = "region-not-allowed"
+	// verdictSoftwareGone means that no runner is left with the software version that has begun the stream.
+	verdictSoftwareGone = "software-gone"
 	// verdictNoRoom means that no engine had room in time, verdictBacklog that none will because of the requests that
 	// are already queued, and verdictLeftQueue that the request's deadline passed or its caller gave up in the queue.
 	verdictNoRoom    = "no-room"
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -107,7 +107,7 @@
 
 // run makes the second attempt and cancels the primary once the second answers.
 func (h *hedge) run() {
-	usable := h.awaitAnswer() && h.result.canContinueFrom(h.primary.currentExchange().snapshot().lastEvent)
+	usable := h.awaitAnswer() && h.result.canContinueFrom(h.primary.currentExchange().snapshot())
 	if !usable || !h.state.CompareAndSwap(hedgePending, hedgeWon) {
 		h.cancel()
 		h.result.close() // at once, because the request takes up capacity of its runner until then
@@ -214,7 +214,7 @@
 	won := h.wait()
 	x.maybeRan = x.maybeRan || h.secondary.exchange.maybeRan
 	next := h.result
-	if !won || !next.canContinueFrom(x.lastEvent) {
+	if !won || !next.canContinueFrom(x.progress) {
 		h.discard()
 		return nil
 	}
@@ -277,10 +277,15 @@
 	return a.exchange
 }
 
-// canContinueFrom reports whether the stream can continue after the given event, the last one that the caller has, with
-// this attempt's events. Those that the caller already has must be known by their IDs.
-func (a *attempt) canContinueFrom(lastEvent string) bool {
-	return a.exchange.lastEvent == lastEvent || isNumericID(lastEvent)
+// canContinueFrom reports whether the stream can continue with this attempt's events, given what the caller has of it.
+// Events that the caller already has must be known by their IDs.
+func (a *attempt) canContinueFrom(p *progress) bool {
+	return a.matchesPin(p) && (a.exchange.lastEvent == p.lastEvent || isNumericID(p.lastEvent))
+}
+
+// matchesPin reports whether the runner has the software version that has begun the stream.
+func (a *attempt) matchesPin(p *progress) bool {
+	return p.pin.Allows(a.exchange.service.Name, a.target.view.Software)
 }
 
 // adoptExchange makes the attempt answer the original request instead of its copy.
--- a/gateway/left_out.go
+++ b/gateway/left_out.go
@@ -21,6 +21,8 @@
 
 // exclusions counts the runners of a service that may not take a request, by reason.
 type exclusions struct {
+	// staying counts the runners of the software versions that the request may use, without those that are leaving.
+	staying                                                int
 	evacuated, disallowedRegion, cold, limited, backingOff int
 	// limitedRate is the combined limit of the limited runners, in requests per second.
 	limitedRate float64
@@ -44,6 +46,13 @@
 	return true
 }
 
+// addAllowedVersion counts a runner of a software version that the request may use.
+func (e *exclusions) addAllowedVersion(v *roster.View) {
+	if !v.Leaving {
+		e.staying++
+	}
+}
+
 // addDenied counts a runner that does not admit a request now.
 func (e *exclusions) addDenied(v *roster.View) {
 	switch v.Denied {
@@ -69,6 +78,8 @@
 func (e *exclusions) setRefusal(x *exchange) (verdict string) {
 	x.admissionWait, x.retryNotBefore = 0, time.Time{}
 	switch {
+	case e.staying == 0 && !x.pin.IsZero():
+		return verdictSoftwareGone
 	case e.cold > 0:
 		x.admissionWait = coldRetryAfter
 		return verdictRunnersCold
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -72,6 +72,7 @@
 		if filter.excludes(v) {
 			continue
 		}
+		o.exclusions.addAllowedVersion(v)
 		if o.exclusions.add(v, evacuations.Has(v.Zone), !g.allowsZone(x, v.Zone), x.needsEngine()) {
 			continue
 		}
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -59,6 +59,8 @@
 		status, outcome, retryAfter = http.StatusBadGateway, "unknown", 0
 	case verdict == verdictCrashesRunners:
 		status, retryAfter = http.StatusBadGateway, 0 // the caller should not retry
+	case verdict == verdictSoftwareGone:
+		retryAfter = 0 // the runners of a replaced version do not come back
 	}
 	if x.request.Context().Err() != nil && verdict != verdictStopping {
 		verdict = verdictCallerLeft
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/forward"
+	"github.com/rillreach/rillreach/pinning"
 	"github.com/rillreach/rillreach/platform"
 )
 
@@ -48,7 +49,9 @@
 }
 
 // canContinue reports whether the answer can continue one that has begun.
-func (a *attempt) canContinue() bool { return a.answer.Head.StatusCode == http.StatusOK }
+func (a *attempt) canContinue() bool {
+	return a.answer.Head.StatusCode == http.StatusOK && a.matchesPin(a.exchange.progress)
+}
 
 // forwardsEvents reports whether the answer's events are forwarded as they arrive.
 func (a *attempt) forwardsEvents() bool {
@@ -79,6 +82,7 @@
 		x.maybeRan, x.reason = true, "runner-unavailable"
 		return false // a 503 of the entry says that nothing has run, which this one does not guarantee
 	}
+	a.pinStream()
 	h := g.beginAnswer(x, a.answer)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	x.writer.WriteHeader(status)
@@ -120,6 +124,7 @@
 	if !x.continuePastShutdown() {
 		return a.failRelay(errShuttingDown)
 	}
+	a.pinStream()
 	h := g.beginAnswer(x, a.answer)
 	if length := a.answer.Head.ContentLength; length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
@@ -192,6 +197,13 @@
 	}
 }
 
+// pinStream records that the caller gets events from the attempt's runner, before the first of them is sent.
+func (a *attempt) pinStream() {
+	if x := a.exchange; x.pin.IsZero() {
+		x.pinTo(pinning.Pin{Service: x.service.Name, Software: a.target.view.Software})
+	}
+}
+
 // writeEvents sends events to the caller. The last complete one has the given ID.
 func (a *attempt) writeEvents(part []byte, lastID string) {
 	g, x := a.gateway, a.exchange
@@ -199,6 +211,7 @@
 		x.firstEventAt = time.Now()
 		g.Metrics.RecordFirstToken(x.firstEventAt.Sub(x.arrived))
 	}
+	a.pinStream()
 	a.writingToCaller.Store(true)
 	err := x.write(part)
 	a.writingToCaller.Store(false)
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -13,6 +13,7 @@
 	"github.com/rillreach/rillreach/internal/hash"
 	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/localstate"
+	"github.com/rillreach/rillreach/pinning"
 	"github.com/rillreach/rillreach/rollout"
 	"github.com/rillreach/rillreach/roster"
 )
@@ -157,9 +158,13 @@
 	}
 }
 
-// versionFilter restricts a request to runners with one of the two versions of a rollout. The zero value does not.
+// versionFilter restricts a request to runners with one of the two versions of a rollout, or with the version that has
+// begun its stream. The zero value does not.
 type versionFilter struct {
-	target deployment.SoftwareVersion
+	// pin is the version that has begun the stream. excludesPin means that a rollout has ended the use of that version.
+	pin         pinning.Pin
+	excludesPin bool
+	target      deployment.SoftwareVersion
 	// onlyTarget restricts the request to the target version, and otherwise to all other versions.
 	onlyTarget bool
 	// strict means that the other runners must not be used even if no runner is left.
@@ -170,6 +175,9 @@
 
 // excludes reports whether a runner must not take the request.
 func (f versionFilter) excludes(v *roster.View) bool {
+	if !f.pin.IsZero() {
+		return f.excludesPin || !f.pin.Allows(v.Service, v.Software)
+	}
 	if f.target == "" {
 		return false
 	}
@@ -179,11 +187,14 @@
 	return f.canaryRunners != nil && !slices.Contains(f.canaryRunners, v.ID)
 }
 
-// filterFor returns the restriction of a request by a rollout of its service.
+// filterFor returns the restriction of a request by its stream's beginning or by a rollout of its service.
 func (c *rolloutController) filterFor(x *exchange, group *serviceViews, now time.Time) versionFilter {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.byService[x.service.Name]
+	if !x.pin.IsZero() {
+		return versionFilter{pin: x.pin, strict: true, excludesPin: r != nil && r.forbids(x.pin.Software, now)}
+	}
 	if r == nil {
 		return versionFilter{}
 	}
@@ -207,6 +218,19 @@
 	return f
 }
 
+// forbids reports whether no request may use a version any more: the other ones after the completion, and the target
+// version after the rollback.
+func (r *activeRollout) forbids(version deployment.SoftwareVersion, now time.Time) bool {
+	switch r.phase(now) {
+	case rollout.PhaseCompleted:
+		return version != r.known.Target
+	case rollout.PhaseRolledBack:
+		return version == r.known.Target
+	default:
+		return false
+	}
+}
+
 // inCanary reports whether the request's conversation goes to the target version during the canary.
 func (c *rolloutController) inCanary(x *exchange, r *activeRollout) bool {
 	g := c.gateway
--- a/gateway/software_versions_test.go
+++ b/gateway/software_versions_test.go
@@ -77,20 +77,16 @@
 			<-release
 			panic(http.ErrAbortHandler)
 		})
-		ended := make(chan answer, 1)
-		go func() { ended <- w.callStream(t, "/stream/x", "s") }()
+		conn := w.sendStreamRequest(t, "/stream/x", "s")
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(testTimeout)))
 		w.eventually(t, func() bool { return len(only.ReceivedRequests()) == 1 })
 		w.addVersionedRunnersOf(t, newSoftware, 3)
 		w.store.Remove("servers", only.ID)
 		w.eventually(t, func() bool { return w.gateway.state.Roster.Len() == 3 })
 		close(release)
-		select {
-		case got := <-ended:
-			assert.Error(t, got.err, "the answer looks complete")
-			assertOneVersion(t, got.body)
-		case <-time.After(testTimeout):
-			t.Fatal("the caller waits for a runner that there is not")
-		}
+		got := readAnswer(t, conn, http.MethodPost)
+		require.ErrorIs(t, got.err, io.ErrUnexpectedEOF, "the answer must end at once, and not look complete")
+		assertOneVersion(t, got.body)
 	})
 	t.Run("taken up by the caller", func(t *testing.T) {
 		w := startWorld(t, configWithSingleAttempt())
@@ -178,18 +174,24 @@
 	return r
 }
 
-// callStream sends a request for a stream with an ID and further headers.
+// callStream sends a request for a stream with an ID and further headers, and reads the answer.
 func (w *world) callStream(t *testing.T, target, id string, header ...string) answer {
+	t.Helper()
+	return readAnswer(t, w.sendStreamRequest(t, target, id, header...), http.MethodPost)
+}
+
+// sendStreamRequest sends a request for a stream with an ID and further headers on a new connection.
+func (w *world) sendStreamRequest(t *testing.T, target, id string, header ...string) net.Conn {
 	t.Helper()
 	conn, err := net.Dial("tcp", w.callerAddress)
 	require.NoError(t, err)
-	defer func() { _ = conn.Close() }()
+	t.Cleanup(func() { _ = conn.Close() })
 	lines := append([]string{
 		fmt.Sprintf("POST %s HTTP/1.1", target), "Host: " + host, "X-Rillreach-Attempt-Id: " + id, "Authorization: Bearer " + key, "Content-Length: 6",
 	}, header...)
 	_, err = io.WriteString(conn, strings.Join(lines, "\r\n")+"\r\n\r\nprompt")
 	require.NoError(t, err)
-	return readAnswer(t, conn, http.MethodPost)
+	return conn
 }
 
 // takeUp sends a request that takes up the stream that another request began, after the last event that its caller has.
