Take streams up only at the software version that began them, whichever entry is asked

Cause: of the first attempt's runner nothing was kept beyond the attempt, Resumes was read nowhere, and a stream that was taken up was a new request. Class: a fact of the first attempt that the second one needs lives in one process's memory alone. Change: package pinning. Before its first event is sent, a stream's service and version are recorded under its ID at the entry, and sent to three agents in different availability zones, chosen by rendezvous hashing, while the event is on its way. An entry that is asked to take a stream up asks its own table, then six agents. A record can't change, since none is made before the first event. What nobody knows is refused at once (503, back in 0.3 s), except where there was certainly one version alone. An agent that restarts gets its records again. A stream follows its service as well: if the route no longer leads there, it is refused. Ruled out: asking all entries (one that was killed can't answer), the store (rates and outages), a version that follows from the ID (entries with different lists differ), and waiting for an acknowledgement before the first event (what is not known is refused, so that nothing hangs on it).

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -40,6 +40,8 @@
 	firstTokenWait time.Duration
 	// firstEventAt is when the first event was sent to the caller.
 	firstEventAt time.Time
+	// pinRecorded reports whether recordPin was called, at the first event.
+	pinRecorded bool
 	// buffered means that the answer is held back until it is complete.
 	buffered bool
 	// continuePastShutdown lets a stream continue past the shutdown deadline. It returns false if the deadline has
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,6 +94,7 @@
 	homes         homeRing
 	rollouts      rolloutController
 	agents        *agentFollower
+	peers         *peer.Pool
 	cache         cacheState
 	// prefillSizes averages the tokens that requests have runners prefill, and requestSizes the tokens of KV cache
 	// that they take there.
@@ -111,6 +112,9 @@
 	// crashesChanged signals that observedCrashes has a new crash or has cleared one.
 	crashesChanged broadcast.Signal
 	budgets        retry.ServiceBudgets
+	// pins are the software versions at which streams began, and pinsChanged signals a new one.
+	pins        streamPins
+	pinsChanged broadcast.Signal
 	// limited tracks the runners that announce a limit on requests.
 	limited  limitedRunners
 	inflight node.Inflight
@@ -168,7 +172,6 @@
 		endRun()
 	})
 	defer stop()
-	g.agents = &agentFollower{gateway: g, pool: peers}
 	controllers := []rillreach.Controller{
 		g.state.ConfigFollower(g.Configs, g.watchWait()),
 		g.state.RunnersFollower(g.Runners, g.watchWait(), g.coalesceDelay(), g.refreshRunners),
@@ -178,11 +181,8 @@
 		&serverController{name: "readiness", server: &http.Server{Handler: http.HandlerFunc(g.handleReadiness), ReadHeaderTimeout: maxHeaderTimeout}, listener: g.Readiness},
 		&poolSweeper{pool: &g.pool},
 		g.queue,
-		peers,
-		g.agents,
-		&crashReporter{gateway: g, pool: peers, agents: g.agents},
-		&limitReporter{gateway: g, pool: peers, agents: g.agents},
 	}
+	controllers = append(controllers, g.peerControllers(peers)...)
 	if g.Replica != nil {
 		g.Replica.Pool = peers
 		controllers = append(controllers, g.Replica.Controller(), &digestFollower{gateway: g, pool: peers})
@@ -197,6 +197,19 @@
 	return controller.Run(runCtx, g.Log, controllers...)
 }
 
+// peerControllers returns the controllers that talk to agents.
+func (g *Gateway) peerControllers(peers *peer.Pool) []rillreach.Controller {
+	g.peers = peers
+	g.agents = &agentFollower{gateway: g, pool: peers}
+	return []rillreach.Controller{
+		peers,
+		g.agents,
+		&crashReporter{gateway: g, pool: peers, agents: g.agents},
+		&limitReporter{gateway: g, pool: peers, agents: g.agents},
+		&pinReporter{gateway: g},
+	}
+}
+
 // relayed reports whether the entry follows a relay rather than all agents.
 func (g *Gateway) relayed() bool { return g.Replica != nil && g.Replica.Relayed() }
 
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -25,6 +25,8 @@
 		{Name: "rillreach.requests.quarantined", Description: "requests that are not sent to runners, since runners have ended under them", Read: g.quarantinedCount},
 		{Name: "rillreach.repeats.left", Description: "share of the retry budget that is left, for the service with the least", Read: func() float64 { return g.budgets.Remaining(time.Now()) }},
 		{Name: "rillreach.connections.opened", Description: "connections to runners that were made", Read: func() float64 { return float64(g.pool.Opened.Load()) }},
+		{Name: "rillreach.streams.recorded", Description: "streams that this entry began or continued and whose software version it keeps", Read: func() float64 { return float64(g.pins.table.Len()) }},
+		{Name: "rillreach.streams.unreplicated", Description: "records of these that too few agents hold", Read: func() float64 { return float64(g.pins.distribution.Unreplicated()) }},
 		{Name: "rillreach.stores.usable", Description: "stores of KV cache that may be asked now", Read: func() float64 { return float64(g.cache.usableStores(time.Now())) }},
 	}...)
 }
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -25,15 +25,12 @@
 	g.awaitSync(r.Context())
 	refusal := g.admit(x)
 	if refusal == nil {
-		refusal = g.accept(x)
+		refusal = g.accept(r.Context(), x)
 	}
 	if refusal != nil {
 		g.refuse(x, refusal)
 		return
 	}
-	if x.resumesStream() {
-		g.logResumedStream(x)
-	}
 	deadlineCtx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
 	ctx, cancelCause := context.WithCancelCause(deadlineCtx)
@@ -71,13 +68,18 @@
 	if x.service == nil {
 		return refusedUnknownService
 	}
-	g.budgets.RecordRequest(x.arrived, x.service.Name)
 	return nil
 }
 
-// accept reads the body of an admitted request. It refuses the request if it is quarantined, or if the entry is
-// shutting down and has no time left for it.
-func (g *Gateway) accept(x *exchange) *refusal {
+// accept finds the beginning of the stream that an admitted request takes up, and reads the request's body. It refuses the
+// request if it is quarantined, or if the entry is shutting down and has no time left for it.
+func (g *Gateway) accept(ctx context.Context, x *exchange) *refusal {
+	if x.resumesStream() {
+		if refusal := g.resumeStream(ctx, x); refusal != nil {
+			return refusal
+		}
+	}
+	g.budgets.RecordRequest(x.arrived, x.service.Name)
 	if refusal := x.read(); refusal != nil {
 		return refusal
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -199,9 +199,14 @@
 
 // pinStream records that the caller gets events from the attempt's runner, before the first of them is sent.
 func (a *attempt) pinStream() {
-	if x := a.exchange; x.pin.IsZero() {
+	x := a.exchange
+	if x.pin.IsZero() {
 		x.pinTo(pinning.Pin{Service: x.service.Name, Software: a.target.view.Software})
 	}
+	if !x.pinRecorded {
+		x.pinRecorded = true
+		a.gateway.recordPin(x)
+	}
 }
 
 // writeEvents sends events to the caller. The last complete one has the given ID.
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -42,7 +42,9 @@
 	MethodLimits
 	MethodReplicate
 	MethodDigest
-	maxMethod = MethodDigest
+	MethodReportPins
+	MethodFindPin
+	maxMethod = MethodFindPin
 )
 
 // Frame is one frame of a stream. Its fields are encoded as an array, in their order.
--- a/sidecar/gauges.go
+++ b/sidecar/gauges.go
@@ -31,6 +31,8 @@
 		}},
 		{Name: "rillreach.stores.kept", Description: "stores of KV cache that the agent looks after", Read: func() float64 { return float64(len(s.collector.ownedStores())) }},
 		{Name: "rillreach.stores.holds", Description: "tokens that these stores hold", Read: s.storeTokens},
+		{Name: "rillreach.streams.recorded", Description: "streams whose software version the agent keeps for entries", Read: func() float64 { return float64(s.pins.Len()) }},
+		{Name: "rillreach.streams.evicted", Description: "records of streams that were given up early since there were too many", Read: func() float64 { return float64(s.pins.Evicted()) }},
 		{Name: "rillreach.runners", Description: "runners that are listed", Read: func() float64 { return float64(s.state.Roster.Len()) }},
 		{Name: "rillreach.runners.age", Description: "seconds since the list of runners was known to be complete", Read: func() float64 { return time.Since(s.state.Roster.CompleteAt()).Seconds() }},
 	}...)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -17,6 +17,7 @@
 	"github.com/rillreach/rillreach/localstate"
 	"github.com/rillreach/rillreach/node"
 	"github.com/rillreach/rillreach/peer"
+	"github.com/rillreach/rillreach/pinning"
 	"github.com/rillreach/rillreach/platform"
 	"github.com/rillreach/rillreach/poison"
 	"github.com/rillreach/rillreach/replica"
@@ -70,6 +71,8 @@
 	missingGenerations missingGenerationTracker
 	// crashes are those that entries have reported; the agent forwards them to all followers.
 	crashes poison.Tracker
+	// pins are the software versions at which streams began that entries have reported.
+	pins pinning.Table
 	// quotas are the rate limits of runners that the agent divides among its followers.
 	quotas quotas
 	// relist receives a value when the agent's runner may have restarted, to have the list of runners fetched at once.
@@ -98,6 +101,8 @@
 	mux.Handle(peer.MethodDigest, s.serveDigests)
 	peer.HandleUnary(mux, peer.MethodCrashes, s.handleCrashReport)
 	peer.HandleUnary(mux, peer.MethodLimits, s.handleLimitReport)
+	peer.HandleUnary(mux, peer.MethodReportPins, s.handlePinReport)
+	peer.HandleUnary(mux, peer.MethodFindPin, s.handlePinQuery)
 	self, err := fleet.NewInstance(rillreach.RoleAgent, s.Settings)
 	if err != nil {
 		return err
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -30,6 +30,7 @@
 	invalidReports metric.Int64Counter
 	hedges         metric.Int64Counter
 	backpressure   metric.Int64Counter
+	resumedStreams metric.Int64Counter
 	unknownStarts  metric.Int64Counter
 	restartDelay   metric.Float64Histogram
 }
@@ -75,6 +76,9 @@
 	if m.backpressure, err = m.meter.Int64Counter("rillreach.answers.backpressure", metric.WithDescription("answers in which runners ask for less, by what they ask for")); err != nil {
 		return errors.Wrap(err, "create counter of backpressure")
 	}
+	if m.resumedStreams, err = m.meter.Int64Counter("rillreach.streams.resumed", metric.WithDescription("requests that take up a stream, by what is known of its beginning and by why they were refused")); err != nil {
+		return errors.Wrap(err, "create counter of resumed streams")
+	}
 	return m.createStartInstruments()
 }
 
@@ -131,6 +135,15 @@
 	m.error.Record(context.Background(), difference.Seconds())
 }
 
+// CountResumedStream counts a request that takes up a stream, with the verdict on where the stream began and the reason
+// why the request was refused, if it was.
+func (m *Metrics) CountResumedStream(verdict, refused string) {
+	if m == nil {
+		return
+	}
+	m.resumedStreams.Add(context.Background(), 1, metric.WithAttributes(attribute.String("verdict", verdict), attribute.String("refused", refused)))
+}
+
 // CountInvalidReport counts a runner's report that was ignored because its values are impossible.
 func (m *Metrics) CountInvalidReport() {
 	if m == nil {
