Soak runners of two software versions that replace each other

--versions: half of the plain runners and of the engines start with each version and are replaced by ones of the other, in both directions and by turns; callers take up streams that are cut, at whichever entry the balancer picks, and name the request that began them or the last one that brought an event; entries and agents are killed and stopped in series. Events name their version. The judge reads it from them: no stream may hold two, in one answer or over its caller's tries; and of 12 or more that are taken up at undisturbed entries while two runners of their version serve, at least half as large a share must go on as of new ones begins.

--- a/internal/standin/site/specs.go
+++ b/internal/standin/site/specs.go
@@ -11,8 +11,8 @@
 // Model is the name of the model that engines serve.
 const Model = "m"
 
-// softwareVersion is the version of the runners' software.
-const softwareVersion = "1.7.3"
+// DefaultSoftware is the version of the runners' software unless they set another one.
+const DefaultSoftware = "1.7.3"
 
 // Names of the services in configurations.
 const (
@@ -70,7 +70,7 @@
 func NewRunnerRecord(address netip.AddrPort, state string) map[string]any {
 	return map[string]any{
 		"service": plainServiceName, "address": address.String(), "zone": "z", "slots": 64, "state": state,
-		"version": softwareVersion, "cold_remaining_ms": 0, "sequence": 1,
+		"version": DefaultSoftware, "cold_remaining_ms": 0, "sequence": 1,
 	}
 }
 
@@ -78,7 +78,7 @@
 func NewEngineRecord(address netip.AddrPort, state string, weights uint64) map[string]any {
 	return map[string]any{
 		"service": engineServiceName, "address": address.String(), "zone": "z", "slots": 64, "state": state,
-		"version": softwareVersion, "cold_remaining_ms": 0, "sequence": 1,
+		"version": DefaultSoftware, "cold_remaining_ms": 0, "sequence": 1,
 		"models": []any{map[string]any{"name": Model, "version": weights}},
 	}
 }
@@ -143,3 +143,9 @@
 
 // SetRequestID sets the request ID.
 func SetRequestID(r *http.Request, id string) { r.Header.Set("X-Rillreach-Attempt-Id", id) }
+
+// SetResumeHeaders sets the headers of a request that takes up the stream that another one began, after an event.
+func SetResumeHeaders(r *http.Request, begun string, lastEvent int) {
+	r.Header.Set("Resumes", begun)
+	r.Header.Set("Last-Event-Id", EventID(lastEvent))
+}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -27,6 +27,8 @@
 	callerCount int
 	// tag is the part of the request IDs that all requests of this cluster have in common.
 	tag string
+	// takesUp means that callers take up streams that are cut.
+	takesUp bool
 
 	nextID atomic.Int64
 	mu     sync.Mutex
@@ -70,7 +72,10 @@
 			return
 		case <-time.After(thinkTime):
 		}
-		c.call(kinds[n%len(kinds)], c.callers.keys[n/len(kinds)%len(c.callers.keys)], "")
+		begun := c.call(kinds[n%len(kinds)], c.callers.keys[n/len(kinds)%len(c.callers.keys)], "")
+		if c.callers.takesUp {
+			c.takeUp(begun, stop)
+		}
 	}
 }
 
@@ -82,9 +87,14 @@
 }
 
 // call sends a request of the given kind, or the fatal request with the given name if it is not empty.
-func (c *caller) call(k kind, key, fatal string) {
-	name := fmt.Sprintf("%s-%d", k, c.callers.nextID.Add(1))
-	seen := callRecord{ID: name + tagSeparator + c.callers.tag, Conversation: fmt.Sprintf("%08x", len(name)), Kind: k, Key: key, Fatal: fatal, SentAt: time.Now()}
+func (c *caller) call(k kind, key, fatal string) callRecord {
+	return c.record(callRecord{Kind: k, Key: key, Fatal: fatal})
+}
+
+// record sends a request and returns what the caller has seen of it.
+func (c *caller) record(seen callRecord) callRecord {
+	name := fmt.Sprintf("%s-%d", seen.Kind, c.callers.nextID.Add(1))
+	seen.ID, seen.Conversation, seen.SentAt = name+tagSeparator+c.callers.tag, fmt.Sprintf("%08x", len(name)), time.Now()
 	c.newConnection = false
 	c.send(&seen)
 	seen.EndedAt, seen.NewConnection = time.Now(), c.newConnection
@@ -94,6 +104,7 @@
 	c.callers.mu.Lock()
 	defer c.callers.mu.Unlock()
 	c.callers.calls = append(c.callers.calls, seen)
+	return seen
 }
 
 func (c *caller) send(seen *callRecord) {
@@ -114,6 +125,9 @@
 		site.SetPromptHeaders(req, seen.Conversation)
 	}
 	req.Header.Set("Authorization", "Bearer "+seen.Key)
+	if seen.Resumes != "" {
+		site.SetResumeHeaders(req, seen.Resumes, seen.After)
+	}
 	resp, err := c.client.Do(req)
 	if err == nil {
 		defer resp.Body.Close()
--- a/soak/engine.go
+++ b/soak/engine.go
@@ -32,6 +32,7 @@
 
 	mu                 sync.Mutex
 	starts             int
+	software           string
 	startedAt          int64
 	ordersDelayedUntil time.Time
 	refusingUntil      time.Time
@@ -74,8 +75,10 @@
 	if reportStart {
 		next.StartUnixMS = e.startedAt
 	}
+	software := e.software
+	e.events.beginRun(label, engineService, software)
 	next.Handle = func(w http.ResponseWriter, r *http.Request) {
-		started := execution{ID: site.RequestID(r), Runner: label, Zone: zoneOf(e.number), Weights: next.LoadedVersion(), Fatal: fatalName(r)}
+		started := execution{ID: site.RequestID(r), Runner: label, Zone: zoneOf(e.number), Software: software, Weights: next.LoadedVersion(), Fatal: fatalName(r)}
 		if started.Fatal != "" {
 			e.events.crashRunner(started, e.crashAndReplace)
 		}
@@ -83,7 +86,7 @@
 			return
 		}
 		open := e.events.beginExecution(started)
-		streamPieces(w, r, open, e.eventInterval(r))
+		streamPieces(w, r, open, software, e.eventInterval(r))
 	}
 	next.OnOrder = func(o site.Order) bool {
 		e.events.recordOrder(receivedOrder{Engine: label, Order: o})
@@ -121,7 +124,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	spec = e.current.RecordAt(e.proxy.address(), "ready")
-	spec["zone"] = zoneOf(e.number)
+	spec["zone"], spec["version"] = zoneOf(e.number), e.software
 	return e.current.ID, spec
 }
 
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -29,7 +29,7 @@
 		c.injectOperatorChange(a)
 	case faultRollout:
 		c.injectRollout(a)
-	case faultFatal, faultEvacuate, faultRestore, faultRateLimit, faultRetryAfter, faultLeaveInResponses:
+	case faultFatal, faultEvacuate, faultRestore, faultRateLimit, faultRetryAfter, faultLeaveInResponses, faultReplaceSoftware, faultKillSeries:
 		c.injectDedicated(a, p, n)
 	default:
 		c.injectEngineOrStore(a, n)
@@ -45,6 +45,8 @@
 		c.injectEvacuation(a)
 	case faultRestore:
 		c.injectRestore(a)
+	case faultReplaceSoftware, faultKillSeries:
+		c.injectVersions(a, p, n)
 	default:
 		c.injectBackpressure(a, p, n)
 	}
@@ -82,8 +84,13 @@
 			all = append(all, &n.agent.process)
 		}
 	}
+	c.signalInSeries(a, all, syscall.SIGTERM)
+}
+
+// signalInSeries ends processes shortly after one another, and restarts each once it has exited.
+func (c *cluster) signalInSeries(a action, all []*process, sig syscall.Signal) {
 	for i, p := range all {
-		c.schedule(time.Duration(i)*a.signalInterval(), func() { c.restart(p, syscall.SIGTERM) })
+		c.schedule(time.Duration(i)*a.signalInterval(), func() { c.restart(p, sig) })
 	}
 }
 
@@ -225,9 +232,7 @@
 	}
 	old := p.id()
 	c.register(p, old, "draining")
-	c.mu.Lock()
-	c.leavingSince[old] = time.Now()
-	c.mu.Unlock()
+	c.recordLeaving(old)
 	c.schedule(leaveDuration, func() {
 		defer p.replaceMu.Unlock()
 		c.crash(p)
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -50,13 +50,16 @@
 	return streamTimeout
 }
 
-// expected returns the complete response to a request.
-func expected(id string, k kind) string {
+// expected returns the complete response to a request, without the software versions in its events.
+func expected(id string, k kind) string { return expectedAfter(id, k, 0) }
+
+// expectedAfter returns the response to a request that takes up a stream after the given event.
+func expectedAfter(id string, k kind, after int) string {
 	if k == kindRepeat || k == kindOnce {
 		return "answer to " + id
 	}
 	var b strings.Builder
-	for i := 1; i <= streamEvents; i++ {
+	for i := after + 1; i <= streamEvents; i++ {
 		fmt.Fprintf(&b, "id: %d\ndata: %s %d\n\n", i, id, i)
 	}
 	return b.String()
@@ -89,11 +92,13 @@
 	r.checkEvacuations(report)
 	r.checkBackpressure(report)
 	r.checkUnexpectedExits(timed, report)
+	r.checkSoftwareVersions(report)
 	if timed {
 		r.checkWeights(report)
 		r.checkLeaving(report)
 		r.checkRecovery(report)
 		r.checkProbes(report)
+		r.checkResumedShare(report)
 	}
 	return violations
 }
@@ -128,11 +133,11 @@
 	if c.Status != statusOK {
 		return
 	}
-	want := expected(c.ID, c.Kind)
-	if !c.Truncated && c.Body != want {
+	want, body := expectedAfter(c.ID, c.Kind, c.After), withoutSoftware(c.Body)
+	if !c.Truncated && body != want {
 		report("request %s: answer looks whole and is %q", c.ID, c.Body)
 	}
-	if c.Truncated && !strings.HasPrefix(want, c.Body) {
+	if c.Truncated && !strings.HasPrefix(want, body) {
 		report("request %s: what came before the cut is %q", c.ID, c.Body)
 	}
 }
--- a/soak/main.go
+++ b/soak/main.go
@@ -35,6 +35,7 @@
 			&cli.BoolFlag{Name: "fatal", Usage: "only requests that end their runners, beside kills and pauses"},
 			&cli.BoolFlag{Name: "evacuate", Usage: "only evacuations of a zone, beside kills, pauses, stops and a store that is away"},
 			&cli.BoolFlag{Name: "backpressure", Usage: "only runners that ask for less in their answers, beside kills, pauses, stops and a store that is away"},
+			&cli.BoolFlag{Name: "versions", Usage: "runners of two software versions that replace each other, callers that take streams up, kills and stops in series"},
 			&cli.BoolFlag{Name: "restore", Usage: "only a store that comes back from copies, beside changes, kills and pauses"},
 			&cli.StringFlag{Name: "binary", Usage: "the program; built from the sources where it is not set"},
 			&cli.StringFlag{Name: "keep", Usage: "folder for logs of a seed that failed"},
@@ -59,7 +60,7 @@
 			return errors.Wrapf(err, "build: %s", out)
 		}
 	}
-	counts := clusterSize{Entries: c.Int("entries"), Runners: c.Int("runners"), Callers: c.Int("callers")}
+	counts := clusterSize{Entries: c.Int("entries"), Runners: c.Int("runners"), Callers: c.Int("callers"), Versions: c.Bool("versions")}
 	actions := buildSchedule(c, c.Uint64("seed"), c.Duration("for"))
 	violations, err := runSeed(binary, dir, c.Uint64("seed"), actions, c.Duration("for"), counts, printf)
 	if err != nil {
@@ -82,7 +83,7 @@
 // buildSchedule draws the faults that the flags select.
 func buildSchedule(c *cli.Command, seed uint64, length time.Duration) []action {
 	actions := sortByTime(append(schedule(seed, length), engineSchedule(seed, length, engineFaults)...))
-	for flag, from := range map[string][]fault{"fatal": fatalFaults, "evacuate": evacuationFaults, "backpressure": backpressureFaults, "restore": restoreFaults} {
+	for flag, from := range map[string][]fault{"fatal": fatalFaults, "evacuate": evacuationFaults, "backpressure": backpressureFaults, "restore": restoreFaults, "versions": versionFaults} {
 		if c.Bool(flag) {
 			actions = engineSchedule(seed, length, from)
 		}
@@ -109,6 +110,6 @@
 			served++
 		}
 	}
-	report("seed %d: %d requests, %d served, %d runs", seed, len(r.Calls), served, len(r.Executions))
+	report("seed %d: %d requests, %d served, %d runs, %d streams taken up", seed, len(r.Calls), served, len(r.Executions), r.takenUp())
 	return checkGuarantees(r, true), nil
 }
--- a/soak/record.go
+++ b/soak/record.go
@@ -44,6 +44,11 @@
 	// refused.
 	NewConnection bool
 	Refused       bool
+	// Resumes is the request that the call names as the one that began its stream, Begun the one that really did, and After
+	// the last event that the caller had by then. They are empty if the call takes up no stream.
+	Resumes string
+	Begun   string
+	After   int
 }
 
 // execution is a request as a runner saw it.
@@ -59,6 +64,8 @@
 	EndedAt      time.Time
 	// Complete reports whether the runner completed its response.
 	Complete bool
+	// Software is the version of the runner's software.
+	Software string
 	// Weights is the version of the weights at the start of the execution, or zero if the runner has none.
 	Weights uint64
 	// Fatal is the name of a fatal request and empty for others. Killed reports whether this execution ended the
@@ -95,6 +102,8 @@
 	// engine, by name. A fault of zero duration broke all connections of the runner.
 	Entries      map[int]processHistory
 	RunnerFaults map[string][]interval
+	// SoftwareRuns holds the times for which runners have run with a version of their software.
+	SoftwareRuns []softwareRun
 	// LeavingSince is when each runner's leave was acknowledged, and KeysRemoved when each key was removed.
 	LeavingSince map[string]time.Time
 	KeysRemoved  map[string]time.Time
--- a/soak/runner.go
+++ b/soak/runner.go
@@ -19,6 +19,8 @@
 	orders     []receivedOrder
 	// endedRuns holds the labels of the runs that have crashed.
 	endedRuns map[string]bool
+	// softwareRuns holds the runs and the versions of their software.
+	softwareRuns []softwareRun
 	// arrivals holds the requests that reached runners, whether or not these sent backpressure signals.
 	arrivals []arrival
 }
@@ -32,6 +34,7 @@
 		l.endedRuns = map[string]bool{}
 	}
 	l.endedRuns[label] = true
+	l.endSoftwareRun(label)
 }
 
 // beginExecution records the start of an execution, and returns a handle for recording the rest of it. If the run has
@@ -89,9 +92,10 @@
 	// replaceMu is held while the run is being replaced.
 	replaceMu sync.Mutex
 
-	mu      sync.Mutex
-	starts  int
-	current *site.Runner
+	mu       sync.Mutex
+	starts   int
+	software string
+	current  *site.Runner
 }
 
 // id returns the ID of the current run.
@@ -149,7 +153,9 @@
 	p.starts++
 	id := fmt.Sprintf("%s-%d", p.name(), p.starts)
 	p.current = &site.Runner{ID: id, Host: serverHost(p.proxy.address())}
-	p.current.Handle = func(w http.ResponseWriter, r *http.Request) { p.handle(id, w, r) }
+	software := p.software
+	p.current.Handle = func(w http.ResponseWriter, r *http.Request) { p.handle(id, software, w, r) }
+	p.events.beginRun(id, plainService, software)
 	p.current.Start()
 	if err := p.proxy.listenFor(p.current.Address()); err != nil {
 		panic(err) // no other process uses the runner's address
@@ -168,8 +174,8 @@
 	p.proxy.stopListening()
 }
 
-func (p *plainRunner) handle(id string, w http.ResponseWriter, r *http.Request) {
-	started := execution{ID: site.RequestID(r), Runner: id, Zone: zoneOf(p.number), Fatal: fatalName(r)}
+func (p *plainRunner) handle(id, software string, w http.ResponseWriter, r *http.Request) {
+	started := execution{ID: site.RequestID(r), Runner: id, Zone: zoneOf(p.number), Software: software, Fatal: fatalName(r)}
 	if started.Fatal != "" {
 		p.events.crashRunner(started, p.crashAndReplace)
 	}
@@ -177,7 +183,7 @@
 		return
 	}
 	if k := requestKind(r); k.streams() {
-		streamPieces(w, r, p.events.beginExecution(started), streamDuration(k, started.ID)/streamEvents)
+		streamPieces(w, r, p.events.beginExecution(started), software, streamDuration(k, started.ID)/streamEvents)
 		return
 	}
 	open := p.events.beginExecution(started)
@@ -204,8 +210,8 @@
 	}
 }
 
-// streamPieces answers a request with a stream of events, with the given pause after each.
-func streamPieces(w http.ResponseWriter, r *http.Request, open *openExecution, pause time.Duration) {
+// streamPieces answers a request with a stream of events that name the software version, with the given pause after each.
+func streamPieces(w http.ResponseWriter, r *http.Request, open *openExecution, software string, pause time.Duration) {
 	complete := false
 	defer func() { open.end(complete) }()
 	if !waitOrCanceled(r, workTime) {
@@ -219,7 +225,7 @@
 	}
 	open.recordFirstEvent()
 	for i := from + 1; i <= streamEvents; i++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", i, site.RequestID(r), i)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d%s%s\n\n", i, site.RequestID(r), i, softwareSeparator, software)
 		if http.NewResponseController(w).Flush() != nil || !waitOrCanceled(r, pause) {
 			return
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -52,7 +52,13 @@
 // assertGuarantees runs a schedule and checks the guarantees that have no time limit.
 func assertGuarantees(t *testing.T, binary string, actions []action) {
 	t.Helper()
-	c, err := newCluster(binary, t.TempDir(), clusterSize{Entries: 3, Runners: 3, Callers: 30}, t.Logf)
+	assertGuaranteesOf(t, binary, actions, clusterSize{Entries: 3, Runners: 3, Callers: 30})
+}
+
+// assertGuaranteesOf is assertGuarantees for a cluster of the given size.
+func assertGuaranteesOf(t *testing.T, binary string, actions []action, size clusterSize) {
+	t.Helper()
+	c, err := newCluster(binary, t.TempDir(), size, t.Logf)
 	require.NoError(t, err)
 	defer c.close()
 	r := c.run(actions, shortLength)
--- a/soak/world.go
+++ b/soak/world.go
@@ -61,7 +61,11 @@
 }
 
 // clusterSize is the number of entries, of runners and of callers in a cluster. There are as many engines as runners.
-type clusterSize struct{ Entries, Runners, Callers int }
+// With Versions, runners have two versions of their software, and callers take up streams that are cut.
+type clusterSize struct {
+	Entries, Runners, Callers int
+	Versions                  bool
+}
 
 func newCluster(binary, dir string, counts clusterSize, report func(string, ...any)) (*cluster, error) {
 	c := &cluster{
@@ -78,7 +82,7 @@
 		if err != nil {
 			return nil, err
 		}
-		runner := &plainRunner{proxy: p, events: &c.events, number: i}
+		runner := &plainRunner{proxy: p, events: &c.events, number: i, software: counts.softwareOf(i)}
 		runner.crashAndReplace = func() bool { return runner.replaceMu.TryLock() && c.replaceRunner(runner) }
 		c.plainRunners = append(c.plainRunners, runner)
 		c.register(runner, runner.start(), "ready")
@@ -91,7 +95,7 @@
 		return nil, err
 	}
 	for i := range counts.Runners {
-		if err := c.addEngine(i, binary, dir, store, peers.Port()); err != nil {
+		if err := c.addEngine(i, counts.softwareOf(i), binary, dir, store, peers.Port()); err != nil {
 			return nil, err
 		}
 	}
@@ -106,17 +110,17 @@
 		c.entries = append(c.entries, e)
 	}
 	c.balancer = newBalancer(c.entries)
-	c.callers = &callers{balancer: c.balancer, host: host, keys: c.keys(), tag: c.network.tag, callerCount: counts.Callers}
+	c.callers = &callers{balancer: c.balancer, host: host, keys: c.keys(), tag: c.network.tag, callerCount: counts.Callers, takesUp: counts.Versions}
 	return c, c.awaitReady()
 }
 
 // addEngine starts an engine and its agent.
-func (c *cluster) addEngine(number int, binary, dir string, store netip.AddrPort, peerPort uint16) error {
+func (c *cluster) addEngine(number int, software, binary, dir string, store netip.AddrPort, peerPort uint16) error {
 	p, err := newProxy(c.network.engineHost(number), netip.AddrPort{})
 	if err != nil {
 		return err
 	}
-	n := &engine{proxy: p, events: &c.events, number: number}
+	n := &engine{proxy: p, events: &c.events, number: number, software: software}
 	n.crashAndReplace = func() bool { return n.replaceMu.TryLock() && c.replaceEngine(n) }
 	n.start(1)
 	c.registerEngine(n)
@@ -161,7 +165,7 @@
 
 func (c *cluster) register(p *plainRunner, id, state string) {
 	spec := site.NewRunnerRecord(p.proxy.address(), state)
-	spec["zone"] = zoneOf(p.number)
+	spec["zone"], spec["version"] = zoneOf(p.number), p.softwareVersion()
 	c.store.Put("servers", id, spec)
 }
 
@@ -254,7 +258,7 @@
 	r := &observations{
 		Executions: slices.Clone(c.events.executions), Arrivals: slices.Clone(c.events.arrivals), ReceivedOrders: slices.Clone(c.events.orders), Disturbances: c.disturbances, LeavingSince: maps.Clone(c.leavingSince),
 		KeysRemoved: c.keysRemoved, LastFaultEnd: c.lastFaultEnd, WeightsPublished: maps.Clone(c.weightsPublished), LoadedWeights: map[string]uint64{}, Ended: time.Now(),
-		RunnerFaults: c.runnerFaults, Evacuations: slices.Clone(c.evacuations), StoreOutages: maps.Clone(c.storeOutages), Entries: map[int]processHistory{},
+		SoftwareRuns: slices.Clone(c.events.softwareRuns), RunnerFaults: c.runnerFaults, Evacuations: slices.Clone(c.evacuations), StoreOutages: maps.Clone(c.storeOutages), Entries: map[int]processHistory{},
 	}
 	for _, n := range c.engines {
 		id, weights := n.idAndWeights()
