Let runners that are leaving take the rest of their version's streams

Cause: a leaving runner gets nothing new, and the rest of a stream counts as new. Change: where no runner of the stream's version stays, one that is leaving by its record or its agent takes the rest, within the first half of the time that the deployment allows after the announcement. One that says in its answers that it leaves gets nothing. Before: TestRestOfStreamRefusedByLeavingRunners refused (503); after: kept, and no new stream begins there.

--- a/gateway/choose.go
+++ b/gateway/choose.go
@@ -55,7 +55,7 @@
 // runner no longer admits a request because another one has just taken the last permit.
 func (g *Gateway) assign(x *exchange, o *options, choice scheduler.Choice, now time.Time) *target {
 	i := choice.Index
-	if denial := o.runners[i].Admit(now); denial != "" {
+	if denial := o.admit(i, now); denial != "" {
 		o.views[i].Denied = denial
 		return nil
 	}
@@ -75,6 +75,14 @@
 	return t
 }
 
+// admit takes the permits that the request needs at a runner, or returns why the runner must not be sent it.
+func (o *options) admit(i int, now time.Time) roster.Denial {
+	if o.leaving {
+		return o.runners[i].AdmitRest(now)
+	}
+	return o.runners[i].Admit(now)
+}
+
 // logChoice logs the inputs of the decision, so that what happened to the request can be explained later.
 func (g *Gateway) logChoice(x *exchange, t *target, o *options, now time.Time) {
 	fetchUntil := time.Time{}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -25,6 +25,8 @@
 	versions map[deployment.WeightVersion]*versionState
 	// firstHome is the first home of the conversation that can be used; nil if all runners are examined.
 	firstHome *roster.View
+	// leaving means that the runners are about to stop, and accept only the rest of streams.
+	leaving bool
 	// exclusions counts the runners that may not take the request.
 	exclusions exclusions
 }
@@ -39,6 +41,39 @@
 // findOptions examines the runners of the request's service: in a large service a sample, and all others only if none of
 // the sample may take the request. The cost of the prompt at each is added by planCandidate.
 func (g *Gateway) findOptions(x *exchange, views *runnerViews, now time.Time) *options {
+	o := g.findStayingOptions(x, views, now)
+	if len(o.views) > 0 || x.pin.IsZero() {
+		return o
+	}
+	if leaving := g.findLeavingOptions(x, views, now); len(leaving.views) > 0 {
+		return leaving
+	}
+	return o
+}
+
+// findLeavingOptions examines the runners that are leaving and may still take the rest of the request's stream.
+func (g *Gateway) findLeavingOptions(x *exchange, views *runnerViews, now time.Time) *options {
+	group := views.all(x.service.Name)
+	leaving := &serviceViews{}
+	within := g.Settings.Bounds.RunnerDrainDelay / restDivisor
+	for i, v := range group.views {
+		if v.AcceptsRest(now, within) {
+			accepting := *v
+			accepting.Denied = ""
+			leaving.add(group.runners[i], &accepting)
+		}
+	}
+	o := g.findOptionsAmong(x, leaving, g.rollouts.filterFor(x, leaving, now), now)
+	o.leaving = true
+	return o
+}
+
+// restDivisor divides the time for which a runner may get requests after it has announced that it is leaving. The rest of a
+// stream is sent within the first part of it, since the announcement may be known late.
+const restDivisor = 2
+
+// findStayingOptions is findOptions for the runners that are not leaving.
+func (g *Gateway) findStayingOptions(x *exchange, views *runnerViews, now time.Time) *options {
 	group := views.forRequest(x)
 	o := g.findOptionsIn(x, group, now)
 	if len(o.views) == 0 && group.sampled {
--- a/gateway/software_versions_test.go
+++ b/gateway/software_versions_test.go
@@ -15,6 +15,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/internal/standin/site"
 )
 
@@ -259,3 +261,27 @@
 	}
 	assert.Equal(t, want, got)
 }
+
+// Guards against refusing the rest of a stream while runners of its software version, all of which are leaving, serve on.
+func TestRestOfStreamRefusedByLeavingRunners(t *testing.T) {
+	store := site.NewStore()
+	store.Put("config", "main", configWithSingleAttempt())
+	w := startWithSettings(t, store, func(s *deployment.Settings) { s.Bounds.RunnerDrainDelay = time.Minute })
+	defer w.stop()
+	w.awaitReady(t)
+	runner := w.addVersionedRunner(t, oldSoftware, breakOffAtFirst)
+	begun := w.callStream(t, "/stream/x", "first")
+	require.Error(t, begun.err)
+	w.addVersionedRunnersOf(t, newSoftware, 2)
+	record := runnerRecord(runner, "draining")
+	record["version"] = oldSoftware
+	w.store.Put("servers", runner.ID, record)
+	w.eventually(t, func() bool { return w.gateway.state.Roster.Find(rillreach.InstanceID(runner.ID)).Info().Leaving })
+	got := w.takeUp(t, "/stream/x", "second", "first", lastEvent(begun.body))
+	require.NoError(t, got.err)
+	assert.Equal(t, http.StatusOK, got.status)
+	assertOneVersion(t, begun.body+got.body)
+	before := len(runner.ReceivedRequests())
+	w.callStream(t, "/stream/y", "third")
+	assert.Len(t, runner.ReceivedRequests(), before, "a new stream must not begin at a runner that is leaving")
+}
--- a/roster/admit.go
+++ b/roster/admit.go
@@ -61,6 +61,32 @@
 	return !r.report.ReceivedAt.IsZero() && now.Sub(r.report.ReceivedAt) < maxReportAge
 }
 
+// AcceptsRest reports whether a runner that is leaving still accepts the rest of streams, given for how long it does.
+func (v *View) AcceptsRest(now time.Time, within time.Duration) bool {
+	return v.Denied == DeniedLeaving && !v.leavingSince.IsZero() && now.Sub(v.leavingSince) < within
+}
+
+// AdmitRest is Admit for the rest of a stream at a runner that is leaving, which it serves until it ends.
+func (r *Runner) AdmitRest(now time.Time) Denial {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.acceptsRest() {
+		return DeniedLeaving
+	}
+	if now.Before(r.backoffUntil) {
+		return DeniedBackoff
+	}
+	if !r.throttle.Allows(now) {
+		return DeniedLimited
+	}
+	r.throttle.Take(now)
+	return ""
+}
+
+// acceptsRest reports whether nothing but the runner's record or its agent says that it is leaving: a runner that says so
+// in its answers accepts nothing more, and one whose address is another's has ended. The lock must be held.
+func (r *Runner) acceptsRest() bool { return !r.leaving && !r.displaced }
+
 // takeColdPermit takes a slow-start permit if the runner is cold. The lock must be held.
 func (r *Runner) takeColdPermit(now time.Time) {
 	if now.Before(r.coldUntil) {
--- a/roster/record.go
+++ b/roster/record.go
@@ -27,9 +27,20 @@
 	if info.Revision != r.info.Revision {
 		r.coldUntil = info.ColdUntil
 	}
+	r.recordLeaving(info.Leaving, r.info.Leaving, time.Now())
 	r.info, r.removeAt = info, time.Time{}
 }
 
+// recordLeaving records when the runner's record or its agent first said that it is leaving. The lock must be held.
+func (r *Runner) recordLeaving(leaving, before bool, now time.Time) {
+	switch {
+	case !leaving:
+		r.leavingSince = time.Time{}
+	case !before && r.leavingSince.IsZero():
+		r.leavingSince = now
+	}
+}
+
 // setInfo replaces the record of the run, but keeps a scheduled removal.
 func (r *Runner) setInfo(info deployment.Runner) {
 	r.mu.Lock()
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -63,6 +63,9 @@
 	// weights holds the versions that the runner's own responses named. They override the record where they are newer.
 	weights map[rillreach.ModelID]deployment.WeightVersion
 	leaving bool
+	// leavingSince is when the runner's record or its agent first said that it is leaving. It is zero if it is not, or if
+	// that was said before this process knew the runner.
+	leavingSince time.Time
 	// displaced means that another runner's record owns this runner's address.
 	displaced bool
 	// coldUntil is when the runner stops being cold at the latest, and coldPermits are the slow-start permits to
@@ -115,7 +118,9 @@
 	Limit backpressure.Limit
 	// Denied is why the runner must not be sent a request now, and BackoffUntil when the backoff that it
 	// has asked for ends.
-	Denied       Denial
+	Denied Denial
+	// leavingSince is when the runner was first known to leave, if it still accepts the rest of streams.
+	leavingSince time.Time
 	BackoffUntil time.Time
 }
 
@@ -151,6 +156,9 @@
 	v.Limit = r.throttle.Observed().Limit
 	v.Denied, v.BackoffUntil = r.denial(now), r.backoffUntil
 	v.Leaving = r.isLeaving(now)
+	if r.acceptsRest() {
+		v.leavingSince = r.leavingSince
+	}
 	v.Weights = newestWeights(v.Weights, r.weights)
 	if v.ReportFresh && !r.report.WeightLoadAt.IsZero() {
 		v.WeightLoadScheduled, v.TimeToWeightLoad = true, max(0, r.report.WeightLoadAt.Sub(now))
@@ -305,6 +313,9 @@
 	defer r.mu.Unlock()
 	age := report.ReceivedAt.Sub(r.report.ReceivedAt)
 	recovered = !r.report.ReceivedAt.IsZero() && !report.Load.Unresponsive && (r.report.Load.Unresponsive || age >= maxReportAge)
+	if report.Load.Leaving && !r.report.Load.Leaving {
+		r.recordLeaving(true, false, report.ReceivedAt)
+	}
 	r.report = report
 	r.recentSends.dropReported(report.ReceivedAt.Add(-maxReportLag))
 	return recovered
