Send the records of streams in batches to a few agents

Change: two copies; the streams of a group of 64 agents have the same replicas; an entry sends what there is every 50 ms while a service has runners of several versions, and every second otherwise, when only entries that have just started need the records.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,9 +112,8 @@
 	// crashesChanged signals that observedCrashes has a new crash or has cleared one.
 	crashesChanged broadcast.Signal
 	budgets        retry.ServiceBudgets
-	// pins are the software versions at which streams began, and pinsChanged signals a new one.
-	pins        streamPins
-	pinsChanged broadcast.Signal
+	// pins are the software versions at which streams began.
+	pins streamPins
 	// limited tracks the runners that announce a limit on requests.
 	limited  limitedRunners
 	inflight node.Inflight
--- a/gateway/pin_reporter.go
+++ b/gateway/pin_reporter.go
@@ -8,13 +8,16 @@
 
 	"github.com/sourcegraph/conc"
 
+	"github.com/rillreach/rillreach/internal/pause"
 	"github.com/rillreach/rillreach/peer"
 	"github.com/rillreach/rillreach/pinning"
 )
 
 const (
-	// pinReportInterval is how often the reporter looks for lost connections and for replicas to try again.
-	pinReportInterval = 200 * time.Millisecond
+	// pinReportInterval is how often records are sent while a service has runners of several software versions, and
+	// uniformPinReportInterval while none has: then the records matter only to entries that have just started.
+	pinReportInterval        = 50 * time.Millisecond
+	uniformPinReportInterval = time.Second
 	// pinRefreshInterval is how often the replicas and the versions are read from the list of runners if that has not
 	// changed.
 	pinRefreshInterval = time.Second
@@ -29,6 +32,9 @@
 	wg            conc.WaitGroup
 	refreshedAt   time.Time
 	rosterVersion uint64
+	// reportedAt is when records were last sent, and interval how often they are.
+	reportedAt time.Time
+	interval   time.Duration
 
 	mu    sync.Mutex
 	conns map[netip.AddrPort]*peer.Conn
@@ -40,17 +46,7 @@
 // Run reports until the context ends.
 func (p *pinReporter) Run(ctx context.Context) error {
 	p.conns = map[netip.AddrPort]*peer.Conn{}
-	ticker := time.NewTicker(pinReportInterval)
-	defer ticker.Stop()
-	for ctx.Err() == nil {
-		changed := p.gateway.pinsChanged.Wait()
-		p.report(ctx, time.Now())
-		select {
-		case <-ctx.Done():
-		case <-ticker.C:
-		case <-changed:
-		}
-	}
+	pause.Every(ctx, pinReportInterval, func(ctx context.Context) { p.report(ctx, time.Now()) })
 	p.wg.Wait()
 	return nil
 }
@@ -59,6 +55,10 @@
 func (p *pinReporter) report(ctx context.Context, now time.Time) {
 	g := p.gateway
 	p.refresh(now)
+	if now.Sub(p.reportedAt) < p.interval {
+		return
+	}
+	p.reportedAt = now
 	p.dropClosed()
 	for address, report := range g.pins.distribution.Due(now) {
 		p.wg.Go(func() { p.send(ctx, address, report) })
@@ -73,8 +73,12 @@
 		return
 	}
 	p.rosterVersion, p.refreshedAt = version, now
-	g.pins.distribution.SetCandidates(g.replicaCandidates())
+	g.pins.distribution.SetPlacement(g.pinPlacement())
 	g.observeVersions()
+	p.interval = uniformPinReportInterval
+	if g.hasSeveralVersions(now) {
+		p.interval = pinReportInterval
+	}
 }
 
 // dropClosed finds the replicas whose connection has ended.
--- a/gateway/stream_pins.go
+++ b/gateway/stream_pins.go
@@ -49,7 +49,20 @@
 		g.pins.table.Put(now, record)
 		g.pins.distribution.Add(now, record)
 	}
-	g.pinsChanged.Wake()
+}
+
+// hasSeveralVersions reports whether any service has had runners of several software versions lately.
+func (g *Gateway) hasSeveralVersions(now time.Time) bool {
+	config := g.state.Config()
+	if config == nil {
+		return false
+	}
+	for name := range config.Services {
+		if g.pins.versions.Several(name, now.Add(-pinning.MaxLifetime)) {
+			return true
+		}
+	}
+	return false
 }
 
 // observeVersions records which software versions the services have, and which services the routes lead to.
@@ -78,8 +91,8 @@
 	return listed
 }
 
-// replicaCandidates returns the agents that hold the records of streams. The agent of a leaving runner ends soon.
-func (g *Gateway) replicaCandidates() []pinning.Replica {
+// pinPlacement returns the placement of the records of streams on agents. The agent of a leaving runner ends soon.
+func (g *Gateway) pinPlacement() *pinning.Placement {
 	zones := map[netip.AddrPort]rillreach.ZoneID{}
 	for _, group := range g.engineGroups() {
 		for _, r := range group {
@@ -92,5 +105,5 @@
 	for address, zone := range zones {
 		agents = append(agents, pinning.Replica{Address: address, Zone: zone})
 	}
-	return pinning.Candidates(agents)
+	return pinning.NewPlacement(agents)
 }
--- a/pinning/distribution.go
+++ b/pinning/distribution.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 )
@@ -22,9 +21,9 @@
 // Distribution decides which records of a process go to which replicas, and again to others when replicas are lost. The
 // zero value has no records and is ready to use, and it is safe for concurrent use.
 type Distribution struct {
-	mu         sync.Mutex
-	candidates []Replica
-	records    map[Stream]*distributed
+	mu        sync.Mutex
+	placement *Placement
+	records   map[Stream]*distributed
 	// order contains the streams of the records, oldest first.
 	order []Stream
 	// pending contains the streams whose record may have to be sent to a replica.
@@ -39,7 +38,6 @@
 type distributed struct {
 	record    Record
 	expiresAt time.Time
-	replicas  []Replica
 	holders   map[netip.AddrPort]bool
 }
 
@@ -59,22 +57,19 @@
 		d.removeOldest()
 	}
 	d.order = append(d.order, r.Stream)
-	d.records[r.Stream] = &distributed{
-		record: r, expiresAt: now.Add(r.Left), replicas: ReplicasOf(r.Stream, d.candidates, Asked), holders: map[netip.AddrPort]bool{},
-	}
+	d.records[r.Stream] = &distributed{record: r, expiresAt: now.Add(r.Left), holders: map[netip.AddrPort]bool{}}
 	d.pending[r.Stream] = true
 }
 
-// SetCandidates sets the agents that serve as replicas.
-func (d *Distribution) SetCandidates(candidates []Replica) {
+// SetPlacement sets the replicas of all streams.
+func (d *Distribution) SetPlacement(p *Placement) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if slices.Equal(d.candidates, candidates) {
+	if d.placement != nil && d.placement.equal(p) {
 		return
 	}
-	d.candidates = candidates
-	for stream, one := range d.records {
-		one.replicas = ReplicasOf(stream, candidates, Asked)
+	d.placement = p
+	for stream := range d.records {
 		d.pending[stream] = true
 	}
 }
@@ -105,7 +100,7 @@
 	due := map[netip.AddrPort]Report{}
 	for stream := range d.pending {
 		one := d.records[stream]
-		if one.isReplicated() {
+		if d.isReplicated(one) {
 			delete(d.pending, stream)
 			continue
 		}
@@ -131,8 +126,11 @@
 func (d *Distribution) missingAt(one *distributed) []netip.AddrPort {
 	var missing []netip.AddrPort
 	available := 0
-	for _, r := range one.replicas {
-		if _, unavailable := d.unavailableUntil[r.Address]; unavailable || available == Copies {
+	for _, r := range d.replicasOf(one.record.Stream) {
+		if available == Copies {
+			break
+		}
+		if _, unavailable := d.unavailableUntil[r.Address]; unavailable {
 			continue
 		}
 		available++
@@ -143,8 +141,25 @@
 	return missing
 }
 
-// isReplicated reports whether enough replicas hold the record.
-func (o *distributed) isReplicated() bool { return len(o.holders) >= min(Copies, len(o.replicas)) }
+// isReplicated reports whether the first replicas hold the record, which all processes ask. While one of them is
+// unavailable, others hold it as well. The caller must hold the lock.
+func (d *Distribution) isReplicated(one *distributed) bool {
+	replicas := d.replicasOf(one.record.Stream)
+	for _, r := range replicas[:min(Copies, len(replicas))] {
+		if !one.holders[r.Address] {
+			return false
+		}
+	}
+	return len(replicas) > 0
+}
+
+// replicasOf returns the agents in the order in which they are used for a stream. The caller must hold the lock.
+func (d *Distribution) replicasOf(s Stream) []Replica {
+	if d.placement == nil {
+		return nil
+	}
+	return d.placement.For(s)
+}
 
 // Delivered records that a replica has acknowledged a report.
 func (d *Distribution) Delivered(address netip.AddrPort, report Report) {
@@ -185,13 +200,13 @@
 func (d *Distribution) ReplicasOf(now time.Time, s Stream) []Replica {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	available := make([]Replica, 0, len(d.candidates))
-	for _, r := range d.candidates {
-		if !now.Before(d.unavailableUntil[r.Address]) {
+	available := make([]Replica, 0, Asked)
+	for _, r := range d.replicasOf(s) {
+		if len(available) < Asked && !now.Before(d.unavailableUntil[r.Address]) {
 			available = append(available, r)
 		}
 	}
-	return ReplicasOf(s, available, Asked)
+	return available
 }
 
 // Unreplicated returns the number of records that too few replicas hold.
--- a/pinning/history.go
+++ b/pinning/history.go
@@ -78,6 +78,19 @@
 	return value, ok
 }
 
+// Several reports whether a key has had several values from the given time on, as far as was observed.
+func (h *History[K, V]) Several(key K, after time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for _, at := range h.lastSeen[key] {
+		if !at.Before(after) {
+			n++
+		}
+	}
+	return n > 1
+}
+
 // Covers reports whether the observations have no gap from the given time on, up to at most maxAge before now.
 func (h *History[K, V]) Covers(after, now time.Time, maxAge time.Duration) bool {
 	h.mu.Lock()
--- a/pinning/replicas.go
+++ b/pinning/replicas.go
@@ -10,16 +10,15 @@
 )
 
 const (
-	// Copies is the number of replicas that hold a stream's record, in as many availability zones as possible. With
-	// three, a record outlives the entry that wrote it together with two of the replicas.
-	Copies = 3
+	// Copies is the number of replicas that hold a stream's record, in as many availability zones as possible. With two, a
+	// record outlives the entry that wrote it together with one of the replicas.
+	Copies = 2
 	// Asked is the number of replicas that are asked for a record. It exceeds Copies since the processes may differ about
 	// which replicas are available.
-	Asked = 6
-	// minCandidates and candidateDivisor bound how many agents serve as replicas: all of a small deployment, and one of
-	// candidateDivisor of a large one, in which each entry would otherwise connect to every agent.
-	minCandidates    = 32
-	candidateDivisor = 16
+	Asked = 4
+	// agentsPerGroup is the number of agents for each group of streams. Streams of one group have the same replicas, so that
+	// an entry of a small deployment can send many records in one message.
+	agentsPerGroup = 64
 )
 
 // Replica is an agent that holds records.
@@ -28,53 +27,59 @@
 	Zone    rillreach.ZoneID
 }
 
-// Candidates returns the agents that serve as replicas. All processes with the same list of agents get the same ones, and
-// a change of the list changes few of them.
-func Candidates(agents []Replica) []Replica {
-	count := min(len(agents), max(minCandidates, len(agents)/candidateDivisor))
-	ranked := slices.Clone(agents)
-	slices.SortFunc(ranked, func(a, b Replica) int {
-		return cmp.Or(cmp.Compare(addressHash(a), addressHash(b)), a.Address.Compare(b.Address))
-	})
-	return ranked[:count]
+// Placement assigns replicas to streams. All processes with the same list of agents have the same placement, and a change
+// of the list moves few streams. The zero value has no replicas.
+type Placement struct {
+	agents []Replica
+	// groups contains, for each group of streams, all agents in the order in which they are used.
+	groups [][]Replica
 }
 
-func addressHash(r Replica) uint64 { return hash.String(r.Address.String()) }
-
-// ReplicasOf returns the first n replicas for the record of a stream among the candidates: the first of each availability
-// zone by rendezvous hashing, then the second ones, and so on.
-func ReplicasOf(s Stream, candidates []Replica, n int) []Replica {
-	ranked := rank(s, candidates)
-	perZone := map[rillreach.ZoneID]int{}
-	for i := range ranked {
-		zone := ranked[i].replica.Zone
-		ranked[i].round = perZone[zone]
-		perZone[zone]++
+// NewPlacement returns the placement on the given agents.
+func NewPlacement(agents []Replica) *Placement {
+	p := &Placement{agents: slices.SortedFunc(slices.Values(agents), func(a, b Replica) int { return a.Address.Compare(b.Address) })}
+	for group := range max(1, len(agents)/agentsPerGroup) {
+		p.groups = append(p.groups, orderFor(uint64(group), p.agents))
 	}
-	slices.SortStableFunc(ranked, func(a, b rankedReplica) int { return cmp.Compare(a.round, b.round) })
-	chosen := make([]Replica, 0, n)
-	for _, r := range ranked[:min(n, len(ranked))] {
-		chosen = append(chosen, r.replica)
+	return p
+}
+
+// For returns the agents in the order in which they are used for a stream. The slice must not be modified.
+func (p *Placement) For(s Stream) []Replica {
+	if len(p.groups) == 0 {
+		return nil
 	}
-	return chosen
+	return p.groups[s.hash()%uint64(len(p.groups))]
 }
 
-// rankedReplica is a candidate with its weight for a stream, and its position among those of its availability zone.
+// equal reports whether both placements are on the same agents.
+func (p *Placement) equal(other *Placement) bool { return slices.Equal(p.agents, other.agents) }
+
+// rankedReplica is an agent with its weight for a group, and its position among those of its availability zone.
 type rankedReplica struct {
-	replica Replica
-	weight  uint64
-	round   int
+	replica  Replica
+	weight   uint64
+	position int
 }
 
-// rank sorts the candidates by their weight for a stream.
-func rank(s Stream, candidates []Replica) []rankedReplica {
-	key := s.hash()
-	ranked := make([]rankedReplica, len(candidates))
-	for i, r := range candidates {
-		ranked[i] = rankedReplica{replica: r, weight: hash.Mix(key, addressHash(r))}
+// orderFor returns the agents in their order for a group: the first of each availability zone by rendezvous hashing, then
+// the second ones, and so on.
+func orderFor(group uint64, agents []Replica) []Replica {
+	ranked := make([]rankedReplica, len(agents))
+	for i, r := range agents {
+		ranked[i] = rankedReplica{replica: r, weight: hash.Mix(group, hash.String(r.Address.String()))}
+	}
+	slices.SortStableFunc(ranked, func(a, b rankedReplica) int { return cmp.Compare(a.weight, b.weight) })
+	perZone := map[rillreach.ZoneID]int{}
+	for i := range ranked {
+		zone := ranked[i].replica.Zone
+		ranked[i].position = perZone[zone]
+		perZone[zone]++
+	}
+	slices.SortStableFunc(ranked, func(a, b rankedReplica) int { return cmp.Compare(a.position, b.position) })
+	ordered := make([]Replica, len(ranked))
+	for i := range ranked {
+		ordered[i] = ranked[i].replica
 	}
-	slices.SortFunc(ranked, func(a, b rankedReplica) int {
-		return cmp.Or(cmp.Compare(a.weight, b.weight), a.replica.Address.Compare(b.replica.Address))
-	})
-	return ranked
+	return ordered
 }
