--- a/gateway/pin_reporter.go
+++ b/gateway/pin_reporter.go
@@ -14,10 +14,13 @@
 )
 
 const (
-	// pinReportInterval is how often records are sent while a service has runners of several software versions, and
-	// uniformPinReportInterval while none has: then the records matter only to entries that have just started.
+	// pinReportInterval is how often records are sent while a service has runners of several software versions, or the
+	// entry shuts down, and uniformPinReportInterval otherwise: then the records matter only to entries that have just
+	// started.
 	pinReportInterval        = 50 * time.Millisecond
 	uniformPinReportInterval = time.Second
+	// pinCheckInterval is the longest time until a change of that is noticed.
+	pinCheckInterval = 200 * time.Millisecond
 	// pinRefreshInterval is how often the replicas and the versions are read from the list of runners if that has not
 	// changed.
 	pinRefreshInterval = time.Second
@@ -32,9 +35,10 @@
 	wg            conc.WaitGroup
 	refreshedAt   time.Time
 	rosterVersion uint64
-	// reportedAt is when records were last sent, and interval how often they are.
+	// reportedAt is when records were last sent.
 	reportedAt time.Time
-	interval   time.Duration
+	// severalVersions reports whether a service has had runners of several software versions lately.
+	severalVersions bool
 
 	mu    sync.Mutex
 	conns map[netip.AddrPort]*peer.Conn
@@ -46,16 +50,27 @@
 // Run reports until the context ends.
 func (p *pinReporter) Run(ctx context.Context) error {
 	p.conns = map[netip.AddrPort]*peer.Conn{}
-	pause.Every(ctx, pinReportInterval, func(ctx context.Context) { p.report(ctx, time.Now()) })
+	for ctx.Err() == nil {
+		p.report(ctx, time.Now())
+		pause.For(ctx, min(p.interval(), pinCheckInterval))
+	}
 	p.wg.Wait()
 	return nil
 }
 
+// interval returns how often records are sent now.
+func (p *pinReporter) interval() time.Duration {
+	if p.severalVersions || p.gateway.shuttingDown.Load() {
+		return pinReportInterval
+	}
+	return uniformPinReportInterval
+}
+
 // report begins to send all replicas what they lack.
 func (p *pinReporter) report(ctx context.Context, now time.Time) {
 	g := p.gateway
 	p.refresh(now)
-	if now.Sub(p.reportedAt) < p.interval {
+	if now.Sub(p.reportedAt) < p.interval() {
 		return
 	}
 	p.reportedAt = now
@@ -75,10 +90,7 @@
 	p.rosterVersion, p.refreshedAt = version, now
 	g.pins.distribution.SetPlacement(g.pinPlacement())
 	g.observeVersions()
-	p.interval = uniformPinReportInterval
-	if g.hasSeveralVersions(now) {
-		p.interval = pinReportInterval
-	}
+	p.severalVersions = g.hasSeveralVersions(now)
 }
 
 // dropClosed finds the replicas whose connection has ended.
--- a/pinning/distribution_test.go
+++ b/pinning/distribution_test.go
@@ -94,6 +94,20 @@
 		s.exchange(d, start)
 		assert.Equal(t, Copies, s.holders(streamNumber(1), start))
 	})
+	t.Run("a replica that could not be reached gets the record once it can be", func(t *testing.T) {
+		d, s := startDistribution(agents(18))
+		unreachable := NewPlacement(agents(18)).For(streamNumber(1))[:Copies]
+		for _, r := range unreachable {
+			s.down[r.Address] = true
+		}
+		d.Add(start, recordOf(1, oldPin))
+		s.exchange(d, start)
+		for _, r := range unreachable {
+			s.down[r.Address] = false
+		}
+		s.exchange(d, start.Add(retryDelay))
+		assert.Equal(t, 2*Copies, s.holders(streamNumber(1), start.Add(retryDelay)))
+	})
 	t.Run("a replica that has restarted gets its records again", func(t *testing.T) {
 		d, s := startDistribution(agents(2))
 		d.Add(start, recordOf(1, oldPin))
