--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -104,6 +104,9 @@
 	}
 	_, _ = fmt.Fprintln(w, "\nwhat was decided:")
 	for _, line := range history.Lines {
+		if line.Request != history.Request {
+			line.Message += " by request " + line.Request
+		}
 		writeLine(w, line)
 	}
 }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -30,7 +30,7 @@
 // RequestHistory contains the log lines that explain one request.
 type RequestHistory struct {
 	Request string `json:"request"`
-	// Lines are the log lines of the request, ordered by time.
+	// Lines are the log lines of the request, ordered by time, and those in which other requests take its stream up.
 	Lines []Line `json:"lines"`
 	// PriorState is the state before the request, as the latest log lines up to the request's first one: configuration,
 	// weights, dependencies, evacuations, process starts and stops, and the runners of the request. Only processes
@@ -76,7 +76,7 @@
 	history := RequestHistory{Request: request}
 	instances, runners := map[string]bool{}, map[string]bool{}
 	for _, line := range lines {
-		if line.Request != request {
+		if line.Request != request && line.Fields["resumes"] != request {
 			continue
 		}
 		history.Lines = append(history.Lines, line)
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -35,5 +35,12 @@
 		assert.InDelta(t, 4, history.PriorState[0].Fields["version"], 0)
 		assert.Equal(t, "r1", history.PriorState[1].Fields["runner"])
 	})
+	t.Run("requests that take up the request's stream are part of its history", func(t *testing.T) {
+		lines, err := Read(strings.NewReader(sampleLog + `{"time":"2026-01-01T00:00:07Z","level":"INFO","msg":"stream taken up","instance":"e2","request":"b","resumes":"a"}`))
+		require.NoError(t, err)
+		history := HistoryOf(lines, "a")
+		require.Len(t, history.Lines, 3)
+		assert.Equal(t, "b", history.Lines[2].Request)
+	})
 	t.Run("history of an unknown request is empty", func(t *testing.T) { assert.Empty(t, HistoryOf(lines, "c").Lines) })
 }
--- a/pinning/replicas.go
+++ b/pinning/replicas.go
@@ -18,7 +18,7 @@
 	Asked = 4
 	// agentsPerGroup is the number of agents for each group of streams. Streams of one group have the same replicas, so that
 	// an entry of a small deployment can send many records in one message.
-	agentsPerGroup = 64
+	agentsPerGroup = 32
 )
 
 // Replica is an agent that holds records.
