Send the requests of a rollout's test however long they take

The bound said nothing of rollouts. Change: a given number of requests is sent without a bound on time; the share that is checked, 10 to 70 of exactly 400, stays. Conditions that are waited for keep their bound. Two subtests of the software versions share one body; the soak says how many streams went on.

--- a/gateway/rollouts_test.go
+++ b/gateway/rollouts_test.go
@@ -78,17 +78,26 @@
 // sendUntil sends requests until the condition holds.
 func (w *rolloutWorld) sendUntil(t *testing.T, holds func() bool) {
 	t.Helper()
-	for deadline := time.Now().Add(testTimeout); !holds(); w.sent++ {
+	for deadline := time.Now().Add(testTimeout); !holds(); {
 		require.True(t, time.Now().Before(deadline), "condition does not hold in time")
-		prompt := fmt.Sprintf("X-Rillreach-Prompt-Prefix: aa:10,%x:10,ff:5", w.sent+1) // a conversation of its own
-		w.send(t, "POST", "/once/x", "body", "X-Rillreach-Model: m", "X-Rillreach-Token-Usage: 25,1", prompt)
+		w.sendOne(t)
 	}
 }
 
+// sendSome sends a number of requests, however long that takes.
 func (w *rolloutWorld) sendSome(t *testing.T, n int) {
 	t.Helper()
-	until := w.sent + n
-	w.sendUntil(t, func() bool { return w.sent >= until })
+	for range n {
+		w.sendOne(t)
+	}
+}
+
+// sendOne sends a request of a conversation of its own.
+func (w *rolloutWorld) sendOne(t *testing.T) {
+	t.Helper()
+	w.sent++
+	prompt := fmt.Sprintf("X-Rillreach-Prompt-Prefix: aa:10,%x:10,ff:5", w.sent)
+	w.send(t, "POST", "/once/x", "body", "X-Rillreach-Model: m", "X-Rillreach-Token-Usage: 25,1", prompt)
 }
 
 func (w *rolloutWorld) recordedState() string {
--- a/gateway/software_versions_test.go
+++ b/gateway/software_versions_test.go
@@ -30,28 +30,26 @@
 
 // Guards against streams that hold events from runners of two software versions.
 func TestStreamMixesSoftwareVersions(t *testing.T) {
-	t.Run("a runner breaks off, and the entry continues the answer", func(t *testing.T) {
-		w := startWorld(t, defaultConfig())
-		defer w.stop()
-		w.addVersionedRunners(t, breakOffAtFirst, 2, 2)
-		for i := range versionedStreams {
-			got := w.callStream(t, fmt.Sprint("/stream/", i), fmt.Sprint("s", i))
-			require.NoError(t, got.err)
-			assertOneVersion(t, got.body)
-			assertEventIDs(t, got.body, 1, streamEvents)
-		}
-	})
-	t.Run("a runner falls silent, and the entry continues the answer", func(t *testing.T) {
-		w := startWorld(t, defaultConfig())
-		defer w.stop()
-		w.addVersionedRunners(t, fallSilentAtFirst, 2, 2)
-		for i := range 6 {
-			got := w.callStream(t, fmt.Sprint("/stream/", i), fmt.Sprint("s", i))
-			require.NoError(t, got.err)
-			assertOneVersion(t, got.body)
-			assertEventIDs(t, got.body, 1, streamEvents)
-		}
-	})
+	withinAnswer := map[string]struct {
+		handle  versionedHandler
+		streams int
+	}{
+		"a runner breaks off, and the entry continues the answer":   {breakOffAtFirst, versionedStreams},
+		"a runner falls silent, and the entry continues the answer": {fallSilentAtFirst, versionedStreams / 2},
+	}
+	for name, c := range withinAnswer {
+		t.Run(name, func(t *testing.T) {
+			w := startWorld(t, defaultConfig())
+			defer w.stop()
+			w.addVersionedRunners(t, c.handle, 2, 2)
+			for i := range c.streams {
+				got := w.callStream(t, fmt.Sprint("/stream/", i), fmt.Sprint("s", i))
+				require.NoError(t, got.err)
+				assertOneVersion(t, got.body)
+				assertEventIDs(t, got.body, 1, streamEvents)
+			}
+		})
+	}
 	t.Run("the caller takes the stream up at the entry that began it", func(t *testing.T) {
 		w := startWorld(t, configWithSingleAttempt())
 		defer w.stop()
--- a/soak/main.go
+++ b/soak/main.go
@@ -110,6 +110,7 @@
 			served++
 		}
 	}
-	report("seed %d: %d requests, %d served, %d runs, %d streams taken up", seed, len(r.Calls), served, len(r.Executions), r.takenUp())
+	taken := r.takenUp()
+	report("seed %d: %d requests, %d served, %d runs, %d streams taken up, %d went on", seed, len(r.Calls), served, len(r.Executions), taken.asked, taken.got)
 	return checkGuarantees(r, true), nil
 }
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -318,13 +318,13 @@
 	return n
 }
 
-// takenUp returns the number of calls that took up a stream.
-func (r *observations) takenUp() int {
-	n := 0
+// takenUp counts the calls that took up a stream.
+func (r *observations) takenUp() streamCount {
+	var taken streamCount
 	for i := range r.Calls {
-		if r.Calls[i].Begun != "" {
-			n++
+		if c := &r.Calls[i]; c.Begun != "" {
+			taken.add(c)
 		}
 	}
-	return n
+	return taken
 }
