Hand the records of streams over when an agent is stopped, and ask agents that were lost

Cause: an agent that could not be reached wasn't asked for a second, and for that second there were none (asked=0 in the entry's log); and an agent that was stopped took its records along, which nobody gives it again where the entry that made them has ended.

--- a/pinning/distribution.go
+++ b/pinning/distribution.go
@@ -3,12 +3,14 @@
 import (
 	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
 
-// retryDelay is how long a replica that could not be reached is not used.
-const retryDelay = time.Second
+// retryDelay is how long a replica that could not be reached gets no records. An agent that restarts is back within that
+// time.
+const retryDelay = 300 * time.Millisecond
 
 const (
 	// maxReportRecords bounds the records of one report.
@@ -196,17 +198,21 @@
 	d.order = d.order[1:]
 }
 
-// ReplicasOf returns the replicas to ask for the record of a stream, without those that could not be reached.
+// ReplicasOf returns the replicas to ask for the record of a stream. Those that could not be reached come last, since they
+// may be back.
 func (d *Distribution) ReplicasOf(now time.Time, s Stream) []Replica {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	available := make([]Replica, 0, Asked)
+	var available, unavailable []Replica
 	for _, r := range d.replicasOf(s) {
-		if len(available) < Asked && !now.Before(d.unavailableUntil[r.Address]) {
+		if now.Before(d.unavailableUntil[r.Address]) {
+			unavailable = append(unavailable, r)
+		} else {
 			available = append(available, r)
 		}
 	}
-	return available
+	all := slices.Concat(available, unavailable)
+	return all[:min(Asked, len(all))]
 }
 
 // Unreplicated returns the number of records that too few replicas hold.
--- a/pinning/distribution_test.go
+++ b/pinning/distribution_test.go
@@ -129,6 +129,14 @@
 		s.exchange(d, start)
 		assert.Equal(t, Copies, s.holders(streamNumber(1), start))
 	})
+	t.Run("replicas that could not be reached are asked last", func(t *testing.T) {
+		d, s := startDistribution(agents(3))
+		order := NewPlacement(agents(3)).For(streamNumber(1))
+		s.down[order[0].Address] = true
+		d.Add(start, recordOf(1, oldPin))
+		s.exchange(d, start)
+		assert.Equal(t, []Replica{order[1], order[2], order[0]}, d.ReplicasOf(start, streamNumber(1)))
+	})
 	t.Run("an expired record is not sent", func(t *testing.T) {
 		d, _ := startDistribution(agents(18))
 		d.Add(start, recordOf(1, oldPin))
@@ -144,6 +152,30 @@
 	})
 }
 
+// Guards against losing the records of an agent that is stopped after the entry that made them has ended.
+func TestStoppedReplicaTakesRecordsAlong(t *testing.T) {
+	all := agents(5)
+	d, s := startDistribution(all)
+	for i := range 3 * maxReportRecords {
+		d.Add(start, recordOf(i, oldPin))
+	}
+	s.exchange(d, start)
+	for stopped := range 3 { // one after the other, without the entry
+		handover, others := &Distribution{}, all[stopped+1:]
+		handover.SetPlacement(NewPlacement(others))
+		s.down[all[stopped].Address] = true
+		for _, r := range s.tables[all[stopped].Address].Records(start) {
+			handover.Add(start, r)
+		}
+		s.exchange(handover, start)
+	}
+	for i := range 3 * maxReportRecords {
+		e := Evidence{Named: true, Answers: s.answers(all[3:], streamNumber(i), start)}
+		_, verdict := e.Resolve()
+		assert.Equal(t, VerdictRecorded, verdict)
+	}
+}
+
 func startDistribution(all []Replica) (*Distribution, *replicaSet) {
 	d := &Distribution{}
 	d.SetPlacement(NewPlacement(all))
--- a/pinning/table.go
+++ b/pinning/table.go
@@ -86,6 +86,19 @@
 	return pins
 }
 
+// Records returns all records, but for disputed ones, which are of no use.
+func (t *Table) Records(now time.Time) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var records []Record
+	for e := t.records.Front(); e != nil; e = e.Next() {
+		if known := e.Value.(*entry); !known.disputed && known.expiresAt.After(now) {
+			records = append(records, Record{Stream: known.stream, Pin: known.pin, Left: known.expiresAt.Sub(now)})
+		}
+	}
+	return records
+}
+
 // Len returns the number of records.
 func (t *Table) Len() int {
 	t.mu.Lock()
--- a/sidecar/feed_test.go
+++ b/sidecar/feed_test.go
@@ -35,6 +35,16 @@
 }
 
 func newZonedDeployment(t *testing.T) *zonedDeployment {
+	t.Helper()
+	d := newSmallDeployment(t, map[string]any{"name": "s"})
+	for i := range replica.MinAgents { // listed last, so that they are asked last
+		d.listEngine(fmt.Sprintf("z-%03d", i), "y", netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 9, byte(i + 1)}), 9))
+	}
+	return d
+}
+
+// newSmallDeployment returns a deployment of one service, without engines.
+func newSmallDeployment(t *testing.T, service map[string]any) *zonedDeployment {
 	t.Helper()
 	probe, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -43,10 +53,7 @@
 	server := httptest.NewServer(d.store)
 	t.Cleanup(server.Close)
 	d.url = addressOf(server.URL)
-	d.store.Put("config", "main", map[string]any{"version": 1, "routes": []any{}, "services": []any{map[string]any{"name": "s"}}, "limits": map[string]any{}})
-	for i := range replica.MinAgents { // listed last, so that they are asked last
-		d.listEngine(fmt.Sprintf("z-%03d", i), "y", netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 9, byte(i + 1)}), 9))
-	}
+	d.store.Put("config", "main", map[string]any{"version": 1, "routes": []any{}, "services": []any{service}, "limits": map[string]any{}})
 	return d
 }
 
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -126,6 +126,7 @@
 		s.pool,
 		&holderController{s.runnerHolder},
 		&peerServer{s},
+		&pinHandover{sidecar: s, self: self},
 	}
 	if s.Replica != nil {
 		s.Replica.Pool = s.pool
