Admit streams that are taken up as begun answers

Cause: a taken-up stream counted as a new request, which is shed where others wait, but only its version's engines can take it. Change: it waits before new requests and isn't shed, as a begun answer. The soak's callers honour Retry-After within a third of their time, as the platform's do.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -127,6 +127,10 @@
 	return p.lastWriteAt
 }
 
+// hasBegun reports whether the caller has part of the answer, from this request or from the one whose stream it takes up.
+// Only some runners can continue it then.
+func (x *exchange) hasBegun() bool { return x.headSent || !x.pin.IsZero() }
+
 // mayUseAnotherRunner reports whether the route allows the request to be sent to one more runner.
 func (x *exchange) mayUseAnotherRunner() bool { return x.runnersLeft() > 0 }
 
--- a/gateway/resumed_streams_test.go
+++ b/gateway/resumed_streams_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -18,6 +19,8 @@
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/internal/standin/site"
+	"github.com/rillreach/rillreach/pinning"
+	"github.com/rillreach/rillreach/platform"
 )
 
 // startVersionedSite starts a site whose streams are not continued within an answer, with two entries, and runners of two
@@ -172,6 +175,21 @@
 	})
 }
 
+// Guards against refusing the rest of a stream for requests that could also be served by runners of other versions.
+func TestTakenUpStreamIsShed(t *testing.T) {
+	g, now := &Gateway{}, time.Now()
+	x := &exchange{
+		wire:  platform.Request{Prompt: &deployment.Prompt{Model: site.Model}},
+		route: &deployment.Route{Timeout: time.Minute, TargetLatency: time.Second}, service: &deployment.Service{Name: "e"}, arrived: now, deadline: now.Add(time.Minute), progress: &progress{},
+	}
+	assert.False(t, g.admissionRequest(x).AnswerStarted)
+	x.pinTo(pinning.Pin{Service: "e", Software: oldSoftware})
+	w := &waitingRequest{request: g.admissionRequest(x)}
+	assert.True(t, w.request.AnswerStarted)
+	_, shed := newAdmissionQueue(g).shed(w, math.MaxInt32, now)
+	assert.False(t, shed)
+}
+
 // Guards against rollouts that send the rest of a stream to the version that did not begin it.
 func TestRolloutMovesStreams(t *testing.T) {
 	start := func(t *testing.T) *rolloutWorld {
--- a/gateway/shed.go
+++ b/gateway/shed.go
@@ -14,7 +14,7 @@
 func (g *Gateway) admissionRequest(x *exchange) admission.Request {
 	r := admission.Request{
 		Arrived: x.arrived, TargetTime: x.arrived.Add(x.route.TargetLatency), Deadline: x.deadline, ExpectedTTFT: g.expectedTTFT(x),
-		Tokens: x.wire.Prompt.Tokens + x.wire.Prompt.MaxOutputTokens, AnswerStarted: x.headSent,
+		Tokens: x.wire.Prompt.Tokens + x.wire.Prompt.MaxOutputTokens, AnswerStarted: x.hasBegun(),
 	}
 	if idleTimeout := x.route.CallerIdleTimeout(); idleTimeout > 0 && !x.headSent {
 		if idleDeadline := x.arrived.Add(idleTimeout); idleDeadline.Before(r.Deadline) {
--- a/internal/standin/site/specs.go
+++ b/internal/standin/site/specs.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 )
 
@@ -149,3 +150,12 @@
 	r.Header.Set("Resumes", begun)
 	r.Header.Set("Last-Event-Id", EventID(lastEvent))
 }
+
+// RetryAfter returns when a response asks its caller to come back, or zero if it does not.
+func RetryAfter(resp *http.Response) time.Duration {
+	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -133,7 +133,7 @@
 		defer resp.Body.Close()
 		var body []byte
 		body, err = io.ReadAll(resp.Body)
-		seen.Status, seen.Body = resp.StatusCode, string(body)
+		seen.Status, seen.Body, seen.RetryAfter = resp.StatusCode, string(body), site.RetryAfter(resp)
 	}
 	seen.Truncated, seen.Refused = err != nil, errors.Is(err, syscall.ECONNREFUSED)
 	if at := written.Load(); at != nil {
--- a/soak/record.go
+++ b/soak/record.go
@@ -44,6 +44,8 @@
 	// refused.
 	NewConnection bool
 	Refused       bool
+	// RetryAfter is when the caller was told to come back.
+	RetryAfter time.Duration
 	// Resumes is the request that the call names as the one that began its stream, Begun the one that really did, and After
 	// the last event that the caller had by then. They are empty if the call takes up no stream.
 	Resumes string
--- a/soak/versions.go
+++ b/soak/versions.go
@@ -19,6 +19,9 @@
 	// maxTakeUps is how often a caller takes up one stream, and takeUpDelay the pause before it does.
 	maxTakeUps  = 3
 	takeUpDelay = 10 * time.Millisecond
+	// maxRetryAfterDivisor times the time for which a caller waits when it is told to come back is at most the time that it
+	// has left.
+	maxRetryAfterDivisor = 3
 	// minTakenUp is the number of streams from which the share of those that go on is checked, and minServing the number of
 	// runners of a stream's version that must serve meanwhile.
 	minTakenUp = 12
@@ -126,6 +129,7 @@
 	_, spec := n.storeRecord()
 	spec["state"] = "draining"
 	c.store.Put("servers", id, spec)
+	c.recordLeaving(id)
 	c.schedule(leaveDuration, func() {
 		defer n.replaceMu.Unlock()
 		c.crash(n)
@@ -169,7 +173,7 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(takeUpDelay):
+		case <-time.After(max(takeUpDelay, min(last.RetryAfter, time.Until(deadline)/maxRetryAfterDivisor))):
 		}
 		last = c.record(last.continuation())
 	}
@@ -302,7 +306,7 @@
 }
 
 // serving returns the number of runners of the call's service that served with the software version from its beginning to
-// its end.
+// its end. One that has left must get no more requests after leaveWithin.
 func (r *observations) serving(c *callRecord, software string) int {
 	service, n := plainService, 0
 	if c.Kind.engines() {
@@ -311,6 +315,8 @@
 	for i := range r.SoftwareRuns {
 		one := &r.SoftwareRuns[i]
 		ended := !one.Until.IsZero() && one.Until.Before(c.EndedAt)
+		left, leaves := r.LeavingSince[one.Runner]
+		ended = ended || leaves && left.Add(leaveWithin).Before(c.EndedAt)
 		if one.Service == service && one.Software == software && one.From.Before(c.SentAt) && !ended {
 			n++
 		}
--- a/soak/versions_test.go
+++ b/soak/versions_test.go
@@ -78,6 +78,13 @@
 	assert.Zero(t, judged(observed(minTakenUp/2, 2)))
 	assert.Equal(t, 1, judged(observed(minTakenUp/2-1, 2)))
 	assert.Zero(t, judged(observed(0, 1)), "a single runner of the version serves")
+	leaving := func(since time.Duration) *observations {
+		r := observed(0, 2)
+		r.LeavingSince = map[string]time.Time{"": at(since)}
+		return r
+	}
+	assert.Equal(t, 1, judged(leaving(time.Second)), "runners that leave still take the rest of streams")
+	assert.Zero(t, judged(leaving(-time.Second)), "they must get nothing any more")
 }
 
 func TestEventsOfStreams(t *testing.T) {
