Don't send records that have expired, nor take a long ID for none

Cause (read in the diff): a record that expires before an older one stayed due, its negative time made agents refuse the whole report, and the entry took them for unreachable, again and again while a listed replica was away. And a Resumes that is too long to be recorded counted as a caller that names no stream. Before: the subtest of TestDistribution red.

--- a/gateway/resumed_streams.go
+++ b/gateway/resumed_streams.go
@@ -96,9 +96,9 @@
 	ctx, cancel := context.WithTimeout(ctx, pinSearchTimeout)
 	defer cancel()
 	s := &beginningSearch{gateway: g, exchange: x, query: pinning.Query{Stream: x.streamOf(x.wire.Resumes), Service: x.service.Name}}
-	s.evidence.Named = s.query.Check() == nil
-	if !s.evidence.Named {
-		s.resolve()
+	s.evidence.Named = x.wire.Resumes != ""
+	if s.query.Check() != nil {
+		s.resolve() // there is no record of a stream that is not named, or whose ID is too long
 		return s
 	}
 	s.addAnswer(rillreach.InstanceID(g.Settings.Name), g.pins.table.Find(time.Now(), s.query))
--- a/pinning/distribution.go
+++ b/pinning/distribution.go
@@ -102,7 +102,7 @@
 	due := map[netip.AddrPort]Report{}
 	for stream := range d.pending {
 		one := d.records[stream]
-		if d.isReplicated(one) {
+		if d.isReplicated(one) || !now.Before(one.expiresAt) {
 			delete(d.pending, stream)
 			continue
 		}
--- a/pinning/distribution_test.go
+++ b/pinning/distribution_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
 
@@ -143,6 +144,15 @@
 		assert.Empty(t, d.Due(start.Add(10*time.Second)))
 		assert.Zero(t, d.Unreplicated())
 	})
+	t.Run("a record that expires before an older one is not sent either", func(t *testing.T) {
+		d, _ := startDistribution(agents(18))
+		d.Add(start, Record{Stream: streamNumber(1), Pin: oldPin, Left: time.Minute})
+		d.Add(start, recordOf(2, oldPin))
+		for _, report := range d.Due(start.Add(30 * time.Second)) {
+			require.NoError(t, report.Check())
+			assert.Len(t, report.Records, 1)
+		}
+	})
 	t.Run("the oldest records are given up above the limit", func(t *testing.T) {
 		d, _ := startDistribution(agents(3))
 		for i := range maxDistributed + 5 {
