Keep fields together that one comment describes

Read as a newcomer would: a field stood between two that their comment describes together, and another moved the alignment of its neighbours. No behaviour changes.

--- a/gateway/left_out.go
+++ b/gateway/left_out.go
@@ -22,7 +22,8 @@
 // exclusions counts the runners of a service that may not take a request, by reason.
 type exclusions struct {
 	// staying counts the runners of the software versions that the request may use, without those that are leaving.
-	staying                                                int
+	staying int
+
 	evacuated, disallowedRegion, cold, limited, backingOff int
 	// limitedRate is the combined limit of the limited runners, in requests per second.
 	limitedRate float64
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -118,10 +118,10 @@
 	Limit backpressure.Limit
 	// Denied is why the runner must not be sent a request now, and BackoffUntil when the backoff that it
 	// has asked for ends.
-	Denied Denial
+	Denied       Denial
+	BackoffUntil time.Time
 	// leavingSince is when the runner was first known to leave, if it still accepts the rest of streams.
 	leavingSince time.Time
-	BackoffUntil time.Time
 }
 
 // newRunner returns a run of which only the record is known. It is scheduled for removal at removeAt
