Let one rule deny a runner the rest of a stream, also one that asks for backoff

It was looked up as admissible whatever the runner asks for, then denied when it was sent, and choose() began anew with the same answer, for ever. The copy also left out cold runners' permits. Change: denial and restDenial differ in who counts as leaving, and share what a runner's capacity denies and which permits are taken; the view for the rest of a stream carries that denial, so that the options leave such a runner out as any other. Before: TestRestOfStreamWaitsForLeavingRunnerInBackoff gets no answer within the second that it allows. After: refused at once.

--- a/gateway/options.go
+++ b/gateway/options.go
@@ -57,10 +57,8 @@
 	leaving := &serviceViews{}
 	within := g.Settings.Bounds.RunnerDrainDelay / restDivisor
 	for i, v := range group.views {
-		if v.AcceptsRest(now, within) {
-			accepting := *v
-			accepting.Denied = ""
-			leaving.add(group.runners[i], &accepting)
+		if rest, accepts := v.ForRest(now, within); accepts {
+			leaving.add(group.runners[i], &rest)
 		}
 	}
 	o := g.findOptionsAmong(x, leaving, g.rollouts.filterFor(x, leaving, now), now)
--- a/gateway/software_versions_test.go
+++ b/gateway/software_versions_test.go
@@ -283,3 +283,23 @@
 	w.callStream(t, "/stream/y", "third")
 	assert.Len(t, runner.ReceivedRequests(), before, "a new stream must not begin at a runner that is leaving")
 }
+
+// Guards against an entry that chooses a leaving runner again and again for the rest of a stream though it asks for backoff.
+func TestRestOfStreamWaitsForLeavingRunnerInBackoff(t *testing.T) {
+	store := site.NewStore()
+	store.Put("config", "main", configWithSingleAttempt())
+	w := startWithSettings(t, store, func(s *deployment.Settings) { s.Bounds.RunnerDrainDelay = time.Minute })
+	defer w.stop()
+	w.awaitReady(t)
+	runner := w.addVersionedRunner(t, oldSoftware, breakOffAtFirst)
+	begun := w.callStream(t, "/stream/x", "first")
+	record := runnerRecord(runner, "draining")
+	record["version"] = oldSoftware
+	w.store.Put("servers", runner.ID, record)
+	known := w.gateway.state.Roster.Find(rillreach.InstanceID(runner.ID))
+	w.eventually(t, func() bool { return known.Info().Leaving })
+	known.BackOff(time.Now().Add(2 * time.Second))
+	conn := w.sendStreamRequest(t, "/stream/x", "second", "Resumes: first", "Last-Event-Id: "+lastEvent(begun.body))
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Second)))
+	assertGatewayAnswer(t, readAnswer(t, conn, http.MethodPost), http.StatusServiceUnavailable)
+}
--- a/roster/admit.go
+++ b/roster/admit.go
@@ -25,7 +25,19 @@
 func (r *Runner) Admit(now time.Time) Denial {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	denial := r.denial(now)
+	return r.takePermits(now, r.denial(now))
+}
+
+// AdmitRest is Admit for the rest of a stream, which a runner also accepts while it is leaving.
+func (r *Runner) AdmitRest(now time.Time) Denial {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.takePermits(now, r.restDenial(now))
+}
+
+// takePermits takes the permits that one request needs unless the request is denied, and returns the denial. The lock must
+// be held.
+func (r *Runner) takePermits(now time.Time, denial Denial) Denial {
 	if denial == "" {
 		r.throttle.Take(now)
 		r.takeColdPermit(now)
@@ -35,9 +47,24 @@
 
 // denial returns why the runner must not be sent a request now. The lock must be held.
 func (r *Runner) denial(now time.Time) Denial {
-	switch {
-	case r.isLeaving(now):
+	if r.isLeaving(now) {
 		return DeniedLeaving
+	}
+	return r.capacityDenial(now)
+}
+
+// restDenial returns why the runner must not be sent the rest of a stream now. A runner that says in its answers that it is
+// leaving accepts nothing more, and one whose address is another's has ended. The lock must be held.
+func (r *Runner) restDenial(now time.Time) Denial {
+	if r.leaving || r.displaced {
+		return DeniedLeaving
+	}
+	return r.capacityDenial(now)
+}
+
+// capacityDenial returns why a runner that accepts requests must not be sent one now. The lock must be held.
+func (r *Runner) capacityDenial(now time.Time) Denial {
+	switch {
 	case now.Before(r.backoffUntil):
 		return DeniedBackoff
 	case !r.throttle.Allows(now):
@@ -61,32 +88,14 @@
 	return !r.report.ReceivedAt.IsZero() && now.Sub(r.report.ReceivedAt) < maxReportAge
 }
 
-// AcceptsRest reports whether a runner that is leaving still accepts the rest of streams, given for how long it does.
-func (v *View) AcceptsRest(now time.Time, within time.Duration) bool {
-	return v.Denied == DeniedLeaving && !v.leavingSince.IsZero() && now.Sub(v.leavingSince) < within
-}
-
-// AdmitRest is Admit for the rest of a stream at a runner that is leaving, which it serves until it ends.
-func (r *Runner) AdmitRest(now time.Time) Denial {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.acceptsRest() {
-		return DeniedLeaving
-	}
-	if now.Before(r.backoffUntil) {
-		return DeniedBackoff
-	}
-	if !r.throttle.Allows(now) {
-		return DeniedLimited
-	}
-	r.throttle.Take(now)
-	return ""
+// ForRest returns the view of a runner that is leaving for the rest of a stream, and whether it still accepts that, given
+// for how long it does.
+func (v View) ForRest(now time.Time, within time.Duration) (View, bool) {
+	accepts := v.Denied == DeniedLeaving && v.restDenied != DeniedLeaving && !v.leavingSince.IsZero() && now.Sub(v.leavingSince) < within
+	v.Denied = v.restDenied
+	return v, accepts
 }
 
-// acceptsRest reports whether nothing but the runner's record or its agent says that it is leaving: a runner that says so
-// in its answers accepts nothing more, and one whose address is another's has ended. The lock must be held.
-func (r *Runner) acceptsRest() bool { return !r.leaving && !r.displaced }
-
 // takeColdPermit takes a slow-start permit if the runner is cold. The lock must be held.
 func (r *Runner) takeColdPermit(now time.Time) {
 	if now.Before(r.coldUntil) {
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -120,7 +120,9 @@
 	// has asked for ends.
 	Denied       Denial
 	BackoffUntil time.Time
-	// leavingSince is when the runner was first known to leave, if it still accepts the rest of streams.
+	// restDenied is why the runner must not be sent the rest of a stream now, and leavingSince when it was first known to
+	// leave.
+	restDenied   Denial
 	leavingSince time.Time
 }
 
@@ -156,9 +158,7 @@
 	v.Limit = r.throttle.Observed().Limit
 	v.Denied, v.BackoffUntil = r.denial(now), r.backoffUntil
 	v.Leaving = r.isLeaving(now)
-	if r.acceptsRest() {
-		v.leavingSince = r.leavingSince
-	}
+	v.restDenied, v.leavingSince = r.restDenial(now), r.leavingSince
 	v.Weights = newestWeights(v.Weights, r.weights)
 	if v.ReportFresh && !r.report.WeightLoadAt.IsZero() {
 		v.WeightLoadScheduled, v.TimeToWeightLoad = true, max(0, r.report.WeightLoadAt.Sub(now))
