Keep a replaced attempt until the other one is known to go on

Cause: a hedge won with its first whole event. The first attempt was ended there and then, whether or not its runner had spoken again since the hedge began, and nothing was left when the hedge's runner broke off right behind that event: the route's two runs were used. Which of the two the entry read first was chance; an entry that is late finds the first runner's events, the hedge's first event and the hedge's end in its sockets together. Evidence: with two runners that do one step at a time, any order in which the hedge breaks off after its first event ends the stream. The entry's log names the same each time: `second attempt begins`, the first's `attempt failed endedBy="replaced by a second attempt"` with the events that the caller had, `second attempt ended decision=used`, the second's `attempt failed ... unexpected EOF`, `runners-used`. Also for a runner that is only to be relieved before it loads weights. No load, stall or crashed process is needed. Change: package hedging decides, without I/O, which of two attempts goes on and when the other one is ended. Going over no longer ends the first attempt: it is kept, goes on if the hedge fails or falls silent, and ends once the hedge has sent twice and its connection is open with nothing behind. A first runner that sends twice again ends the hedge. Sends and reads run as operations whose user can stop waiting without ending them (internal/operation), so that going over closes nothing. A whole answer goes to whichever is complete. A runner that was only replaced isn't avoided if it has sent data; an unused hedge that hedges itself ends at once with the other. `replaced attempt goes on` is a new log line, and `returned` a new outcome of rillreach_hedges_total. hedge.go, attempt.go and failure.go are split by job; functions that moved are unchanged.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/rillreach/rillreach/internal/socket"
 )
 
 // Response is a runner's response. Its body has not been read yet.
@@ -56,6 +58,22 @@
 	return r.Head.ContentLength >= 0 || len(r.Head.TransferEncoding) > 0
 }
 
+// IsQuiet reports whether the connection is open and nothing of the response is left to read. It must not be called
+// during Read.
+func (r *Response) IsQuiet() bool {
+	if r.conn.reader.Buffered() > 0 {
+		return false
+	}
+	quiet, err := socket.IsQuiet(r.conn.Conn)
+	return err == nil && quiet
+}
+
+// HasUnreadData reports whether data of the response has arrived and was not read yet. It may be called during Read.
+func (r *Response) HasUnreadData() bool {
+	unread, err := socket.UnreadBytes(r.conn.Conn)
+	return err == nil && unread > 0
+}
+
 // requestWritten reports whether the whole request has been written.
 func (r *Response) requestWritten() bool {
 	if r.writeDone == nil {
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -41,6 +41,9 @@
 	errSecondAttemptNotNeeded = errors.New("second attempt is not needed")
 )
 
+// errInterrupted means that the wait for a runner has ended because another attempt is to go on. The runner goes on.
+var errInterrupted = errors.New("another attempt goes on")
+
 // cancelReason returns why the entry cancelled the attempt, or an empty string if it did not.
 func (a *attempt) cancelReason() string {
 	if cause := context.Cause(a.ctx); cause != nil {
@@ -49,6 +52,43 @@
 	return ""
 }
 
+// handleFailure records an attempt that failed without a complete answer, and ejects the runner if it is at fault.
+func (a *attempt) handleFailure(err error) {
+	g, x, t := a.gateway, a.exchange, a.target
+	cause := a.classifyFailure(err)
+	notSent := cause == causeNotSent
+	if !notSent {
+		x.maybeRan = true
+	}
+	g.Metrics.CountFailedAttempt(string(cause))
+	if cause == causeRunnerEnded {
+		a.recordCrash()
+	}
+	if cause.isRunnersFault() {
+		g.rollouts.recordAnswer(a, true)
+	}
+	now := time.Now()
+	if t.cancelled.Load() {
+		x.reason = errStartTooLate.Error()
+		g.Log.Info("request cancelled before it began", "decision", "cancel", "request", x.wire.ID, "runner", t.view.ID, "weights", t.weights,
+			"replacedFor", g.sinceReplaced(x, t.weights, now).String(), "notSent", notSent, "after", now.Sub(x.arrived).String())
+		return
+	}
+	x.reason = err.Error()
+	callerLeft := x.request.Context().Err() != nil
+	ejectedFor := time.Duration(0)
+	spared := a.noEjection.Load() || errors.Is(context.Cause(a.ctx), errSecondAttemptNotNeeded)
+	if !callerLeft && !spared && !errors.Is(err, forward.ErrTooManyConns) {
+		ejectedFor = t.runner.Eject(now)
+		if cause != causeConnectionClosed {
+			g.pool.CloseIdle(t.view.Address)
+		}
+	}
+	g.Log.Info("attempt failed", "decision", "judge", "request", x.wire.ID, "runner", t.view.ID, "notSent", notSent,
+		"callerLeft", callerLeft, "spared", spared, "timedOut", errors.Is(context.Cause(a.ctx), context.DeadlineExceeded), "kind", cause, "endedBy", a.cancelReason(), "fingerprint", x.fingerprint().String(),
+		"events", x.lastEvent, "cause", err.Error(), "avoidedFor", ejectedFor.String(), "after", now.Sub(x.arrived).String())
+}
+
 // classifyFailure returns why the attempt failed. The runner's address is probed only if the runner closed the
 // connection.
 func (a *attempt) classifyFailure(err error) failureCause {
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -1,31 +1,37 @@
 package gateway
 
 import (
-	"bytes"
-	"sync/atomic"
+	"context"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
-	"github.com/rillreach/rillreach/scheduler"
+	"github.com/rillreach/rillreach/hedging"
 )
 
 // hedge is a second attempt that starts while the first is still running, because the first runner is about to load
-// weights or is silent. The first attempt continues until the second answers, and goes on alone if the second is
-// refused or fails. A working runner is thus only given up for one that has accepted the request, never for one that is
-// expected to.
+// weights or is silent. The first attempt goes on until the second answers, and is kept until the second is known to go
+// on. A working runner is thus only given up for one that works on the request, never for one that is expected to.
 type hedge struct {
 	// primary is the running attempt, and secondary the one beside it, which works on a copy of the request.
 	primary   *attempt
 	secondary *attempt
-	// result is the attempt that answers: secondary, or a third one that hedged it and replaced it.
+	// result is the attempt that answers: secondary, or one that was started beside it and has replaced it.
 	result *attempt
 	reason hedgeReason
-	// timeout cancels the hedge if it takes too long. It is nil if the primary is not known to be working.
+	pair   *pair
+	// cancelAll ends secondary and result.
+	cancelAll context.CancelCauseFunc
+	// timeout cancels the hedge if it takes too long to answer. It is nil if the primary is not known to be working.
 	timeout *time.Timer
 
-	wg    conc.WaitGroup
-	state atomic.Int32
+	wg conc.WaitGroup
+	// answered is closed once result has answered or failed, and released once it is taken over or not needed.
+	answered chan struct{}
+	released chan struct{}
+	mu       sync.Mutex
+	state    hedgeState
 }
 
 // hedgeReason is why a hedge is started.
@@ -39,10 +45,14 @@
 	hedgeSilent hedgeReason = "runner-silent"
 )
 
+// hedgeState is the state of a hedge.
+type hedgeState int
+
 // The states of a hedge. After hedgeClosed its attempts have released their runners.
 const (
-	hedgePending int32 = iota
-	hedgeWon
+	hedgePending hedgeState = iota
+	hedgeAnswered
+	hedgeTaken
 	hedgeCancelled
 	hedgeClosed
 )
@@ -52,119 +62,119 @@
 // request meanwhile.
 const hedgeTimeout = 350 * time.Millisecond
 
-// startHedge starts a second attempt beside this one and reports whether it did. It does not if one is already running,
-// if the route or the retry budget does not allow it, or if no other runner would start on the request now. A working
-// runner is hedged once, a silent one as often as the route allows.
-func (a *attempt) startHedge(reason hedgeReason) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.hedgingClosed || a.hedge != nil && (reason == hedgeLoading || !a.hedge.closed()) {
-		return false
-	}
-	g, now := a.gateway, time.Now()
-	x := a.exchange.fork()
-	// Checked first because this runs for each event of a stream whose runner is about to load weights.
-	if !x.mayUseAnotherRunner() || g.mayReachCrashLimit(x) || !g.budgets.Allows(now, x.service.Name) {
-		return false
-	}
-	o := g.findOptions(x, g.viewsAt(now), now)
-	choice := g.chooseAvailable(x, o, now)
-	if choice.Index < 0 || !g.budgets.TrySpend(now, x.service.Name) {
-		return false
+// run makes the second attempt and offers its answer, until it is taken over or not needed.
+func (h *hedge) run() {
+	offered := h.awaitAnswer() && h.result.canContinueFrom(h.primary.currentExchange().snapshot()) && h.offer()
+	close(h.answered)
+	if offered {
+		<-h.released
 	}
-	t := g.assign(x, o, choice, now)
-	if t == nil {
-		return false
+	if h.currentState() == hedgeTaken {
+		return
 	}
-	h := &hedge{primary: a, reason: reason, secondary: g.newAttempt(a.requestCtx, x, t)}
-	if reason == hedgeLoading {
-		h.timeout = time.AfterFunc(hedgeTimeout, h.cancel)
+	h.cancel()
+	h.result.close() // at once, because the request takes up capacity of its runner until then
+	h.setState(hedgeClosed)
+}
+
+// awaitAnswer waits for the answer of the second attempt, or of one that replaces it.
+func (h *hedge) awaitAnswer() bool {
+	for !h.result.awaitAnswer() {
+		next := h.result.successor()
+		if next == nil {
+			return false
+		}
+		h.result = next
 	}
-	a.retireHedge()
-	a.hedge = h
-	g.Log.Info("second attempt begins", "decision", "hedge", "reason", reason, "request", x.wire.ID, "runner", a.target.view.ID,
-		"software", a.target.view.Software, "chosen", h.secondary.target.view.ID, "lastEvent", x.lastEvent)
-	h.wg.Go(h.run)
 	return true
 }
 
-// chooseAvailable chooses a preferred runner that would start on the request now. The index is -1 if there is none.
-func (g *Gateway) chooseAvailable(x *exchange, o *options, now time.Time) scheduler.Choice {
-	choice := scheduler.Choice{Index: -1}
-	switch {
-	case len(o.views) == 0:
-		return choice
-	case x.needsEngine():
-		choice, _ = g.chooseWithRoom(x, o, roomQuery{senders: g.concurrentSenders(x.service.Name)}, now)
-	default:
-		choice = scheduler.Choose(o.request, o.candidates, g.offset(len(o.views)))
+// offer records that the hedge has answered, and interrupts the primary if the hedge is to go on with the answer. It
+// returns false if the hedge was cancelled before.
+func (h *hedge) offer() bool {
+	h.mu.Lock()
+	offered := h.state == hedgePending
+	if offered {
+		h.state = hedgeAnswered
 	}
-	if choice.Index >= 0 && !o.candidates[choice.Index].Preferred() {
-		choice.Index = -1
+	h.mu.Unlock()
+	if offered && h.pair.answered(h.result) == hedging.Switch {
+		h.primary.interrupt()
 	}
-	return choice
+	return offered
 }
 
-// run makes the second attempt and cancels the primary once the second answers.
-func (h *hedge) run() {
-	usable := h.awaitAnswer() && h.result.canContinueFrom(h.primary.currentExchange().snapshot())
-	if !usable || !h.state.CompareAndSwap(hedgePending, hedgeWon) {
-		h.cancel()
-		h.result.close() // at once, because the request takes up capacity of its runner until then
-		h.state.Store(hedgeClosed)
-		return
-	}
-	if h.reason == hedgeLoading {
-		h.primary.noEjection.Store(true)
+// take takes the answer of the hedge over, and reports whether there is one. It waits for it if necessary.
+func (h *hedge) take() bool {
+	answered := h.awaitOutcome()
+	if answered {
+		answered = h.release(hedgeTaken)
 	}
-	h.primary.cancel(errSecondAttemptAnswers)
+	h.wg.Wait()
+	return answered
 }
 
-// awaitAnswer waits for the answer of the second attempt, or of a third one that replaces it.
-func (h *hedge) awaitAnswer() bool {
-	h.result = h.secondary
-	if h.secondary.send() && h.secondary.prefetch() {
-		return true
+// awaitOutcome waits until the hedge has answered or failed, and reports whether it has answered.
+func (h *hedge) awaitOutcome() bool {
+	if h.timeout != nil {
+		h.timeout.Stop()
 	}
-	next := h.secondary.replacement()
-	if next == nil {
+	<-h.answered
+	return h.currentState() == hedgeAnswered
+}
+
+// release ends the offer of the hedge's answer, and reports whether there was one.
+func (h *hedge) release(state hedgeState) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.state != hedgeAnswered {
 		return false
 	}
-	h.secondary.close()
-	h.result = next
+	h.state = state
+	close(h.released)
 	return true
 }
 
-// cancel cancels the hedge unless it has already answered.
-func (h *hedge) cancel() {
-	if !h.state.CompareAndSwap(hedgePending, hedgeCancelled) {
-		return
+// cancelPending cancels the hedge unless it has already answered.
+func (h *hedge) cancelPending() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.state == hedgePending {
+		h.state = hedgeCancelled
+		h.cancelAll(errSecondAttemptNotNeeded)
 	}
-	h.secondary.noEjection.Store(true)
-	h.secondary.cancel(errSecondAttemptNotNeeded)
 }
 
-// wait waits until the hedge has answered or ended, and reports whether it has answered.
-func (h *hedge) wait() bool {
-	if h.timeout != nil {
-		h.timeout.Stop()
+// cancel ends the hedge unless its answer was taken over.
+func (h *hedge) cancel() {
+	h.cancelPending()
+	if h.release(hedgeCancelled) {
+		h.cancelAll(errSecondAttemptNotNeeded)
 	}
-	h.wg.Wait()
-	return h.state.Load() == hedgeWon
 }
 
-// closed reports whether the hedge has ended and released its runner.
-func (h *hedge) closed() bool { return h.state.Load() == hedgeClosed }
-
 // discard ends a hedge whose answer is not used.
 func (h *hedge) discard() {
 	h.cancel()
-	if h.wait() {
-		h.result.close()
-	}
+	h.wg.Wait()
 	h.recordOutcome("unused")
 }
 
+func (h *hedge) currentState() hedgeState {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state
+}
+
+func (h *hedge) setState(state hedgeState) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.state = state
+}
+
+// closed reports whether the hedge has ended and released its runner.
+func (h *hedge) closed() bool { return h.currentState() == hedgeClosed }
+
 // recordOutcome logs and counts the outcome of the hedge.
 func (h *hedge) recordOutcome(outcome string) {
 	x := h.secondary.exchange
@@ -172,132 +182,3 @@
 		"runner", h.primary.target.view.ID, "chosen", h.secondary.target.view.ID, "cause", x.reason)
 	h.primary.gateway.Metrics.CountHedge(string(h.reason), outcome)
 }
-
-// retireHedge records the outcome of the previous hedge, which has ended, before another one replaces it. a.mu must be
-// held.
-func (a *attempt) retireHedge() {
-	if a.hedge == nil {
-		return
-	}
-	a.hedge.recordOutcome("unused")
-	a.hedgeMayHaveRun = a.hedgeMayHaveRun || a.hedge.secondary.exchange.maybeRan
-}
-
-// awaitHedge waits for the hedge and prevents further ones. It reports whether the hedge has answered.
-func (a *attempt) awaitHedge() bool {
-	a.mu.Lock()
-	h := a.hedge
-	a.hedgingClosed = true
-	a.mu.Unlock()
-	return h != nil && h.wait()
-}
-
-// takeHedge removes and returns the hedge, and prevents further ones.
-func (a *attempt) takeHedge() *hedge {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	h := a.hedge
-	a.hedge, a.hedgingClosed = nil, true
-	return h
-}
-
-// replacement returns the attempt of the hedge that continues in place of this one, which has failed, or nil.
-func (a *attempt) replacement() *attempt {
-	h, x := a.takeHedge(), a.exchange
-	x.maybeRan = x.maybeRan || a.hedgeMayHaveRun
-	if h == nil {
-		return nil
-	}
-	if x.mayUseAnotherRunner() {
-		h.secondary.watchdog.start(firstByteTimeout(x.route)) // the primary's watchdog no longer covers it
-	}
-	won := h.wait()
-	x.maybeRan = x.maybeRan || h.secondary.exchange.maybeRan
-	next := h.result
-	if !won || !next.canContinueFrom(x.progress) {
-		h.discard()
-		return nil
-	}
-	h.recordOutcome("used")
-	next.adoptExchange(x)
-	return next
-}
-
-// commit prevents any other attempt from replacing this one. It returns false if one already has.
-func (a *attempt) commit() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.hedgingClosed = true
-	if a.hedge == nil {
-		return true
-	}
-	a.hedge.cancel()
-	return a.hedge.state.Load() != hedgeWon
-}
-
-// prefetch reads enough of the answer to know that it can replace another one: the first complete event of a stream, or
-// any other answer up to its end or up to maxBufferedAnswer. It reports whether the answer can be used.
-func (a *attempt) prefetch() bool {
-	x, status := a.exchange, a.answer.Head.StatusCode
-	if status >= minFailureStatus || a.isEventStream() && !a.canContinue() {
-		x.maybeRan, x.reason = true, "runner-failed"
-		return false
-	}
-	buf := make([]byte, relayBufferSize)
-	for !a.prefetchedEnough() {
-		n, err := a.readAnswer(buf)
-		a.prefetched.Write(buf[:n])
-		if isCompleteAnswer(err) {
-			break
-		}
-		if err == nil && a.prefetched.Len() > maxEventSize && !a.prefetchedEnough() {
-			err = errEventTooLarge
-		}
-		if err != nil {
-			a.handleFailure(err)
-			return false
-		}
-	}
-	return true
-}
-
-// prefetchedEnough reports whether the prefetched part shows that the answer can be used. The first event of a stream
-// is enough even if the stream is buffered until it is complete, since two runners must not work on it for long.
-func (a *attempt) prefetchedEnough() bool {
-	if a.isEventStream() {
-		return bytes.Contains(a.prefetched.Bytes(), eventEnd)
-	}
-	return a.prefetched.Len() > maxBufferedAnswer
-}
-
-// currentExchange returns the request that the attempt answers. A hedge that replaces the primary adopts the primary's.
-func (a *attempt) currentExchange() *exchange {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.exchange
-}
-
-// canContinueFrom reports whether the stream can continue with this attempt's events, given what the caller has of it.
-// Events that the caller already has must be known by their IDs.
-func (a *attempt) canContinueFrom(p *progress) bool {
-	return a.matchesPin(p) && (a.exchange.lastEvent == p.lastEvent || isNumericID(p.lastEvent))
-}
-
-// matchesPin reports whether the runner has the software version that has begun the stream.
-func (a *attempt) matchesPin(p *progress) bool {
-	return p.pin.Allows(a.exchange.service.Name, a.target.view.Software)
-}
-
-// adoptExchange makes the attempt answer the original request instead of its copy.
-func (a *attempt) adoptExchange(x *exchange) {
-	if a.exchange.lastEvent != x.lastEvent {
-		a.resumeAfter = x.lastEvent
-	}
-	x.firstTokenWait = a.exchange.firstTokenWait
-	a.mu.Lock()
-	a.exchange = x
-	a.mu.Unlock()
-	if x.mayUseAnotherRunner() {
-		a.watchdog.start(a.watchdog.timeout)
-	}
-}
--- /dev/null
+++ b/gateway/pair.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"sync"
+
+	"github.com/rillreach/rillreach/hedging"
+)
+
+// pair is two attempts of a request that run at the same time. It is safe for concurrent use.
+type pair struct {
+	reason hedgeReason
+
+	mu       sync.Mutex
+	decision hedging.Pair
+	attempts [2]*attempt
+}
+
+// answered records that the hedge has answered, by the given attempt.
+func (p *pair) answered(by *attempt) hedging.Action {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.attempts[hedging.Hedge] = by
+	return p.decision.Answered()
+}
+
+// received records that data of an attempt was read.
+func (p *pair) received(from *attempt, open bool) hedging.Action {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.decision.Received(p.roleOf(from), open)
+}
+
+// silent records that an attempt has been silent for too long.
+func (p *pair) silent(a *attempt) hedging.Action {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	role := p.roleOf(a)
+	if p.decision.Active() != role {
+		return hedging.KeepBoth
+	}
+	return p.decision.Silent(p.attempts[role.Other()].reader.hasData.Load())
+}
+
+// failed records that an attempt has failed.
+func (p *pair) failed(a *attempt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.decision.Failed(p.roleOf(a))
+}
+
+// relieves reports whether the attempt is the primary of a runner that is to be relieved of the request.
+func (p *pair) relieves(a *attempt) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.decision.Relieving && p.roleOf(a) == hedging.Primary
+}
+
+// roleOf returns the role of an attempt. p.mu must be held.
+func (p *pair) roleOf(a *attempt) hedging.Attempt {
+	if a == p.attempts[hedging.Primary] {
+		return hedging.Primary
+	}
+	return hedging.Hedge
+}
+
+// currentPair returns the attempt and the one beside it, or nil if there is none.
+func (a *attempt) currentPair() *pair {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.pair
+}
+
+// recordRead records that data of the attempt was read, and ends the attempt beside it if that is not needed any more.
+func (a *attempt) recordRead() {
+	p := a.currentPair()
+	if p == nil || p.received(a, a.answer.IsQuiet()) != hedging.EndOther {
+		return
+	}
+	a.endReplaced()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.pair = nil
+	if a.hedge != nil {
+		a.hedge.cancel()
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -20,24 +20,18 @@
 	// maxBufferedAnswer is the largest answer, in bytes, that is buffered until it is complete.
 	maxBufferedAnswer = 256 << 10
 	// relayBufferSize is the maximum size of one read from a stream, in bytes.
-	relayBufferSize = 8 << 10
+	relayBufferSize = 4 << 10
 	// minFailureStatus is the lowest HTTP status that counts as a failure of the runner.
 	minFailureStatus = 500
 )
 
 // relay forwards the runner's answer to the caller, and reports whether the request is finished.
 func (a *attempt) relay() bool {
-	g, x, t := a.gateway, a.exchange, a.target
+	x, t := a.exchange, a.target
 	if a.headers.Weights != 0 && x.wire.Prompt != nil {
 		t.runner.SetWeights(x.wire.Prompt.Model, a.headers.Weights)
 	}
-	status := a.answer.Head.StatusCode
-	g.rollouts.recordAnswer(a, status >= minFailureStatus)
-	// A runner that asks for backoff says itself for how long to send it no requests.
-	if status >= minFailureStatus && a.headers.RetryAfter == 0 {
-		failureRate := t.runner.RecordFailure(time.Now())
-		g.Log.Info("runner failed the request", "decision", "judge", "request", x.wire.ID, "runner", t.view.ID, "status", status, "failures", failureRate)
-	}
+	a.judgeStatus()
 	if x.headSent && !a.canContinue() {
 		x.reason = "resumed-elsewhere-refused"
 		return false
@@ -48,6 +42,21 @@
 	return a.relayBuffered()
 }
 
+// judgeStatus records whether the runner failed the request, once for each answer.
+func (a *attempt) judgeStatus() {
+	if a.judged {
+		return
+	}
+	a.judged = true
+	g, x, t, status := a.gateway, a.exchange, a.target, a.answer.Head.StatusCode
+	g.rollouts.recordAnswer(a, status >= minFailureStatus)
+	// A runner that asks for backoff says itself for how long to send it no requests.
+	if status >= minFailureStatus && a.headers.RetryAfter == 0 {
+		failureRate := t.runner.RecordFailure(time.Now())
+		g.Log.Info("runner failed the request", "decision", "judge", "request", x.wire.ID, "runner", t.view.ID, "status", status, "failures", failureRate)
+	}
+}
+
 // canContinue reports whether the answer can continue one that has begun.
 func (a *attempt) canContinue() bool {
 	return a.answer.Head.StatusCode == http.StatusOK && a.matchesPin(a.exchange.progress)
@@ -64,10 +73,14 @@
 // relayBuffered buffers an answer until it is complete, so that one that breaks off can still be replaced.
 func (a *attempt) relayBuffered() bool {
 	g, x, t := a.gateway, a.exchange, a.target
-	body, err := io.ReadAll(io.LimitReader(a, maxBufferedAnswer+1))
+	_, err := a.body.ReadFrom(io.LimitReader(a, maxBufferedAnswer+1-int64(a.body.Len())))
+	body := a.body.Bytes()
 	if err == nil && len(body) > maxBufferedAnswer {
 		return a.relayLarge(body)
 	}
+	if errors.Is(err, errInterrupted) {
+		return a.park()
+	}
 	if err != nil {
 		return a.failRelay(errors.Wrap(err, "answer broke off"))
 	}
@@ -119,7 +132,7 @@
 func (a *attempt) relayLarge(prefix []byte) bool {
 	g, x, t := a.gateway, a.exchange, a.target
 	if !a.commit() {
-		return a.failRelay(errors.New("another attempt has answered"))
+		return a.park()
 	}
 	if !x.continuePastShutdown() {
 		return a.failRelay(errShuttingDown)
@@ -177,12 +190,17 @@
 		g.beginAnswer(x, a.answer)
 		x.writer.WriteHeader(a.answer.Head.StatusCode)
 	}
-	events := eventReader{from: a, wholeEvents: x.route.Resumable, resumeAfter: a.resumeAfter}
+	if a.events == nil {
+		a.events = &eventReader{from: a, wholeEvents: x.route.Resumable, resumeAfter: a.resumeAfter}
+	}
 	for {
-		part, err := events.next()
+		part, err := a.events.next()
 		if len(part) > 0 {
 			t.runner.RecordSuccess(time.Now())
-			a.writeEvents(part, events.lastID)
+			a.writeEvents(part, a.events.lastID)
+		}
+		if errors.Is(err, errInterrupted) {
+			return a.park()
 		}
 		if isCompleteAnswer(err) {
 			a.recordAnswered()
--- /dev/null
+++ b/gateway/replaced_attempt.go
@@ -0,0 +1,80 @@
+package gateway
+
+// interrupt makes the attempt's goroutine stop waiting for the runner, so that another attempt goes on.
+func (a *attempt) interrupt() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.interrupted == nil || a.isInterrupted || a.committed {
+		return
+	}
+	a.isInterrupted = true
+	close(a.interrupted)
+}
+
+// park records that the attempt's goroutine has stopped waiting for the runner. It returns false: the request is not
+// finished.
+func (a *attempt) park() bool {
+	a.parked = true
+	return false
+}
+
+// resume makes an interrupted attempt go on after the event that the caller has.
+func (a *attempt) resume() {
+	a.mu.Lock()
+	a.isInterrupted, a.hedgingClosed = false, false
+	a.interrupted = make(chan struct{})
+	a.mu.Unlock()
+	a.parked = false
+	a.skipTo(a.exchange.lastEvent)
+}
+
+// setReplaced records that the attempt goes on in place of another one, which is kept.
+func (a *attempt) setReplaced(other *attempt, p *pair) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.replaced, a.pair = other, p
+}
+
+// takeReplaced removes and returns the attempt that this one has replaced, if it is kept.
+func (a *attempt) takeReplaced() *attempt {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	other := a.replaced
+	a.replaced = nil
+	return other
+}
+
+// endReplaced ends the attempt that this one has replaced, if it is kept.
+func (a *attempt) endReplaced() {
+	p, other := a.currentPair(), a.takeReplaced()
+	if other == nil {
+		return
+	}
+	if other.hasUnusedData() || p != nil && p.relieves(other) {
+		other.noEjection.Store(true) // its runner works
+	}
+	other.conclude()
+	other.close()
+}
+
+// hasUnusedData reports whether the runner has sent data that is not used, since another attempt goes on.
+func (a *attempt) hasUnusedData() bool {
+	return a.reader.hasData.Load() || a.accepted && a.answer.HasUnreadData()
+}
+
+// conclude records how the attempt has ended that another one has replaced.
+func (a *attempt) conclude() {
+	if err, ok := a.sending.Poll(); ok && err != nil {
+		a.handleSendFailure(err)
+		return
+	} else if ok && a.headers.NotExecuted {
+		a.gateway.handleRefusal(a.exchange, a.target, a.answer, a.headers)
+		return
+	}
+	if err := a.reader.failure(); err != nil {
+		a.handleFailure(err)
+		return
+	}
+	a.cancel(errSecondAttemptAnswers)
+	a.handleFailure(errSecondAttemptAnswers)
+}
--- /dev/null
+++ b/gateway/send.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rillreach/rillreach/forward"
+	"github.com/rillreach/rillreach/platform"
+)
+
+// send sends the request and reads the headers of the answer. It reports whether the runner accepted the request. If the
+// attempt is interrupted meanwhile, the next call goes on waiting.
+func (a *attempt) send() bool {
+	if a.accepted {
+		return true
+	}
+	g, x, t := a.gateway, a.exchange, a.target
+	if a.sentAt.IsZero() {
+		a.call = x.call
+		a.call.Header = g.directions(x, t).Merge(x.request.Header)
+		x.sends.recordSend(t.view.ID)
+		a.sentAt = time.Now()
+	}
+	err, ok := a.sending.Await(a.interrupted, a.awaitHead)
+	if !ok {
+		return a.park()
+	}
+	if err != nil {
+		a.handleSendFailure(err)
+		return false
+	}
+	a.applyRunnerState(time.Now())
+	if a.headers.NotExecuted {
+		g.handleRefusal(x, t, a.answer, a.headers)
+		return false
+	}
+	a.accepted = true
+	return true
+}
+
+// awaitHead sends the request and waits for the headers of the answer.
+func (a *attempt) awaitHead() error {
+	g, x := a.gateway, a.exchange
+	answer, err := g.pool.Do(a.ctx, a.target.view.Address, g.maxConns(x), &a.call, func(resp *http.Response) bool {
+		a.headers = platform.DecodeResponse(resp.StatusCode, resp.Header)
+		return a.headers.RequestID == x.wire.ID || a.headers.RequestID == "" && x.wire.ID == ""
+	})
+	if err != nil {
+		return err
+	}
+	answer.KeepAliveTimeout = a.headers.KeepAliveTimeout
+	a.answer, a.reader.response = answer, answer
+	return nil
+}
+
+// handleSendFailure records that no answer has begun.
+func (a *attempt) handleSendFailure(err error) {
+	if errors.Is(err, forward.ErrNotSent) {
+		a.exchange.sends.recordOutcome(a.target.view.ID, sendNotMade)
+		a.exchange.failedSends++
+	}
+	a.handleFailure(err)
+}
+
+// maxConns returns how many connections this entry may open to one runner. Zero means no limit.
+func (g *Gateway) maxConns(x *exchange) int {
+	if x.service.MaxConns == 0 {
+		return 0
+	}
+	return max(minConns, x.service.MaxConns/connShareDivisor)
+}
+
+const (
+	// connShareDivisor is the number of shares into which a runner's connections are divided; each entry uses one.
+	connShareDivisor = 6
+	// minConns is the number of connections that an entry may open even if its share is smaller.
+	minConns = 8
+)
+
+// handleRefusal records that the runner has stated that it did not run the request.
+func (g *Gateway) handleRefusal(x *exchange, t *target, answer *forward.Response, headers platform.Response) {
+	x.reason = "runner-refused"
+	x.failedSends++
+	x.sends.recordOutcome(t.view.ID, sendRefused)
+	g.Log.Info("runner refused", "decision", "judge", "request", x.wire.ID, "runner", t.view.ID,
+		"status", answer.Head.StatusCode, "began", x.headSent, "rest", headers.RetryAfter.String(), "otherRunner", headers.Misdirected, "answeredBy", headers.Instance, "weights", headers.Weights)
+	switch {
+	case headers.Misdirected && headers.Instance != "" && headers.Instance != t.view.ID:
+		x.sends.recordOutcome(t.view.ID, sendMisdirected)
+		t.runner.MarkLeaving() // another process has its address, so this one has ended even if it is still listed
+		select {
+		case g.refreshRunners <- struct{}{}:
+		default: // a refresh of the list is already pending
+		}
+	case headers.Misdirected && x.wire.Prompt != nil:
+		g.updateWeights(x, t, headers)
+	case headers.RetryAfter == 0: // it gave no time after which to retry
+		t.runner.Eject(time.Now())
+	}
+}
+
+// updateWeights records the weights of a runner that refused the request because they are not the expected ones.
+func (g *Gateway) updateWeights(x *exchange, t *target, headers platform.Response) {
+	version := headers.Weights
+	if version == 0 {
+		desired, _ := g.state.DesiredWeights(x.wire.Prompt.Model)
+		version = desired.Version
+	}
+	t.runner.SetWeights(x.wire.Prompt.Model, version)
+	x.sends.recordOutdated(t.view.ID) // so that the runner can be tried again with its actual weights
+}
--- a/gateway/silence.go
+++ b/gateway/silence.go
@@ -32,7 +32,8 @@
 type watchdog struct {
 	// timeout is how long a gap between events may last before the watchdog checks the runner.
 	timeout time.Duration
-	// isAlive reports whether the runner is known to be alive. startHedge reports whether it has started a hedge.
+	// isAlive reports whether the runner is known to be alive. startHedge reports whether another attempt was started or
+	// goes on.
 	isAlive    func() bool
 	startHedge func() bool
 
@@ -50,7 +51,7 @@
 		timeout: max(silenceTargetFactor*a.exchange.route.TargetEventGap, minSilence),
 		// While an event is being written, it is the caller that is slow and not the runner.
 		isAlive:    func() bool { return a.writingToCaller.Load() || isAlive(a.target.runner) },
-		startHedge: func() bool { return a.startHedge(hedgeSilent) },
+		startHedge: a.handleSilence,
 	}
 }
 
--- a/gateway/work.go
+++ b/gateway/work.go
@@ -18,19 +18,19 @@
 	return &inflightRequest{gateway: g, exchange: x, target: t, sentAt: now}
 }
 
-// recordFirstToken records that the first part of the answer has arrived, so the runner has processed the prompt.
-func (w *inflightRequest) recordFirstToken() {
+// recordFirstToken records when the first part of the answer arrived, so that the runner had processed the prompt.
+func (w *inflightRequest) recordFirstToken(at time.Time) {
 	if w.waitEnded {
 		return
 	}
 	w.waitEnded = true
-	now := time.Now()
-	w.target.runner.RecordFirstToken(now, w.sentAt, w.target.prefillTokens)
+	waited := at.Sub(w.sentAt)
+	w.target.runner.RecordFirstToken(at, w.sentAt, w.target.prefillTokens)
 	if w.exchange.needsEngine() {
-		w.gateway.ttft.observe(w.exchange, w.target, now.Sub(w.sentAt))
-		w.gateway.firstTokenDelays.observe(w.exchange.route.Name, now.Sub(w.sentAt)-w.gateway.unsharedPrefillTime(w.exchange))
+		w.gateway.ttft.observe(w.exchange, w.target, waited)
+		w.gateway.firstTokenDelays.observe(w.exchange.route.Name, waited-w.gateway.unsharedPrefillTime(w.exchange))
 	}
-	w.gateway.recordTTFT(w.exchange, w.target, now.Sub(w.sentAt), now)
+	w.gateway.recordTTFT(w.exchange, w.target, waited, at)
 }
 
 // end stops counting the request as running.
