Rely on one of two attempts only after it has gone on for a while

Ruled out: an entry that looks at its sockets too late (the connection was open when the hedge was ended). Change: an attempt is relied on alone after it has gone on without a pause for 1 s, as long as lost packets delay what was sent before a crash, or for 300 ms where it relieves a working runner. An attempt that goes on again gets the request that its successor had. Steps of the tests' runners are now acknowledged.

--- a/gateway/hedge_breaks_off_test.go
+++ b/gateway/hedge_breaks_off_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -72,6 +73,26 @@
 	})
 }
 
+// Guards against losing a stream whose hedge was hedged itself, where the last runner breaks off.
+func TestHedgeOfHedgeBreaksOff(t *testing.T) {
+	first, others := newSteppedRunner(t), []*steppedRunner{newSteppedRunner(t), newSteppedRunner(t)}
+	var next atomic.Int64
+	w := streamingThreeRunnerWorld(t, first.serve, func(rw http.ResponseWriter, r *http.Request) {
+		others[next.Add(1)-1].serve(rw, r)
+	})
+	s := &streamOfTwo{t: t, world: w, first: first, caller: w.dial(t)}
+	w.sendGet(t, s.caller, "/stream/x")
+	second, third := others[0], others[1]
+	second.await(second.reached, "the second runner was not tried")
+	first.breakOff()
+	third.await(third.reached, "the third runner was not tried")
+	third.sendEvents(1)
+	s.assertReceived(1)
+	third.breakOff()
+	second.complete()
+	s.assertComplete()
+}
+
 // Guards against leaving a stream at a runner that pauses before each event although a hedge answers.
 func TestHedgeOfStutteringRunnerNotUsed(t *testing.T) {
 	s := hedgedStream(t, 4)
@@ -85,11 +106,7 @@
 // Guards against two runners that work on one stream although the first one has continued.
 func TestHedgeOutlivesSilence(t *testing.T) {
 	s := hedgedStream(t, 4)
-	for range 3 {
-		s.first.sendEvents(1)
-		s.assertReceived(1)
-	}
-	s.second.awaitCancel()
+	s.sendUntilCancelled(s.first, s.second)
 	s.first.complete()
 	s.assertComplete()
 }
@@ -97,11 +114,7 @@
 // Guards against two runners that work on one stream although the hedge has taken over.
 func TestReplacedAttemptOutlivesTakeover(t *testing.T) {
 	s := hedgedStream(t, 4)
-	for range 3 {
-		s.second.sendEvents(1)
-		s.assertReceived(1)
-	}
-	s.first.awaitCancel()
+	s.sendUntilCancelled(s.second, s.first)
 	s.second.complete()
 	s.assertComplete()
 }
@@ -179,15 +192,33 @@
 	}
 }
 
+// sendUntilCancelled makes one runner send events until the request is cancelled at the other one.
+func (s *streamOfTwo) sendUntilCancelled(from, other *steppedRunner) {
+	s.t.Helper()
+	for s.received < steppedEvents-1 {
+		select {
+		case <-other.cancelled:
+			return
+		case <-time.After(eventInterval):
+			from.sendEvents(1)
+			s.assertReceived(1)
+		}
+	}
+	require.Fail(s.t, "the other runner is still working on the request")
+}
+
 // assertComplete asserts that the caller gets the rest of the stream, and nothing after it.
 func (s *streamOfTwo) assertComplete() {
 	s.t.Helper()
-	s.assertReceived(streamEvents - s.received)
+	s.assertReceived(steppedEvents - s.received)
 	rest, err := io.ReadAll(s.reader)
 	require.NoError(s.t, err)
 	assert.Empty(s.t, rest)
 }
 
+// steppedEvents is the number of events in the stream of a steppedRunner.
+const steppedEvents = 100
+
 // steppedRunner serves one request by doing one step after another. Each step gets the number of the next event and
 // returns that of the event after it. Once there are no more steps, the runner breaks off.
 type steppedRunner struct {
@@ -200,7 +231,7 @@
 func newSteppedRunner(t *testing.T) *steppedRunner {
 	t.Helper()
 	return &steppedRunner{
-		t: t, steps: make(chan func(http.ResponseWriter, *http.Request, int) int, streamEvents),
+		t: t, steps: make(chan func(http.ResponseWriter, *http.Request, int) int, 1),
 		reached: make(chan struct{}), cancelled: make(chan struct{}),
 	}
 }
@@ -208,7 +239,7 @@
 func (s *steppedRunner) serve(w http.ResponseWriter, r *http.Request) {
 	close(s.reached)
 	next := lastEventIDOf(r) + 1
-	for next <= streamEvents {
+	for next <= steppedEvents {
 		select {
 		case step, ok := <-s.steps:
 			if !ok {
@@ -229,17 +260,28 @@
 	return last + 1
 }
 
-// sendEvents makes the runner send the given number of events.
+// sendEvents makes the runner send the given number of events, and returns once they are sent.
 func (s *steppedRunner) sendEvents(count int) {
-	s.steps <- func(w http.ResponseWriter, r *http.Request, next int) int {
-		return s.writeEvents(w, r, next, next+count-1)
-	}
+	s.sendUpTo(func(next int) int { return next + count - 1 })
 }
 
-// complete makes the runner send the rest of the stream.
+// complete makes the runner send the rest of the stream, and returns once it is sent.
 func (s *steppedRunner) complete() {
+	s.sendUpTo(func(int) int { return steppedEvents })
+}
+
+// sendUpTo makes the runner send all events up to the one that the function chooses.
+func (s *steppedRunner) sendUpTo(last func(next int) int) {
+	sent := make(chan struct{})
 	s.steps <- func(w http.ResponseWriter, r *http.Request, next int) int {
-		return s.writeEvents(w, r, next, streamEvents)
+		defer close(sent)
+		return s.writeEvents(w, r, next, last(next))
+	}
+	select {
+	case <-sent:
+	case <-s.cancelled:
+	case <-time.After(testTimeout):
+		require.Fail(s.t, "the runner sends nothing")
 	}
 }
 
--- a/gateway/pair.go
+++ b/gateway/pair.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/rillreach/rillreach/hedging"
 )
@@ -20,14 +21,14 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.attempts[hedging.Hedge] = by
-	return p.decision.Answered()
+	return p.decision.Answered(time.Now())
 }
 
 // received records that data of an attempt was read.
 func (p *pair) received(from *attempt, open bool) hedging.Action {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.decision.Received(p.roleOf(from), open)
+	return p.decision.Received(time.Now(), p.roleOf(from), open)
 }
 
 // silent records that an attempt has been silent for too long.
--- a/gateway/second_attempt_test.go
+++ b/gateway/second_attempt_test.go
@@ -154,9 +154,20 @@
 // threeRunnerWorld is an entry with a route that allows three runners. The first answers with the first handler, and
 // the others are listed once it gets a request.
 func threeRunnerWorld(t *testing.T, first, others http.HandlerFunc) *world {
+	t.Helper()
+	return startThreeRunnerWorld(t, routeConfig("repeat", "idempotent", "plain", jsonMap{"max_attempts": 3}), first, others)
+}
+
+// streamingThreeRunnerWorld is threeRunnerWorld with a resumable stream.
+func streamingThreeRunnerWorld(t *testing.T, first, others http.HandlerFunc) *world {
+	t.Helper()
+	return startThreeRunnerWorld(t, routeConfig("stream", "streaming", "plain", jsonMap{"max_attempts": 3, "resumable": true}), first, others)
+}
+
+func startThreeRunnerWorld(t *testing.T, route jsonMap, first, others http.HandlerFunc) *world {
 	t.Helper()
 	a, b, c := &site.Runner{ID: "a"}, &site.Runner{ID: "b", Handle: others}, &site.Runner{ID: "c", Handle: others}
-	w := startWorld(t, configWithRoutes(1, routeConfig("repeat", "idempotent", "plain", jsonMap{"max_attempts": 3})), a)
+	w := startWorld(t, configWithRoutes(1, route), a)
 	for _, r := range []*site.Runner{b, c} {
 		r.Start()
 		t.Cleanup(r.Stop)
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -53,6 +53,7 @@
 // handOver makes the attempt of the hedge go on. This attempt is kept if it was interrupted, and closed if it has failed.
 func (a *attempt) handOver(next *attempt, p *pair) *attempt {
 	if a.parked {
+		a.exchange.maybeRan = true
 		a.endReplaced()
 		next.endReplaced()
 		next.setReplaced(a, p)
@@ -84,6 +85,7 @@
 	a.gateway.Log.Info("replaced attempt goes on", "decision", "hedge", "reason", p.reason, "request", x.wire.ID, "runner", a.target.view.ID,
 		"chosen", other.target.view.ID, "failed", !a.parked, "lastEvent", x.lastEvent)
 	a.gateway.Metrics.CountHedge(string(p.reason), "returned")
+	other.setExchange(x)
 	other.resume()
 	other.startWatchdogAgain()
 	return other
@@ -111,9 +113,13 @@
 func (a *attempt) adoptExchange(x *exchange) {
 	a.skipTo(x.lastEvent)
 	x.firstTokenWait = a.exchange.firstTokenWait
+	a.setExchange(x)
+}
+
+func (a *attempt) setExchange(x *exchange) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.exchange = x
-	a.mu.Unlock()
 }
 
 // skipTo makes the attempt skip its events up to the given one, which the caller has.
--- a/hedging/pair.go
+++ b/hedging/pair.go
@@ -4,6 +4,8 @@
 // The package does no I/O.
 package hedging
 
+import "time"
+
 // Attempt is one of the two attempts of a pair.
 type Attempt int
 
@@ -27,9 +29,17 @@
 	EndOther Action = "end-other"
 )
 
-// steadyReads is the number of reads after which an attempt is relied on alone. A runner that has sent data once may have
-// crashed right after it.
-const steadyReads = 2
+const (
+	// steadyReads is the number of reads after which an attempt is relied on alone. A runner that has sent data once may
+	// have crashed right after it.
+	steadyReads = 2
+	// SteadyTime is how long an attempt must have gone on without a pause before it is relied on alone instead of a
+	// silent one. Data that a runner sent before it crashed may arrive that much later than sent, and the end of the
+	// connection after it.
+	SteadyTime = time.Second
+	// RelievedSteadyTime is the same for an attempt that goes on instead of a working one, whose runner waits for its end.
+	RelievedSteadyTime = 300 * time.Millisecond
+)
 
 // Pair is the state of two concurrent attempts. The zero value is the state at the start of a hedge, with the primary
 // active and silent.
@@ -47,8 +57,10 @@
 
 // state is what is known of one attempt.
 type state struct {
-	// reads is the number of reads that have returned data since the attempt was last silent.
+	// reads is the number of reads that have returned data since the attempt was last silent, and since the time of the
+	// first of them.
 	reads  int
+	since  time.Time
 	failed bool
 }
 
@@ -57,10 +69,10 @@
 
 // Received decides after data of an attempt was read. Open reports whether the connection is then known to be open with
 // nothing left to read, so that the runner has not ended right after the data.
-func (p *Pair) Received(from Attempt, open bool) Action {
+func (p *Pair) Received(now time.Time, from Attempt, open bool) Action {
 	s := &p.states[from]
-	s.reads++
-	if from != p.active || p.WholeAnswer || !open || s.reads < steadyReads {
+	s.add(now)
+	if from != p.active || p.WholeAnswer || !open || !p.isSteady(now, s) {
 		return KeepBoth
 	}
 	if p.Relieving && from == Primary {
@@ -69,9 +81,27 @@
 	return EndOther
 }
 
+// add records a read that has returned data.
+func (s *state) add(now time.Time) {
+	if s.reads == 0 {
+		s.since = now
+	}
+	s.reads++
+}
+
+// isSteady reports whether an attempt can be relied on alone.
+func (p *Pair) isSteady(now time.Time, s *state) bool {
+	needed := SteadyTime
+	if p.Relieving {
+		needed = RelievedSteadyTime
+	}
+	return s.reads >= steadyReads && now.Sub(s.since) >= needed
+}
+
 // Answered decides once the hedge has data that can be sent on: the first event of a stream, or a whole answer.
-func (p *Pair) Answered() Action {
-	p.states[Hedge].reads = 1
+func (p *Pair) Answered(now time.Time) Action {
+	p.states[Hedge].reads = 0
+	p.states[Hedge].add(now)
 	p.hedgeReady = true
 	primaryContinues := p.states[Primary].reads > 0 && !p.Relieving && !p.WholeAnswer
 	if p.active == Hedge || primaryContinues {
--- a/hedging/pair_test.go
+++ b/hedging/pair_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -22,16 +23,19 @@
 	hedgeSendsLast     event = "hedge sends and breaks off right after it"
 	hedgeBreaksOff     event = "hedge breaks off"
 	activeSilent       event = "active attempt is silent"
+	timePasses         event = "time passes"
 	primaryDataWaiting event = "data of the primary waits to be read"
 )
 
 var allEvents = []event{
-	primarySends, primarySendsLast, primaryBreaksOff, hedgeAnswers, hedgeSends, hedgeSendsLast, hedgeBreaksOff, activeSilent, primaryDataWaiting,
+	primarySends, primarySendsLast, primaryBreaksOff, hedgeAnswers, hedgeSends, hedgeSendsLast, hedgeBreaksOff, activeSilent, timePasses,
+	primaryDataWaiting,
 }
 
 // replay is a request with two attempts, as an entry sees it. An attempt is gone once it has failed or was ended.
 type replay struct {
 	Pair
+	now          time.Time
 	gone         [2]bool
 	answered     bool
 	dataWaiting  bool
@@ -46,6 +50,7 @@
 		if r.gone[Primary] {
 			return false
 		}
+	case timePasses:
 	case activeSilent:
 		if r.gone[r.Active()] {
 			return false
@@ -67,16 +72,16 @@
 			return KeepBoth
 		}
 		r.steadyReads[Primary]++
-		return r.Received(Primary, e == primarySends)
+		return r.Received(r.now, Primary, e == primarySends)
 	case hedgeSends, hedgeSendsLast:
 		if r.Active() == Primary {
 			return KeepBoth
 		}
 		r.steadyReads[Hedge]++
-		return r.Received(Hedge, e == hedgeSends)
+		return r.Received(r.now, Hedge, e == hedgeSends)
 	case hedgeAnswers:
 		r.answered = true
-		return r.Answered()
+		return r.Answered(r.now)
 	case primaryBreaksOff:
 		r.gone[Primary] = true
 		return r.Failed(Primary)
@@ -86,6 +91,9 @@
 	case primaryDataWaiting:
 		r.dataWaiting = true
 		return KeepBoth
+	case timePasses:
+		r.now = r.now.Add(SteadyTime)
+		return KeepBoth
 	default:
 		r.steadyReads[r.Active()] = 0
 		return r.Silent(r.Active() == Hedge && r.dataWaiting)
@@ -124,7 +132,7 @@
 			extend(next, after)
 		}
 	}
-	extend(nil, replay{Pair: start})
+	extend(nil, replay{Pair: start, now: begin})
 }
 
 // TestReplay checks the decisions for all orders of events.
@@ -163,46 +171,59 @@
 	}
 }
 
+var (
+	begin = time.Unix(1000, 0)
+	later = begin.Add(SteadyTime)
+)
+
 func TestPair(t *testing.T) {
 	t.Run("the hedge of a silent runner goes on", func(t *testing.T) {
 		p := Pair{}
-		assert.Equal(t, Switch, p.Answered())
+		assert.Equal(t, Switch, p.Answered(begin))
 		assert.Equal(t, Hedge, p.Active())
-		assert.Equal(t, EndOther, p.Received(Hedge, true))
+		assert.Equal(t, KeepBoth, p.Received(later.Add(-1), Hedge, true), "the runner may have crashed since")
+		assert.Equal(t, EndOther, p.Received(later, Hedge, true))
 	})
 	t.Run("a runner that sends data again before the hedge answers goes on", func(t *testing.T) {
 		p := Pair{}
-		assert.Equal(t, KeepBoth, p.Received(Primary, true))
-		assert.Equal(t, KeepBoth, p.Answered())
-		assert.Equal(t, EndOther, p.Received(Primary, true))
+		assert.Equal(t, KeepBoth, p.Received(begin, Primary, true))
+		assert.Equal(t, KeepBoth, p.Answered(begin))
+		assert.Equal(t, EndOther, p.Received(later, Primary, true))
 		assert.Equal(t, Primary, p.Active())
 	})
 	t.Run("a runner that is silent again is left for a hedge that has answered", func(t *testing.T) {
 		p := Pair{}
-		p.Received(Primary, true)
-		p.Answered()
+		p.Received(begin, Primary, true)
+		p.Answered(begin)
 		assert.Equal(t, Switch, p.Silent(false))
 		assert.Equal(t, KeepBoth, p.Silent(false), "neither sends data")
 		assert.Equal(t, Switch, p.Silent(true))
 	})
 	t.Run("a runner that may have ended right after its data is not relied on alone", func(t *testing.T) {
 		p := Pair{}
-		p.Answered()
-		assert.Equal(t, KeepBoth, p.Received(Hedge, false))
-		assert.Equal(t, EndOther, p.Received(Hedge, true))
+		p.Answered(begin)
+		assert.Equal(t, KeepBoth, p.Received(later, Hedge, false))
+		assert.Equal(t, EndOther, p.Received(later, Hedge, true))
 	})
 	t.Run("a runner that is to be relieved is left although it works, and goes on if the hedge fails", func(t *testing.T) {
 		p := Pair{Relieving: true}
-		assert.Equal(t, KeepBoth, p.Received(Primary, true))
-		assert.Equal(t, KeepBoth, p.Received(Primary, true))
-		assert.Equal(t, Switch, p.Answered())
+		assert.Equal(t, KeepBoth, p.Received(begin, Primary, true))
+		assert.Equal(t, KeepBoth, p.Received(later, Primary, true))
+		assert.Equal(t, Switch, p.Answered(later))
 		assert.Equal(t, Switch, p.Failed(Hedge))
 		assert.Equal(t, Primary, p.Active())
 	})
+	t.Run("a runner that is to be relieved is ended sooner", func(t *testing.T) {
+		p := Pair{Relieving: true}
+		p.Answered(begin)
+		soon := begin.Add(RelievedSteadyTime)
+		assert.Equal(t, KeepBoth, p.Received(soon.Add(-1), Hedge, true), "the runner may have crashed since")
+		assert.Equal(t, EndOther, p.Received(soon, Hedge, true))
+	})
 	t.Run("the whole answer that is complete first is used", func(t *testing.T) {
 		p := Pair{WholeAnswer: true}
-		assert.Equal(t, KeepBoth, p.Received(Primary, true))
-		assert.Equal(t, KeepBoth, p.Received(Primary, true))
-		assert.Equal(t, Switch, p.Answered())
+		assert.Equal(t, KeepBoth, p.Received(begin, Primary, true))
+		assert.Equal(t, KeepBoth, p.Received(later, Primary, true))
+		assert.Equal(t, Switch, p.Answered(later))
 	})
 }
