End the run of a fatal request before the request breaks off

Cause: the soak's stand-in of a fatal request broke its connection off also where it hadn't ended its run, because a replacement held the lock: that of the run before, which lets go of it only after the new run takes requests, or one that another fatal request had begun and not recorded yet. No fault of the run was recorded by then, so that the judge rightly saw a stream that nobody was cut for. Ruled out: the entry (its log has the runner's end of the connection first, 43 and 107 ms after the send). Change: a fatal request waits for the lock and ends its run, unless the run's connections have been closed meanwhile.

--- a/soak/engine.go
+++ b/soak/engine.go
@@ -23,9 +23,9 @@
 	number int
 	// backpressure holds the backpressure signals in the engine's responses.
 	backpressure backpressureControl
-	// crashAndReplace ends the current run and schedules another, unless a replacement is in progress. It reports
-	// whether it ended the run.
-	crashAndReplace func() bool
+	// crashAndReplace ends the run with the given label and schedules another, unless something else ends that run. It
+	// returns once the run's connections are closed, and reports whether it ended the run.
+	crashAndReplace func(label string) bool
 
 	// replaceMu is held while the run or its store record is being replaced.
 	replaceMu sync.Mutex
@@ -200,8 +200,9 @@
 // closeRun closes the listener and all connections of the current run.
 func (e *engine) closeRun() {
 	e.mu.Lock()
-	current := e.current
+	current, label := e.current, e.startLabel(e.starts)
 	e.mu.Unlock()
 	current.Crash()
 	e.proxy.stopListening()
+	e.events.closeRun(label)
 }
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/rillreach/rillreach/poison"
@@ -40,15 +41,34 @@
 
 // crashRunner records an execution of a fatal request, crashes its runner with the given function, and aborts the
 // request.
-func (l *eventLog) crashRunner(r execution, end func() bool) {
+func (l *eventLog) crashRunner(r execution, end func(label string) bool) {
 	open := l.beginExecution(r)
 	time.Sleep(workTime)
-	killed := end()
+	killed := end(r.Runner)
 	open.update(func(r *execution) { r.Killed = killed })
 	open.end(false)
 	panic(http.ErrAbortHandler)
 }
 
+// replacePollInterval is the interval at which a fatal request checks whether it can end its run.
+const replacePollInterval = time.Millisecond
+
+// endOnce calls replace, with replaceMu held, to end the run with the given label and to start another. If the run is
+// being ended already, it waits until its connections are closed. It reports whether it has called replace.
+func (l *eventLog) endOnce(label string, replaceMu *sync.Mutex, replace func() bool) bool {
+	for !replaceMu.TryLock() {
+		if l.isClosed(label) {
+			return false
+		}
+		time.Sleep(replacePollInterval)
+	}
+	if l.isClosed(label) {
+		replaceMu.Unlock()
+		return false
+	}
+	return replace()
+}
+
 // injectFatal makes a caller repeat one fatal request, each time to the entry that the balancer chooses.
 func (c *cluster) injectFatal(a action) {
 	c.schedule(0, func() {
--- a/soak/runner.go
+++ b/soak/runner.go
@@ -17,8 +17,10 @@
 	mu         sync.Mutex
 	executions []execution
 	orders     []receivedOrder
-	// endedRuns holds the labels of the runs that have crashed.
-	endedRuns map[string]bool
+	// endedRuns holds the labels of the runs that have crashed, and closedRuns those of the runs whose connections were
+	// closed after that.
+	endedRuns  map[string]bool
+	closedRuns map[string]bool
 	// softwareRuns holds the runs and the versions of their software.
 	softwareRuns []softwareRun
 	// arrivals holds the requests that reached runners, whether or not these sent backpressure signals.
@@ -37,6 +39,23 @@
 	l.endSoftwareRun(label)
 }
 
+// closeRun records that the connections of a crashed run are closed.
+func (l *eventLog) closeRun(label string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closedRuns == nil {
+		l.closedRuns = map[string]bool{}
+	}
+	l.closedRuns[label] = true
+}
+
+// isClosed reports whether the connections of a crashed run are closed.
+func (l *eventLog) isClosed(label string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.closedRuns[label]
+}
+
 // beginExecution records the start of an execution, and returns a handle for recording the rest of it. If the run has
 // crashed, it aborts the handler instead.
 func (l *eventLog) beginExecution(r execution) *openExecution {
@@ -85,9 +104,9 @@
 	number int
 	// backpressure holds the backpressure signals in the runner's responses.
 	backpressure backpressureControl
-	// crashAndReplace ends the current run and schedules another, unless a replacement is in progress. It reports
-	// whether it ended the run.
-	crashAndReplace func() bool
+	// crashAndReplace ends the run with the given label and schedules another, unless something else ends that run. It
+	// returns once the run's connections are closed, and reports whether it ended the run.
+	crashAndReplace func(label string) bool
 
 	// replaceMu is held while the run is being replaced.
 	replaceMu sync.Mutex
@@ -172,6 +191,7 @@
 	defer p.mu.Unlock()
 	p.current.Crash()
 	p.proxy.stopListening()
+	p.events.closeRun(p.current.ID)
 }
 
 func (p *plainRunner) handle(id, software string, w http.ResponseWriter, r *http.Request) {
--- a/soak/world.go
+++ b/soak/world.go
@@ -78,14 +78,9 @@
 	}
 	c.server = site.Serve(c.network.host(), c.store)
 	for i := range counts.Runners {
-		p, err := newProxy(c.network.runnerHost(i), netip.AddrPort{})
-		if err != nil {
+		if err := c.addPlainRunner(i, counts.softwareOf(i)); err != nil {
 			return nil, err
 		}
-		runner := &plainRunner{proxy: p, events: &c.events, number: i, software: counts.softwareOf(i)}
-		runner.crashAndReplace = func() bool { return runner.replaceMu.TryLock() && c.replaceRunner(runner) }
-		c.plainRunners = append(c.plainRunners, runner)
-		c.register(runner, runner.start(), "ready")
 	}
 	c.publishConfig()
 	c.publishWeights()
@@ -114,6 +109,21 @@
 	return c, c.awaitReady()
 }
 
+// addPlainRunner starts a plain runner.
+func (c *cluster) addPlainRunner(number int, software string) error {
+	p, err := newProxy(c.network.runnerHost(number), netip.AddrPort{})
+	if err != nil {
+		return err
+	}
+	runner := &plainRunner{proxy: p, events: &c.events, number: number, software: software}
+	runner.crashAndReplace = func(label string) bool {
+		return c.events.endOnce(label, &runner.replaceMu, func() bool { return c.replaceRunner(runner) })
+	}
+	c.plainRunners = append(c.plainRunners, runner)
+	c.register(runner, runner.start(), "ready")
+	return nil
+}
+
 // addEngine starts an engine and its agent.
 func (c *cluster) addEngine(number int, software, binary, dir string, store netip.AddrPort, peerPort uint16) error {
 	p, err := newProxy(c.network.engineHost(number), netip.AddrPort{})
@@ -121,7 +131,9 @@
 		return err
 	}
 	n := &engine{proxy: p, events: &c.events, number: number, software: software}
-	n.crashAndReplace = func() bool { return n.replaceMu.TryLock() && c.replaceEngine(n) }
+	n.crashAndReplace = func(label string) bool {
+		return c.events.endOnce(label, &n.replaceMu, func() bool { return c.replaceEngine(n) })
+	}
 	n.start(1)
 	c.registerEngine(n)
 	if n.agent, err = newAgent(number, binary, dir, c.network, store, p.address(), peerPort); err != nil {
