Keep all attempts of a stream that a hedge of a hedge replaces

Cause: a hedge that had gone on and fell silent ended the first attempt when it started a hedge of its own, for being silent for longer; both hedges failed then (`attempt failed` of e-1-2 and e-4-3, `runners-used`), and the first runner was late, not dead. Ruled out: the retry budget and the limit on runners (the three that the route allows had been used). Change: the first attempt stays behind the second, and the second behind the third; the decisions between the first two and the last two are made apart. If the last one fails, the one before goes on, and whichever has data goes first.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -65,14 +65,15 @@
 	hedge         *hedge
 	hasHedged     bool
 	hedgingClosed bool
-	// pair is this attempt and the one beside it, and replaced is that one if this attempt goes on in its place.
-	pair     *pair
+	// replaced is the attempt in whose place this one goes on, while that one is kept, and pair decides between the two.
 	replaced *attempt
-	// interrupted is closed once another attempt is to go on. It is nil if none may be made. committed is set once none
-	// may go on.
-	interrupted   chan struct{}
-	isInterrupted bool
-	committed     bool
+	pair     *pair
+	// interrupted is closed once another attempt is to go on, which is replaced if yieldsToReplaced is set and the hedge
+	// otherwise. It is nil if there can be none. committed is set once none may go on.
+	interrupted      chan struct{}
+	isInterrupted    bool
+	yieldsToReplaced bool
+	committed        bool
 	// hedgeMayHaveRun is set if an earlier hedge of this attempt may have run the request.
 	hedgeMayHaveRun bool
 	// writingToCaller is set while part of the answer is being written to the caller.
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -99,7 +99,7 @@
 	}
 	h.mu.Unlock()
 	if offered && h.pair.answered(h.result) == hedging.Switch {
-		h.primary.interrupt()
+		h.primary.interrupt(false)
 	}
 	return offered
 }
@@ -172,6 +172,12 @@
 	h.state = state
 }
 
+// isOpen reports whether the hedge may still be taken over.
+func (h *hedge) isOpen() bool {
+	state := h.currentState()
+	return state == hedgePending || state == hedgeAnswered
+}
+
 // closed reports whether the hedge has ended and released its runner.
 func (h *hedge) closed() bool { return h.currentState() == hedgeClosed }
 
--- a/gateway/hedge_breaks_off_test.go
+++ b/gateway/hedge_breaks_off_test.go
@@ -73,24 +73,60 @@
 	})
 }
 
-// Guards against losing a stream whose hedge was hedged itself, where the last runner breaks off.
+// Guards against losing a stream whose hedge was hedged itself, where only one of the three runners does not break off.
 func TestHedgeOfHedgeBreaksOff(t *testing.T) {
-	first, others := newSteppedRunner(t), []*steppedRunner{newSteppedRunner(t), newSteppedRunner(t)}
+	t.Run("the second runner continues", func(t *testing.T) {
+		s, second, third := streamOfThree(t)
+		s.first.breakOff()
+		third.await(third.reached, "the third runner was not tried")
+		third.sendEvents(1)
+		s.assertReceived(1)
+		third.breakOff()
+		second.complete()
+		s.assertComplete()
+	})
+	t.Run("the first runner continues", func(t *testing.T) {
+		s, second, third := streamOfThree(t)
+		second.sendEvents(1)
+		s.assertReceived(1)
+		third.await(third.reached, "the third runner was not tried")
+		second.breakOff()
+		third.breakOff()
+		s.first.awaitCancelOr(4 * eventInterval)
+		s.first.complete()
+		s.assertComplete()
+	})
+	t.Run("the first runner continues after the third one has begun", func(t *testing.T) {
+		s, second, third := streamOfThree(t)
+		second.sendEvents(1)
+		s.assertReceived(1)
+		third.await(third.reached, "the third runner was not tried")
+		third.sendEvents(1)
+		s.assertReceived(1)
+		second.breakOff()
+		third.breakOff()
+		s.first.awaitCancelOr(4 * eventInterval)
+		s.first.complete()
+		s.assertComplete()
+	})
+}
+
+// streamOfThree starts a stream whose first runner is silent, so that a second one is tried, and a third one if that is
+// silent too.
+func streamOfThree(t *testing.T) (s *streamOfTwo, second, third *steppedRunner) {
+	t.Helper()
+	second, third = newSteppedRunner(t), newSteppedRunner(t)
+	others := []*steppedRunner{second, third}
 	var next atomic.Int64
+	first := newSteppedRunner(t)
 	w := streamingThreeRunnerWorld(t, first.serve, func(rw http.ResponseWriter, r *http.Request) {
 		others[next.Add(1)-1].serve(rw, r)
 	})
-	s := &streamOfTwo{t: t, world: w, first: first, caller: w.dial(t)}
+	t.Cleanup(w.stop)
+	s = &streamOfTwo{t: t, world: w, first: first, second: second, caller: w.dial(t)}
 	w.sendGet(t, s.caller, "/stream/x")
-	second, third := others[0], others[1]
 	second.await(second.reached, "the second runner was not tried")
-	first.breakOff()
-	third.await(third.reached, "the third runner was not tried")
-	third.sendEvents(1)
-	s.assertReceived(1)
-	third.breakOff()
-	second.complete()
-	s.assertComplete()
+	return s, second, third
 }
 
 // Guards against leaving a stream at a runner that pauses before each event although a hedge answers.
--- a/gateway/pair.go
+++ b/gateway/pair.go
@@ -64,24 +64,27 @@
 	return hedging.Hedge
 }
 
-// currentPair returns the attempt and the one beside it, or nil if there is none.
-func (a *attempt) currentPair() *pair {
+// newTakenPair returns the pair of an attempt and of a hedge that goes on in its place.
+func newTakenPair(reason hedgeReason, primary, taken *attempt) *pair {
+	p := &pair{reason: reason, attempts: [2]*attempt{primary, taken}}
+	p.answered(taken)
+	return p
+}
+
+// pairs returns the attempt's hedge, and the pair of the attempt and of the one that it has replaced. Both may be nil.
+func (a *attempt) pairs() (*hedge, *pair) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.pair
+	return a.hedge, a.pair
 }
 
-// recordRead records that data of the attempt was read, and ends the attempt beside it if that is not needed any more.
+// recordRead records that data of the attempt was read, and ends the attempts beside it that are not needed any more.
 func (a *attempt) recordRead() {
-	p := a.currentPair()
-	if p == nil || p.received(a, a.answer.IsQuiet()) != hedging.EndOther {
-		return
+	h, p := a.pairs()
+	if h != nil && h.isOpen() && h.pair.received(a, a.answer.IsQuiet()) == hedging.EndOther {
+		h.cancel()
 	}
-	a.endReplaced()
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.pair = nil
-	if a.hedge != nil {
-		a.hedge.cancel()
+	if p != nil && p.received(a, a.answer.IsQuiet()) == hedging.EndOther {
+		a.endReplaced()
 	}
 }
--- a/gateway/replaced_attempt.go
+++ b/gateway/replaced_attempt.go
@@ -1,13 +1,14 @@
 package gateway
 
-// interrupt makes the attempt's goroutine stop waiting for the runner, so that another attempt goes on.
-func (a *attempt) interrupt() {
+// interrupt makes the attempt's goroutine stop waiting for the runner, so that another attempt goes on: the one that this
+// one has replaced, or its hedge.
+func (a *attempt) interrupt(yieldsToReplaced bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.interrupted == nil || a.isInterrupted || a.committed {
 		return
 	}
-	a.isInterrupted = true
+	a.isInterrupted, a.yieldsToReplaced = true, yieldsToReplaced
 	close(a.interrupted)
 }
 
@@ -40,13 +41,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	other := a.replaced
-	a.replaced = nil
+	a.replaced, a.pair = nil, nil
 	return other
 }
 
 // endReplaced ends the attempt that this one has replaced, if it is kept.
 func (a *attempt) endReplaced() {
-	p, other := a.currentPair(), a.takeReplaced()
+	_, p := a.pairs()
+	other := a.takeReplaced()
 	if other == nil {
 		return
 	}
--- a/gateway/start_hedge.go
+++ b/gateway/start_hedge.go
@@ -11,8 +11,13 @@
 // handleSilence makes the attempt beside this one go on if it can, and starts another one otherwise. It reports whether it
 // has done one of the two.
 func (a *attempt) handleSilence() bool {
-	if p := a.currentPair(); p != nil && p.silent(a) == hedging.Switch {
-		a.interrupt()
+	h, p := a.pairs()
+	if h != nil && h.isOpen() && h.pair.silent(a) == hedging.Switch {
+		a.interrupt(false)
+		return true
+	}
+	if p != nil && p.silent(a) == hedging.Switch {
+		a.interrupt(true)
 		return true
 	}
 	return a.startHedge(hedgeSilent)
@@ -44,10 +49,7 @@
 	}
 	a.retireHedge()
 	h := a.newHedge(reason, x, t)
-	a.hedge, a.pair, a.hasHedged = h, h.pair, true
-	if a.replaced != nil {
-		a.replaced.cancel(errSecondAttemptAnswers) // silent for longer than this attempt
-	}
+	a.hedge, a.hasHedged = h, true
 	g.Log.Info("second attempt begins", "decision", "hedge", "reason", reason, "request", x.wire.ID, "runner", a.target.view.ID,
 		"software", a.target.view.Software, "chosen", h.secondary.target.view.ID, "lastEvent", x.lastEvent)
 	h.wg.Go(h.run)
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -3,14 +3,17 @@
 // successor returns the attempt that goes on with the request after this one has failed or was interrupted. It returns
 // nil if there is none.
 func (a *attempt) successor() *attempt {
-	p := a.currentPair()
+	h, p := a.pairs()
 	if a.parked {
 		a.position = a.exchange.lastEvent
-	} else if p != nil {
-		p.failed(a)
+	} else {
+		a.recordFailed(h, p)
+	}
+	if a.shouldHandBack() {
+		return a.handBack(a.takeReplaced(), p)
 	}
 	if next := a.replacement(); next != nil {
-		return a.handOver(next, p)
+		return a.handOver(next, h.pair)
 	}
 	if other := a.takeReplaced(); other != nil {
 		return a.handBack(other, p)
@@ -22,6 +25,29 @@
 	return nil
 }
 
+// recordFailed records in the attempt's pairs that it has failed.
+func (a *attempt) recordFailed(h *hedge, p *pair) {
+	if h != nil {
+		h.pair.failed(a)
+	}
+	if p != nil {
+		p.failed(a)
+	}
+}
+
+// shouldHandBack reports whether the attempt that this one has replaced goes on, rather than a hedge of this one.
+func (a *attempt) shouldHandBack() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.replaced == nil {
+		return false
+	}
+	if a.parked {
+		return a.yieldsToReplaced
+	}
+	return a.replaced.hasUnusedData()
+}
+
 // replacement returns the attempt of the hedge that goes on in place of this one, which has failed or was interrupted,
 // or nil.
 func (a *attempt) replacement() *attempt {
@@ -51,13 +77,17 @@
 }
 
 // handOver makes the attempt of the hedge go on. This attempt is kept if it was interrupted, and closed if it has failed.
+// In that case the one that it has replaced is kept in its place.
 func (a *attempt) handOver(next *attempt, p *pair) *attempt {
 	if a.parked {
 		a.exchange.maybeRan = true
-		a.endReplaced()
 		next.endReplaced()
 		next.setReplaced(a, p)
 	} else {
+		if other := a.takeReplaced(); other != nil {
+			next.endReplaced()
+			next.setReplaced(other, newTakenPair(p.reason, other, next))
+		}
 		a.close()
 	}
 	next.startWatchdogAgain()
@@ -70,10 +100,10 @@
 	usable := other.ctx.Err() == nil && other.canContinueFrom(x.progress)
 	switch {
 	case usable && a.parked:
+		other.endReplaced() // silent for longer than both
 		other.setReplaced(a, p)
 	case usable:
 		a.close()
-		other.setReplaced(nil, nil)
 	case a.parked:
 		other.close()
 		a.resume()
