Don't count a trial that reaches no runner

Callers were refused a harmless request (`crashes-runners`) for 15.5 s, of the 14 s that a quarantine may last. Reproduced with logs by 22 plays of TestFatalRequestsAreQuarantined/2 at loads of 94 to 205 on: chat requests held back for 14.8 and 17.2 s. The entries' lines of their fingerprint: the last crash that counts at 09:14.0; trials at 09:10.5, 12.2, 12.6, 17.8, 21.7 and 24.8. Only that of 12.2 reached a runner. The others ended with `runner-refused` (a 421 of a runner that had been replaced) or `no-runner`, and the entry waited 5 s for each of their results; a refused one was given up as `crashes-runners` though nothing had run. Ruled out: crashes that go on (one after the first burst); runs in progress that keep the request in quarantine (the last ended at 14.0); that the machine alone was slow (entries logged refusals and answers throughout). Change: a quarantined request that is being tried goes to another runner, within its limits, as long as no runner can have begun it; and if it ends without having been begun, the next request is the trial. `trial has reached no runner` is a new log line.

--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -22,6 +22,7 @@
 	g.inflight.Add()
 	defer g.inflight.Done()
 	x := newExchange(w, r)
+	defer g.cancelUnusedTrial(x)
 	g.awaitSync(r.Context())
 	refusal := g.admit(x)
 	if refusal == nil {
@@ -258,7 +259,7 @@
 		return ""
 	case !x.mayUseAnotherRunner():
 		return "runners-used"
-	case g.isQuarantined(x):
+	case g.isQuarantined(x) && !x.isUnusedTrial():
 		return verdictCrashesRunners
 	case !g.budgets.TrySpend(now, x.service.Name):
 		return verdictBudgetExhausted
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -56,6 +56,18 @@
 	return verdict != poison.VerdictQuarantine
 }
 
+// isUnusedTrial reports whether the request is a trial that no runner can have begun, so that it has no result yet.
+func (x *exchange) isUnusedTrial() bool { return x.trial && x.sends.runCount() == 0 }
+
+// cancelUnusedTrial lets another request be the trial if this one has ended as a trial without a result.
+func (g *Gateway) cancelUnusedTrial(x *exchange) {
+	if !x.isUnusedTrial() {
+		return
+	}
+	g.suspects.CancelTrial(x.fingerprint())
+	g.Log.Info("trial has reached no runner", "decision", "trial", "request", x.wire.ID, "fingerprint", x.fingerprint().String(), "reason", x.reason)
+}
+
 // isQuarantined reports whether so many runners have crashed while serving the request that it must not be sent,
 // except as a trial.
 func (g *Gateway) isQuarantined(x *exchange) bool {
--- a/poison/trial.go
+++ b/poison/trial.go
@@ -48,6 +48,13 @@
 	return VerdictTrial
 }
 
+// CancelTrial makes the next request with the fingerprint a trial again, because the trial has reached no runner.
+func (t *Tracker) CancelTrial(f Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.trialDeadlines, f)
+}
+
 // trialAllowed reports whether a quarantined request may be sent as a trial: runners have answered it before, or it
 // would not be quarantined without the crashes that belong to an outage. The caller must hold the lock.
 func (t *Tracker) trialAllowed(now time.Time, f Fingerprint) bool {
