Take a hedge that is started while its primary fails

Change: the hedge that is taken is the one whose answer is awaited. Names for the two ways to yield.

--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -99,7 +99,7 @@
 	}
 	h.mu.Unlock()
 	if offered && h.pair.answered(h.result) == hedging.Switch {
-		h.primary.interrupt(false)
+		h.primary.yieldToHedge()
 	}
 	return offered
 }
--- a/gateway/replaced_attempt.go
+++ b/gateway/replaced_attempt.go
@@ -1,7 +1,10 @@
 package gateway
 
-// interrupt makes the attempt's goroutine stop waiting for the runner, so that another attempt goes on: the one that this
-// one has replaced, or its hedge.
+// yieldToHedge makes the attempt's hedge go on, and yieldToReplaced the attempt that this one has replaced.
+func (a *attempt) yieldToHedge()    { a.interrupt(false) }
+func (a *attempt) yieldToReplaced() { a.interrupt(true) }
+
+// interrupt makes the attempt's goroutine stop waiting for the runner, so that another attempt goes on.
 func (a *attempt) interrupt(yieldsToReplaced bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/gateway/start_hedge.go
+++ b/gateway/start_hedge.go
@@ -13,11 +13,11 @@
 func (a *attempt) handleSilence() bool {
 	h, p := a.pairs()
 	if h != nil && h.isOpen() && h.pair.silent(a) == hedging.Switch {
-		a.interrupt(false)
+		a.yieldToHedge()
 		return true
 	}
 	if p != nil && p.silent(a) == hedging.Switch {
-		a.interrupt(true)
+		a.yieldToReplaced()
 		return true
 	}
 	return a.startHedge(hedgeSilent)
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -12,7 +12,8 @@
 	if a.shouldHandBack() {
 		return a.handBack(a.takeReplaced(), p)
 	}
-	if next := a.replacement(); next != nil {
+	h = a.takeHedge() // it may have been started since
+	if next := a.replacement(h); next != nil {
 		return a.handOver(next, h.pair)
 	}
 	if other := a.takeReplaced(); other != nil {
@@ -49,9 +50,9 @@
 }
 
 // replacement returns the attempt of the hedge that goes on in place of this one, which has failed or was interrupted,
-// or nil.
-func (a *attempt) replacement() *attempt {
-	h, x := a.takeHedge(), a.exchange
+// or nil. The hedge may be nil.
+func (a *attempt) replacement(h *hedge) *attempt {
+	x := a.exchange
 	x.maybeRan = x.maybeRan || a.hedgeMayHaveRun
 	if h == nil {
 		return nil
--- a/hedging/pair.go
+++ b/hedging/pair.go
@@ -21,8 +21,8 @@
 // Action is what a decision asks for.
 type Action string
 
-// The actions. KeepBoth changes nothing. Switch makes the other attempt go on with the answer; the one that did so far is
-// kept. EndOther ends the attempt that does not go on with the answer.
+// The actions. KeepBoth changes nothing. Switch makes the other attempt go on with the answer and keeps this one. EndOther
+// ends the attempt that does not go on with the answer.
 const (
 	KeepBoth Action = "keep-both"
 	Switch   Action = "switch"
