Let the tests of hedges fail at once where a runner takes no more steps

On code that cancels a runner early the tests blocked for the test's time-out, since a step was sent to a handler that had ended. They check what they checked.

--- a/gateway/hedge_breaks_off_test.go
+++ b/gateway/hedge_breaks_off_test.go
@@ -309,11 +309,16 @@
 // sendUpTo makes the runner send all events up to the one that the function chooses.
 func (s *steppedRunner) sendUpTo(last func(next int) int) {
 	sent := make(chan struct{})
-	s.steps <- func(w http.ResponseWriter, r *http.Request, next int) int {
+	step := func(w http.ResponseWriter, r *http.Request, next int) int {
 		defer close(sent)
 		return s.writeEvents(w, r, next, last(next))
 	}
 	select {
+	case s.steps <- step:
+	case <-s.cancelled:
+		return
+	}
+	select {
 	case <-sent:
 	case <-s.cancelled:
 	case <-time.After(testTimeout):
