--- a/forward/answer.go
+++ b/forward/answer.go
@@ -52,12 +52,32 @@
 	r.pool.discard(r.address, r.conn)
 }
 
-// Framed reports whether the response has a content length or a transfer encoding. Without either, the end of the
-// connection ends the body, and a truncated body can't be told from a complete one.
-func (r *Response) Framed() bool {
-	return r.Head.ContentLength >= 0 || len(r.Head.TransferEncoding) > 0
+// Framing is how a response marks the end of its body.
+type Framing string
+
+// The framings of a response.
+const (
+	FramedByLength  Framing = "length"
+	FramedByChunks  Framing = "chunks"
+	FramedByNothing Framing = "connection"
+)
+
+// Framing returns how the end of the body is marked. With FramedByNothing the end of the connection ends the body, and a
+// truncated body can't be told from a complete one.
+func (r *Response) Framing() Framing {
+	switch {
+	case len(r.Head.TransferEncoding) > 0:
+		return FramedByChunks
+	case r.Head.ContentLength >= 0 || r.Head.Body == http.NoBody:
+		return FramedByLength
+	default:
+		return FramedByNothing
+	}
 }
 
+// Framed reports whether the end of the body is marked.
+func (r *Response) Framed() bool { return r.Framing() != FramedByNothing }
+
 // IsQuiet reports whether the connection is open and nothing of the response is left to read. It must not be called
 // during Read.
 func (r *Response) IsQuiet() bool {
--- a/gateway/answer_reader.go
+++ b/gateway/answer_reader.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rillreach/rillreach/eventstream"
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/internal/operation"
 )
@@ -19,6 +20,8 @@
 	buffer   []byte
 	// unread is the part of the last read that was not returned yet.
 	unread readResult
+	// events follows the events of a stream.
+	events eventstream.Parser
 	// hasData is set while there is data of a read whose result was not collected.
 	hasData atomic.Bool
 }
@@ -54,6 +57,7 @@
 		r.buffer = make([]byte, relayBufferSize)
 	}
 	n, err := r.response.Read(r.buffer)
+	r.events.Feed(r.buffer[:n])
 	if n > 0 {
 		r.hasData.Store(true)
 		r.onData()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -279,7 +279,8 @@
 	}
 	took := time.Since(x.arrived)
 	g.Log.Info("answered", "decision", "done", "request", x.wire.ID, "route", x.route.Name, "runner", t.view.ID, "status", status, "sends", x.sends.sendCount(),
-		"first", x.timeToFirstEvent().String(), "waited", x.firstTokenWait.String(), "weights", t.weights, "took", took.String(), "buffered", x.buffered, "config", x.config.Version)
+		"first", x.timeToFirstEvent().String(), "waited", x.firstTokenWait.String(), "weights", t.weights, "took", took.String(), "buffered", x.buffered,
+		"framing", a.answer.Framing(), "events", a.reader.events.Events(), "insideEvent", a.isEventStream() && a.reader.events.Inside(), "config", x.config.Version)
 	if status < minFailureStatus {
 		g.answerTimes.observe(x.route.Name, took)
 	}
