Decide in one place whether an answer that has ended is complete

Cause: forward.Response.Read promised io.EOF "at the end of a complete body", which it can't keep where the connection ends the body, nor where a runner ends its chunks properly inside an event. Each of its users believed it: the reader of events, of whole and of large answers, the prefetch of hedges, and the end of an attempt. Class: an end that is not known to be one taken for success by whoever reads it.

Change: package completeness decides without I/O. A stream that ends inside an event is truncated, however it is framed; without a length or chunks also one without any event, and any body whose process has crashed with it. Where nothing else tells (no event stream, no framing), the process has to accept connections. The reader of answers asks it once; the end of the connection has an error of its own in package forward, so that nobody can take it for io.EOF. The check comes after the last data has gone out.

forward:TestPool had a case that asserted the promise that can't be kept; it now asserts the end of the connection, the data before it, and that a reset is told apart. TestRefusesConnections is TestProbe, since the probe has a third result.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -29,12 +29,21 @@
 	closed    bool
 }
 
-// Read reads the body. It returns io.EOF at the end of a complete body; any other error means that it is incomplete.
+// ErrConnectionEnded means that the connection was closed at the end of a body that is not framed. The body may be
+// complete or truncated.
+var ErrConnectionEnded = errors.New("connection ended with a response that has neither a length nor chunks")
+
+// Read reads the body. It returns io.EOF at the end that the framing marks, and ErrConnectionEnded at the end of a body
+// that is not framed; any other error means that the body is incomplete.
 func (r *Response) Read(buf []byte) (int, error) {
 	n, err := r.Head.Body.Read(buf)
-	if errors.Is(err, io.EOF) {
-		r.sawEOF = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if !r.Framed() {
+		return n, ErrConnectionEnded
 	}
+	r.sawEOF = true
 	return n, err
 }
 
@@ -45,7 +54,7 @@
 	}
 	r.closed = true
 	notCancelled := r.stopWatch()
-	if r.sawEOF && notCancelled && r.requestWritten() && !r.hadStrays && !r.Head.Close && r.Framed() && r.conn.reader.Buffered() == 0 {
+	if r.sawEOF && notCancelled && r.requestWritten() && !r.hadStrays && !r.Head.Close && r.conn.reader.Buffered() == 0 {
 		r.pool.putIdle(r.address, r.conn, r.KeepAliveTimeout)
 		return
 	}
--- a/forward/ended_test.go
+++ b/forward/ended_test.go
@@ -10,20 +10,20 @@
 	"github.com/stretchr/testify/require"
 )
 
-func TestRefusesConnections(t *testing.T) {
+func TestProbe(t *testing.T) {
 	t.Run("an address without a listener refuses connections", func(t *testing.T) {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		address := netip.MustParseAddrPort(l.Addr().String())
 		require.NoError(t, l.Close())
 		p := &Pool{}
-		assert.True(t, p.RefusesConnections(context.Background(), address))
+		assert.Equal(t, Refuses, p.Probe(context.Background(), address))
 		assert.Empty(t, p.open)
 	})
 	t.Run("an address with a listener does not, and the connection serves the next request", func(t *testing.T) {
 		s := startServer(t, func(_ int, c net.Conn, id string) { writeText(c, okResponse(id, "yes")) })
 		p := &Pool{}
-		assert.False(t, p.RefusesConnections(context.Background(), s.address))
+		assert.Equal(t, Accepts, p.Probe(context.Background(), s.address))
 		got, err := roundTrip(context.Background(), p, s.address, "1", "")
 		require.NoError(t, err)
 		assert.Equal(t, "yes", got)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -154,7 +154,7 @@
 		_, err := roundTrip(ctx, &p, s.address, "1", "")
 		assert.True(t, errors.Is(err, io.ErrUnexpectedEOF))
 	})
-	t.Run("a response without a length ends when the connection closes, a reset is an error", func(t *testing.T) {
+	t.Run("the end of the connection after a response without a length is told apart from a marked end and from a reset", func(t *testing.T) {
 		s := startServer(t, func(n int, c net.Conn, _ string) {
 			writeText(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nall")
 			if n == 2 {
@@ -164,10 +164,11 @@
 		})
 		var p Pool
 		got, err := roundTrip(ctx, &p, s.address, "1", "")
-		require.NoError(t, err)
+		require.ErrorIs(t, err, ErrConnectionEnded)
 		assert.Equal(t, "all", got)
 		_, err = roundTrip(ctx, &p, s.address, "1", "")
-		assert.Error(t, err)
+		require.Error(t, err)
+		assert.NotErrorIs(t, err, ErrConnectionEnded)
 	})
 	t.Run("a connection that was idle for too long is not reused", func(t *testing.T) {
 		s := startServer(t, func(_ int, c net.Conn, id string) { writeText(c, okResponse(id, "yes")) })
--- a/gateway/answer_reader.go
+++ b/gateway/answer_reader.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"io"
 	"sync/atomic"
 	"time"
 
-	"github.com/rillreach/rillreach/eventstream"
+	"github.com/cockroachdb/errors"
+
+	"github.com/rillreach/rillreach/completeness"
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/internal/operation"
 )
@@ -14,14 +17,16 @@
 type answerReader struct {
 	// onData is called when the runner has sent data, possibly in another goroutine.
 	onData func()
+	// checkProcess returns what is known of the runner's process after it has closed the connection.
+	checkProcess func() completeness.Process
 
 	response *forward.Response
-	reading  operation.Operation[readResult]
-	buffer   []byte
+	// body decides whether the response is complete at its end.
+	body    completeness.Body
+	reading operation.Operation[readResult]
+	buffer  []byte
 	// unread is the part of the last read that was not returned yet.
 	unread readResult
-	// events follows the events of a stream.
-	events eventstream.Parser
 	// hasData is set while there is data of a read whose result was not collected.
 	hasData atomic.Bool
 }
@@ -33,7 +38,14 @@
 	at   time.Time
 }
 
-// read returns data of the answer. It returns errInterrupted if interrupt is closed before there is any.
+// start makes the reader read a response.
+func (r *answerReader) start(response *forward.Response, isEventStream bool) {
+	r.response = response
+	r.body = completeness.Body{EventStream: isEventStream, Framed: response.Framed()}
+}
+
+// read returns data of the answer, and io.EOF at the end of one that is complete. It returns errInterrupted if interrupt
+// is closed before there is any.
 func (r *answerReader) read(interrupt <-chan struct{}, buf []byte) (int, error) {
 	if len(r.unread.data) == 0 && r.unread.err == nil {
 		result, ok := r.reading.Await(interrupt, r.readResponse)
@@ -57,14 +69,29 @@
 		r.buffer = make([]byte, relayBufferSize)
 	}
 	n, err := r.response.Read(r.buffer)
-	r.events.Feed(r.buffer[:n])
+	r.body.Feed(r.buffer[:n])
 	if n > 0 {
 		r.hasData.Store(true)
 		r.onData()
 	}
+	if hasEnded := errors.IsAny(err, io.EOF, forward.ErrConnectionEnded); hasEnded {
+		err = r.checkEnd(n)
+	}
 	return readResult{data: r.buffer[:n], err: err, at: time.Now()}
 }
 
+// checkEnd returns the error of the read that has found the end of the response, and n bytes before it. If it has found
+// any, the end is left to the next read, so that the data need not wait for the check.
+func (r *answerReader) checkEnd(n int) error {
+	if n > 0 {
+		return nil
+	}
+	if err := r.body.Check(r.checkProcess); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
 // failure returns the error of a read whose result was not collected, or nil if the runner has not broken off.
 func (r *answerReader) failure() error {
 	result, ok := r.reading.Poll()
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rillreach/rillreach/completeness"
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/roster"
 )
@@ -100,27 +101,39 @@
 			return causeEndedByEntry
 		}
 		return causeUnreadableAnswer
-	case !a.gateway.hasEnded(a.target.runner):
-		return causeConnectionClosed
-	case a.target.runner.View(time.Now()).Leaving && !hasLaterRun(a.target.runner):
+	}
+	switch a.gateway.checkProcess(a.target.runner) {
+	case completeness.ProcessCrashed:
+		return causeRunnerEnded
+	case completeness.ProcessStopped:
 		return causeRunnerLeft
 	default:
-		return causeRunnerEnded
+		return causeConnectionClosed
 	}
 }
 
-// hasEnded reports whether the runner's process is known to have ended: a later run is known, or its address refuses
-// connections. Concurrent callers share one check.
-func (g *Gateway) hasEnded(r *roster.Runner) bool {
+// checkProcess returns what is known of the runner's process after it has closed a connection. It has ended if a later
+// run is known or its address refuses connections. Concurrent callers share one check.
+func (g *Gateway) checkProcess(r *roster.Runner) completeness.Process {
 	if hasLaterRun(r) {
-		return true
+		return completeness.ProcessCrashed
 	}
 	info := r.Info()
-	refuses, _, _ := g.listenProbes.Do(info.Address.String(), func() (any, error) {
+	probed, _, _ := g.listenProbes.Do(info.Address.String(), func() (any, error) {
 		g.pool.CloseIdle(info.Address) // before the check, whose connection is kept in the pool
-		return g.pool.RefusesConnections(context.Background(), info.Address), nil
+		return g.pool.Probe(context.Background(), info.Address), nil
 	})
-	return refuses == true
+	switch probed {
+	case forward.Accepts:
+		return completeness.ProcessRunning
+	case forward.Refuses:
+		if r.View(time.Now()).Leaving && !hasLaterRun(r) {
+			return completeness.ProcessStopped
+		}
+		return completeness.ProcessCrashed
+	default:
+		return completeness.ProcessUnresponsive
+	}
 }
 
 // hasLaterRun reports whether a later run of the runner is known.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -274,13 +274,11 @@
 // recordAnswered records that the request has its complete answer.
 func (a *attempt) recordAnswered() {
 	g, x, t, status := a.gateway, a.exchange, a.target, a.answer.Head.StatusCode
-	if a.answer.Framed() { // the end of an unframed answer may be a crash of its runner
-		g.clearSuspicion(x)
-	}
+	g.clearSuspicion(x)
 	took := time.Since(x.arrived)
 	g.Log.Info("answered", "decision", "done", "request", x.wire.ID, "route", x.route.Name, "runner", t.view.ID, "status", status, "sends", x.sends.sendCount(),
 		"first", x.timeToFirstEvent().String(), "waited", x.firstTokenWait.String(), "weights", t.weights, "took", took.String(), "buffered", x.buffered,
-		"framing", a.answer.Framing(), "events", a.reader.events.Events(), "insideEvent", a.isEventStream() && a.reader.events.Inside(), "config", x.config.Version)
+		"framing", a.answer.Framing(), "events", a.reader.body.Events(), "config", x.config.Version)
 	if status < minFailureStatus {
 		g.answerTimes.observe(x.route.Name, took)
 	}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"mime"
 	"net/http"
 	"time"
 
@@ -51,10 +52,21 @@
 		return err
 	}
 	answer.KeepAliveTimeout = a.headers.KeepAliveTimeout
-	a.answer, a.reader.response = answer, answer
+	a.answer = answer
+	a.reader.start(answer, a.isEventStream() && hasEvents(answer.Head))
 	return nil
 }
 
+// hasEvents reports whether the answer on a route of event streams consists of events, unlike an error message.
+func hasEvents(head *http.Response) bool {
+	contentType := head.Header.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return head.StatusCode == http.StatusOK && (contentType == "" || err != nil || mediaType == eventStreamType)
+}
+
+// eventStreamType is the media type of event streams.
+const eventStreamType = "text/event-stream"
+
 // handleSendFailure records that no answer has begun.
 func (a *attempt) handleSendFailure(err error) {
 	if errors.Is(err, forward.ErrNotSent) {
