Reset answers that end with their connection unless they are complete

What callers saw: an answer to a caller of HTTP/1.0 that the entry breaks off ends with an ordinary close, like a complete one.

Cause: net/http closes the connection of an aborted answer; where an answer has neither a length nor chunks, that close is the end of a complete answer. Ruled out: a reset at the places that abort, since a killed entry, or one whose server is closed at the end of a stop, would still close normally.

Change: when the head of such an answer is sent, its connection is set to end with a reset; this is taken back when the handler returns with a complete answer. Whatever ends the process or the handler before that is seen by the caller.

The committed test had a mistake: its stream on the resumable route went on at the same runner and was complete, so that an error was wrongly asked for. The runner now breaks off after every two events. Seen failing without the reset: both subtests. Before: red each time. After: green, with TestCompleteAnswerToOldCallerReset (complete answers still end normally), also under -race.

--- a/gateway/broken_off_test.go
+++ b/gateway/broken_off_test.go
@@ -198,17 +198,37 @@
 // Guards against an answer to a caller of HTTP/1.0, which ends with its connection, that looks complete although it was
 // broken off.
 func TestBrokenOffAnswerLooksCompleteToOldCaller(t *testing.T) {
-	w := startWorld(t, defaultConfig(), &site.Runner{ID: "r", Handle: cutAfterEvents(4)})
+	cutAfterTwoEvents := func(w http.ResponseWriter, r *http.Request) { site.StreamEvents(w, r, 9, lastEventIDOf(r)+2) }
+	w := startWorld(t, defaultConfig(), &site.Runner{ID: "r", Handle: cutAfterTwoEvents})
 	defer w.stop()
 	for _, path := range []string{"/flow/x", "/stream/x"} {
 		t.Run(path, func(t *testing.T) {
-			conn, err := net.Dial("tcp", w.callerAddress)
-			require.NoError(t, err)
-			defer func() { _ = conn.Close() }()
-			_, err = fmt.Fprintf(conn, "GET %s HTTP/1.0\r\nHost: %s\r\nX-Rillreach-Attempt-Id: a1\r\nAuthorization: Bearer %s\r\n\r\n", path, host, key)
-			require.NoError(t, err)
-			_, err = io.ReadAll(conn)
+			_, err := io.ReadAll(w.getAsOldCaller(t, path))
 			assert.Error(t, err, "the connection ends like that of a complete answer")
 		})
 	}
 }
+
+// Guards against an answer to a caller of HTTP/1.0 that is reset although it is complete.
+func TestCompleteAnswerToOldCallerReset(t *testing.T) {
+	w := startWorld(t, defaultConfig(), &site.Runner{ID: "r", Handle: cutAfterEvents(0)})
+	defer w.stop()
+	for _, path := range []string{"/flow/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			got, err := io.ReadAll(w.getAsOldCaller(t, path))
+			require.NoError(t, err)
+			assert.Contains(t, string(got), eventsUpTo(9))
+		})
+	}
+}
+
+// getAsOldCaller sends a GET request of HTTP/1.0 on a new connection, and returns the connection.
+func (w *world) getAsOldCaller(t *testing.T, path string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", w.callerAddress)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprintf(conn, "GET %s HTTP/1.0\r\nHost: %s\r\nX-Rillreach-Attempt-Id: a1\r\nAuthorization: Bearer %s\r\n\r\n", path, host, key)
+	require.NoError(t, err)
+	return conn
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -44,6 +44,8 @@
 	pinRecorded bool
 	// buffered means that the answer is held back until it is complete.
 	buffered bool
+	// resetUnlessComplete is set if the caller's connection ends with a reset until the answer is complete.
+	resetUnlessComplete bool
 	// continuePastShutdown lets a stream continue past the shutdown deadline. It returns false if the deadline has
 	// already passed.
 	continuePastShutdown func() bool
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -39,6 +39,7 @@
 	x.continuePastShutdown = context.AfterFunc(g.drainCtx, func() { cancelCause(errShuttingDown) })
 	defer x.continuePastShutdown()
 	g.serve(ctx, x)
+	g.allowClose(x)
 }
 
 // admit resolves the request's route, account and service, and returns a refusal if the request must not run.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rillreach/rillreach/callerconn"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/pinning"
@@ -98,7 +99,7 @@
 	a.pinStream()
 	h := g.beginAnswer(x, a.answer)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	x.writer.WriteHeader(status)
+	g.writeHead(x, status)
 	if _, err := x.writer.Write(body); err != nil {
 		g.Log.Info("cannot write answer to caller", "decision", "drop", "request", x.wire.ID, "cause", err.Error())
 		return true
@@ -142,7 +143,7 @@
 	if length := a.answer.Head.ContentLength; length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
-	x.writer.WriteHeader(a.answer.Head.StatusCode)
+	g.writeHead(x, a.answer.Head.StatusCode)
 	_, err := x.writer.Write(prefix)
 	if err == nil {
 		_, err = io.Copy(x.writer, a)
@@ -172,6 +173,28 @@
 	return h
 }
 
+// writeHead sends the head of a runner's answer to the caller. If only the end of the connection can end the answer, it
+// is a reset until the answer is complete.
+func (g *Gateway) writeHead(x *exchange, status int) {
+	if callerconn.EndsWithConnection(x.request, x.writer.Header()) {
+		x.resetUnlessComplete = true
+		if err := callerconn.ResetUnlessComplete(x.request.Context()); err != nil {
+			g.Log.Error(err, "cannot make an incomplete answer end with a reset", "request", x.wire.ID)
+		}
+	}
+	x.writer.WriteHeader(status)
+}
+
+// allowClose makes the caller's connection end normally, since the answer is complete.
+func (g *Gateway) allowClose(x *exchange) {
+	if !x.resetUnlessComplete {
+		return
+	}
+	if err := callerconn.CloseNormally(x.request.Context()); err != nil {
+		g.Log.Error(err, "cannot make a complete answer end normally", "request", x.wire.ID)
+	}
+}
+
 // setConnectionClose tells the caller to close its connection if the entry is shutting down.
 func (g *Gateway) setConnectionClose(h http.Header) {
 	if g.shuttingDown.Load() {
@@ -188,7 +211,7 @@
 			return a.failRelay(errShuttingDown) // the request is already getting an error response
 		}
 		g.beginAnswer(x, a.answer)
-		x.writer.WriteHeader(a.answer.Head.StatusCode)
+		g.writeHead(x, a.answer.Head.StatusCode)
 	}
 	if a.events == nil {
 		a.events = &eventReader{from: a, wholeEvents: x.route.Resumable, resumeAfter: a.resumeAfter}
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rillreach/rillreach/callerconn"
 	"github.com/rillreach/rillreach/drain"
 	"github.com/rillreach/rillreach/node"
 )
@@ -154,8 +155,8 @@
 // connOpenedKey is the context key of the time at which a caller's connection was opened.
 type connOpenedKey struct{}
 
-func withConnOpenedAt(ctx context.Context, _ net.Conn) context.Context {
-	return context.WithValue(ctx, connOpenedKey{}, time.Now())
+func withConnOpenedAt(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(callerconn.WithConn(ctx, conn), connOpenedKey{}, time.Now())
 }
 
 // connOpenedAt returns when the request's connection was opened, or the zero time if that is not known.
