Don't mark the end of an answer whose runner has not marked it

What callers could see: an answer that the runner ends with its connection reached them with a length or with chunks, and so as certainly complete, although the entry only knows that the runner lives and that no event was cut.

Before: TestUnframedAnswerMarkedComplete four of four red. After: green, with the other tests of broken-off answers.

--- a/callerconn/reset.go
+++ b/callerconn/reset.go
@@ -28,6 +28,9 @@
 	return !r.ProtoAtLeast(1, 1) || response.Get("Transfer-Encoding") == identity
 }
 
+// EndWithConnection makes the end of the connection end the response with the header.
+func EndWithConnection(response http.Header) { response.Set("Transfer-Encoding", identity) }
+
 // identity is the transfer encoding that makes package http end a response with its connection.
 const identity = "identity"
 
--- a/gateway/broken_off_test.go
+++ b/gateway/broken_off_test.go
@@ -179,6 +179,26 @@
 	}
 }
 
+// Guards against marking the end of an answer whose runner has not marked it, so that the caller takes for certain what
+// the entry does not know.
+func TestUnframedAnswerMarkedComplete(t *testing.T) {
+	for path, r := range map[string]*site.Runner{
+		"/once/small":   {ID: "r", Handle: unframedResponse("text/plain", "answer")},
+		"/repeat/large": {ID: "r", Handle: unframedResponse("text/plain", largeBody)},
+		"/flow/x":       {ID: "r", Handle: unframedResponse(site.EventStream, eventsUpTo(4))},
+		"/stream/x":     {ID: "r", Handle: unframedResponse(site.EventStream, eventsUpTo(4))},
+	} {
+		t.Run(path, func(t *testing.T) {
+			w := startWorld(t, defaultConfig(), r)
+			defer w.stop()
+			got := w.send(t, "POST", path, "prompt")
+			require.NoError(t, got.err)
+			assert.False(t, got.framed, "the answer has a length or chunks")
+			assert.True(t, got.closes)
+		})
+	}
+}
+
 // Guards against a hedge that ends inside its first event and replaces a runner that would have sent all.
 func TestHedgeEndsInsideFirstEvent(t *testing.T) {
 	second := make(chan struct{})
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -98,7 +98,9 @@
 	}
 	a.pinStream()
 	h := g.beginAnswer(x, a.answer)
-	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if a.answer.Framed() {
+		h.Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	g.writeHead(x, status)
 	if _, err := x.writer.Write(body); err != nil {
 		g.Log.Info("cannot write answer to caller", "decision", "drop", "request", x.wire.ID, "cause", err.Error())
@@ -164,11 +166,14 @@
 }
 
 // beginAnswer copies the runner's headers to the answer to the caller. From then on the answer can be continued but not
-// replaced.
+// replaced. If the runner does not mark the end of its answer, the entry doesn't either, since it cannot be sure of it.
 func (g *Gateway) beginAnswer(x *exchange, answer *forward.Response) http.Header {
 	h := x.writer.Header()
 	maps.Copy(h, platform.EndToEndHeader(answer.Head.Header))
 	g.setConnectionClose(h)
+	if !answer.Framed() {
+		callerconn.EndWithConnection(h)
+	}
 	x.recordHead()
 	return h
 }
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -173,8 +173,10 @@
 	status int
 	header http.Header
 	body   string
-	// closes reports whether the entry has asked to close the connection.
+	// closes reports whether the entry has asked to close the connection, and framed whether a length or chunks mark the end
+	// of the body.
 	closes bool
+	framed bool
 	err    error
 }
 
@@ -201,7 +203,7 @@
 		return answer{err: err}
 	}
 	data, err := io.ReadAll(resp.Body)
-	return answer{status: resp.StatusCode, header: resp.Header, body: string(data), closes: resp.Close, err: err}
+	return answer{status: resp.StatusCode, header: resp.Header, body: string(data), closes: resp.Close, framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0, err: err}
 }
 
 func assertGatewayAnswer(t *testing.T, got answer, status int) {
