Check the responses of backend servers for completeness, too

What callers could see: on our own interface a response without a length or chunks, or a stream cut inside an event, was passed on by the agent as complete; state that was exported without a length would have been kept when half of it had arrived.

Change: completeness.Reader returns io.EOF for a complete body alone; the gateway's reader of answers and backend.Client use it. Other reads of the same kind were looked at: lists and reports of the platform and of engines, and lookups of stores are JSON objects, which don't decode if they end early; blocks of stores are sealed; the pages between our processes have an end of their own.

--- a/backend/client.go
+++ b/backend/client.go
@@ -52,11 +52,11 @@
 	for name, values := range call.Header {
 		req.Header[name] = values
 	}
-	resp, err := c.HTTP.Do(req) //nolint:bodyclose // the caller closes the body
+	resp, err := c.HTTP.Do(req)
 	if err != nil {
 		return rillreach.BackendResponse{}, markNotSent(errors.Wrap(err, "call backend server"))
 	}
-	return rillreach.BackendResponse{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
+	return rillreach.BackendResponse{Status: resp.StatusCode, Header: resp.Header, Body: c.completeBody(resp)}, nil
 }
 
 // markNotSent marks errors of connecting with ErrNotSent: they occur before anything is sent.
--- a/backend/engine.go
+++ b/backend/engine.go
@@ -99,5 +99,6 @@
 		_ = resp.Body.Close()
 		return nil, errors.Newf("engine answered %s with status %d", path, resp.StatusCode)
 	}
+	resp.Body = e.completeBody(resp)
 	return resp, nil
 }
--- a/completeness/body.go
+++ b/completeness/body.go
@@ -30,7 +30,7 @@
 	ErrProcessUnresponsive = truncated("process does not respond after a response with neither a length nor chunks")
 )
 
-func truncated(text string) error { return errors.Mark(errors.New(text), io.ErrUnexpectedEOF) }
+func truncated(reason string) error { return errors.Wrap(io.ErrUnexpectedEOF, reason) }
 
 // Body is the body of a response that is being read. Exported fields are set before use.
 type Body struct {
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rillreach/rillreach/completeness"
 	"github.com/rillreach/rillreach/internal/socket"
 )
 
@@ -29,19 +30,15 @@
 	closed    bool
 }
 
-// ErrConnectionEnded means that the connection was closed at the end of a body that is not framed. The body may be
-// complete or truncated.
-var ErrConnectionEnded = errors.New("connection ended with a response that has neither a length nor chunks")
-
-// Read reads the body. It returns io.EOF at the end that the framing marks, and ErrConnectionEnded at the end of a body
-// that is not framed; any other error means that the body is incomplete.
+// Read reads the body. It returns io.EOF at the end that the framing marks, and completeness.ErrConnectionEnded at the end
+// of a body that is not framed; any other error means that the body is incomplete.
 func (r *Response) Read(buf []byte) (int, error) {
 	n, err := r.Head.Body.Read(buf)
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
 	if !r.Framed() {
-		return n, ErrConnectionEnded
+		return n, completeness.ErrConnectionEnded
 	}
 	r.sawEOF = true
 	return n, err
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -16,6 +16,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/rillreach/rillreach/completeness"
 )
 
 const idHeader = "Id"
@@ -164,11 +166,11 @@
 		})
 		var p Pool
 		got, err := roundTrip(ctx, &p, s.address, "1", "")
-		require.ErrorIs(t, err, ErrConnectionEnded)
+		require.ErrorIs(t, err, completeness.ErrConnectionEnded)
 		assert.Equal(t, "all", got)
 		_, err = roundTrip(ctx, &p, s.address, "1", "")
 		require.Error(t, err)
-		assert.NotErrorIs(t, err, ErrConnectionEnded)
+		assert.NotErrorIs(t, err, completeness.ErrConnectionEnded)
 	})
 	t.Run("a connection that was idle for too long is not reused", func(t *testing.T) {
 		s := startServer(t, func(_ int, c net.Conn, id string) { writeText(c, okResponse(id, "yes")) })
--- a/gateway/answer_reader.go
+++ b/gateway/answer_reader.go
@@ -1,12 +1,9 @@
 package gateway
 
 import (
-	"io"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/rillreach/rillreach/completeness"
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/internal/operation"
@@ -20,11 +17,10 @@
 	// checkProcess returns what is known of the runner's process after it has closed the connection.
 	checkProcess func() completeness.Process
 
-	response *forward.Response
-	// body decides whether the response is complete at its end.
-	body    completeness.Body
-	reading operation.Operation[readResult]
-	buffer  []byte
+	// response returns io.EOF only if the response is complete.
+	response completeness.Reader
+	reading  operation.Operation[readResult]
+	buffer   []byte
 	// unread is the part of the last read that was not returned yet.
 	unread readResult
 	// hasData is set while there is data of a read whose result was not collected.
@@ -40,8 +36,9 @@
 
 // start makes the reader read a response.
 func (r *answerReader) start(response *forward.Response, isEventStream bool) {
-	r.response = response
-	r.body = completeness.Body{EventStream: isEventStream, Framed: response.Framed()}
+	r.response = completeness.Reader{
+		From: response, Body: completeness.Body{EventStream: isEventStream, Framed: response.Framed()}, Process: r.checkProcess,
+	}
 }
 
 // read returns data of the answer, and io.EOF at the end of one that is complete. It returns errInterrupted if interrupt
@@ -69,29 +66,13 @@
 		r.buffer = make([]byte, relayBufferSize)
 	}
 	n, err := r.response.Read(r.buffer)
-	r.body.Feed(r.buffer[:n])
 	if n > 0 {
 		r.hasData.Store(true)
 		r.onData()
 	}
-	if hasEnded := errors.IsAny(err, io.EOF, forward.ErrConnectionEnded); hasEnded {
-		err = r.checkEnd(n)
-	}
 	return readResult{data: r.buffer[:n], err: err, at: time.Now()}
 }
 
-// checkEnd returns the error of the read that has found the end of the response, and n bytes before it. If it has found
-// any, the end is left to the next read, so that the data need not wait for the check.
-func (r *answerReader) checkEnd(n int) error {
-	if n > 0 {
-		return nil
-	}
-	if err := r.body.Check(r.checkProcess); err != nil {
-		return err
-	}
-	return io.EOF
-}
-
 // failure returns the error of a read whose result was not collected, or nil if the runner has not broken off.
 func (r *answerReader) failure() error {
 	result, ok := r.reading.Poll()
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -1,12 +1,12 @@
 package gateway
 
 import (
-	"mime"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rillreach/rillreach/eventstream"
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/platform"
 )
@@ -60,13 +60,9 @@
 // hasEvents reports whether the answer on a route of event streams consists of events, unlike an error message.
 func hasEvents(head *http.Response) bool {
 	contentType := head.Header.Get("Content-Type")
-	mediaType, _, err := mime.ParseMediaType(contentType)
-	return head.StatusCode == http.StatusOK && (contentType == "" || err != nil || mediaType == eventStreamType)
+	return head.StatusCode == http.StatusOK && (contentType == "" || eventstream.HasMediaType(contentType))
 }
 
-// eventStreamType is the media type of event streams.
-const eventStreamType = "text/event-stream"
-
 // handleSendFailure records that no answer has begun.
 func (a *attempt) handleSendFailure(err error) {
 	if errors.Is(err, forward.ErrNotSent) {
