Reset unfinished answers to callers of HTTP/1.0 on our own interface, too

The same fault as on the platform's interface: the entry aborts an answer that was broken off, and a caller of HTTP/1.0 takes the close for its end. Its handlers run behind one that makes such a connection end with a reset until they return. Before: TestEngineKilledDuringAnswerToOldCaller red (complete answers ended well). After: green, with TestEngineKilledDuringAnswer and TestRequestPath.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -1,10 +1,13 @@
 package e2e
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"testing"
 	"time"
@@ -163,6 +166,23 @@
 	return resp
 }
 
+// openStreamAsOldCaller sends a prompt by HTTP/1.0 and returns the connection once the answer has begun.
+func openStreamAsOldCaller(t *testing.T, target, key, body string) io.Reader {
+	t.Helper()
+	parsed, err := url.Parse(target)
+	require.NoError(t, err)
+	conn, err := net.Dial("tcp", parsed.Host)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: %s\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", parsed.Path, parsed.Host, key, len(body), body)
+	require.NoError(t, err)
+	reader := bufio.NewReader(conn)
+	head, err := reader.ReadString('\n')
+	require.NoError(t, err)
+	require.Contains(t, head, "200 OK")
+	return reader
+}
+
 func readAll(t *testing.T, resp *http.Response) string {
 	t.Helper()
 	defer resp.Body.Close()
--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -237,3 +237,20 @@
 		assert.Equal(t, http.StatusOK, a.status, a.body)
 	})
 }
+
+// Guards against a streamed answer to a caller of HTTP/1.0, which ends with its connection, that looks complete although
+// its engine was killed.
+func TestEngineKilledDuringAnswerToOldCaller(t *testing.T) {
+	f := newFleet(t)
+	engine, _ := f.startEngine(rillreach.SideOld, "--engine-token-time", "5ms")
+	key := f.createAccount("kigali", oldSideRow("m"))
+	url := "http://" + f.entry().address("callers") + chatPath
+	awaitStatus(t, http.StatusOK, func() (answer, error) { return trySend(http.MethodPost, url, key, chatBody("warm up", false)) })
+	complete, err := io.ReadAll(openStreamAsOldCaller(t, url, key, chatBody("short", true)))
+	require.NoError(t, err)
+	assert.Contains(t, string(complete), "data: [DONE]")
+	stream := openStreamAsOldCaller(t, url, key, longAnswerRequest("true"))
+	engine.kill()
+	_, err = io.ReadAll(stream)
+	assert.Error(t, err, "the connection ends like that of a complete answer")
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/callerconn"
 	"github.com/rillreach/rillreach/controller/lease"
 	"github.com/rillreach/rillreach/filter"
 	"github.com/rillreach/rillreach/filter/admit"
@@ -85,10 +86,11 @@
 	}
 	e.listener = &node.Listener{Listener: e.Listener}
 	e.server = &http.Server{
-		Handler:           e.routes(),
+		Handler:           e.resetUnlessComplete(e.routes()),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       callerconn.WithConn,
 	}
 }
 
