Find the ends of events whatever ends their lines

What callers could see: the events of a resumable stream whose lines end with CRLF came all at once, when the stream ended, and one of more than 256 KB was broken off. A hedge with such events was not used before its end.

Cause: the reader of events and the prefetch of hedges knew "\n\n" alone as the end of an event.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/rillreach/rillreach/eventstream"
 )
 
 var errEventTooLarge = errors.New("event is too large")
@@ -14,10 +16,7 @@
 // maxEventSize is the maximum size of an event, in bytes.
 const maxEventSize = 256 << 10
 
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
+var idField = []byte("id:")
 
 // eventReader reads an event stream. If wholeEvents is set, it returns only complete events and the ID of the last
 // one.
@@ -30,6 +29,7 @@
 	// lastID is the ID of the last event that was returned.
 	lastID string
 
+	parser  eventstream.Parser
 	pending []byte
 	buf     [relayBufferSize]byte
 }
@@ -40,8 +40,11 @@
 	if !r.wholeEvents {
 		return r.buf[:n], err
 	}
+	end := r.parser.Feed(r.buf[:n])
+	if end >= 0 {
+		end += len(r.pending)
+	}
 	r.pending = append(r.pending, r.buf[:n]...)
-	end := bytes.LastIndex(r.pending, eventEnd)
 	if isCompleteAnswer(err) { // the stream is complete, so the rest can be returned
 		part := r.dropSeen(r.pending)
 		r.pending = nil
@@ -54,8 +57,8 @@
 		}
 		return nil, err
 	}
-	part := r.dropSeen(slices.Clone(r.pending[:end+len(eventEnd)]))
-	r.pending = append(r.pending[:0], r.pending[end+len(eventEnd):]...)
+	part := r.dropSeen(slices.Clone(r.pending[:end]))
+	r.pending = append(r.pending[:0], r.pending[end:]...)
 	r.recordLastID(part)
 	return part, err
 }
@@ -63,7 +66,7 @@
 // dropSeen removes the events that the caller already has from another run.
 func (r *eventReader) dropSeen(part []byte) []byte {
 	for r.resumeAfter != "" && len(part) > 0 {
-		event, rest, _ := bytes.Cut(part, eventEnd)
+		event, rest := eventstream.Cut(part)
 		if id := lastEventID(event); id != "" && isAfter(id, r.resumeAfter) {
 			r.resumeAfter = ""
 			break
@@ -83,7 +86,7 @@
 // lastEventID returns the last ID in the events, or an empty string if there is none.
 func lastEventID(events []byte) string {
 	last := ""
-	for line := range bytes.SplitSeq(events, []byte("\n")) {
+	for line := range bytes.FieldsFuncSeq(events, func(c rune) bool { return c == '\n' || c == '\r' }) {
 		if id, ok := bytes.CutPrefix(line, idField); ok {
 			last = string(bytes.TrimSpace(id))
 		}
--- a/gateway/prefetch.go
+++ b/gateway/prefetch.go
@@ -1,9 +1,9 @@
 package gateway
 
 import (
-	"bytes"
-
 	"github.com/cockroachdb/errors"
+
+	"github.com/rillreach/rillreach/eventstream"
 )
 
 // awaitAnswer waits until the attempt's answer can replace another one, and reports whether it can.
@@ -46,7 +46,7 @@
 // is enough even if the stream is buffered until it is complete, since two runners must not work on it for long.
 func (a *attempt) prefetchedEnough() bool {
 	if a.isEventStream() {
-		return bytes.Contains(a.prefetched.Bytes(), eventEnd)
+		return eventstream.HasEvent(a.prefetched.Bytes())
 	}
 	return a.prefetched.Len() > maxBufferedAnswer
 }
