Take no answer for complete whose runner has ended, announced or not

Cause: a process that had announced its stop was taken for one that has answered its last; a runner that stops cuts what it doesn't finish in time. In the log: runner i-2-1 leaving, answered framing=connection events=22.

Change: for completeness a process has ended, or it hasn't; that it had announced its stop still decides whether its end is a crash. A runner that sends its last answer without a length and stops at once is cut, too: the entry can't tell. Test: TestStreamCutByStopOfRunnerLooksComplete.

--- a/backend/body.go
+++ b/backend/body.go
@@ -50,7 +50,7 @@
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", server.Host)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		return completeness.ProcessCrashed
+		return completeness.ProcessEnded
 	case err != nil:
 		return completeness.ProcessUnresponsive
 	}
--- a/completeness/body.go
+++ b/completeness/body.go
@@ -16,17 +16,15 @@
 	ProcessUnresponsive Process = iota
 	// ProcessRunning means that it accepts connections.
 	ProcessRunning
-	// ProcessStopped means that it has ended as it had announced.
-	ProcessStopped
-	// ProcessCrashed means that it has ended unexpectedly.
-	ProcessCrashed
+	// ProcessEnded means that it has crashed or stopped.
+	ProcessEnded
 )
 
 // The reasons why a body is truncated. All of them are io.ErrUnexpectedEOF, too.
 var (
 	ErrInsideEvent         = truncated("stream ended inside an event")
 	ErrNoEvent             = truncated("stream without a length or chunks ended before its first event")
-	ErrProcessCrashed      = truncated("process has ended with its response, which has neither a length nor chunks")
+	ErrProcessEnded        = truncated("process has ended with its response, which has neither a length nor chunks")
 	ErrProcessUnresponsive = truncated("process does not respond after a response with neither a length nor chunks")
 )
 
@@ -60,17 +58,17 @@
 		return ErrInsideEvent
 	case b.Framed:
 		return nil
-	case b.EventStream && b.events.Events() == 0:
+	case b.EventStream && b.Events() == 0:
 		return ErrNoEvent
 	}
 	switch process() {
-	case ProcessCrashed:
-		return ErrProcessCrashed
+	case ProcessEnded:
+		return ErrProcessEnded // also if it has announced its stop, which may cut responses
 	case ProcessUnresponsive:
 		if !b.EventStream {
 			return ErrProcessUnresponsive // nothing else tells whether it is complete
 		}
-	case ProcessRunning, ProcessStopped:
+	case ProcessRunning:
 	}
 	return nil
 }
--- a/completeness/body_test.go
+++ b/completeness/body_test.go
@@ -57,8 +57,7 @@
 		stream, answer error
 	}{
 		{"running", ProcessRunning, nil, nil},
-		{"stopped as announced", ProcessStopped, nil, nil},
-		{"crashed", ProcessCrashed, ErrProcessCrashed, ErrProcessCrashed},
+		{"ended", ProcessEnded, ErrProcessEnded, ErrProcessEnded},
 		{"unresponsive", ProcessUnresponsive, nil, ErrProcessUnresponsive},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/gateway/answer_reader.go
+++ b/gateway/answer_reader.go
@@ -35,10 +35,8 @@
 }
 
 // start makes the reader read a response.
-func (r *answerReader) start(response *forward.Response, isEventStream bool) {
-	r.response = completeness.Reader{
-		From: response, Body: completeness.Body{EventStream: isEventStream, Framed: response.Framed()}, Process: r.checkProcess,
-	}
+func (r *answerReader) start(response *forward.Response, body completeness.Body) {
+	r.response = completeness.Reader{From: response, Body: body, Process: r.checkProcess}
 }
 
 // read returns data of the answer, and io.EOF at the end of one that is complete. It returns errInterrupted if interrupt
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,7 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/rillreach/rillreach/completeness"
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/internal/operation"
 	"github.com/rillreach/rillreach/platform"
@@ -116,7 +115,7 @@
 	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.reader.onData = a.recordArrival
-	a.reader.checkProcess = func() completeness.Process { return g.checkProcess(t.runner) }
+	a.reader.checkProcess = a.checkProcess
 	a.watchdog = g.newWatchdog(a)
 	a.startDeadline = g.newStartDeadline(x, t, func() { a.cancel(errStartTooLate) })
 	a.stopAfterEnd = t.runner.AfterEnd(a.watchdog.checkNow)
--- a/gateway/broken_off_test.go
+++ b/gateway/broken_off_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -252,3 +253,19 @@
 	require.NoError(t, err)
 	return conn
 }
+
+// Guards against a stream that a runner cuts at the end of its stop, and that looks complete since the stop was announced.
+func TestStreamCutByStopOfRunnerLooksComplete(t *testing.T) {
+	r := &site.Runner{ID: "r"}
+	var w *world
+	r.Handle = func(rw http.ResponseWriter, req *http.Request) {
+		site.WriteUnframed(rw, req, site.EventStream, eventsUpTo(4), func() {
+			w.store.Put("servers", "r", runnerRecord(r, "draining"))
+			w.eventually(t, func() bool { return w.gateway.state.Roster.Find("r").View(time.Now()).Leaving })
+			r.Crash()
+		})
+	}
+	w = startWorld(t, defaultConfig(), r)
+	defer w.stop()
+	assertIncomplete(t, w.send(t, "POST", "/flow/x", "prompt"))
+}
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -101,23 +101,26 @@
 			return causeEndedByEntry
 		}
 		return causeUnreadableAnswer
-	}
-	switch a.gateway.checkProcess(a.target.runner) {
-	case completeness.ProcessCrashed:
-		return causeRunnerEnded
-	case completeness.ProcessStopped:
+	case a.checkProcess() != completeness.ProcessEnded:
+		return causeConnectionClosed
+	case a.target.runner.View(time.Now()).Leaving && !hasLaterRun(a.target.runner):
 		return causeRunnerLeft
 	default:
-		return causeConnectionClosed
+		return causeRunnerEnded
 	}
 }
 
-// checkProcess returns what is known of the runner's process after it has closed a connection. It has ended if a later
-// run is known or its address refuses connections. Concurrent callers share one check.
-func (g *Gateway) checkProcess(r *roster.Runner) completeness.Process {
-	if hasLaterRun(r) {
-		return completeness.ProcessCrashed
+// checkProcess returns what is known of the process that has answered the attempt, after it has closed the connection. It
+// has ended if a later run is known or its address refuses connections.
+func (a *attempt) checkProcess() completeness.Process {
+	if hasLaterRun(a.target.runner) {
+		return completeness.ProcessEnded
 	}
+	return a.gateway.probe(a.target.runner)
+}
+
+// probe returns whether the runner's address accepts connections. Concurrent callers share one probe.
+func (g *Gateway) probe(r *roster.Runner) completeness.Process {
 	info := r.Info()
 	probed, _, _ := g.listenProbes.Do(info.Address.String(), func() (any, error) {
 		g.pool.CloseIdle(info.Address) // before the check, whose connection is kept in the pool
@@ -127,10 +130,7 @@
 	case forward.Accepts:
 		return completeness.ProcessRunning
 	case forward.Refuses:
-		if r.View(time.Now()).Leaving && !hasLaterRun(r) {
-			return completeness.ProcessStopped
-		}
-		return completeness.ProcessCrashed
+		return completeness.ProcessEnded
 	default:
 		return completeness.ProcessUnresponsive
 	}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rillreach/rillreach/completeness"
 	"github.com/rillreach/rillreach/eventstream"
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/platform"
@@ -53,7 +54,9 @@
 	}
 	answer.KeepAliveTimeout = a.headers.KeepAliveTimeout
 	a.answer = answer
-	a.reader.start(answer, a.isEventStream() && hasEvents(answer.Head))
+	a.reader.start(answer, completeness.Body{
+		EventStream: a.isEventStream() && hasEvents(answer.Head), Framed: answer.Framed(),
+	})
 	return nil
 }
 
