Know an answer of a later run than the one that the request was sent to

An engine had started again under its ID 119 to 475 ms before the request was sent, and the entry heard of it while the new run was answering: the runner that it had chosen had ended, but that was not the process that answered.

Change: if a later run is known, its start on the runners' clock is compared with the time of the send. Where that clock is not known, or the two are within 50 ms, the answer counts as truncated.

--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -113,12 +113,27 @@
 // checkProcess returns what is known of the process that has answered the attempt, after it has closed the connection. It
 // has ended if a later run is known or its address refuses connections.
 func (a *attempt) checkProcess() completeness.Process {
-	if hasLaterRun(a.target.runner) {
+	if hasLaterRun(a.target.runner) && !a.reachedLaterRun() {
 		return completeness.ProcessEnded
 	}
 	return a.gateway.probe(a.target.runner)
 }
 
+// clockError is how far the estimate of the runners' clock may be off.
+const clockError = 50 * time.Millisecond
+
+// reachedLaterRun reports whether the request has reached a later run than the one that it was sent to, which had started
+// before but was not known yet.
+func (a *attempt) reachedLaterRun() bool {
+	g, now := a.gateway, time.Now()
+	latest := g.state.Roster.Find(a.target.view.ID)
+	if latest == nil || latest == a.target.runner {
+		return false
+	}
+	age, known := g.restartDelay(latest.Info().Generation, now)
+	return known && now.Add(-age).Before(a.sentAt.Add(-clockError))
+}
+
 // probe returns whether the runner's address accepts connections. Concurrent callers share one probe.
 func (g *Gateway) probe(r *roster.Runner) completeness.Process {
 	info := r.Info()
