Let the rest of a stream be empty

A stream that broke off after its last event is continued at another runner, which has nothing left to send. It is complete if its runner is running. Test: completeness:TestCheckByProcess.

--- a/completeness/body.go
+++ b/completeness/body.go
@@ -34,6 +34,8 @@
 type Body struct {
 	// EventStream is set if the body is a stream of server-sent events.
 	EventStream bool
+	// Continues is set if the body continues an earlier stream, of which nothing may be left.
+	Continues bool
 	// Framed is set if a length or chunks mark the end of the body. Otherwise the connection ends with it.
 	Framed bool
 
@@ -58,14 +60,14 @@
 		return ErrInsideEvent
 	case b.Framed:
 		return nil
-	case b.EventStream && b.Events() == 0:
+	case b.EventStream && !b.Continues && b.Events() == 0:
 		return ErrNoEvent
 	}
 	switch process() {
 	case ProcessEnded:
 		return ErrProcessEnded // also if it has announced its stop, which may cut responses
 	case ProcessUnresponsive:
-		if !b.EventStream {
+		if b.Events() == 0 {
 			return ErrProcessUnresponsive // nothing else tells whether it is complete
 		}
 	case ProcessRunning:
--- a/completeness/body_test.go
+++ b/completeness/body_test.go
@@ -65,6 +65,7 @@
 			require.ErrorIs(t, bodyOf(Body{EventStream: true}, "id: 1\n\n").Check(process), c.stream)
 			require.ErrorIs(t, bodyOf(Body{}, "data").Check(process), c.answer)
 			require.ErrorIs(t, bodyOf(Body{}, "").Check(process), c.answer)
+			require.ErrorIs(t, bodyOf(Body{EventStream: true, Continues: true}, "").Check(process), c.answer)
 		})
 	}
 }
