Let a quarter of the soak's answers end with their connection

One of four responses of runners and engines, by the ID of the request, has neither a length nor chunks. A run that ends closes its listener first and its connections then, as a process does, before the rest is reset.

--- a/internal/standin/site/runner.go
+++ b/internal/standin/site/runner.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -33,6 +34,9 @@
 	server   *httptest.Server
 	mu       sync.Mutex
 	received []ReceivedRequest
+	// unframed holds the connections of responses that end with them, and crashed is set once they are closed.
+	unframed map[net.Conn]struct{}
+	crashed  bool
 }
 
 // Start starts the runner's HTTP server.
@@ -50,6 +54,7 @@
 // call it.
 func (r *Runner) Crash() {
 	_ = r.server.Listener.Close()
+	r.closeUnframed()
 	r.server.CloseClientConnections()
 }
 
--- a/internal/standin/site/unframed.go
+++ b/internal/standin/site/unframed.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 )
 
 // WriteUnframed writes a response with neither a content length nor chunks, which ends with its connection. If
@@ -27,6 +28,92 @@
 		req.Header.Get("X-Rillreach-Attempt-Id"), contentType)
 }
 
+// ServeUnframed has the handler write a response with neither a content length nor chunks, which ends with its connection.
+// If the runner crashes or the handler aborts, the connection ends as it does after a complete response.
+func (r *Runner) ServeUnframed(w http.ResponseWriter, req *http.Request, handle http.HandlerFunc) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err) // the stand-in's server supports it
+	}
+	defer func() { _ = conn.Close() }()
+	if !r.addUnframed(conn) {
+		return
+	}
+	defer r.removeUnframed(conn)
+	u := &unframedWriter{conn: conn, header: http.Header{}}
+	handle(u, req)
+	if !u.wroteHead {
+		u.WriteHeader(http.StatusOK)
+	}
+}
+
+// addUnframed registers a connection that Crash has to close. It returns false if the runner has crashed.
+func (r *Runner) addUnframed(conn net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.unframed == nil {
+		r.unframed = map[net.Conn]struct{}{}
+	}
+	r.unframed[conn] = struct{}{}
+	return !r.crashed
+}
+
+func (r *Runner) removeUnframed(conn net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.unframed, conn)
+}
+
+// closeUnframed closes the connections of unframed responses.
+func (r *Runner) closeUnframed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashed = true
+	for conn := range r.unframed {
+		_ = conn.Close()
+	}
+}
+
+// unframedWriter writes a response that ends with its connection.
+type unframedWriter struct {
+	conn      net.Conn
+	header    http.Header
+	wroteHead bool
+	err       error
+}
+
+// Header returns the header of the response.
+func (u *unframedWriter) Header() http.Header { return u.header }
+
+// WriteHeader writes the head of the response.
+func (u *unframedWriter) WriteHeader(status int) {
+	u.wroteHead = true
+	u.header.Del("Content-Length")
+	u.header.Set("Connection", "close")
+	var head strings.Builder
+	_, _ = fmt.Fprintf(&head, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	_ = u.header.Write(&head)
+	u.write([]byte(head.String() + "\r\n"))
+}
+
+// Write writes part of the body.
+func (u *unframedWriter) Write(data []byte) (int, error) {
+	if !u.wroteHead {
+		u.WriteHeader(http.StatusOK)
+	}
+	u.write(data)
+	return len(data), u.err
+}
+
+// FlushError returns the error of the writes so far, which are not buffered.
+func (u *unframedWriter) FlushError() error { return u.err }
+
+func (u *unframedWriter) write(data []byte) {
+	if u.err == nil {
+		_, u.err = u.conn.Write(data)
+	}
+}
+
 // WriteChunked writes a response in chunks, with their proper end.
 func WriteChunked(w http.ResponseWriter, req *http.Request, contentType, body string) {
 	SetSealHeaders(w, req)
--- a/soak/engine.go
+++ b/soak/engine.go
@@ -85,8 +85,9 @@
 		if e.backpressure.handle(e.events, label, w, r) {
 			return
 		}
-		open := e.events.beginExecution(started)
-		streamPieces(w, r, open, software, e.eventInterval(r))
+		respond(&next.Runner, w, r, func(w http.ResponseWriter, r *http.Request) {
+			streamPieces(w, r, e.events.beginExecution(started), software, e.eventInterval(r))
+		})
 	}
 	next.OnOrder = func(o site.Order) bool {
 		e.events.recordOrder(receivedOrder{Engine: label, Order: o})
@@ -202,7 +203,6 @@
 	e.mu.Lock()
 	current, label := e.current, e.startLabel(e.starts)
 	e.mu.Unlock()
-	current.Crash()
-	e.proxy.stopListening()
+	e.proxy.endProcess(current.Crash)
 	e.events.closeRun(label)
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -47,12 +47,18 @@
 
 func (p *proxy) address() netip.AddrPort { return p.listenAddress }
 
-// stopListening refuses new connections and breaks all others, as if the process behind the proxy had exited.
-func (p *proxy) stopListening() {
+// endTime is how long the connections of a process that has exited have to end, before the proxy resets the rest.
+const endTime = 5 * time.Millisecond
+
+// endProcess refuses new connections, calls exit, which ends the process behind the proxy, and breaks the connections
+// that have not ended with it.
+func (p *proxy) endProcess(exit func()) {
 	p.update(func(p *proxy) {
 		_ = p.listener.Close()
 		p.closed = true
 	})
+	exit()
+	time.Sleep(endTime)
 	p.reset()
 }
 
--- a/soak/runner.go
+++ b/soak/runner.go
@@ -146,10 +146,7 @@
 // streamDuration returns how long the stream of a request lasts. It depends only on the kind and the ID of the request,
 // without the tag of the cluster.
 func streamDuration(k kind, id string) time.Duration {
-	hash := fnv.New64a()
-	name, _, _ := strings.Cut(id, tagSeparator)
-	_, _ = hash.Write([]byte(name))
-	sum := hash.Sum64()
+	sum := idHash(id)
 	within := func(minimum, maximum time.Duration) time.Duration {
 		return minimum + time.Duration(sum/10%uint64(maximum-minimum))
 	}
@@ -165,6 +162,14 @@
 	}
 }
 
+// idHash returns a hash of a request's ID without the tag of the cluster.
+func idHash(id string) uint64 {
+	hash := fnv.New64a()
+	name, _, _ := strings.Cut(id, tagSeparator)
+	_, _ = hash.Write([]byte(name))
+	return hash.Sum64()
+}
+
 // start starts a new run and returns its ID.
 func (p *plainRunner) start() string {
 	p.mu.Lock()
@@ -173,7 +178,8 @@
 	id := fmt.Sprintf("%s-%d", p.name(), p.starts)
 	p.current = &site.Runner{ID: id, Host: serverHost(p.proxy.address())}
 	software := p.software
-	p.current.Handle = func(w http.ResponseWriter, r *http.Request) { p.handle(id, software, w, r) }
+	run := p.current
+	run.Handle = func(w http.ResponseWriter, r *http.Request) { p.handle(run, software, w, r) }
 	p.events.beginRun(id, plainService, software)
 	p.current.Start()
 	if err := p.proxy.listenFor(p.current.Address()); err != nil {
@@ -189,21 +195,25 @@
 func (p *plainRunner) closeRun() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.current.Crash()
-	p.proxy.stopListening()
+	p.proxy.endProcess(p.current.Crash)
 	p.events.closeRun(p.current.ID)
 }
 
-func (p *plainRunner) handle(id, software string, w http.ResponseWriter, r *http.Request) {
-	started := execution{ID: site.RequestID(r), Runner: id, Zone: zoneOf(p.number), Software: software, Fatal: fatalName(r)}
+func (p *plainRunner) handle(run *site.Runner, software string, w http.ResponseWriter, r *http.Request) {
+	started := execution{ID: site.RequestID(r), Runner: run.ID, Zone: zoneOf(p.number), Software: software, Fatal: fatalName(r)}
 	if started.Fatal != "" {
 		p.events.crashRunner(started, p.crashAndReplace)
 	}
-	if p.backpressure.handle(p.events, id, w, r) {
+	if p.backpressure.handle(p.events, run.ID, w, r) {
 		return
 	}
+	respond(run, w, r, func(w http.ResponseWriter, r *http.Request) { p.answer(started, w, r) })
+}
+
+// answer executes a request and writes its response.
+func (p *plainRunner) answer(started execution, w http.ResponseWriter, r *http.Request) {
 	if k := requestKind(r); k.streams() {
-		streamPieces(w, r, p.events.beginExecution(started), software, streamDuration(k, started.ID)/streamEvents)
+		streamPieces(w, r, p.events.beginExecution(started), started.Software, streamDuration(k, started.ID)/streamEvents)
 		return
 	}
 	open := p.events.beginExecution(started)
@@ -214,6 +224,19 @@
 	open.end(completed)
 }
 
+// unframedDivisor is the number of responses of which one has neither a length nor chunks.
+const unframedDivisor = 4
+
+// respond has the handler write the response to a request. Depending on the request's ID, the response ends with its
+// connection.
+func respond(run *site.Runner, w http.ResponseWriter, r *http.Request, handle http.HandlerFunc) {
+	if idHash(site.RequestID(r))%unframedDivisor != 0 {
+		handle(w, r)
+		return
+	}
+	run.ServeUnframed(w, r, handle)
+}
+
 // requestKind returns the kind of a request, which is the first segment of its path.
 func requestKind(r *http.Request) kind {
 	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
