--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -53,6 +53,8 @@
 	events      *eventReader
 	// received is the number of bytes of the answer received so far.
 	received int64
+	// firstDataAt is when the first data of the answer's body arrived, nil before.
+	firstDataAt atomic.Pointer[time.Time]
 	// readErr is the error that ended an incomplete answer.
 	readErr error
 
@@ -164,6 +166,10 @@
 
 // recordArrival records that the runner has sent part of its answer, whether or not this attempt goes on with it.
 func (a *attempt) recordArrival() {
+	if a.firstDataAt.Load() == nil {
+		now := time.Now()
+		a.firstDataAt.Store(&now)
+	}
 	a.startDeadline.stop()
 	a.watchdog.reset()
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -51,6 +51,8 @@
 	continuePastShutdown func() bool
 	// lazyFingerprint identifies the request in the records of crashes.
 	lazyFingerprint *lazyFingerprint
+	// lazyParts identifies the parts of the request's prompt there.
+	lazyParts *lazyParts
 	// trial means that the request is quarantined and sent once as a trial.
 	trial bool
 	// reason is why the last attempt failed. If the cause was a backlog, admissionWait is how long the queued requests
@@ -65,7 +67,7 @@
 // newExchange returns the exchange for a request that has just arrived.
 func newExchange(w http.ResponseWriter, r *http.Request) *exchange {
 	return &exchange{
-		writer: w, request: r, wire: platform.DecodeRequest(r.Header), arrived: time.Now(), sends: &sendHistory{}, lazyFingerprint: &lazyFingerprint{}, progress: &progress{},
+		writer: w, request: r, wire: platform.DecodeRequest(r.Header), arrived: time.Now(), sends: &sendHistory{}, lazyFingerprint: &lazyFingerprint{}, lazyParts: &lazyParts{}, progress: &progress{},
 	}
 }
 
@@ -87,7 +89,7 @@
 func (x *exchange) fork() *exchange {
 	return &exchange{
 		request: x.request, wire: x.wire, call: x.call, config: x.config, route: x.route, account: x.account, regions: x.regions, regionsLimited: x.regionsLimited, service: x.service,
-		arrived: x.arrived, deadline: x.deadline, sends: x.sends, lazyFingerprint: x.lazyFingerprint, trial: x.trial, buffered: x.buffered, progress: x.snapshot(),
+		arrived: x.arrived, deadline: x.deadline, sends: x.sends, lazyFingerprint: x.lazyFingerprint, lazyParts: x.lazyParts, trial: x.trial, buffered: x.buffered, progress: x.snapshot(),
 	}
 }
 
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -87,7 +87,15 @@
 	}
 	g.Log.Info("attempt failed", "decision", "judge", "request", x.wire.ID, "runner", t.view.ID, "notSent", notSent,
 		"callerLeft", callerLeft, "spared", spared, "timedOut", errors.Is(context.Cause(a.ctx), context.DeadlineExceeded), "kind", cause, "endedBy", a.cancelReason(), "fingerprint", x.fingerprint().String(),
-		"events", x.lastEvent, "cause", err.Error(), "avoidedFor", ejectedFor.String(), "after", now.Sub(x.arrived).String())
+		"events", x.lastEvent, "received", a.received, "answering", a.answeringFor(now).String(), "parts", x.partNames(), "cause", err.Error(), "avoidedFor", ejectedFor.String(), "after", now.Sub(x.arrived).String())
+}
+
+// answeringFor returns how long the runner has been sending its answer, zero before the first data.
+func (a *attempt) answeringFor(now time.Time) time.Duration {
+	if at := a.firstDataAt.Load(); at != nil {
+		return now.Sub(*at)
+	}
+	return 0
 }
 
 // classifyFailure returns why the attempt failed. The runner's address is probed only if the runner closed the
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -25,6 +25,36 @@
 	return x.lazyFingerprint.fingerprint
 }
 
+// lazyParts are the fingerprints of the parts of a prompt that others may share, computed once for all attempts of the
+// request.
+type lazyParts struct {
+	once  sync.Once
+	parts []poison.Fingerprint
+}
+
+// partFingerprints returns the fingerprints of the parts of the request's prompt that other prompts may share.
+func (x *exchange) partFingerprints() []poison.Fingerprint {
+	x.lazyParts.once.Do(func() {
+		if x.wire.Prompt == nil {
+			return
+		}
+		for _, shared := range x.wire.Prompt.SharedParts() {
+			part := poison.Part{Model: x.wire.Prompt.Model, ID: shared.ID}
+			x.lazyParts.parts = append(x.lazyParts.parts, part.Fingerprint())
+		}
+	})
+	return x.lazyParts.parts
+}
+
+// partNames returns the fingerprints of the request's shared parts as identifiers for logs.
+func (x *exchange) partNames() []string {
+	var names []string
+	for _, part := range x.partFingerprints() {
+		names = append(names, part.String())
+	}
+	return names
+}
+
 // caller identifies the request's caller: the client account, or the key that is passed to the runner if there is
 // none.
 func (x *exchange) caller() string {
@@ -92,7 +122,7 @@
 	g.observedCrashes.Record(now, crashes...)
 	g.crashesChanged.Wake()
 	g.Log.Info("runner ended under a request", "decision", "suspect", "request", x.wire.ID, "fingerprint", crash.Request.String(), "runner", crash.Runner,
-		"generation", crash.Generation, "crashes", g.suspects.Crashes(now, crash.Request))
+		"generation", crash.Generation, "parts", x.partNames(), "received", a.received, "crashes", g.suspects.Crashes(now, crash.Request))
 }
 
 // listedRuns returns the number of listed runs of a service, including one that has just ended.
