Quarantine parts of prompts that crash runners

Cause: crashes were held against requests that are equal in all, so that each of these was new. Class: blame under a key that the cause doesn't have.

Change: a run that ends is held against each shared part of the requests that it had not been answering for 1 s. package poison decides without I/O which parts are quarantined: from the strongest suspect on (never answered, then most runs, then the later part), each one with four crashes at least 0.1 s apart that no stronger one, and no quarantined request, explains. An answer clears the parts of its prompt everywhere, since the crashes of parts travel with those of requests, so that agents, entries that start later and limits need nothing new. A part is held back for the accounts whose requests have crashed runners with it, and for all once these are several. After two crashes under a part that was never answered its requests get no second attempt. There are no trials, so that nobody has to grant them: a part counts for ten minutes, or 30 s if it was answered before.

Ruled out: a count by account and part (each account would crash runners anew); trials granted by each entry, or by an agent or an object of the store (callers are told sooner what holds, and a refusal that ends after 30 s costs a popular part little).

Before: 5 of 5 subtests red (60 of 60 runners, or 22 and 23 too late). With it TestQuarantinedPartReachesOtherEntries, TestPartHeldBackForOtherAccount, poison:TestPartQuarantine, TestPartOfOneAccount, TestSuspectedPart, TestPartVerdictsDependOnOrder, TestQuarantinedPartSurvivesManyCrashes. go test ./gateway ./poison ./sidecar ./bulletin ./digest: green without TestSuspendedEntryTrustsOldReport.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -53,6 +53,8 @@
 	events      *eventReader
 	// received is the number of bytes of the answer received so far.
 	received int64
+	// partsCleared is set once the parts of the prompt were found not to crash the runner.
+	partsCleared bool
 	// firstDataAt is when the first data of the answer's body arrived, nil before.
 	firstDataAt atomic.Pointer[time.Time]
 	// readErr is the error that ended an incomplete answer.
@@ -86,7 +88,7 @@
 // is done.
 func (g *Gateway) runAttempt(ctx context.Context, x *exchange) bool {
 	t, verdict := g.findTarget(ctx, x)
-	if t != nil && !x.trial && g.isQuarantined(x) { // runners may have crashed on it while it waited
+	if t != nil && g.isQuarantined(x) { // runners may have crashed on it while it waited
 		t.inflight.end()
 		t, verdict = nil, verdictCrashesRunners
 	}
@@ -156,6 +158,7 @@
 		a.target.inflight.recordFirstToken(a.reader.unread.at)
 		a.received += int64(n)
 		a.gateway.recordProgress(a.exchange, a.received)
+		a.clearPartsOnce()
 		a.recordRead()
 	}
 	if err != nil && !isCompleteAnswer(err) && !errors.Is(err, errInterrupted) {
--- a/gateway/fatal_part_test.go
+++ b/gateway/fatal_part_test.go
@@ -153,3 +153,74 @@
 		})
 	}
 }
+
+// quarantineFatalPart sends requests with the part until the entry holds it back.
+func quarantineFatalPart(t *testing.T, w *world) {
+	t.Helper()
+	for number := 0; len(w.gateway.suspects.QuarantinedParts(w.gateway.Clock.Now())) == 0; number++ {
+		w.send(t, "POST", "/flow/x", fmt.Sprint(number), promptHeader(number, openingPart, fatalPart)...)
+		time.Sleep(fatalPartInterval)
+		assert.Less(t, number, fatalPartRunners)
+	}
+}
+
+// assertPartRefused asserts that a request with the part is refused at once and reaches no runner.
+func (l *crashLog) assertPartRefused(t *testing.T, w *world) {
+	t.Helper()
+	before := len(l.times())
+	w.eventually(t, func() bool { return len(w.gateway.suspects.QuarantinedParts(w.gateway.Clock.Now())) == 1 })
+	got := w.send(t, "POST", "/stream/x", "another", promptHeader(1000, openingPart, fatalPart, "c0000001")...)
+	assertGatewayAnswer(t, got, http.StatusBadGateway)
+	assert.Equal(t, verdictCrashesRunners+"\n", got.body)
+	assert.Empty(t, got.header.Get("Retry-After"))
+	assert.Len(t, l.times(), before)
+	assert.Equal(t, http.StatusOK, w.send(t, "POST", "/stream/x", "sound", promptHeader(1000, openingPart, "c0000001")...).status)
+}
+
+// Guards against sending requests with a quarantined part from entries that have not seen it crash runners.
+func TestQuarantinedPartReachesOtherEntries(t *testing.T) {
+	crashed := &crashLog{}
+	var runners []*site.Runner
+	for i := range fatalPartRunners {
+		runners = append(runners, crashed.fatalPartRunner(fmt.Sprint("r", i)))
+	}
+	s := startSharedSite(t, runners...)
+	one, two := s.startEntry(t, "entry-1"), s.startEntry(t, "entry-2")
+	quarantineFatalPart(t, one)
+	t.Run("the entry that has seen it", func(t *testing.T) { crashed.assertPartRefused(t, one) })
+	t.Run("another entry", func(t *testing.T) { crashed.assertPartRefused(t, two) })
+	t.Run("an entry that starts later", func(t *testing.T) { crashed.assertPartRefused(t, s.startEntry(t, "entry-3")) })
+	t.Run("an entry that starts after a restart of the agent", func(t *testing.T) {
+		s.restartAgent(t)
+		crashed.assertPartRefused(t, s.startEntry(t, "entry-4"))
+	})
+}
+
+// Guards against an account that has a part of another one held back, by adding it to requests that crash runners for a
+// reason of their own.
+func TestPartHeldBackForOtherAccount(t *testing.T) {
+	const target = "/flow/" + fatalPath
+	var crashed crashLog
+	runners := crashed.runners(repeats)
+	for _, r := range runners {
+		handle := r.Handle
+		r.Handle = func(w http.ResponseWriter, req *http.Request) {
+			if !strings.Contains(req.RequestURI, fatalPath) {
+				site.StreamEvents(w, req, 4, 0)
+				return
+			}
+			handle(w, req)
+		}
+	}
+	w := startWorld(t, configWithTwoAccounts(), runners...)
+	defer w.stop()
+	for number := range maxPartCrashes {
+		w.sendWithKey(t, otherKey, "POST", target, fmt.Sprint(number), promptHeader(number, "c0000001")...)
+		time.Sleep(fatalPartInterval)
+	}
+	held := w.sendWithKey(t, otherKey, "POST", "/flow/x", "mine", promptHeader(100, "c0000001")...)
+	assert.Equal(t, http.StatusBadGateway, held.status, "the account's own requests are held back")
+	assert.Equal(t, http.StatusOK, w.send(t, "POST", "/flow/x", "sound", promptHeader(101, "c0000001")...).status)
+	cleared := w.sendWithKey(t, otherKey, "POST", "/flow/x", "mine", promptHeader(102, "c0000001")...)
+	assert.Equal(t, http.StatusOK, cleared.status, "an answer clears the part")
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,6 +109,7 @@
 	suspects        poison.Tracker
 	observedCrashes poison.Tracker
 	outages         poison.OutageDetector
+	quarantineLog   quarantineLog
 	// crashesChanged signals that observedCrashes has a new crash or has cleared one.
 	crashesChanged broadcast.Signal
 	budgets        retry.ServiceBudgets
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -260,7 +260,7 @@
 		return ""
 	case !x.mayUseAnotherRunner():
 		return "runners-used"
-	case g.isQuarantined(x) && !x.isUnusedTrial():
+	case g.isQuarantined(x), x.sends.runCount() > 0 && g.hasSuspectedPart(x):
 		return verdictCrashesRunners
 	case !g.budgets.TrySpend(now, x.service.Name):
 		return verdictBudgetExhausted
--- a/gateway/poison_world_test.go
+++ b/gateway/poison_world_test.go
@@ -169,12 +169,12 @@
 }
 
 // sendWithKey sends a request with the given API key and reads the answer.
-func (w *world) sendWithKey(t *testing.T, key, method, target, body string) answer {
+func (w *world) sendWithKey(t *testing.T, key, method, target, body string, header ...string) answer {
 	t.Helper()
 	conn, err := net.Dial("tcp", w.callerAddress)
 	require.NoError(t, err)
 	defer func() { _ = conn.Close() }()
-	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", method, target, host, key, len(body), body)
+	_, err = fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n%s\r\n%s", method, target, host, key, len(body), strings.Join(append(header, ""), "\r\n"), body)
 	require.NoError(t, err)
 	return readAnswer(t, conn, method)
 }
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/poison"
 	"github.com/rillreach/rillreach/roster"
@@ -55,6 +57,12 @@
 	return names
 }
 
+// accountFingerprint identifies the request's caller in the records of crashes.
+func (x *exchange) accountFingerprint() poison.Fingerprint {
+	caller := poison.Request{Caller: x.caller()}
+	return caller.Fingerprint()
+}
+
 // caller identifies the request's caller: the client account, or the key that is passed to the runner if there is
 // none.
 func (x *exchange) caller() string {
@@ -73,11 +81,14 @@
 }
 
 // admitsSuspect decides whether a new request may be sent to a runner. Retries of a request that crashes runners would
-// end one runner after the other, along with all other requests there.
+// end one runner after the other, along with all other requests there, and so would requests with a part that does.
 func (g *Gateway) admitsSuspect(x *exchange) bool {
 	if g.suspects.Empty() {
 		return true
 	}
+	if g.hasQuarantinedPart(x) {
+		return false
+	}
 	verdict := g.suspects.Decide(g.Clock.Now(), x.fingerprint())
 	if verdict == poison.VerdictTrial {
 		x.trial = true
@@ -98,15 +109,39 @@
 	g.Log.Info("trial has reached no runner", "decision", "trial", "request", x.wire.ID, "fingerprint", x.fingerprint().String(), "reason", x.reason)
 }
 
-// isQuarantined reports whether so many runners have crashed while serving the request that it must not be sent,
-// except as a trial.
+// isQuarantined reports whether so many runners have crashed while serving the request, or requests with one of its parts,
+// that it must not be sent, except as a trial of the request.
 func (g *Gateway) isQuarantined(x *exchange) bool {
-	return !g.suspects.Empty() && g.suspects.Quarantined(g.Clock.Now(), x.fingerprint())
+	if g.suspects.Empty() {
+		return false
+	}
+	return g.hasQuarantinedPart(x) || !x.isUnusedTrial() && g.suspects.Quarantined(g.Clock.Now(), x.fingerprint())
+}
+
+// hasQuarantinedPart reports whether a part of the request's prompt is quarantined, and logs which one.
+func (g *Gateway) hasQuarantinedPart(x *exchange) bool {
+	part, found := g.suspects.QuarantinedPart(g.Clock.Now(), x.partFingerprints(), x.accountFingerprint())
+	if found {
+		g.Log.Info("part of the prompt is quarantined", "decision", "quarantine", "request", x.wire.ID, "account", x.accountName(), "part", part.String())
+	}
+	return found
 }
 
-// mayReachCrashLimit reports whether one more crash would quarantine the request. If so, no second attempt is made
-// beside the current one.
-func (g *Gateway) mayReachCrashLimit(x *exchange) bool { return g.crashCount(x) >= poison.MaxCrashes-1 }
+// hasSuspectedPart reports whether a part of the request's prompt may be what crashes runners. If so, the request gets no
+// second attempt.
+func (g *Gateway) hasSuspectedPart(x *exchange) bool {
+	if g.suspects.Empty() {
+		return false
+	}
+	_, found := g.suspects.SuspectedPart(g.Clock.Now(), x.partFingerprints())
+	return found
+}
+
+// mayReachCrashLimit reports whether one more crash would quarantine the request, or whether a part of its prompt may crash
+// runners. If so, no second attempt is made beside the current one.
+func (g *Gateway) mayReachCrashLimit(x *exchange) bool {
+	return g.crashCount(x) >= poison.MaxCrashes-1 || g.hasSuspectedPart(x)
+}
 
 // recordCrash records that the runner crashed while serving the request, and has the crash reported to the other
 // entries.
@@ -118,13 +153,56 @@
 	}
 	now := g.Clock.Now()
 	crashes := append(g.outages.Observe(now, x.service.Name, g.listedRuns(x.service.Name, t.runner), crash), crash)
-	g.suspects.Record(now, crashes...)
+	crashes = append(crashes, a.partCrashes(crash)...)
+	g.recordSuspects(now, crashes)
 	g.observedCrashes.Record(now, crashes...)
 	g.crashesChanged.Wake()
 	g.Log.Info("runner ended under a request", "decision", "suspect", "request", x.wire.ID, "fingerprint", crash.Request.String(), "runner", crash.Runner,
 		"generation", crash.Generation, "parts", x.partNames(), "received", a.received, "crashes", g.suspects.Crashes(now, crash.Request))
 }
 
+// partCrashes returns the crashes that are held against the parts of the prompt, given the one that is held against the
+// request. There are none if the runner had been answering for so long that the request has not caused the crash.
+func (a *attempt) partCrashes(crash poison.Crash) []poison.Crash {
+	g, x := a.gateway, a.exchange
+	if a.answeringFor(time.Now()) > poison.BeginTime {
+		return nil
+	}
+	var crashes []poison.Crash
+	for i, part := range x.partFingerprints() {
+		crashes = append(crashes, poison.Crash{
+			Request: part, Runner: crash.Runner, Generation: crash.Generation, Depth: i + 1, Account: x.accountFingerprint(), Answered: g.suspects.WasAnswered(part),
+		})
+	}
+	return crashes
+}
+
+// recordSuspects adds crashes to those that this entry knows of, and logs which parts of prompts they quarantine.
+func (g *Gateway) recordSuspects(now time.Time, crashes []poison.Crash) {
+	if g.suspects.Record(now, crashes...) == 0 {
+		return
+	}
+	g.quarantineLog.update(g.Log, g.suspects.QuarantinedParts(now))
+}
+
+// quarantineLog logs changes of the quarantined parts. Its zero value is ready to use.
+type quarantineLog struct {
+	mu    sync.Mutex
+	known map[poison.Fingerprint][]rillreach.InstanceRun
+}
+
+// update logs the parts that were not quarantined before.
+func (q *quarantineLog) update(log logr.Logger, quarantined map[poison.Fingerprint][]rillreach.InstanceRun) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for part, runs := range quarantined {
+		if _, ok := q.known[part]; !ok {
+			log.Info("part quarantined that runners have ended under", "decision", "quarantine", "part", part.String(), "runs", runs)
+		}
+	}
+	q.known = quarantined
+}
+
 // listedRuns returns the number of listed runs of a service, including one that has just ended.
 func (g *Gateway) listedRuns(service rillreach.ServiceID, ended *roster.Runner) int {
 	listed := g.state.Roster.ByService(service)
@@ -134,10 +212,18 @@
 	return len(listed) + 1
 }
 
-// clearSuspicion records that a runner has answered the request, and clears the crashes of equal requests.
+// clearSuspicion records that a runner has answered the request, and clears the crashes of equal requests and of the parts
+// of its prompt.
 func (g *Gateway) clearSuspicion(x *exchange) {
 	now := g.Clock.Now()
 	g.reportCleared(x, now, g.suspects.RecordAnswer(now, x.fingerprint()))
+	g.clearParts(x)
+}
+
+// clearParts clears the crashes of the parts of the request's prompt, on which a runner works well.
+func (g *Gateway) clearParts(x *exchange) {
+	now := g.Clock.Now()
+	g.reportCleared(x, now, g.suspects.RecordPartAnswers(now, x.partFingerprints()))
 }
 
 // recordProgress records how much of the answer has arrived. It clears the crashes of a request that was answered
@@ -150,6 +236,16 @@
 	g.reportCleared(x, now, g.suspects.RecordProgress(now, x.fingerprint(), bytes))
 }
 
+// clearPartsOnce clears the crashes of the parts of the prompt, once the runner has been answering for longer than they
+// take to crash one.
+func (a *attempt) clearPartsOnce() {
+	if a.partsCleared || a.answeringFor(time.Now()) <= poison.BeginTime {
+		return
+	}
+	a.partsCleared = true
+	a.gateway.clearParts(a.exchange)
+}
+
 // reportCleared has the cleared crashes reported to the other entries.
 func (g *Gateway) reportCleared(x *exchange, now time.Time, cleared []poison.Crash) {
 	if len(cleared) == 0 {
@@ -163,7 +259,7 @@
 // applyCrashes records crashes that other entries have observed.
 func (g *Gateway) applyCrashes(crashes []poison.Crash) {
 	if len(crashes) > 0 {
-		g.suspects.Record(g.Clock.Now(), crashes...)
+		g.recordSuspects(g.Clock.Now(), crashes)
 	}
 }
 
--- a/poison/crash.go
+++ b/poison/crash.go
@@ -29,6 +29,20 @@
 	// Outage reports that a large part of the service's runs ended at about the same time, so that this request is
 	// probably not the cause.
 	Outage bool `cbor:"9,keyasint,omitempty"`
+	// Depth is set if Request is the fingerprint of a part of prompts: the position of the part, from 1 on.
+	Depth int `cbor:"10,keyasint,omitempty"`
+	// Account identifies the client account whose request had the part. It is set only with Depth.
+	Account Fingerprint `cbor:"11,keyasint,omitempty"`
+}
+
+// run returns the run that has ended.
+func (c Crash) run() rillreach.InstanceRun {
+	return rillreach.InstanceRun{ID: c.Runner, Generation: c.Generation}
+}
+
+// isSame reports whether two reports are about the same crash.
+func (c Crash) isSame(other Crash) bool {
+	return c.Request == other.Request && c.run() == other.run() && c.Account == other.Account
 }
 
 // Check reports whether the crash is invalid.
@@ -42,6 +56,9 @@
 	if c.Received < 0 {
 		return errors.Newf("crash after %d bytes", c.Received)
 	}
+	if c.Depth < 0 {
+		return errors.Newf("crash under part %d of a prompt", c.Depth)
+	}
 	return nil
 }
 
@@ -52,6 +69,7 @@
 	c.Trial = c.Trial || other.Trial
 	c.Answered = c.Answered || other.Answered
 	c.Outage = c.Outage || other.Outage
+	c.Depth = max(c.Depth, other.Depth)
 	return c
 }
 
--- a/poison/eviction.go
+++ b/poison/eviction.go
@@ -62,6 +62,7 @@
 	remaining := slices.DeleteFunc(t.requests[f], func(other *list.Element) bool { return other == e })
 	if len(remaining) == 0 {
 		delete(t.requests, f)
+		delete(t.suspectedParts, f)
 		return
 	}
 	t.requests[f] = remaining
--- a/poison/outage.go
+++ b/poison/outage.go
@@ -58,7 +58,7 @@
 func countRuns(crashes []recentCrash) int {
 	runs := map[rillreach.InstanceRun]struct{}{}
 	for _, e := range crashes {
-		runs[rillreach.InstanceRun{ID: e.crash.Runner, Generation: e.crash.Generation}] = struct{}{}
+		runs[e.crash.run()] = struct{}{}
 	}
 	return len(runs)
 }
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"maps"
 	"sync"
 	"time"
 
@@ -36,8 +37,12 @@
 	// records contains *record values, least recently changed first.
 	records list.List
 	version uint64
-	// answered contains the requests that runners have answered.
-	answered answeredSet
+	// answered and answeredParts contain the requests and the parts of prompts that runners have answered.
+	answered      answeredSet
+	answeredParts answeredSet
+	// suspectedParts are the parts of prompts with crashes that were not cleared, and partVerdicts the verdicts on them.
+	suspectedParts map[Fingerprint]struct{}
+	partVerdicts   partVerdicts
 	// trialDeadlines contains the time until which no further trial of a request may start.
 	trialDeadlines map[Fingerprint]time.Time
 	// nextExpiry is the time of the next search for expired crashes.
@@ -74,7 +79,7 @@
 	}
 	for _, e := range t.requests[c.Request] {
 		existing := e.Value.(*record)
-		if existing.crash.Runner != c.Runner || existing.crash.Generation != c.Generation {
+		if !existing.crash.isSame(c) {
 			continue
 		}
 		if at.Before(existing.at) {
@@ -92,9 +97,21 @@
 	e := t.records.PushBack(&record{crash: c, at: at})
 	t.markChanged(e)
 	t.requests[c.Request] = append(t.requests[c.Request], e)
+	t.suspectPartOf(c)
 	return true
 }
 
+// suspectPartOf makes the part that a new crash is about a suspect. The caller must hold the lock.
+func (t *Tracker) suspectPartOf(c Crash) {
+	if c.Depth == 0 || c.Cleared {
+		return
+	}
+	if t.suspectedParts == nil {
+		t.suspectedParts = map[Fingerprint]struct{}{}
+	}
+	t.suspectedParts[c.Request] = struct{}{}
+}
+
 // markChanged assigns the next version to a record. The caller must hold the lock.
 func (t *Tracker) markChanged(e *list.Element) {
 	t.version++
@@ -162,28 +179,32 @@
 // activeRuns returns the number of runs with active crashes of the request. A crash without a generation counts only if
 // no crash of the same runner has one, since the reports may be about the same run. The caller must hold the lock.
 func (t *Tracker) activeRuns(now time.Time, f Fingerprint) int {
-	elements := t.requests[f]
-	if len(elements) == 0 {
+	if len(t.requests[f]) == 0 {
 		return 0
 	}
-	runs := map[rillreach.InstanceRun]bool{}
-	for _, e := range elements {
-		if r := e.Value.(*record); r.active(now) {
-			runs[rillreach.InstanceRun{ID: r.crash.Runner, Generation: r.crash.Generation}] = true
-		}
-	}
-	n := 0
-	for run := range runs {
-		if run.Generation != 0 || !hasGeneration(runs, run.ID) {
-			n++
+	return len(t.endedRuns(f, func(r *record) bool { return r.active(now) }))
+}
+
+// endedRuns are runs that have ended, and when.
+type endedRuns map[rillreach.InstanceRun]time.Time
+
+// endedRuns returns the runs with those crashes of a request or a part that count. The caller must hold the lock.
+func (t *Tracker) endedRuns(f Fingerprint, counts func(*record) bool) endedRuns {
+	runs := endedRuns{}
+	for _, e := range t.requests[f] {
+		if r := e.Value.(*record); counts(r) {
+			runs[r.crash.run()] = r.at
 		}
 	}
-	return n
+	maps.DeleteFunc(runs, func(run rillreach.InstanceRun, _ time.Time) bool {
+		return run.Generation == 0 && runs.hasGeneration(run.ID)
+	})
+	return runs
 }
 
 // hasGeneration reports whether any of the runner's runs has a known generation.
-func hasGeneration(runs map[rillreach.InstanceRun]bool, id rillreach.InstanceID) bool {
-	for run := range runs {
+func (e endedRuns) hasGeneration(id rillreach.InstanceID) bool {
+	for run := range e {
 		if run.ID == id && run.Generation != 0 {
 			return true
 		}
@@ -238,11 +259,15 @@
 	return t.records.Len() == 0
 }
 
-// Counts returns the number of requests with active crashes, and how many of these are quarantined.
+// Counts returns the number of requests with active crashes, and how many of these are quarantined. Parts of prompts are
+// not counted.
 func (t *Tracker) Counts(now time.Time) (suspects, quarantined int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for f := range t.requests {
+	for f, elements := range t.requests {
+		if elements[0].Value.(*record).crash.Depth > 0 {
+			continue
+		}
 		n := t.activeRuns(now, f)
 		if n > 0 {
 			suspects++
--- a/poison/trial.go
+++ b/poison/trial.go
@@ -80,7 +80,7 @@
 
 // wasAnswered implements WasAnswered. The caller must hold the lock.
 func (t *Tracker) wasAnswered(f Fingerprint) bool {
-	return t.answered.contains(f) || slices.ContainsFunc(t.requests[f], func(e *list.Element) bool { return e.Value.(*record).crash.Answered })
+	return t.answered.contains(f) || t.answeredParts.contains(f) || slices.ContainsFunc(t.requests[f], func(e *list.Element) bool { return e.Value.(*record).crash.Answered })
 }
 
 // nextTrial returns the time of the next trial of a request. The delay after the last crash grows with each trial that
--- a/sidecar/follower.go
+++ b/sidecar/follower.go
@@ -161,8 +161,8 @@
 	// changeOverhead is the encoded size of a change without its salt and part, in bytes.
 	changeOverhead = 16
 	// maxCrashes is the most crashes in one bulletin, and crashSize the greatest encoded size of one, in bytes.
-	maxCrashes = 64
-	crashSize  = 80
+	maxCrashes = 48
+	crashSize  = 100
 )
 
 // addCacheUpdate adds the pending changes of a holder as far as they fit, and reports whether there are any. A store
