Ask who accepts connections before an unframed answer counts as complete

The entry had been paused meanwhile, and when it read the end of the connection another run listened at the runner's address.

Cause: that somebody accepts connections was taken for the runner being alive. Class: the state of an address taken for that of a process.

Change: the entry sends the service's health check to the runner by its ID, which any other process refuses at once; a runner that is busy for longer than that is the runner. It is sent only at the end of an answer without a length or chunks. Services without a health check are probed as before.

--- a/deployment/config.go
+++ b/deployment/config.go
@@ -126,8 +126,10 @@
 type Service struct {
 	Name rillreach.ServiceID
 	// MaxConns is the number of connections that a runner accepts from all clients together.
-	MaxConns  int
-	SlowStart SlowStart
+	MaxConns int
+	// HealthPath is the path of the runners' health checks, empty if it is not known.
+	HealthPath string
+	SlowStart  SlowStart
 	// Engine is set if the runners are model engines.
 	Engine *Engine
 	// CacheStore is set if the service is a KV cache store.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -119,7 +119,7 @@
 	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.reader.onData = a.recordArrival
-	a.reader.checkProcess = a.checkProcess
+	a.reader.checkProcess = a.identifyProcess
 	a.watchdog = g.newWatchdog(a)
 	a.startDeadline = g.newStartDeadline(x, t, func() { a.cancel(errStartTooLate) })
 	a.stopAfterEnd = t.runner.AfterEnd(a.watchdog.checkNow)
--- a/gateway/broken_off_test.go
+++ b/gateway/broken_off_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -200,6 +201,39 @@
 	}
 }
 
+// Guards against a broken-off answer that looks complete since another process accepts connections at the address of its
+// runner, which has crashed.
+func TestReplacedProcessVouchesForAnswer(t *testing.T) {
+	for path, body := range map[string]string{"/flow/x": eventsUpTo(4), "/once/x": "half of an answer"} {
+		t.Run(path, func(t *testing.T) {
+			r, other := &site.Runner{ID: "r"}, &site.Runner{ID: "other"}
+			r.Handle = func(w http.ResponseWriter, req *http.Request) {
+				site.WriteUnframed(w, req, contentTypeOf(path), body, func() {
+					r.Crash()
+					l, err := net.Listen("tcp", r.Address().String())
+					assert.NoError(t, err)
+					server := &httptest.Server{Listener: l, Config: &http.Server{Handler: other}}
+					server.Start()
+					t.Cleanup(server.Close)
+				})
+			}
+			config := defaultConfig()
+			config["services"] = []jsonMap{{"name": "plain", "max_connections": 100, "health_check": site.HealthPath}}
+			w := startWorld(t, config, r)
+			defer w.stop()
+			assertIncomplete(t, w.send(t, "POST", path, "prompt"))
+		})
+	}
+}
+
+// contentTypeOf returns the content type of the answers on the route of a path.
+func contentTypeOf(path string) string {
+	if strings.HasPrefix(path, "/flow/") || strings.HasPrefix(path, "/stream/") {
+		return site.EventStream
+	}
+	return "text/plain"
+}
+
 // Guards against a hedge that ends inside its first event and replaces a runner that would have sent all.
 func TestHedgeEndsInsideFirstEvent(t *testing.T) {
 	second := make(chan struct{})
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -8,7 +8,6 @@
 
 	"github.com/rillreach/rillreach/completeness"
 	"github.com/rillreach/rillreach/forward"
-	"github.com/rillreach/rillreach/roster"
 )
 
 // failureCause is why an attempt failed, as far as the entry can tell.
@@ -117,54 +116,3 @@
 		return causeRunnerEnded
 	}
 }
-
-// checkProcess returns what is known of the process that has answered the attempt, after it has closed the connection. It
-// has ended if a later run is known or its address refuses connections.
-func (a *attempt) checkProcess() completeness.Process {
-	if hasLaterRun(a.target.runner) && !a.reachedLaterRun() {
-		return completeness.ProcessEnded
-	}
-	return a.gateway.probe(a.target.runner)
-}
-
-// clockError is how far the estimate of the runners' clock may be off.
-const clockError = 50 * time.Millisecond
-
-// reachedLaterRun reports whether the request has reached a later run than the one that it was sent to, which had started
-// before but was not known yet.
-func (a *attempt) reachedLaterRun() bool {
-	g, now := a.gateway, time.Now()
-	latest := g.state.Roster.Find(a.target.view.ID)
-	if latest == nil || latest == a.target.runner {
-		return false
-	}
-	age, known := g.restartDelay(latest.Info().Generation, now)
-	return known && now.Add(-age).Before(a.sentAt.Add(-clockError))
-}
-
-// probe returns whether the runner's address accepts connections. Concurrent callers share one probe.
-func (g *Gateway) probe(r *roster.Runner) completeness.Process {
-	info := r.Info()
-	probed, _, _ := g.listenProbes.Do(info.Address.String(), func() (any, error) {
-		g.pool.CloseIdle(info.Address) // before the check, whose connection is kept in the pool
-		return g.pool.Probe(context.Background(), info.Address), nil
-	})
-	switch probed {
-	case forward.Accepts:
-		return completeness.ProcessRunning
-	case forward.Refuses:
-		return completeness.ProcessEnded
-	default:
-		return completeness.ProcessUnresponsive
-	}
-}
-
-// hasLaterRun reports whether a later run of the runner is known.
-func hasLaterRun(r *roster.Runner) bool {
-	select {
-	case <-r.Ended():
-		return true
-	default:
-		return false
-	}
-}
--- a/internal/standin/site/runner.go
+++ b/internal/standin/site/runner.go
@@ -22,6 +22,9 @@
 	Body   string
 }
 
+// HealthPath is the path of the runners' health checks.
+const HealthPath = "/healthz"
+
 // Runner is a stand-in for a runner that follows the published protocol, unless Handle replaces its response.
 type Runner struct {
 	// ID is the instance ID; requests for another one are refused.
@@ -78,6 +81,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if req.URL.Path == HealthPath {
+		w.Header().Set("X-Rillreach-Instance-Id", r.ID)
+		return
+	}
 	body, err := io.ReadAll(req.Body)
 	if err != nil {
 		return
--- a/internal/standin/site/specs.go
+++ b/internal/standin/site/specs.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -57,8 +58,8 @@
 	return map[string]any{
 		"version": version, "routes": specs,
 		"services": []any{
-			map[string]any{"name": plainServiceName, "max_connections": 300},
-			map[string]any{"name": engineServiceName, "max_connections": 300, "engine": map[string]any{
+			map[string]any{"name": plainServiceName, "max_connections": 300, "health_check": HealthPath},
+			map[string]any{"name": engineServiceName, "max_connections": 300, "health_check": HealthPath, "engine": map[string]any{
 				"slots": 64, "kv_capacity_tokens": 40000, "kv_token_bytes": 18432, "link_mbps": 130000, "models": []any{map[string]any{"name": Model}},
 			}},
 		},
@@ -136,7 +137,34 @@
 func SetPromptHeaders(r *http.Request, conversation string) {
 	r.Header.Set("X-Rillreach-Model", Model)
 	r.Header.Set("X-Rillreach-Token-Usage", "1460,80")
-	r.Header.Set("X-Rillreach-Prompt-Prefix", "5c1e07a2:800,"+conversation+":410,e4402b7d:250")
+	r.Header.Set("X-Rillreach-Prompt-Prefix", OpeningPart+":800,"+conversation+":410,e4402b7d:250")
+}
+
+// OpeningPart is the part with which the prompts of SetPromptHeaders begin.
+const OpeningPart = "5c1e07a2"
+
+// partTokens is the number of tokens in each part of SetPromptParts.
+const partTokens = 400
+
+// SetPromptParts sets the headers that describe a prompt with the given parts.
+func SetPromptParts(r *http.Request, parts ...string) {
+	var sizes []string
+	for _, part := range parts {
+		sizes = append(sizes, fmt.Sprintf("%s:%d", part, partTokens))
+	}
+	r.Header.Set("X-Rillreach-Model", Model)
+	r.Header.Set("X-Rillreach-Token-Usage", fmt.Sprintf("%d,80", len(parts)*partTokens))
+	r.Header.Set("X-Rillreach-Prompt-Prefix", strings.Join(sizes, ","))
+}
+
+// PromptParts returns the IDs of the parts of a request's prompt.
+func PromptParts(r *http.Request) []string {
+	var ids []string
+	for part := range strings.SplitSeq(r.Header.Get("X-Rillreach-Prompt-Prefix"), ",") {
+		id, _, _ := strings.Cut(part, ":")
+		ids = append(ids, id)
+	}
+	return ids
 }
 
 // RequestID returns the request ID that the caller has set.
