--- a/soak/callers.go
+++ b/soak/callers.go
@@ -1,13 +1,14 @@
 package main
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -115,13 +116,16 @@
 		}
 	}})
 	// The client sends a POST without GetBody only once, whatever happens to the connection.
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/%s/%s", c.callers.host, seen.Kind, cmp.Or(seen.Fatal, "x")), io.LimitReader(zeros{}, 10))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.callers.target(seen), io.LimitReader(zeros{}, 10))
 	if err != nil {
 		seen.Truncated = true
 		return
 	}
 	site.SetRequestID(req, seen.ID)
-	if seen.Kind.engines() {
+	switch {
+	case len(seen.Parts) > 0:
+		site.SetPromptParts(req, append(slices.Clone(seen.Parts), fmt.Sprintf("%08x", idHash(seen.ID)))...)
+	case seen.Kind.engines():
 		site.SetPromptHeaders(req, seen.Conversation)
 	}
 	req.Header.Set("Authorization", "Bearer "+seen.Key)
@@ -141,6 +145,15 @@
 	}
 }
 
+// target returns the URL of a request. A fatal request has its name at the end.
+func (c *callers) target(seen *callRecord) string {
+	last := "x"
+	if strings.HasPrefix(seen.Fatal, fatalPath) {
+		last = seen.Fatal
+	}
+	return fmt.Sprintf("http://%s/%s/%s", c.host, seen.Kind, last)
+}
+
 // zeros is a reader that returns zero bytes.
 type zeros struct{}
 
--- a/soak/engine.go
+++ b/soak/engine.go
@@ -78,7 +78,7 @@
 	software := e.software
 	e.events.beginRun(label, engineService, software)
 	next.Handle = func(w http.ResponseWriter, r *http.Request) {
-		started := execution{ID: site.RequestID(r), Runner: label, Zone: zoneOf(e.number), Software: software, Weights: next.LoadedVersion(), Fatal: fatalName(r)}
+		started := execution{ID: site.RequestID(r), Runner: label, Zone: zoneOf(e.number), Software: software, Weights: next.LoadedVersion(), Fatal: fatalCause(r)}
 		if started.Fatal != "" {
 			e.events.crashRunner(started, e.crashAndReplace)
 		}
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -19,6 +19,8 @@
 	fatalDuration = settleTime + 3*time.Second
 	// fatalShare divides the duration of the fault into the pauses between two repetitions of the request.
 	fatalShare = 8
+	// maxRequestCrashes is the number of crashes under a request after which entries must know it.
+	maxRequestCrashes = poison.MaxCrashes
 	// maxAfterQuarantine is the number of repetitions that may reach runners after the request must be quarantined.
 	maxAfterQuarantine = 3
 	// quarantinedBody is the prefix of the response to a quarantined request.
@@ -72,8 +74,7 @@
 // injectFatal makes a caller repeat one fatal request, each time to the entry that the balancer chooses.
 func (c *cluster) injectFatal(a action) {
 	c.schedule(0, func() {
-		sender := &caller{callers: c.callers}
-		sender.client = &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true, DialContext: sender.dial}}
+		sender := c.newFatalSender()
 		name := fmt.Sprint(fatalPath, c.callers.nextID.Add(1))
 		for until := time.Now().Add(fatalDuration); time.Now().Before(until); time.Sleep(a.Duration / fatalShare) {
 			sender.call(kinds[a.Target%len(kinds)], permanentKey, name)
@@ -81,8 +82,15 @@
 	})
 }
 
-// checkFatalRequests reports fatal requests that were sent to runners after they had to be quarantined, and other
-// requests that were quarantined.
+// newFatalSender returns a caller that opens a connection for each request.
+func (c *cluster) newFatalSender() *caller {
+	sender := &caller{callers: c.callers}
+	sender.client = &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableCompression: true, DisableKeepAlives: true, DialContext: sender.dial}}
+	return sender
+}
+
+// checkFatalRequests reports fatal requests, and requests with fatal parts, that were sent to runners after they had to be
+// quarantined, and other requests that were quarantined.
 func (r *observations) checkFatalRequests(report func(string, ...any)) {
 	byID := r.callsByID()
 	byName := map[string][]execution{}
@@ -92,7 +100,7 @@
 		}
 	}
 	for name, all := range byName {
-		deadline := quarantineDeadline(all)
+		deadline := quarantineDeadline(all, crashLimit(name))
 		late := slices.DeleteFunc(slices.Clone(all), func(e execution) bool {
 			c := byID[e.ID]
 			return deadline.IsZero() || !e.StartedAt.After(deadline) || c == nil || r.entryDisconnected(c, e.StartedAt)
@@ -151,9 +159,9 @@
 	return calls
 }
 
-// quarantineDeadline returns the time by which entries must quarantine the request, or the zero time if it has not
-// crashed enough runners.
-func quarantineDeadline(executions []execution) time.Time {
+// quarantineDeadline returns the time by which entries must quarantine what has crashed the limit of runners, or the zero
+// time if it has not crashed as many.
+func quarantineDeadline(executions []execution, limit int) time.Time {
 	var ended []time.Time
 	for _, e := range executions {
 		if e.Killed {
@@ -161,10 +169,10 @@
 		}
 	}
 	slices.SortFunc(ended, time.Time.Compare)
-	if len(ended) < poison.MaxCrashes {
+	if len(ended) < limit {
 		return time.Time{}
 	}
-	return ended[poison.MaxCrashes-1].Add(settleTime)
+	return ended[limit-1].Add(settleTime)
 }
 
 // countKilled returns the number of runners that the executions crashed.
--- a/soak/fatal_test.go
+++ b/soak/fatal_test.go
@@ -20,6 +20,17 @@
 	}
 }
 
+// TestFatalPartsAreQuarantined guards against parts of prompts that crash runner after runner, and against other requests
+// being quarantined for them, while entries and agents are killed and paused.
+func TestFatalPartsAreQuarantined(t *testing.T) {
+	binary := buildProgram(t)
+	for _, seed := range []uint64{1, 2} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			assert.Empty(t, checkGuarantees(runFaults(t, binary, seed, 6, fatalPartFaults), false))
+		})
+	}
+}
+
 // runFaults runs a schedule of the given faults with the given number of runners and as many engines.
 func runFaults(t *testing.T, binary string, seed uint64, runners int, from []fault) *observations {
 	t.Helper()
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -41,6 +41,8 @@
 	switch a.Fault {
 	case faultFatal:
 		c.injectFatal(a)
+	case faultFatalPart:
+		c.injectFatalPart(a)
 	case faultEvacuate:
 		c.injectEvacuation(a)
 	case faultRestore:
--- a/soak/main.go
+++ b/soak/main.go
@@ -33,6 +33,7 @@
 			&cli.IntFlag{Name: "callers", Value: defaultCallers, Usage: "how many callers"},
 			&cli.BoolFlag{Name: "rollout", Usage: "name weights as well that no agent loads in time, while requests wait at engines"},
 			&cli.BoolFlag{Name: "fatal", Usage: "only requests that end their runners, beside kills and pauses"},
+			&cli.BoolFlag{Name: "parts", Usage: "only parts of prompts that end their runners, beside kills and pauses"},
 			&cli.BoolFlag{Name: "evacuate", Usage: "only evacuations of a zone, beside kills, pauses, stops and a store that is away"},
 			&cli.BoolFlag{Name: "backpressure", Usage: "only runners that ask for less in their answers, beside kills, pauses, stops and a store that is away"},
 			&cli.BoolFlag{Name: "versions", Usage: "runners of two software versions that replace each other, callers that take streams up, kills and stops in series"},
@@ -83,7 +84,7 @@
 // buildSchedule draws the faults that the flags select.
 func buildSchedule(c *cli.Command, seed uint64, length time.Duration) []action {
 	actions := sortByTime(append(schedule(seed, length), engineSchedule(seed, length, engineFaults)...))
-	for flag, from := range map[string][]fault{"fatal": fatalFaults, "evacuate": evacuationFaults, "backpressure": backpressureFaults, "restore": restoreFaults, "versions": versionFaults} {
+	for flag, from := range map[string][]fault{"fatal": fatalFaults, "parts": fatalPartFaults, "evacuate": evacuationFaults, "backpressure": backpressureFaults, "restore": restoreFaults, "versions": versionFaults} {
 		if c.Bool(flag) {
 			actions = engineSchedule(seed, length, from)
 		}
--- a/soak/record.go
+++ b/soak/record.go
@@ -37,9 +37,11 @@
 	Body      string
 	// Truncated reports whether the response ended early or never came.
 	Truncated bool
-	// Fatal is the name of a fatal request, which crashes the runners that start it and is sent repeatedly. It is empty
-	// for other requests.
+	// Fatal is the name of a fatal request, which crashes the runners that start it and is sent repeatedly, or the fatal part
+	// of its prompt. It is empty for other requests.
 	Fatal string
+	// Parts are the shared parts of the prompt, if they are not those of the conversation.
+	Parts []string
 	// NewConnection reports whether the connection was opened for this request, and Refused whether opening it was
 	// refused.
 	NewConnection bool
@@ -70,7 +72,7 @@
 	Software string
 	// Weights is the version of the weights at the start of the execution, or zero if the runner has none.
 	Weights uint64
-	// Fatal is the name of a fatal request and empty for others. Killed reports whether this execution ended the
+	// Fatal is the name of a fatal request, or the fatal part of its prompt, and empty for others. Killed reports whether this execution ended the
 	// runner.
 	Fatal  string
 	Killed bool
--- a/soak/runner.go
+++ b/soak/runner.go
@@ -200,7 +200,7 @@
 }
 
 func (p *plainRunner) handle(run *site.Runner, software string, w http.ResponseWriter, r *http.Request) {
-	started := execution{ID: site.RequestID(r), Runner: run.ID, Zone: zoneOf(p.number), Software: software, Fatal: fatalName(r)}
+	started := execution{ID: site.RequestID(r), Runner: run.ID, Zone: zoneOf(p.number), Software: software, Fatal: fatalCause(r)}
 	if started.Fatal != "" {
 		p.events.crashRunner(started, p.crashAndReplace)
 	}
