Don't hold crashes that a quarantined part explains against requests that ran there

Runners that a part had ended were counted against the popular requests on them, and such a request could even have explained the part's crashes.

Cause: parts and requests were judged apart. Change: one list of suspects, the strongest first (never answered, then most runs, then requests before parts that come later); a part explains the runs of weaker requests and parts, a request those of weaker parts.

Test: poison:TestPartQuarantine/crashes_under_a_quarantined_part...

--- a/gateway/broken_off_test.go
+++ b/gateway/broken_off_test.go
@@ -211,7 +211,9 @@
 				site.WriteUnframed(w, req, contentTypeOf(path), body, func() {
 					r.Crash()
 					l, err := net.Listen("tcp", r.Address().String())
-					assert.NoError(t, err)
+					if !assert.NoError(t, err) { //nolint:testifylint // not in the test's goroutine
+						return
+					}
 					server := &httptest.Server{Listener: l, Config: &http.Server{Handler: other}}
 					server.Start()
 					t.Cleanup(server.Close)
--- a/poison/part_quarantine.go
+++ b/poison/part_quarantine.go
@@ -1,7 +1,6 @@
 package poison
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -24,49 +23,28 @@
 	// answeredPartWindow is how long a crash counts against a part that runners have answered before. Such a part may
 	// belong to every request of a service whose runners crash for a reason of their own.
 	answeredPartWindow = 30 * time.Second
-	// partCheckInterval is how long the verdicts on parts hold if no crash changes, since crashes expire.
-	partCheckInterval = time.Second
 )
 
-// partVerdicts are the verdicts on the suspected parts, by the tracker's version and the time at which they were made.
-type partVerdicts struct {
-	version    uint64
-	validUntil time.Time
-	byPart     map[Fingerprint]*suspectedPart
-}
-
-// suspectedPart is a part under which runs have ended.
-type suspectedPart struct {
-	part Fingerprint
-	// runs are those that have ended, accounts the client accounts whose requests with the part ran there.
-	runs     endedRuns
-	accounts map[Fingerprint]struct{}
-	answered bool
-	depth    int
-	// unexplained is the number of crashes, at least crashInterval apart, of runs that no stronger suspect explains.
-	unexplained int
-}
-
 // QuarantinedPart returns a quarantined part of a prompt, if there is one, for a request of the given account. A part is
 // held back for the accounts whose requests have crashed runners with it; for all others as well, once these are several.
 func (t *Tracker) QuarantinedPart(now time.Time, parts []Fingerprint, account Fingerprint) (Fingerprint, bool) {
-	return t.findPart(now, parts, func(s *suspectedPart) bool { return s.isQuarantined() && s.concerns(account) })
+	return t.findPart(now, parts, func(s *suspect) bool { return s.isQuarantined() && s.concerns(account) })
 }
 
 // SuspectedPart returns a part of a prompt, if there is one, that runners have never answered and that may crash those that
 // begin to.
 func (t *Tracker) SuspectedPart(now time.Time, parts []Fingerprint) (Fingerprint, bool) {
-	return t.findPart(now, parts, func(s *suspectedPart) bool { return !s.answered && s.unexplained >= SuspectPartCrashes })
+	return t.findPart(now, parts, func(s *suspect) bool { return !s.answered && s.unexplained >= SuspectPartCrashes })
 }
 
 // findPart returns the first of the parts that is suspected and for which the condition holds.
-func (t *Tracker) findPart(now time.Time, parts []Fingerprint, condition func(*suspectedPart) bool) (Fingerprint, bool) {
+func (t *Tracker) findPart(now time.Time, parts []Fingerprint, condition func(*suspect) bool) (Fingerprint, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.suspectedParts) == 0 {
 		return Fingerprint{}, false
 	}
-	verdicts := t.judgeParts(now)
+	verdicts := t.judge(now)
 	for _, part := range parts {
 		if s := verdicts[part]; s != nil && condition(s) {
 			return part, true
@@ -83,12 +61,9 @@
 		return nil
 	}
 	quarantined := map[Fingerprint][]rillreach.InstanceRun{}
-	for part, s := range t.judgeParts(now) {
-		if !s.isQuarantined() {
-			continue
-		}
-		for run := range s.runs {
-			quarantined[part] = append(quarantined[part], run)
+	for id, s := range t.judge(now) {
+		if s.isPart() && s.isQuarantined() {
+			quarantined[id] = slices.Collect(maps.Keys(s.runs))
 		}
 	}
 	return quarantined
@@ -108,33 +83,9 @@
 	return cleared
 }
 
-func (s *suspectedPart) isQuarantined() bool { return s.unexplained >= MaxPartCrashes }
-
-// concerns reports whether the part is held back for requests of the account.
-func (s *suspectedPart) concerns(account Fingerprint) bool {
-	_, ok := s.accounts[account]
-	return ok || len(s.accounts) > 1
-}
-
-// judgeParts returns the verdicts on the suspected parts. The caller must hold the lock.
-func (t *Tracker) judgeParts(now time.Time) map[Fingerprint]*suspectedPart {
-	v := &t.partVerdicts
-	if v.byPart != nil && v.version == t.version && now.Before(v.validUntil) {
-		return v.byPart
-	}
-	v.version, v.validUntil, v.byPart = t.version, now.Add(partCheckInterval), map[Fingerprint]*suspectedPart{}
-	for part := range t.suspectedParts {
-		if s := t.suspectPart(now, part); s != nil {
-			v.byPart[part] = s
-		}
-	}
-	explain(v.byPart, t.runsOfQuarantinedRequests(now))
-	return v.byPart
-}
-
 // suspectPart returns what is held against a part, or nil if nothing is. The caller must hold the lock.
-func (t *Tracker) suspectPart(now time.Time, part Fingerprint) *suspectedPart {
-	s := &suspectedPart{part: part, accounts: map[Fingerprint]struct{}{}, answered: t.wasAnswered(part)}
+func (t *Tracker) suspectPart(now time.Time, part Fingerprint) *suspect {
+	s := &suspect{id: part, accounts: map[Fingerprint]struct{}{}, answered: t.wasAnswered(part)}
 	s.runs = t.endedRuns(part, func(r *record) bool {
 		counts := r.countsAgainstPart(now, s.answered)
 		if counts {
@@ -153,68 +104,3 @@
 func (r *record) countsAgainstPart(now time.Time, answered bool) bool {
 	return r.active(now) && (!answered || now.Sub(r.at) < answeredPartWindow)
 }
-
-// runsOfQuarantinedRequests returns the runs that have ended under requests that are quarantined themselves. The caller
-// must hold the lock.
-func (t *Tracker) runsOfQuarantinedRequests(now time.Time) endedRuns {
-	all := endedRuns{}
-	for f, elements := range t.requests {
-		if elements[0].Value.(*record).crash.Depth > 0 || len(elements) < MaxCrashes {
-			continue
-		}
-		if runs := t.endedRuns(f, func(r *record) bool { return r.active(now) }); len(runs) >= MaxCrashes {
-			maps.Copy(all, runs)
-		}
-	}
-	return all
-}
-
-// explain finds a small set of parts that explains the ended runs: from the strongest suspect on, each one that enough runs
-// have ended under that are not explained yet explains all of its runs.
-func explain(suspects map[Fingerprint]*suspectedPart, explained endedRuns) {
-	ordered := make([]*suspectedPart, 0, len(suspects))
-	for _, s := range suspects {
-		ordered = append(ordered, s)
-	}
-	slices.SortFunc(ordered, compareStrength)
-	for _, s := range ordered {
-		s.unexplained = s.runs.without(explained).countCrashes()
-		if s.isQuarantined() {
-			maps.Copy(explained, s.runs)
-		}
-	}
-}
-
-// compareStrength orders suspects, the strongest first: those that runners have never answered, then those that most runs
-// have ended under, then those that fewer prompts share because they come later.
-func compareStrength(a, b *suspectedPart) int {
-	if a.answered != b.answered {
-		if a.answered {
-			return 1
-		}
-		return -1
-	}
-	return cmp.Or(cmp.Compare(len(b.runs), len(a.runs)), cmp.Compare(b.depth, a.depth), slices.Compare(a.part[:], b.part[:]))
-}
-
-// without returns the runs that are not among others.
-func (e endedRuns) without(others endedRuns) endedRuns {
-	rest := maps.Clone(e)
-	maps.DeleteFunc(rest, func(run rillreach.InstanceRun, _ time.Time) bool {
-		_, ok := others[run]
-		return ok
-	})
-	return rest
-}
-
-// countCrashes returns the number of crashes that are at least crashInterval apart.
-func (e endedRuns) countCrashes() int {
-	n := 0
-	var last time.Time
-	for _, at := range slices.SortedFunc(maps.Values(e), time.Time.Compare) {
-		if n == 0 || at.Sub(last) >= crashInterval {
-			n, last = n+1, at
-		}
-	}
-	return n
-}
--- a/poison/part_quarantine_test.go
+++ b/poison/part_quarantine_test.go
@@ -89,6 +89,19 @@
 		}
 		assert.False(t, isHeldBack(&tracker, now, shop, opening))
 	})
+	t.Run("crashes under a quarantined part don't count against requests that ran there", func(t *testing.T) {
+		var tracker Tracker
+		popular := Fingerprint{9}
+		tracker.RecordAnswer(partsStart, popular)
+		for run := range MaxPartCrashes {
+			tracker.Record(crashTime(run), Crash{Request: popular, Runner: rillreach.InstanceID(fmt.Sprint("r", run))})
+		}
+		assert.True(t, tracker.Quarantined(now, popular))
+		recordRuns(&tracker, 0, MaxPartCrashes, shop, opening, fatal)
+		assert.True(t, isHeldBack(&tracker, now, shop, fatal))
+		assert.False(t, tracker.Quarantined(now, popular))
+		assert.Equal(t, VerdictSend, tracker.Decide(now, popular))
+	})
 	t.Run("runs that end under a part that was answered before count for a shorter time", func(t *testing.T) {
 		var tracker Tracker
 		tracker.RecordPartAnswers(partsStart, []Fingerprint{opening})
--- /dev/null
+++ b/poison/suspect.go
@@ -0,0 +1,170 @@
+package poison
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rillreach/rillreach"
+)
+
+// suspect is a request, or a part of prompts, under which runs have ended.
+type suspect struct {
+	id Fingerprint
+	// runs are those that have ended. For a part, accounts are the client accounts whose requests with the part ran there,
+	// and depth is its position in prompts, from 1 on; depth is zero for a request.
+	runs     endedRuns
+	accounts map[Fingerprint]struct{}
+	depth    int
+	// answered is set if runners have answered it.
+	answered bool
+	// unexplained is the number of crashes that no stronger suspect explains.
+	unexplained int
+}
+
+// verdicts are what is held against all suspects at a version of the tracker, until the first crash expires.
+type verdicts struct {
+	version    uint64
+	validUntil time.Time
+	suspects   map[Fingerprint]*suspect
+}
+
+func (s *suspect) isPart() bool { return s.depth > 0 }
+
+func (s *suspect) isQuarantined() bool {
+	if s.isPart() {
+		return s.unexplained >= MaxPartCrashes
+	}
+	return s.unexplained >= MaxCrashes
+}
+
+// concerns reports whether the part is held back for requests of the account.
+func (s *suspect) concerns(account Fingerprint) bool {
+	_, ok := s.accounts[account]
+	return ok || len(s.accounts) > 1
+}
+
+// window returns how long a crash counts against the suspect.
+func (s *suspect) window() time.Duration {
+	if s.isPart() && s.answered {
+		return answeredPartWindow
+	}
+	return Window
+}
+
+// judge returns what is held against the suspected parts, and against the requests with enough crashes to be quarantined.
+// The caller must hold the lock.
+func (t *Tracker) judge(now time.Time) map[Fingerprint]*suspect {
+	v := &t.verdicts
+	if v.suspects != nil && v.version == t.version && now.Before(v.validUntil) {
+		return v.suspects
+	}
+	v.version, v.validUntil, v.suspects = t.version, now.Add(Window), map[Fingerprint]*suspect{}
+	for _, s := range t.findSuspects(now) {
+		v.suspects[s.id] = s
+		for _, at := range s.runs {
+			if expiry := at.Add(s.window()); expiry.Before(v.validUntil) {
+				v.validUntil = expiry
+			}
+		}
+	}
+	explain(v.suspects)
+	return v.suspects
+}
+
+// findSuspects returns the parts with crashes, and the requests with enough of them to be quarantined. The caller must hold
+// the lock.
+func (t *Tracker) findSuspects(now time.Time) []*suspect {
+	var suspects []*suspect
+	for part := range t.suspectedParts {
+		if s := t.suspectPart(now, part); s != nil {
+			suspects = append(suspects, s)
+		}
+	}
+	for request, elements := range t.requests {
+		if isPart := elements[0].Value.(*record).crash.Depth > 0; isPart || len(elements) < MaxCrashes {
+			continue
+		}
+		runs := t.endedRuns(request, func(r *record) bool { return r.active(now) })
+		if len(runs) >= MaxCrashes {
+			suspects = append(suspects, &suspect{id: request, runs: runs, answered: t.wasAnswered(request)})
+		}
+	}
+	return suspects
+}
+
+// explain finds a small set of suspects that explains the ended runs. From the strongest one on, each that enough runs have
+// ended under that are not explained yet explains all of its runs. Requests don't explain each other's.
+func explain(suspects map[Fingerprint]*suspect) {
+	byParts, byRequests := endedRuns{}, endedRuns{}
+	for _, s := range slices.SortedFunc(maps.Values(suspects), compareStrength) {
+		rest := s.runs.without(byParts)
+		explained := byRequests
+		if s.isPart() {
+			rest, explained = rest.without(byRequests), byParts
+			s.unexplained = rest.countCrashes()
+		} else {
+			s.unexplained = len(rest)
+		}
+		if s.isQuarantined() {
+			maps.Copy(explained, s.runs)
+		}
+	}
+}
+
+// compareStrength orders suspects, the strongest first: those that runners have never answered, then those that most runs
+// have ended under, then requests, then parts that fewer prompts share because they come later.
+func compareStrength(a, b *suspect) int {
+	if a.answered != b.answered {
+		if a.answered {
+			return 1
+		}
+		return -1
+	}
+	if byRuns := cmp.Compare(len(b.runs), len(a.runs)); byRuns != 0 {
+		return byRuns
+	}
+	if a.isPart() != b.isPart() {
+		if a.isPart() {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(cmp.Compare(b.depth, a.depth), slices.Compare(a.id[:], b.id[:]))
+}
+
+// endedRuns are runs that have ended, and when.
+type endedRuns map[rillreach.InstanceRun]time.Time
+
+// hasGeneration reports whether any of the runner's runs has a known generation.
+func (e endedRuns) hasGeneration(id rillreach.InstanceID) bool {
+	for run := range e {
+		if run.ID == id && run.Generation != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// without returns the runs that are not among others.
+func (e endedRuns) without(others endedRuns) endedRuns {
+	rest := maps.Clone(e)
+	maps.DeleteFunc(rest, func(run rillreach.InstanceRun, _ time.Time) bool {
+		_, ok := others[run]
+		return ok
+	})
+	return rest
+}
+
+// countCrashes returns the number of crashes that are at least crashInterval apart.
+func (e endedRuns) countCrashes() int {
+	n := 0
+	var last time.Time
+	for _, at := range slices.SortedFunc(maps.Values(e), time.Time.Compare) {
+		if n == 0 || at.Sub(last) >= crashInterval {
+			n, last = n+1, at
+		}
+	}
+	return n
+}
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -40,9 +40,9 @@
 	// answered and answeredParts contain the requests and the parts of prompts that runners have answered.
 	answered      answeredSet
 	answeredParts answeredSet
-	// suspectedParts are the parts of prompts with crashes that were not cleared, and partVerdicts the verdicts on them.
+	// suspectedParts are the parts of prompts with crashes that were not cleared.
 	suspectedParts map[Fingerprint]struct{}
-	partVerdicts   partVerdicts
+	verdicts       verdicts
 	// trialDeadlines contains the time until which no further trial of a request may start.
 	trialDeadlines map[Fingerprint]time.Time
 	// nextExpiry is the time of the next search for expired crashes.
@@ -173,7 +173,19 @@
 
 // Quarantined reports whether the request must not be sent to a runner except as a trial.
 func (t *Tracker) Quarantined(now time.Time, f Fingerprint) bool {
-	return t.Crashes(now, f) >= MaxCrashes
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	return t.isQuarantined(now, f)
+}
+
+// isQuarantined implements Quarantined. The caller must hold the lock.
+func (t *Tracker) isQuarantined(now time.Time, f Fingerprint) bool {
+	if len(t.requests[f]) < MaxCrashes {
+		return false
+	}
+	s := t.judge(now)[f]
+	return s != nil && s.isQuarantined()
 }
 
 // activeRuns returns the number of runs with active crashes of the request. A crash without a generation counts only if
@@ -185,9 +197,6 @@
 	return len(t.endedRuns(f, func(r *record) bool { return r.active(now) }))
 }
 
-// endedRuns are runs that have ended, and when.
-type endedRuns map[rillreach.InstanceRun]time.Time
-
 // endedRuns returns the runs with those crashes of a request or a part that count. The caller must hold the lock.
 func (t *Tracker) endedRuns(f Fingerprint, counts func(*record) bool) endedRuns {
 	runs := endedRuns{}
@@ -202,16 +211,6 @@
 	return runs
 }
 
-// hasGeneration reports whether any of the runner's runs has a known generation.
-func (e endedRuns) hasGeneration(id rillreach.InstanceID) bool {
-	for run := range e {
-		if run.ID == id && run.Generation != 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // active reports whether the crash counts against its request.
 func (r *record) active(now time.Time) bool { return !r.crash.Cleared && now.Sub(r.at) < Window }
 
@@ -272,7 +271,7 @@
 		if n > 0 {
 			suspects++
 		}
-		if n >= MaxCrashes {
+		if t.isQuarantined(now, f) {
 			quarantined++
 		}
 	}
--- a/poison/trial.go
+++ b/poison/trial.go
@@ -34,9 +34,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	n := t.activeRuns(now, f)
 	switch {
-	case n < MaxCrashes:
+	case !t.isQuarantined(now, f):
 		return VerdictSend
 	case !t.trialAllowed(now, f) || now.Before(t.trialDeadlines[f]) || now.Before(t.nextTrial(now, f)):
 		return VerdictQuarantine
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -29,7 +29,7 @@
 		c.injectOperatorChange(a)
 	case faultRollout:
 		c.injectRollout(a)
-	case faultFatal, faultEvacuate, faultRestore, faultRateLimit, faultRetryAfter, faultLeaveInResponses, faultReplaceSoftware, faultKillSeries:
+	case faultFatal, faultFatalPart, faultEvacuate, faultRestore, faultRateLimit, faultRetryAfter, faultLeaveInResponses, faultReplaceSoftware, faultKillSeries:
 		c.injectDedicated(a, p, n)
 	default:
 		c.injectEngineOrStore(a, n)
