Don't hold back the opening of a route for parts that are not known yet

Eight new fatal parts in 14 s ended each engine before it could answer anything; each of them had up to three crashes that nothing explained yet, which together counted against the opening.

Change: a part that runners have answered before doesn't count crashes that a part explains which they haven't, from its second crash on. If it is quarantined all the same, it is held back for 30 s after the last crash, and again after one more.

--- a/poison/part_quarantine.go
+++ b/poison/part_quarantine.go
@@ -20,15 +20,16 @@
 	// BeginTime is how long a runner may take to crash once it has begun to answer a request with a fatal part. Requests
 	// that it has been answering for longer are not the cause.
 	BeginTime = time.Second
-	// answeredPartWindow is how long a crash counts against a part that runners have answered before. Such a part may
-	// belong to every request of a service whose runners crash for a reason of their own.
-	answeredPartWindow = 30 * time.Second
+	// answeredPartHold is how long a part is held back, after a crash, that runners have answered before. Such a part may
+	// belong to every request of a service whose runners crash for a reason of their own. One more crash then holds it
+	// back again.
+	answeredPartHold = 30 * time.Second
 )
 
 // QuarantinedPart returns a quarantined part of a prompt, if there is one, for a request of the given account. A part is
 // held back for the accounts whose requests have crashed runners with it; for all others as well, once these are several.
 func (t *Tracker) QuarantinedPart(now time.Time, parts []Fingerprint, account Fingerprint) (Fingerprint, bool) {
-	return t.findPart(now, parts, func(s *suspect) bool { return s.isQuarantined() && s.concerns(account) })
+	return t.findPart(now, parts, func(s *suspect) bool { return s.isQuarantined() && s.isHeld(now) && s.concerns(account) })
 }
 
 // SuspectedPart returns a part of a prompt, if there is one, that runners have never answered and that may crash those that
@@ -62,7 +63,7 @@
 	}
 	quarantined := map[Fingerprint][]rillreach.InstanceRun{}
 	for id, s := range t.judge(now) {
-		if s.isPart() && s.isQuarantined() {
+		if s.isPart() && s.isQuarantined() && s.isHeld(now) {
 			quarantined[id] = slices.Collect(maps.Keys(s.runs))
 		}
 	}
@@ -87,7 +88,7 @@
 func (t *Tracker) suspectPart(now time.Time, part Fingerprint) *suspect {
 	s := &suspect{id: part, accounts: map[Fingerprint]struct{}{}, answered: t.wasAnswered(part)}
 	s.runs = t.endedRuns(part, func(r *record) bool {
-		counts := r.countsAgainstPart(now, s.answered)
+		counts := r.active(now)
 		if counts {
 			s.accounts[r.crash.Account] = struct{}{}
 			s.depth = max(s.depth, r.crash.Depth)
@@ -99,8 +100,3 @@
 	}
 	return s
 }
-
-// countsAgainstPart reports whether the crash counts against its part.
-func (r *record) countsAgainstPart(now time.Time, answered bool) bool {
-	return r.active(now) && (!answered || now.Sub(r.at) < answeredPartWindow)
-}
--- a/poison/suspect.go
+++ b/poison/suspect.go
@@ -39,20 +39,25 @@
 	return s.unexplained >= MaxCrashes
 }
 
+// isHeld reports whether a quarantined part is held back now.
+func (s *suspect) isHeld(now time.Time) bool {
+	if !s.answered {
+		return true
+	}
+	for _, at := range s.runs {
+		if now.Sub(at) < answeredPartHold {
+			return true
+		}
+	}
+	return false
+}
+
 // concerns reports whether the part is held back for requests of the account.
 func (s *suspect) concerns(account Fingerprint) bool {
 	_, ok := s.accounts[account]
 	return ok || len(s.accounts) > 1
 }
 
-// window returns how long a crash counts against the suspect.
-func (s *suspect) window() time.Duration {
-	if s.isPart() && s.answered {
-		return answeredPartWindow
-	}
-	return Window
-}
-
 // judge returns what is held against the suspected parts, and against the requests with enough crashes to be quarantined.
 // The caller must hold the lock.
 func (t *Tracker) judge(now time.Time) map[Fingerprint]*suspect {
@@ -64,7 +69,7 @@
 	for _, s := range t.findSuspects(now) {
 		v.suspects[s.id] = s
 		for _, at := range s.runs {
-			if expiry := at.Add(s.window()); expiry.Before(v.validUntil) {
+			if expiry := at.Add(Window); expiry.Before(v.validUntil) {
 				v.validUntil = expiry
 			}
 		}
@@ -94,25 +99,50 @@
 	return suspects
 }
 
+// explanation collects the runs that suspects explain.
+type explanation struct {
+	byParts, byRequests endedRuns
+	// bySuspects are those that may be due to parts that runners have never answered.
+	bySuspects endedRuns
+}
+
 // explain finds a small set of suspects that explains the ended runs. From the strongest one on, each that enough runs have
-// ended under that are not explained yet explains all of its runs. Requests don't explain each other's.
+// ended under that are not explained yet explains all of its runs.
 func explain(suspects map[Fingerprint]*suspect) {
-	byParts, byRequests := endedRuns{}, endedRuns{}
+	e := explanation{byParts: endedRuns{}, byRequests: endedRuns{}, bySuspects: endedRuns{}}
 	for _, s := range slices.SortedFunc(maps.Values(suspects), compareStrength) {
-		rest := s.runs.without(byParts)
-		explained := byRequests
 		if s.isPart() {
-			rest, explained = rest.without(byRequests), byParts
-			s.unexplained = rest.countCrashes()
+			e.explainPart(s)
 		} else {
-			s.unexplained = len(rest)
-		}
-		if s.isQuarantined() {
-			maps.Copy(explained, s.runs)
+			e.explainRequest(s)
 		}
 	}
 }
 
+// explainPart counts the crashes of a part that no stronger suspect explains. Those of a part that runners have answered
+// before are also explained by a part that they haven't, even if that is not quarantined yet.
+func (e *explanation) explainPart(s *suspect) {
+	rest := s.runs.without(e.byParts).without(e.byRequests)
+	if s.answered {
+		rest = rest.without(e.bySuspects)
+	}
+	s.unexplained = rest.countCrashes()
+	if s.isQuarantined() {
+		maps.Copy(e.byParts, s.runs)
+	}
+	if !s.answered && s.unexplained >= SuspectPartCrashes {
+		maps.Copy(e.bySuspects, s.runs)
+	}
+}
+
+// explainRequest counts the crashes of a request that no stronger part explains. Requests don't explain each other's.
+func (e *explanation) explainRequest(s *suspect) {
+	s.unexplained = len(s.runs.without(e.byParts))
+	if s.isQuarantined() {
+		maps.Copy(e.byRequests, s.runs)
+	}
+}
+
 // compareStrength orders suspects, the strongest first: those that runners have never answered, then those that most runs
 // have ended under, then requests, then parts that fewer prompts share because they come later.
 func compareStrength(a, b *suspect) int {
