Explain a refusal for a part by the runs that ended under it

`rillreach explain` of a refused request shows, beside its own lines, which runs had ended under the part that it was refused for, which entry said so, and when the part was quarantined. Test: a case of explain:TestHistoryOf.

--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -102,6 +102,12 @@
 	for _, line := range history.PriorState {
 		writeLine(w, line)
 	}
+	if len(history.Evidence) > 0 {
+		_, _ = fmt.Fprintln(w, "\nwhat was held against parts of its prompt:")
+	}
+	for _, line := range history.Evidence {
+		writeLine(w, line)
+	}
 	_, _ = fmt.Fprintln(w, "\nwhat was decided:")
 	for _, line := range history.Lines {
 		if line.Request != history.Request {
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -36,6 +36,9 @@
 	// weights, dependencies, evacuations, process starts and stops, and the runners of the request. Only processes
 	// that logged the request are included.
 	PriorState []Line `json:"beliefs"`
+	// Evidence are the lines of other requests and processes that led to the quarantine of a part of the request's prompt:
+	// under which runs the part had ended, and which process said so.
+	Evidence []Line `json:"evidence,omitempty"`
 }
 
 // Read parses JSON log lines. Text before the JSON object of a line is ignored, and lines without one are skipped.
@@ -89,6 +92,7 @@
 	}
 	if len(history.Lines) > 0 {
 		history.PriorState = priorState(lines, history.Lines[0].Time, instances, runners)
+		history.Evidence = partEvidence(lines, history.Lines)
 	}
 	return history
 }
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -42,5 +42,22 @@
 		require.Len(t, history.Lines, 3)
 		assert.Equal(t, "b", history.Lines[2].Request)
 	})
+	t.Run("the runs that ended under a quarantined part explain a refusal", func(t *testing.T) {
+		lines, err := Read(strings.NewReader(`
+{"time":"2026-01-01T00:00:01Z","msg":"runner ended under a request","decision":"suspect","instance":"e2","request":"x","runner":"r1","parts":["p0","p1"]}
+{"time":"2026-01-01T00:00:02Z","msg":"runner ended under a request","decision":"suspect","instance":"e2","request":"y","runner":"r2","parts":["p0"]}
+{"time":"2026-01-01T00:00:03Z","msg":"part quarantined that runners have ended under","instance":"e1","part":"p1"}
+{"time":"2026-01-01T00:00:04Z","msg":"part of the prompt is quarantined","instance":"e1","request":"z","part":"p1"}
+{"time":"2026-01-01T00:00:05Z","msg":"part of the prompt is quarantined","instance":"e1","request":"a","part":"p1"}
+{"time":"2026-01-01T00:00:05Z","msg":"request refused","instance":"e1","request":"a","reason":"crashes-runners"}
+{"time":"2026-01-01T00:00:06Z","msg":"runner ended under a request","decision":"suspect","instance":"e2","request":"x","runner":"r3","parts":["p1"]}
+`))
+		require.NoError(t, err)
+		evidence := HistoryOf(lines, "a").Evidence
+		require.Len(t, evidence, 2)
+		assert.Equal(t, "r1", evidence[0].Fields["runner"])
+		assert.Equal(t, "e2", evidence[0].Instance)
+		assert.Equal(t, "part quarantined that runners have ended under", evidence[1].Message)
+	})
 	t.Run("history of an unknown request is empty", func(t *testing.T) { assert.Empty(t, HistoryOf(lines, "c").Lines) })
 }
