Record the entry of a soak's call by the connection that it was sent on

Cause of soak-caller-race (read, and seen once by the race detector): a dial notes its entry in the caller, also where it ends after its request has been sent on another connection, so that a refused connection could be put down to the wrong entry. Change: a connection knows its entry, and each request records the one that it was sent on, or else the one that was opened for it, under a lock. No check changed. After: TestFatalRequestsAreQuarantined/2 and TestFatalPartsAreQuarantined green under -race, once.

--- a/soak/balancer.go
+++ b/soak/balancer.go
@@ -83,11 +83,9 @@
 	return in[rand.IntN(len(in))]
 }
 
-// dial opens a connection to an entry that pick chooses.
-func (b *balancer) dial(ctx context.Context) (net.Conn, *entry, error) {
-	e := b.pick()
-	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", e.callerAddress)
-	return conn, e, err
+// dialEntry opens a connection to an entry.
+func dialEntry(ctx context.Context, e *entry) (net.Conn, error) {
+	return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", e.callerAddress)
 }
 
 func probeReady(e *entry) bool {
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"slices"
 	"strings"
 	"sync"
@@ -56,10 +55,6 @@
 type caller struct {
 	callers *callers
 	client  *http.Client
-	// entry is the entry at the other end of the latest connection. newConnection reports whether the connection was
-	// opened for the current request.
-	entry         *entry
-	newConnection bool
 }
 
 func (c *caller) run(number int, stop <-chan struct{}) {
@@ -82,9 +77,13 @@
 
 // dial connects to the entry that the balancer chooses. The URL does not name one.
 func (c *caller) dial(ctx context.Context, _, _ string) (net.Conn, error) {
-	conn, e, err := c.callers.balancer.dial(ctx)
-	c.entry, c.newConnection = e, true
-	return conn, err
+	e := c.callers.balancer.pick()
+	recordDialed(ctx, e)
+	conn, err := dialEntry(ctx, e)
+	if err != nil {
+		return nil, err
+	}
+	return &entryConn{Conn: conn, entry: e}, nil
 }
 
 // call sends a request of the given kind, or the fatal request with the given name if it is not empty.
@@ -96,25 +95,17 @@
 func (c *caller) record(seen callRecord) callRecord {
 	name := fmt.Sprintf("%s-%d", seen.Kind, c.callers.nextID.Add(1))
 	seen.ID, seen.Conversation, seen.SentAt = name+tagSeparator+c.callers.tag, fmt.Sprintf("%08x", len(name)), time.Now()
-	c.newConnection = false
-	c.send(&seen)
-	seen.EndedAt, seen.NewConnection = time.Now(), c.newConnection
-	if c.entry != nil {
-		seen.Entry = c.entry.number
-	}
+	var use connectionUse
+	c.send(withConnectionUse(context.Background(), &use), &seen)
+	seen.EndedAt = time.Now()
+	use.addTo(&seen)
 	c.callers.mu.Lock()
 	defer c.callers.mu.Unlock()
 	c.callers.calls = append(c.callers.calls, seen)
 	return seen
 }
 
-func (c *caller) send(seen *callRecord) {
-	var written atomic.Pointer[time.Time]
-	ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
-		if now := time.Now(); info.Err == nil {
-			written.Store(&now)
-		}
-	}})
+func (c *caller) send(ctx context.Context, seen *callRecord) {
 	// The client sends a POST without GetBody only once, whatever happens to the connection.
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.callers.target(seen), io.LimitReader(zeros{}, 10))
 	if err != nil {
@@ -140,9 +131,6 @@
 		seen.Status, seen.Body, seen.RetryAfter = resp.StatusCode, string(body), site.RetryAfter(resp)
 	}
 	seen.Truncated, seen.Refused = err != nil, errors.Is(err, syscall.ECONNREFUSED)
-	if at := written.Load(); at != nil {
-		seen.WrittenAt = *at
-	}
 }
 
 // target returns the URL of a request. A fatal request has its name at the end.
