Keep what is known of suspected parts in a file of its own

Package gateway: suspects.go is about requests again. Whether a runner was asked for the rest of a stream is noted before the request is sent: the goroutine that waits for its head read a field that a parked attempt may change (read, not seen).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -29,12 +29,14 @@
 	// stopAfterEnd unregisters the callback for the end of the runner's process.
 	stopAfterEnd func() bool
 
-	// call is what is sent to the runner, at sentAt. sending runs until its answer begins.
-	call    forward.Request
-	sentAt  time.Time
-	sending operation.Operation[error]
-	answer  *forward.Response
-	headers platform.Response
+	// call is what is sent to the runner, at sentAt, and continues is set if it asks for the rest of a stream. sending runs
+	// until its answer begins.
+	call      forward.Request
+	continues bool
+	sentAt    time.Time
+	sending   operation.Operation[error]
+	answer    *forward.Response
+	headers   platform.Response
 	// accepted is set once the runner is known to answer, hasAnswered once this shows that the answer can be used, and
 	// judged once its status was judged.
 	accepted    bool
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -23,6 +23,7 @@
 		a.call = x.call
 		a.call.Header = g.directions(x, t).Merge(x.request.Header)
 		x.sends.recordSend(t.view.ID)
+		a.continues = x.route.Resumable && (a.position != "" || x.wire.LastEventID != "")
 		a.sentAt = time.Now()
 	}
 	err, ok := a.sending.Await(a.interrupted, a.awaitHead)
@@ -55,17 +56,11 @@
 	answer.KeepAliveTimeout = a.headers.KeepAliveTimeout
 	a.answer = answer
 	a.reader.start(answer, completeness.Body{
-		EventStream: a.isEventStream() && hasEvents(answer.Head), Continues: a.continuesStream(), Framed: answer.Framed(),
+		EventStream: a.isEventStream() && hasEvents(answer.Head), Continues: a.continues, Framed: answer.Framed(),
 	})
 	return nil
 }
 
-// continuesStream reports whether the runner was asked for the rest of a stream.
-func (a *attempt) continuesStream() bool {
-	x := a.exchange
-	return x.route.Resumable && (a.position != "" || x.wire.LastEventID != "")
-}
-
 // hasEvents reports whether the answer on a route of event streams consists of events, unlike an error message.
 func hasEvents(head *http.Response) bool {
 	contentType := head.Header.Get("Content-Type")
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-logr/logr"
-
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/poison"
 	"github.com/rillreach/rillreach/roster"
@@ -27,42 +25,6 @@
 	return x.lazyFingerprint.fingerprint
 }
 
-// lazyParts are the fingerprints of the parts of a prompt that others may share, computed once for all attempts of the
-// request.
-type lazyParts struct {
-	once  sync.Once
-	parts []poison.Fingerprint
-}
-
-// partFingerprints returns the fingerprints of the parts of the request's prompt that other prompts may share.
-func (x *exchange) partFingerprints() []poison.Fingerprint {
-	x.lazyParts.once.Do(func() {
-		if x.wire.Prompt == nil {
-			return
-		}
-		for _, shared := range x.wire.Prompt.SharedParts() {
-			part := poison.Part{Model: x.wire.Prompt.Model, ID: shared.ID}
-			x.lazyParts.parts = append(x.lazyParts.parts, part.Fingerprint())
-		}
-	})
-	return x.lazyParts.parts
-}
-
-// partNames returns the fingerprints of the request's shared parts as identifiers for logs.
-func (x *exchange) partNames() []string {
-	var names []string
-	for _, part := range x.partFingerprints() {
-		names = append(names, part.String())
-	}
-	return names
-}
-
-// accountFingerprint identifies the request's caller in the records of crashes.
-func (x *exchange) accountFingerprint() poison.Fingerprint {
-	caller := poison.Request{Caller: x.caller()}
-	return caller.Fingerprint()
-}
-
 // caller identifies the request's caller: the client account, or the key that is passed to the runner if there is
 // none.
 func (x *exchange) caller() string {
@@ -118,25 +80,6 @@
 	return g.hasQuarantinedPart(x) || !x.isUnusedTrial() && g.suspects.Quarantined(g.Clock.Now(), x.fingerprint())
 }
 
-// hasQuarantinedPart reports whether a part of the request's prompt is quarantined, and logs which one.
-func (g *Gateway) hasQuarantinedPart(x *exchange) bool {
-	part, found := g.suspects.QuarantinedPart(g.Clock.Now(), x.partFingerprints(), x.accountFingerprint())
-	if found {
-		g.Log.Info("part of the prompt is quarantined", "decision", "quarantine", "request", x.wire.ID, "account", x.accountName(), "part", part.String())
-	}
-	return found
-}
-
-// hasSuspectedPart reports whether a part of the request's prompt may be what crashes runners. If so, the request gets no
-// second attempt.
-func (g *Gateway) hasSuspectedPart(x *exchange) bool {
-	if g.suspects.Empty() {
-		return false
-	}
-	_, found := g.suspects.SuspectedPart(g.Clock.Now(), x.partFingerprints())
-	return found
-}
-
 // mayReachCrashLimit reports whether one more crash would quarantine the request, or whether a part of its prompt may crash
 // runners. If so, no second attempt is made beside the current one.
 func (g *Gateway) mayReachCrashLimit(x *exchange) bool {
@@ -161,22 +104,6 @@
 		"generation", crash.Generation, "parts", x.partNames(), "received", a.received, "crashes", g.suspects.Crashes(now, crash.Request))
 }
 
-// partCrashes returns the crashes that are held against the parts of the prompt, given the one that is held against the
-// request. There are none if the runner had been answering for so long that the request has not caused the crash.
-func (a *attempt) partCrashes(crash poison.Crash) []poison.Crash {
-	g, x := a.gateway, a.exchange
-	if a.answeringFor(time.Now()) > poison.BeginTime {
-		return nil
-	}
-	var crashes []poison.Crash
-	for i, part := range x.partFingerprints() {
-		crashes = append(crashes, poison.Crash{
-			Request: part, Runner: crash.Runner, Generation: crash.Generation, Depth: i + 1, Account: x.accountFingerprint(), Answered: g.suspects.WasAnswered(part),
-		})
-	}
-	return crashes
-}
-
 // recordSuspects adds crashes to those that this entry knows of, and logs which parts of prompts they quarantine.
 func (g *Gateway) recordSuspects(now time.Time, crashes []poison.Crash) {
 	if g.suspects.Record(now, crashes...) == 0 {
@@ -185,24 +112,6 @@
 	g.quarantineLog.update(g.Log, g.suspects.QuarantinedParts(now))
 }
 
-// quarantineLog logs changes of the quarantined parts. Its zero value is ready to use.
-type quarantineLog struct {
-	mu    sync.Mutex
-	known map[poison.Fingerprint][]rillreach.InstanceRun
-}
-
-// update logs the parts that were not quarantined before.
-func (q *quarantineLog) update(log logr.Logger, quarantined map[poison.Fingerprint][]rillreach.InstanceRun) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for part, runs := range quarantined {
-		if _, ok := q.known[part]; !ok {
-			log.Info("part quarantined that runners have ended under", "decision", "quarantine", "part", part.String(), "runs", runs)
-		}
-	}
-	q.known = quarantined
-}
-
 // listedRuns returns the number of listed runs of a service, including one that has just ended.
 func (g *Gateway) listedRuns(service rillreach.ServiceID, ended *roster.Runner) int {
 	listed := g.state.Roster.ByService(service)
@@ -220,12 +129,6 @@
 	g.clearParts(x)
 }
 
-// clearParts clears the crashes of the parts of the request's prompt, on which a runner works well.
-func (g *Gateway) clearParts(x *exchange) {
-	now := g.Clock.Now()
-	g.reportCleared(x, now, g.suspects.RecordPartAnswers(now, x.partFingerprints()))
-}
-
 // recordProgress records how much of the answer has arrived. It clears the crashes of a request that was answered
 // before and now gets further than in the runs that crashed.
 func (g *Gateway) recordProgress(x *exchange, bytes int64) {
@@ -236,16 +139,6 @@
 	g.reportCleared(x, now, g.suspects.RecordProgress(now, x.fingerprint(), bytes))
 }
 
-// clearPartsOnce clears the crashes of the parts of the prompt, once the runner has been answering for longer than they
-// take to crash one.
-func (a *attempt) clearPartsOnce() {
-	if a.partsCleared || a.answeringFor(time.Now()) <= poison.BeginTime {
-		return
-	}
-	a.partsCleared = true
-	a.gateway.clearParts(a.exchange)
-}
-
 // reportCleared has the cleared crashes reported to the other entries.
 func (g *Gateway) reportCleared(x *exchange, now time.Time, cleared []poison.Crash) {
 	if len(cleared) == 0 {
