Hold parts back together that have always come together

Read: if the first requests with a fatal part all had the same other part, and neither was ever answered, the later one was quarantined, for harmless requests too, and nothing could clear it, since none of them was sent any more.

Change: parts under which just the same runs have ended are held back only in requests that have all of them. A request with one of them is sent, and its answer or its crash tells.

--- a/poison/part_quarantine.go
+++ b/poison/part_quarantine.go
@@ -28,8 +28,11 @@
 
 // QuarantinedPart returns a quarantined part of a prompt, if there is one, for a request of the given account. A part is
 // held back for the accounts whose requests have crashed runners with it; for all others as well, once these are several.
+// If it has never come without certain others, it is held back only together with them.
 func (t *Tracker) QuarantinedPart(now time.Time, parts []Fingerprint, account Fingerprint) (Fingerprint, bool) {
-	return t.findPart(now, parts, func(s *suspect) bool { return s.isQuarantined() && s.isHeld(now) && s.concerns(account) })
+	return t.findPart(now, parts, func(s *suspect) bool {
+		return s.isQuarantined() && s.isHeld(now) && s.concerns(account) && s.isWithCompanions(parts)
+	})
 }
 
 // SuspectedPart returns a part of a prompt, if there is one, that runners have never answered and that may crash those that
--- a/poison/suspect.go
+++ b/poison/suspect.go
@@ -21,6 +21,8 @@
 	answered bool
 	// unexplained is the number of crashes that no stronger suspect explains.
 	unexplained int
+	// companions are the other parts under which just the same runs have ended.
+	companions []Fingerprint
 }
 
 // verdicts are what is held against all suspects at a version of the tracker, until the first crash expires.
@@ -52,6 +54,11 @@
 	return false
 }
 
+// isWithCompanions reports whether the parts of a prompt include those that can't be told from this one.
+func (s *suspect) isWithCompanions(parts []Fingerprint) bool {
+	return !slices.ContainsFunc(s.companions, func(companion Fingerprint) bool { return !slices.Contains(parts, companion) })
+}
+
 // concerns reports whether the part is held back for requests of the account.
 func (s *suspect) concerns(account Fingerprint) bool {
 	_, ok := s.accounts[account]
@@ -110,15 +117,29 @@
 // ended under that are not explained yet explains all of its runs.
 func explain(suspects map[Fingerprint]*suspect) {
 	e := explanation{byParts: endedRuns{}, byRequests: endedRuns{}, bySuspects: endedRuns{}}
-	for _, s := range slices.SortedFunc(maps.Values(suspects), compareStrength) {
+	ordered := slices.SortedFunc(maps.Values(suspects), compareStrength)
+	for _, s := range ordered {
 		if s.isPart() {
 			e.explainPart(s)
+			s.findCompanions(ordered)
 		} else {
 			e.explainRequest(s)
 		}
 	}
 }
 
+// findCompanions finds the parts that can't be told from a quarantined one, since no request had one of them alone.
+func (s *suspect) findCompanions(suspects []*suspect) {
+	if !s.isQuarantined() {
+		return
+	}
+	for _, other := range suspects {
+		if other != s && other.isPart() && other.answered == s.answered && len(other.runs) == len(s.runs) && len(other.runs.without(s.runs)) == 0 {
+			s.companions = append(s.companions, other.id)
+		}
+	}
+}
+
 // explainPart counts the crashes of a part that no stronger suspect explains. Those of a part that runners have answered
 // before are also explained by a part that they haven't, even if that is not quarantined yet.
 func (e *explanation) explainPart(s *suspect) {
