Read the exchange of an attempt before its send begins

Change: both get what they need of it when they are started. After: the tests of hedges and of broken-off answers green under -race, twice.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rillreach/rillreach/completeness"
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/internal/operation"
 	"github.com/rillreach/rillreach/platform"
@@ -121,7 +122,7 @@
 	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.reader.onData = a.recordArrival
-	a.reader.checkProcess = a.identifyProcess
+	a.reader.checkProcess = func() completeness.Process { return a.identifyProcess(x.service) }
 	a.watchdog = g.newWatchdog(a)
 	a.startDeadline = g.newStartDeadline(x, t, func() { a.cancel(errStartTooLate) })
 	a.stopAfterEnd = t.runner.AfterEnd(a.watchdog.checkNow)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -69,7 +69,10 @@
 }
 
 // isEventStream reports whether the route's answers are event streams.
-func (a *attempt) isEventStream() bool { return a.exchange.route.Kind == deployment.EventStream }
+func (a *attempt) isEventStream() bool { return a.exchange.isEventStream() }
+
+// isEventStream reports whether the route's answers are event streams.
+func (x *exchange) isEventStream() bool { return x.route.Kind == deployment.EventStream }
 
 // relayBuffered buffers an answer until it is complete, so that one that breaks off can still be replaced.
 func (a *attempt) relayBuffered() bool {
--- a/gateway/runner_process.go
+++ b/gateway/runner_process.go
@@ -33,15 +33,15 @@
 }
 
 // identifyProcess is like checkProcess, and also asks which process accepts connections at the runner's address, since
-// another one may have been started there.
-func (a *attempt) identifyProcess() completeness.Process {
+// another one may have been started there. It may be called while the attempt is given the exchange of another one.
+func (a *attempt) identifyProcess(service *deployment.Service) completeness.Process {
 	if a.knownToHaveEnded() {
 		return completeness.ProcessEnded
 	}
-	if a.exchange.service.HealthPath == "" {
+	if service.HealthPath == "" {
 		return a.gateway.probe(a.target.runner)
 	}
-	return a.gateway.identify(a.target.runner, a.exchange.service)
+	return a.gateway.identify(a.target.runner, service)
 }
 
 // knownToHaveEnded reports whether a later run is known than the one that the attempt has reached.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -26,7 +26,7 @@
 		a.continues = x.route.Resumable && (a.position != "" || x.wire.LastEventID != "")
 		a.sentAt = time.Now()
 	}
-	err, ok := a.sending.Await(a.interrupted, a.awaitHead)
+	err, ok := a.sending.Await(a.interrupted, func() error { return a.awaitHead(x) })
 	if !ok {
 		return a.park()
 	}
@@ -43,9 +43,10 @@
 	return true
 }
 
-// awaitHead sends the request and waits for the headers of the answer.
-func (a *attempt) awaitHead() error {
-	g, x := a.gateway, a.exchange
+// awaitHead sends the request and waits for the headers of the answer. It may go on while the attempt is given the exchange
+// of another one.
+func (a *attempt) awaitHead(x *exchange) error {
+	g := a.gateway
 	answer, err := g.pool.Do(a.ctx, a.target.view.Address, g.maxConns(x), &a.call, func(resp *http.Response) bool {
 		a.headers = platform.DecodeResponse(resp.StatusCode, resp.Header)
 		return a.headers.RequestID == x.wire.ID || a.headers.RequestID == "" && x.wire.ID == ""
@@ -56,7 +57,7 @@
 	answer.KeepAliveTimeout = a.headers.KeepAliveTimeout
 	a.answer = answer
 	a.reader.start(answer, completeness.Body{
-		EventStream: a.isEventStream() && hasEvents(answer.Head), Continues: a.continues, Framed: answer.Framed(),
+		EventStream: x.isEventStream() && hasEvents(answer.Head), Continues: a.continues, Framed: answer.Framed(),
 	})
 	return nil
 }
