Log what the retry budget decides by, and who names the number of entries

Cause: no line and no metric tells how many repeats a process has counted, how many it is allowed, by how many entries it divides the slack and who named that number, so that a restart that forgets can't be told from a wrong count.

Ruled out: `runner chosen attempt=2` alone, which shows the repeats and nothing of the decision; `rillreach.repeats.left`, one figure for all services.

No decision changes.

--- a/gateway/bulletins.go
+++ b/gateway/bulletins.go
@@ -22,7 +22,7 @@
 	g.state.ApplyWeightsFirstSeen(b.Clock, b.WeightsFirstSeen, now)
 	g.applyCrashes(b.Crashes)
 	if !g.relayed() { // then only some entries follow the agent
-		g.budgets.SetEntries(b.Followers)
+		g.setEntries(b.Followers, b.Runner)
 	}
 	g.cache.clock.observe(b.Clock, now)
 	for i := range b.CacheUpdates {
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -262,7 +262,7 @@
 		return "runners-used"
 	case g.isQuarantined(x), x.sends.runCount() > 0 && g.hasSuspectedPart(x):
 		return verdictCrashesRunners
-	case !g.budgets.TrySpend(now, x.service.Name):
+	case !g.spendRepeat(x, repeatRetry, now):
 		return verdictBudgetExhausted
 	default:
 		return ""
--- a/gateway/relay_digests.go
+++ b/gateway/relay_digests.go
@@ -55,7 +55,7 @@
 	f.reports, f.zoneEntries = map[rillreach.InstanceID]digest.Report{}, map[rillreach.ZoneID]int{}
 	if f.gateway.budgets.Entries() < len(f.gateway.Replica.Agents()) {
 		// Until the number of entries is known, as many are assumed as there are agents.
-		f.gateway.budgets.SetEntries(len(f.gateway.Replica.Agents()))
+		f.gateway.setEntries(len(f.gateway.Replica.Agents()), "")
 	}
 }
 
@@ -116,7 +116,7 @@
 	for _, n := range f.zoneEntries {
 		total += n
 	}
-	f.gateway.budgets.SetEntries(max(total, 1))
+	f.gateway.setEntries(max(total, 1), "")
 }
 
 // applyReports applies changed reports, and confirms all others that hold.
--- a/gateway/start_hedge.go
+++ b/gateway/start_hedge.go
@@ -40,7 +40,7 @@
 	}
 	o := g.findOptions(x, g.viewsAt(now), now)
 	choice := g.chooseAvailable(x, o, now)
-	if choice.Index < 0 || !g.budgets.TrySpend(now, x.service.Name) {
+	if choice.Index < 0 || !g.spendRepeat(x, repeatHedge, now) {
 		return false
 	}
 	t := g.assign(x, o, choice, now)
--- a/retry/shares.go
+++ b/retry/shares.go
@@ -91,6 +91,28 @@
 	return true
 }
 
+// Usage is what this entry's budget for a service is decided by.
+type Usage struct {
+	// Requests and Repeats are the numbers counted in the window, and Allowed the number of repeats that they allow.
+	Requests, Repeats int
+	Allowed           float64
+	// Entries is the number of entries by which the slack is divided.
+	Entries int
+}
+
+// Usage returns what the budget for the service is decided by now.
+func (b *ServiceBudgets) Usage(now time.Time, service rillreach.ServiceID) Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w, _ := b.window(now, service)
+	u := Usage{Entries: b.entryCount()}
+	for _, n := range w.requests {
+		u.Requests += n
+	}
+	u.Repeats, u.Allowed = b.usage(w)
+	return u
+}
+
 // Remaining returns the unused fraction of this entry's budget, for the service with the least left.
 func (b *ServiceBudgets) Remaining(now time.Time) float64 {
 	b.mu.Lock()
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -29,6 +29,7 @@
 	error          metric.Float64Histogram
 	invalidReports metric.Int64Counter
 	hedges         metric.Int64Counter
+	repeats        metric.Int64Counter
 	backpressure   metric.Int64Counter
 	resumedStreams metric.Int64Counter
 	unknownStarts  metric.Int64Counter
@@ -73,6 +74,9 @@
 	if m.hedges, err = m.meter.Int64Counter("rillreach.hedges", metric.WithDescription("second attempts that were begun beside a running one, by reason and by what became of them")); err != nil {
 		return errors.Wrap(err, "create counter of second attempts")
 	}
+	if m.repeats, err = m.meter.Int64Counter("rillreach.repeats", metric.WithDescription("repeats of requests that the retry budget was asked for, by service, kind and verdict")); err != nil {
+		return errors.Wrap(err, "create counter of repeats")
+	}
 	if m.backpressure, err = m.meter.Int64Counter("rillreach.answers.backpressure", metric.WithDescription("answers in which runners ask for less, by what they ask for")); err != nil {
 		return errors.Wrap(err, "create counter of backpressure")
 	}
@@ -161,6 +165,14 @@
 	m.backpressure.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", kind)))
 }
 
+// CountRepeat counts a repeat of a request that the retry budget was asked for.
+func (m *Metrics) CountRepeat(service, kind, verdict string) {
+	if m == nil {
+		return
+	}
+	m.repeats.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("kind", kind), attribute.String("verdict", verdict)))
+}
+
 // CountHedge counts a completed second attempt.
 func (m *Metrics) CountHedge(reason, outcome string) {
 	if m == nil {
