Allow repeats by an entry's own requests, so that no restart brings new ones

Cause: an entry might send its ratio and its share of the slack at once, and forgot with its process what it had sent; the share was the slack divided by the number of entries of the moment, which is wrong after a start and during a cut. Class: a bound over all processes that rests on the memory of one and on a count of who lives.

Ruled out: counting more carefully alone, since no count is right on both sides of a cut, and the largest number of the last window says too little to a process that has just started; no slack until a process is a window old alone, since the ratio of the requests before a restart is spent twice as well; shares given out by agents, which plain services and entries that are cut off don't have.

Change: an entry keeps, over every window, to the ratio times the mean of its own requests in that window and in the one before. The means of all processes add up to no more than the larger of the two sums, which the rule allows, whoever lives and wherever requests go. Beyond it each process may send two repeats in a window from the slack, once it is a window old; the rest of the slack is left for what arrives late. Numbers of entries only ever lower that.

The tests' entries get requests before the test, since a process without any may repeat none.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -150,7 +150,7 @@
 	if g.Clock == nil {
 		g.Clock = node.SystemClock()
 	}
-	g.budgets = retry.ServiceBudgets{Ratio: g.Settings.Bounds.RetryRatio, Window: g.Settings.Bounds.RetryWindow, Slack: g.Settings.Bounds.RetrySlack}
+	g.budgets = g.newBudgets()
 	g.server = g.newServer()
 	g.listener = &callerconn.Listener{Listener: node.Listener{Listener: g.Callers}, IdleConns: g.idleConns, Log: g.Log}
 	runCtx, endRun := context.WithCancel(context.WithoutCancel(ctx))
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -81,7 +81,7 @@
 			return refusal
 		}
 	}
-	g.budgets.RecordRequest(x.arrived, x.service.Name)
+	g.budgets.RecordRequest(g.Clock.Now(), x.service.Name)
 	if refusal := x.read(); refusal != nil {
 		return refusal
 	}
@@ -262,7 +262,7 @@
 		return "runners-used"
 	case g.isQuarantined(x), x.sends.runCount() > 0 && g.hasSuspectedPart(x):
 		return verdictCrashesRunners
-	case !g.spendRepeat(x, repeatRetry, now):
+	case !g.spendRepeat(x, repeatRetry):
 		return verdictBudgetExhausted
 	default:
 		return ""
--- a/gateway/hedge_test.go
+++ b/gateway/hedge_test.go
@@ -157,7 +157,7 @@
 	t.Run("there is no hedge once the retry budget is used up", func(t *testing.T) {
 		w, loads, other := loadingWorld(t, site.WriteNotExecuted)
 		defer w.stop()
-		for w.gateway.budgets.TrySpend(time.Now(), "e") {
+		for w.gateway.budgets.Reserve(w.gateway.Clock.Now(), "e") != nil {
 			continue
 		}
 		got := readAnswer(t, w.sendPrompt(t, "/prompt/x"), "POST")
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -131,7 +131,7 @@
 // mayTryAnother reports whether the request may be sent to another runner after this one.
 func (a *attempt) mayTryAnother() bool {
 	x := a.exchange
-	return !x.route.AtMostOnce() && x.mayUseAnotherRunner() && a.requestCtx.Err() == nil && a.gateway.budgets.Allows(time.Now(), x.service.Name)
+	return !x.route.AtMostOnce() && x.mayUseAnotherRunner() && a.requestCtx.Err() == nil && a.gateway.allowsRepeat(x)
 }
 
 // relayLarge forwards an answer that is too large to buffer. The prefix was already read.
--- a/gateway/repeat_arrivals_test.go
+++ b/gateway/repeat_arrivals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"sync"
 	"testing"
@@ -89,7 +90,7 @@
 			s.Bounds.RetryRatio, s.Bounds.RetryWindow, s.Bounds.RetrySlack = repeatRatio, window, slack
 			s.Bounds.GracePeriod = time.Second
 		})
-		w.awaitReady(t)
+		w.eventually(t, func() bool { return w.readiness(t) == http.StatusOK })
 		return w
 	}
 	generation := func() (worlds [entries]*world) {
@@ -112,10 +113,8 @@
 		}
 		address := current[i%entries].callerAddress
 		calls.Go(func() {
-			req, err := http.NewRequest(http.MethodGet, "http://"+address+"/repeat/x", nil)
-			if !assert.NoError(t, err) {
-				return
-			}
+			req := httptest.NewRequest(http.MethodGet, "http://"+address+"/repeat/x", nil)
+			req.RequestURI = ""
 			req.Host = host
 			req.Header.Set("Authorization", "Bearer "+key)
 			req.Header.Set("X-Rillreach-Attempt-Id", a.newRequest())
--- a/gateway/repeats_test.go
+++ b/gateway/repeats_test.go
@@ -11,7 +11,6 @@
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/bulletin"
 	"github.com/rillreach/rillreach/deployment"
-	"github.com/rillreach/rillreach/retry"
 )
 
 const (
@@ -49,12 +48,13 @@
 
 // restart replaces an entry by a process that has just started.
 func (p *repeatPlayers) restart(i int) {
-	p.entries[i] = &Gateway{
-		Settings:  &deployment.Settings{Zone: "z1"},
-		Log:       logr.Discard(),
-		startedAt: p.now,
-		budgets:   retry.ServiceBudgets{Ratio: repeatRatio, Window: repeatWindow, Slack: repeatSlack},
+	g := &Gateway{
+		Settings: &deployment.Settings{Zone: "z1", Bounds: deployment.Bounds{RetryRatio: repeatRatio, RetryWindow: repeatWindow, RetrySlack: repeatSlack}},
+		Clock:    rillreach.ClockFunc(func() time.Time { return p.now }),
+		Log:      logr.Discard(),
 	}
+	g.budgets = g.newBudgets()
+	p.entries[i] = g
 }
 
 // restartAll replaces all entries at once.
@@ -88,8 +88,10 @@
 
 // repeat makes an entry send a request once more, if its budget allows.
 func (p *repeatPlayers) repeat(i int) {
-	x := &exchange{service: &deployment.Service{Name: "s"}}
-	if p.entries[i].spendRepeat(x, repeatRetry, p.now) {
+	g := p.entries[i]
+	x := &exchange{service: &deployment.Service{Name: "s"}, sends: &sendHistory{}}
+	x.sends.recordSend("first")
+	if g.spendRepeat(x, repeatRetry) {
 		p.repeats = append(p.repeats, p.now)
 	}
 }
@@ -142,7 +144,7 @@
 	const bulletinInterval = 2 * repeatStep
 	t.Run("all entries follow one agent", func(t *testing.T) {
 		p := newRepeatPlayers(10)
-		p.play(func(elapsed time.Duration) int {
+		p.play(func(time.Duration) int {
 			p.followAll()
 			return len(p.entries)
 		})
@@ -208,33 +210,12 @@
 	})
 	t.Run("all entries restart together after they have sent what they may", func(t *testing.T) {
 		p := newRepeatPlayers(10)
-		p.wanted = false
-		p.play(func(elapsed time.Duration) int {
-			if elapsed == 12*time.Second {
-				p.wanted = true
-				p.repeatAsOftenAsAllowed(len(p.entries))
-				p.restartAll()
-			}
-			p.followAll()
-			return len(p.entries)
-		})
+		p.playSpentBefore(10, p.restartAll)
 		p.assertWithinBudget(t)
 	})
 	t.Run("requests move to other entries after the first ones have sent what they may", func(t *testing.T) {
 		p := newRepeatPlayers(10)
-		p.wanted = false
-		p.play(func(elapsed time.Duration) int {
-			p.followAll()
-			if elapsed < 12*time.Second {
-				return 5
-			}
-			if elapsed == 12*time.Second {
-				p.wanted = true
-				p.repeatAsOftenAsAllowed(5)
-				p.entries[0], p.entries[1], p.entries[2], p.entries[3], p.entries[4] = p.entries[5], p.entries[6], p.entries[7], p.entries[8], p.entries[9]
-			}
-			return 5
-		})
+		p.playSpentBefore(5, func() { copy(p.entries[:5], p.entries[5:]) })
 		p.assertWithinBudget(t)
 	})
 	t.Run("no agent is reachable", func(t *testing.T) {
@@ -258,6 +239,21 @@
 	})
 }
 
+// playSpentBefore lets requests come to the first n entries. After some calm these entries send all repeats that they may,
+// and the event comes. From then on each request wants a repeat.
+func (p *repeatPlayers) playSpentBefore(n int, event func()) {
+	p.wanted = false
+	p.play(func(elapsed time.Duration) int {
+		if elapsed == 12*time.Second {
+			p.wanted = true
+			p.repeatAsOftenAsAllowed(n)
+			event()
+		}
+		p.followAll()
+		return n
+	})
+}
+
 // repeatAsOftenAsAllowed makes the first n entries send all repeats that they may at this moment.
 func (p *repeatPlayers) repeatAsOftenAsAllowed(n int) {
 	for i := range n {
--- a/gateway/start_hedge.go
+++ b/gateway/start_hedge.go
@@ -35,12 +35,12 @@
 	g, now := a.gateway, time.Now()
 	x := a.exchange.fork()
 	// Checked first because this runs for each event of a stream whose runner is about to load weights.
-	if !x.mayUseAnotherRunner() || g.mayReachCrashLimit(x) || !g.budgets.Allows(now, x.service.Name) {
+	if !x.mayUseAnotherRunner() || g.mayReachCrashLimit(x) || !g.allowsRepeat(x) {
 		return false
 	}
 	o := g.findOptions(x, g.viewsAt(now), now)
 	choice := g.chooseAvailable(x, o, now)
-	if choice.Index < 0 || !g.spendRepeat(x, repeatHedge, now) {
+	if choice.Index < 0 || !g.spendRepeat(x, repeatHedge) {
 		return false
 	}
 	t := g.assign(x, o, choice, now)
--- a/gateway/stream_test.go
+++ b/gateway/stream_test.go
@@ -210,7 +210,7 @@
 	t.Run("the entry waits if the retry budget is spent", func(t *testing.T) {
 		w := startWorld(t, defaultConfig(), &site.Runner{ID: "a", Handle: pauses}, &site.Runner{ID: "b", Handle: pauses})
 		defer w.stop()
-		for w.gateway.budgets.TrySpend(time.Now(), "plain") {
+		for w.gateway.budgets.Reserve(w.gateway.Clock.Now(), "plain") != nil {
 			continue
 		}
 		assertWhole(t, w)
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -157,6 +157,20 @@
 func (w *world) awaitReady(t *testing.T) {
 	t.Helper()
 	w.eventually(t, func() bool { return w.readiness(t) == http.StatusOK })
+	w.recordPastRequests()
+}
+
+// pastRequests is the number of earlier requests to each service of an entry that is ready. A process that has just
+// started, and has served no requests, may repeat none.
+const pastRequests = 1000
+
+// recordPastRequests makes the entry one that has served requests.
+func (w *world) recordPastRequests() {
+	for service := range w.gateway.state.Config().Services {
+		for range pastRequests {
+			w.gateway.budgets.RecordRequest(w.gateway.Clock.Now(), service)
+		}
+	}
 }
 
 func (w *world) readiness(t *testing.T) int {
