Keep the number of entries apart from the retry budget, and take the largest of the last while

What divides by the number of entries (the pace to cold runners and to runners with limits, room at engines, the canary of a rollout) took it from whichever bulletin came last, and an entry that moves to another relay forgot all zones but those that the first digest names.

Cause: the same class as of the retry budget: each agent counts who follows it just now, so that one that has just started, or that few entries reach, says one.

Ruled out: names in place of numbers in bulletins, which grow with the entries; no agent of the direct way knows more than the largest number says.

Change: package entrycount keeps the largest number of the last minute, over all agents, and for each zone over all relays; the relay's table uses the same type. The last number stays where none is named any more, and as many entries as runners are assumed, 8 at least, until one is. retry.ServiceBudgets is told the number and counts it no longer.

--- a/digest/table.go
+++ b/digest/table.go
@@ -10,6 +10,7 @@
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/bulletin"
+	"github.com/rillreach/rillreach/entrycount"
 )
 
 const (
@@ -17,9 +18,6 @@
 	AgentTimeout = 2 * time.Second
 	// forgetAfter is how long a lost report is kept, so that all subscribers learn of the loss.
 	forgetAfter = 30 * time.Second
-	// entryCountTTL is how long a count of entries is valid. A zone whose entries move to another relay is counted in
-	// full meanwhile.
-	entryCountTTL = time.Minute
 	// tokenTolerance is the difference of used tokens up to which two loads count as equal.
 	tokenTolerance = 2048
 	// storeTicks is how many ticks apart a store is reported without changes. Its contents may be used only for a short
@@ -38,7 +36,8 @@
 	tick    uint64
 	reports map[rillreach.InstanceID]*reportEntry
 	stores  map[netip.AddrPort]*storeEntry
-	entries map[rillreach.ZoneID]*entryCount
+	// entries holds the number of entries in each zone.
+	entries map[rillreach.ZoneID]*entrycount.Peak
 }
 
 // reportEntry is a report, and when it was received. The report is passed on at the tick changedAt.
@@ -50,12 +49,6 @@
 	pendingLoad bool
 }
 
-// entryCount is the largest number of entries in a zone that was lately reported.
-type entryCount struct {
-	count int
-	until time.Time
-}
-
 // ApplyBulletin records the report of an agent of the relay's own zone.
 func (t *Table) ApplyBulletin(b *bulletin.Bulletin, now time.Time) {
 	t.mu.Lock()
@@ -144,12 +137,12 @@
 
 func (t *Table) countEntries(zone rillreach.ZoneID, count int, now time.Time) {
 	if t.entries == nil {
-		t.entries = map[rillreach.ZoneID]*entryCount{}
+		t.entries = map[rillreach.ZoneID]*entrycount.Peak{}
 	}
-	e := t.entries[zone]
-	if e == nil || count >= e.count || now.After(e.until) {
-		t.entries[zone] = &entryCount{count: count, until: now.Add(entryCountTTL)}
+	if t.entries[zone] == nil {
+		t.entries[zone] = &entrycount.Peak{}
 	}
+	t.entries[zone].Observe(count, now)
 }
 
 // Tick ends a tick: it passes on changed loads that are due, marks silent agents as lost, and returns the tick's number.
@@ -205,7 +198,7 @@
 	}
 	for zone, e := range t.entries {
 		if included(zone) {
-			d.Entries = append(d.Entries, ZoneEntries{Zone: zone, Count: e.count})
+			d.Entries = append(d.Entries, ZoneEntries{Zone: zone, Count: e.Value()})
 		}
 	}
 	return d
--- a/gateway/bulletins.go
+++ b/gateway/bulletins.go
@@ -21,9 +21,7 @@
 	g.applyStoreState(b.DesiredWeights, b.Config, now)
 	g.state.ApplyWeightsFirstSeen(b.Clock, b.WeightsFirstSeen, now)
 	g.applyCrashes(b.Crashes)
-	if !g.relayed() { // then only some entries follow the agent
-		g.setEntries(b.Followers, b.Runner)
-	}
+	g.observeFollowers(b.Runner, b.Followers, now)
 	g.cache.clock.observe(b.Clock, now)
 	for i := range b.CacheUpdates {
 		if update := &b.CacheUpdates[i]; update.Store {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/rillreach/rillreach/controller"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/drain"
+	"github.com/rillreach/rillreach/entrycount"
 	"github.com/rillreach/rillreach/fleet"
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/internal/broadcast"
@@ -113,6 +114,7 @@
 	// crashesChanged signals that observedCrashes has a new crash or has cleared one.
 	crashesChanged broadcast.Signal
 	budgets        retry.ServiceBudgets
+	entries        entrycount.Counter
 	// pins are the software versions at which streams began.
 	pins streamPins
 	// limited tracks the runners that announce a limit on requests.
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -24,7 +24,7 @@
 		{Name: "rillreach.requests.suspected", Description: "requests that were under way at a runner that ended, and not answered since", Read: g.suspectCount},
 		{Name: "rillreach.requests.quarantined", Description: "requests that are not sent to runners, since runners have ended under them", Read: g.quarantinedCount},
 		{Name: "rillreach.repeats.left", Description: "share of the retry budget that is left, for the service with the least", Read: func() float64 { return g.budgets.Remaining(g.Clock.Now()) }},
-		{Name: "rillreach.entries", Description: "entries that are believed to share what is allowed to all of them", Read: func() float64 { return float64(g.budgets.Entries()) }},
+		{Name: "rillreach.entries", Description: "entries that are believed to share what is allowed to all of them", Read: func() float64 { return float64(g.entryCount()) }},
 		{Name: "rillreach.connections.opened", Description: "connections to runners that were made", Read: func() float64 { return float64(g.pool.Opened.Load()) }},
 		{Name: "rillreach.streams.recorded", Description: "streams that this entry began or continued and whose software version it keeps", Read: func() float64 { return float64(g.pins.table.Len()) }},
 		{Name: "rillreach.streams.unreplicated", Description: "records of these that too few agents hold", Read: func() float64 { return float64(g.pins.distribution.Unreplicated()) }},
--- a/gateway/limit_reporter.go
+++ b/gateway/limit_reporter.go
@@ -72,7 +72,7 @@
 func (l *limitReporter) pacePermits(runners []*roster.Runner, now time.Time) {
 	g := l.gateway
 	for _, r := range runners {
-		if r.PaceLimitPermits(now, g.budgets.Entries(), rand.Float64()) {
+		if r.PaceLimitPermits(now, g.entryCount(), rand.Float64()) {
 			g.queue.notify()
 		}
 	}
--- a/gateway/relay_digests.go
+++ b/gateway/relay_digests.go
@@ -25,8 +25,6 @@
 	mu sync.Mutex
 	// reports are those of the current subscription that hold until the relay names them again.
 	reports map[rillreach.InstanceID]digest.Report
-	// zoneEntries is the number of entries in each zone.
-	zoneEntries map[rillreach.ZoneID]int
 }
 
 // Name returns the name of the controller.
@@ -52,11 +50,7 @@
 func (f *digestFollower) begin() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.reports, f.zoneEntries = map[rillreach.InstanceID]digest.Report{}, map[rillreach.ZoneID]int{}
-	if f.gateway.budgets.Entries() < len(f.gateway.Replica.Agents()) {
-		// Until the number of entries is known, as many are assumed as there are agents.
-		f.gateway.setEntries(len(f.gateway.Replica.Agents()), "")
-	}
+	f.reports = map[rillreach.InstanceID]digest.Report{}
 }
 
 // pause waits until another relay is known, and after a failure until the same one may be asked again.
@@ -95,30 +89,13 @@
 	g.applyStoreState(d.DesiredWeights, d.Config, now)
 	g.state.ApplyWeightsFirstSeen(d.Clock, d.WeightsFirstSeen, now)
 	g.applyCrashes(d.Crashes)
-	f.applyEntries(d.Entries)
+	g.observeZones(d.Entries, now)
 	for i := range d.Stores {
 		g.cache.applyStoreUpdate(d.Stores[i].Agent, d.Stores[i].Clock, &d.Stores[i].Update, now)
 	}
 	f.applyReports(d.Reports, now)
 }
 
-// applyEntries updates the number of entries.
-func (f *digestFollower) applyEntries(entries []digest.ZoneEntries) {
-	if len(entries) == 0 {
-		return
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	total := 0
-	for _, e := range entries {
-		f.zoneEntries[e.Zone] = e.Count
-	}
-	for _, n := range f.zoneEntries {
-		total += n
-	}
-	f.gateway.setEntries(max(total, 1), "")
-}
-
 // applyReports applies changed reports, and confirms all others that hold.
 func (f *digestFollower) applyReports(changed []digest.Report, now time.Time) {
 	f.mu.Lock()
--- a/gateway/repeats.go
+++ b/gateway/repeats.go
@@ -1,9 +1,6 @@
 package gateway
 
-import (
-	"github.com/rillreach/rillreach"
-	"github.com/rillreach/rillreach/retry"
-)
+import "github.com/rillreach/rillreach/retry"
 
 // repeatKind is why a request is sent to another runner.
 type repeatKind string
@@ -24,7 +21,7 @@
 // newBudgets returns the retry budgets of a process that starts now.
 func (g *Gateway) newBudgets() retry.ServiceBudgets {
 	b := g.Settings.Bounds
-	return retry.ServiceBudgets{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack, Started: g.Clock.Now()}
+	return retry.ServiceBudgets{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack, Started: g.Clock.Now(), Entries: g.entryCount}
 }
 
 // allowsRepeat reports whether the retry budget allows another repeat of the request.
@@ -43,15 +40,6 @@
 	return verdict == repeatAllowed
 }
 
-// setEntries sets the number of entries as the source names it.
-func (g *Gateway) setEntries(n int, source rillreach.InstanceID) {
-	before := g.budgets.Entries()
-	g.budgets.SetEntries(n)
-	if after := g.budgets.Entries(); after != before {
-		g.Log.Info("number of entries changed", "decision", "apply", "source", source, "entries", after, "before", before)
-	}
-}
-
 // recordRepeat counts and logs a verdict on a repeat, with what it is based on.
 func (g *Gateway) recordRepeat(x *exchange, kind repeatKind, verdict string) {
 	now := g.Clock.Now()
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -235,7 +235,7 @@
 func (c *rolloutController) inCanary(x *exchange, r *activeRollout) bool {
 	g := c.gateway
 	entryHash := hash.Mix(hash.String(g.Settings.Name), hash.String(string(r.known.Target)))
-	share := rollout.CanaryShare(g.Settings.Bounds.VersionExposure, g.budgets.Entries(), entryHash)
+	share := rollout.CanaryShare(g.Settings.Bounds.VersionExposure, g.entryCount(), entryHash)
 	return rollout.InCanary(conversationID(x), string(r.known.Target), share)
 }
 
--- a/gateway/room.go
+++ b/gateway/room.go
@@ -61,7 +61,7 @@
 // concurrentSenders returns the number of entries assumed to send to the same engine at the same time. In a large service,
 // an entry considers only a few engines for a request.
 func (g *Gateway) concurrentSenders(service rillreach.ServiceID) int {
-	entries, engines := g.budgets.Entries(), len(g.state.Roster.ByService(service))
+	entries, engines := g.entryCount(), len(g.state.Roster.ByService(service))
 	if engines <= maxExamined {
 		return entries
 	}
--- a/gateway/slow_start.go
+++ b/gateway/slow_start.go
@@ -39,7 +39,7 @@
 	if x.service.Engine != nil || rate <= 0 {
 		return
 	}
-	interval := time.Duration(float64(g.budgets.Entries()) / rate * float64(time.Second))
+	interval := time.Duration(float64(g.entryCount()) / rate * float64(time.Second))
 	for _, r := range g.state.Roster.ByService(x.service.Name) {
 		r.PaceColdPermits(now, interval, rand.Float64())
 	}
--- a/retry/service_budgets.go
+++ b/retry/service_budgets.go
@@ -13,8 +13,6 @@
 	slotsPerWindow = 40
 	// slotCount is the number of time slots for which requests are counted: two windows.
 	slotCount = 2 * slotsPerWindow
-	// DefaultEntries is the number of entries assumed to share the slack until SetEntries is called.
-	DefaultEntries = 8
 	// maxExtra is the largest number of repeats in a window that an entry sends beyond those that its requests allow.
 	maxExtra = 2
 )
@@ -39,9 +37,11 @@
 	Slack  float64
 	// Started is when the process started.
 	Started time.Time
+	// Entries returns the number of entries as far as it is known. A number that is too small does not raise what an entry
+	// uses of Slack above maxExtra.
+	Entries func() int
 
 	mu       sync.Mutex
-	entries  int
 	services map[rillreach.ServiceID]*window
 }
 
@@ -67,29 +67,6 @@
 	slot   int64
 }
 
-// SetEntries sets the number of entries that share the slack. A number that is too small does not raise what an entry uses
-// of it above maxExtra.
-func (b *ServiceBudgets) SetEntries(n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.entries = n
-}
-
-// Entries returns the number of entries that share the slack, or DefaultEntries if it is not known.
-func (b *ServiceBudgets) Entries() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.entryCount()
-}
-
-// entryCount is Entries for callers that hold the lock.
-func (b *ServiceBudgets) entryCount() int {
-	if b.entries == 0 {
-		return DefaultEntries
-	}
-	return b.entries
-}
-
 // RecordRequest counts a caller's request to the service.
 func (b *ServiceBudgets) RecordRequest(now time.Time, service rillreach.ServiceID) {
 	b.mu.Lock()
@@ -223,7 +200,9 @@
 		return 0
 	}
 	share := maxExtra
-	share = min(share, int(b.Slack)/b.entryCount())
+	if entries := b.Entries(); entries > 0 {
+		share = min(share, int(b.Slack)/entries)
+	}
 	return share - sumOfLatest(&w.extra, w.lastSlot, slotsPerWindow+1)
 }
 
