Count a repeat when it is sent, not when it is decided on

A repeat that waits for room at an engine was counted when it was decided on, up to the request's whole time before it arrived. Repeats that were decided on and not sent, since the caller had left or no runner was found, stayed counted.

Cause: a count at the entry's decision stands for one of arrivals at the runners.

Ruled out: asking the budget at the send alone, so that a request would wait in the queue and be refused only then although others have taken what it waited for.

Change: a repeat is set aside when it is decided on, counted when it is sent, and given back if it is not sent or has not reached a runner. One that no longer fits when it can be sent is refused (`repeat decided decision=expire`).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/internal/operation"
 	"github.com/rillreach/rillreach/platform"
+	"github.com/rillreach/rillreach/retry"
 )
 
 // attempt is one send of a request to one runner, up to the end of that runner's answer.
@@ -30,6 +31,8 @@
 	// stopAfterEnd unregisters the callback for the end of the runner's process.
 	stopAfterEnd func() bool
 
+	// repeat is the repeat that the send counts as in the retry budget, nil for the first send of the request.
+	repeat *retry.Repeat
 	// call is what is sent to the runner, at sentAt, and continues is set if it asks for the rest of a stream. sending runs
 	// until its answer begins.
 	call      forward.Request
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/pinning"
 	"github.com/rillreach/rillreach/platform"
+	"github.com/rillreach/rillreach/retry"
 )
 
 // exchange is one request of a caller and the state of its handling.
@@ -61,6 +62,10 @@
 	admissionWait  time.Duration
 	retryNotBefore time.Time
 
+	// repeat is set aside in the retry budget for the next send, nil if none is, and repeatKind is why.
+	repeat     *retry.Repeat
+	repeatKind repeatKind
+
 	*progress
 }
 
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -23,6 +23,7 @@
 	defer g.inflight.Done()
 	x := newExchange(w, r)
 	defer g.cancelUnusedTrial(x)
+	defer g.returnRepeat(x)
 	g.awaitSync(r.Context())
 	refusal := g.admit(x)
 	if refusal == nil {
@@ -262,7 +263,7 @@
 		return "runners-used"
 	case g.isQuarantined(x), x.sends.runCount() > 0 && g.hasSuspectedPart(x):
 		return verdictCrashesRunners
-	case !g.spendRepeat(x, repeatRetry):
+	case !g.reserveRepeat(x, repeatRetry):
 		return verdictBudgetExhausted
 	default:
 		return ""
--- a/gateway/repeats.go
+++ b/gateway/repeats.go
@@ -16,6 +16,8 @@
 const (
 	repeatAllowed = "allow"
 	repeatDenied  = "deny"
+	// repeatExpired means that a repeat was allowed, and is denied by the time at which it can be sent.
+	repeatExpired = "expire"
 )
 
 // newBudgets returns the retry budgets of a process that starts now.
@@ -29,22 +31,53 @@
 	return g.budgets.Allows(g.Clock.Now(), x.service.Name)
 }
 
-// spendRepeat takes a repeat of the request from the retry budget, and reports whether the budget allows it.
-func (g *Gateway) spendRepeat(x *exchange, kind repeatKind) bool {
-	now := g.Clock.Now()
-	verdict := repeatDenied
-	if repeat := g.budgets.Reserve(now, x.service.Name); repeat != nil && repeat.Send(now) {
-		verdict = repeatAllowed
+// reserveRepeat sets a repeat of the request aside in the retry budget, unless it has one. It reports whether the budget
+// allows it.
+func (g *Gateway) reserveRepeat(x *exchange, kind repeatKind) bool {
+	if x.repeat != nil {
+		return true
+	}
+	x.repeat, x.repeatKind = g.budgets.Reserve(g.Clock.Now(), x.service.Name), kind
+	if x.repeat == nil {
+		g.recordRepeat(x, repeatDenied)
+		return false
+	}
+	return true
+}
+
+// takeRepeat counts the request's repeat, if it is one, at the moment at which it is sent. It returns the repeat, nil if
+// the request is sent for the first time, and reports whether the budget allows it.
+func (g *Gateway) takeRepeat(x *exchange) (*retry.Repeat, bool) {
+	if x.sends.sendCount() == 0 {
+		return nil, true
+	}
+	if !g.reserveRepeat(x, repeatRetry) {
+		return nil, false
+	}
+	if !x.repeat.Send(g.Clock.Now()) {
+		g.recordRepeat(x, repeatExpired)
+		g.returnRepeat(x)
+		return nil, false
+	}
+	g.recordRepeat(x, repeatAllowed)
+	sent := x.repeat
+	x.repeat = nil
+	return sent, true
+}
+
+// returnRepeat gives back the repeat that was set aside for the request, if it was not sent.
+func (g *Gateway) returnRepeat(x *exchange) {
+	if x.repeat != nil {
+		x.repeat.Return(g.Clock.Now())
+		x.repeat = nil
 	}
-	g.recordRepeat(x, kind, verdict)
-	return verdict == repeatAllowed
 }
 
 // recordRepeat counts and logs a verdict on a repeat, with what it is based on.
-func (g *Gateway) recordRepeat(x *exchange, kind repeatKind, verdict string) {
+func (g *Gateway) recordRepeat(x *exchange, verdict string) {
 	now := g.Clock.Now()
 	u := g.budgets.Usage(now, x.service.Name)
-	g.Metrics.CountRepeat(string(x.service.Name), string(kind), verdict)
-	g.Log.Info("repeat decided", "decision", verdict, "request", x.wire.ID, "service", x.service.Name, "kind", kind,
+	g.Metrics.CountRepeat(string(x.service.Name), string(x.repeatKind), verdict)
+	g.Log.Info("repeat decided", "decision", verdict, "request", x.wire.ID, "service", x.service.Name, "kind", x.repeatKind,
 		"repeats", u.Repeats, "reserved", u.Reserved, "requests", u.Requests, "left", u.Left)
 }
--- a/gateway/repeats_test.go
+++ b/gateway/repeats_test.go
@@ -31,6 +31,9 @@
 	// wanted is whether requests fail at their first runner, and target the index of the entry that gets the next request.
 	wanted bool
 	target int
+	// wait is whether repeats wait after they were decided on, for room at a runner, and waiting those that do.
+	wait    bool
+	waiting []func()
 	// requests and repeats are the times of those so far.
 	requests, repeats []time.Time
 }
@@ -86,14 +89,32 @@
 	}
 }
 
-// repeat makes an entry send a request once more, if its budget allows.
+// repeat makes an entry send a request once more, if its budget allows. If repeats wait, it is only decided on.
 func (p *repeatPlayers) repeat(i int) {
 	g := p.entries[i]
 	x := &exchange{service: &deployment.Service{Name: "s"}, sends: &sendHistory{}}
 	x.sends.recordSend("first")
-	if g.spendRepeat(x, repeatRetry) {
-		p.repeats = append(p.repeats, p.now)
+	if !g.reserveRepeat(x, repeatRetry) {
+		return
 	}
+	send := func() {
+		if _, allowed := g.takeRepeat(x); allowed {
+			p.repeats = append(p.repeats, p.now)
+		}
+	}
+	if p.wait {
+		p.waiting = append(p.waiting, send)
+		return
+	}
+	send()
+}
+
+// sendWaiting sends all repeats that wait.
+func (p *repeatPlayers) sendWaiting() {
+	for _, send := range p.waiting {
+		send()
+	}
+	p.wait, p.waiting = false, nil
 }
 
 // assertWithinBudget checks the repeats of all entries against the published rule, in each window that begins with one.
@@ -218,6 +239,18 @@
 		p.playSpentBefore(5, func() { copy(p.entries[:5], p.entries[5:]) })
 		p.assertWithinBudget(t)
 	})
+	t.Run("repeats wait for room and are sent together", func(t *testing.T) {
+		p := newRepeatPlayers(10)
+		p.wait = true
+		p.play(func(elapsed time.Duration) int {
+			p.followAll()
+			if elapsed == 12*time.Second {
+				p.sendWaiting()
+			}
+			return len(p.entries)
+		})
+		p.assertWithinBudget(t)
+	})
 	t.Run("no agent is reachable", func(t *testing.T) {
 		p := newRepeatPlayers(24)
 		p.play(func(time.Duration) int { return len(p.entries) })
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -20,6 +20,11 @@
 	}
 	g, x, t := a.gateway, a.exchange, a.target
 	if a.sentAt.IsZero() {
+		var allowed bool
+		if a.repeat, allowed = g.takeRepeat(x); !allowed {
+			x.reason, x.noRunnerLeft = verdictBudgetExhausted, true
+			return false
+		}
 		a.call = x.call
 		a.call.Header = g.directions(x, t).Merge(x.request.Header)
 		x.sends.recordSend(t.view.ID)
@@ -73,6 +78,9 @@
 	if errors.Is(err, forward.ErrNotSent) {
 		a.exchange.sends.recordOutcome(a.target.view.ID, sendNotMade)
 		a.exchange.failedSends++
+		if a.repeat != nil {
+			a.repeat.Return(a.gateway.Clock.Now())
+		}
 	}
 	a.handleFailure(err)
 }
--- a/gateway/start_hedge.go
+++ b/gateway/start_hedge.go
@@ -40,11 +40,12 @@
 	}
 	o := g.findOptions(x, g.viewsAt(now), now)
 	choice := g.chooseAvailable(x, o, now)
-	if choice.Index < 0 || !g.spendRepeat(x, repeatHedge) {
+	if choice.Index < 0 || !g.reserveRepeat(x, repeatHedge) {
 		return false
 	}
 	t := g.assign(x, o, choice, now)
 	if t == nil {
+		g.returnRepeat(x)
 		return false
 	}
 	a.retireHedge()
