Give back a repeat that turns out to be the first send of its request

A hedge sets a repeat aside while its primary connects. If the primary reaches no runner, the hedge's send is the first one and free, and the repeat stayed set aside for as long as the process lived, so that others were refused.

Ruled out: other ways out of a hedge, which all end in a send, and of a request, which gives back what it holds.

Change: the repeat is given back at that send.

Result: TestUnsentRepeatIsKept, whose first case was red without this change.

--- a/gateway/repeats.go
+++ b/gateway/repeats.go
@@ -49,6 +49,7 @@
 // the request is sent for the first time, and reports whether the budget allows it.
 func (g *Gateway) takeRepeat(x *exchange) (*retry.Repeat, bool) {
 	if x.sends.sendCount() == 0 {
+		g.returnRepeat(x) // the send that it was set aside beside has reached no runner
 		return nil, true
 	}
 	if !g.reserveRepeat(x, repeatRetry) {
--- a/gateway/repeats_test.go
+++ b/gateway/repeats_test.go
@@ -272,6 +272,49 @@
 	})
 }
 
+// Guards against repeats that stay set aside for ever, so that others are refused.
+func TestUnsentRepeatIsKept(t *testing.T) {
+	begin := func() (*repeatPlayers, *Gateway, *exchange) {
+		p := newRepeatPlayers(1)
+		p.wanted = false
+		for range 10 {
+			p.request(1)
+		}
+		x := &exchange{service: &deployment.Service{Name: "s"}, sends: &sendHistory{}}
+		return p, p.entries[0], x
+	}
+	assertNoneKept := func(t *testing.T, p *repeatPlayers, g *Gateway) {
+		t.Helper()
+		assert.Zero(t, g.budgets.Usage(p.now, "s").Reserved)
+	}
+	t.Run("the send turns out to be the first one", func(t *testing.T) {
+		p, g, x := begin()
+		assert.True(t, g.reserveRepeat(x, repeatHedge))
+		_, allowed := g.takeRepeat(x)
+		assert.True(t, allowed)
+		assertNoneKept(t, p, g)
+	})
+	t.Run("too much time has passed since it was decided on", func(t *testing.T) {
+		p, g, x := begin()
+		g.budgets.Slack = 0
+		x.sends.recordSend("first")
+		assert.True(t, g.reserveRepeat(x, repeatRetry))
+		p.now = p.now.Add(repeatWindow)
+		_, allowed := g.takeRepeat(x)
+		assert.False(t, allowed)
+		assertNoneKept(t, p, g)
+	})
+	t.Run("a repeat is set aside once", func(t *testing.T) {
+		p, g, x := begin()
+		x.sends.recordSend("first")
+		assert.True(t, g.reserveRepeat(x, repeatRetry))
+		assert.True(t, g.reserveRepeat(x, repeatRetry))
+		assert.Equal(t, 1, g.budgets.Usage(p.now, "s").Reserved)
+		g.returnRepeat(x)
+		assertNoneKept(t, p, g)
+	})
+}
+
 // playSpentBefore lets requests come to the first n entries. After some calm these entries send all repeats that they may,
 // and the event comes. From then on each request wants a repeat.
 func (p *repeatPlayers) playSpentBefore(n int, event func()) {
