Soak the retry budget: all runners refuse most requests while processes are killed in series

The soak's judge checked no retry budget at all. It now counts, for each service and every window, the arrivals at its runners beyond the first of each request, against what the platform allows; a new schedule (`--repeats`) has all runners refuse nine in ten requests beside kills and stops in series. No check or bound of the soak was changed.

--- a/soak/backpressure.go
+++ b/soak/backpressure.go
@@ -83,8 +83,9 @@
 	if a.Refused {
 		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
 		site.WriteNotExecuted(w, r)
+		return true
 	}
-	return a.Refused
+	return l.refuseOverload(a, w, r)
 }
 
 func (l *eventLog) recordArrival(a arrival) {
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -93,6 +93,7 @@
 	r.checkBackpressure(report)
 	r.checkUnexpectedExits(timed, report)
 	r.checkSoftwareVersions(report)
+	r.checkRetryBudget(report)
 	if timed {
 		r.checkWeights(report)
 		r.checkLeaving(report)
--- a/soak/runner.go
+++ b/soak/runner.go
@@ -25,6 +25,8 @@
 	softwareRuns []softwareRun
 	// arrivals holds the requests that reached runners, whether or not these sent backpressure signals.
 	arrivals []arrival
+	// overloadedUntil is until when all runners refuse most requests.
+	overloadedUntil time.Time
 }
 
 // endRun records that a run has crashed, so that it begins no more executions. Its handlers, which run in this process,
