--- a/retry/service_budgets_test.go
+++ b/retry/service_budgets_test.go
@@ -245,3 +245,18 @@
 	assert.InDelta(t, 0, before, 0)
 	assert.InDelta(t, 1, p.budgets.Remaining(now.Add(time.Minute)), 0, "all repeats have left the window")
 }
+
+// BenchmarkRepeat measures deciding on a repeat and counting it.
+func BenchmarkRepeat(b *testing.B) {
+	now := time.Unix(1000, 0)
+	p := newProcess(now, 0, 1)
+	p.request(now, 1000)
+	b.ReportAllocs()
+	for b.Loop() {
+		repeat := p.budgets.Reserve(now, "s")
+		if !repeat.Send(now) {
+			b.Fatal("the budget is used up")
+		}
+		repeat.Return(now)
+	}
+}
