Let requests replenish the retry budget of our own interface, and charge no retry that finds no agent

Its log: ten requests of a caller that repeats fail at the only agent, whose engine is gone, each charged a retry for which there is no other agent; then a second agent registers, every request still begins at the first one, and is refused with `budget-spent`.

Cause: only a success added to the budget, and only a retry could have succeeded.

Ruled out: the change of the other interface's budget, which shares no code with this one; load, which only decided how many requests came before the second agent was listed.

Change: each request adds to the budget, whether or not it succeeds, so that a tenth of the requests may be retried for good; a retry that finds no agent is given back.

--- a/filter/dispatch/dispatch.go
+++ b/filter/dispatch/dispatch.go
@@ -40,6 +40,7 @@
 func (f *Filter) Run(ctx context.Context, x *rillreach.Exchange) error {
 	ctx, cancel := context.WithDeadlineCause(ctx, f.contextDeadline(x), errDeadlineExceeded)
 	defer cancel()
+	f.Budget.RecordRequest()
 	if x.Request.AtMostOnce {
 		return f.runAtMostOnce(ctx, x)
 	}
@@ -63,9 +64,6 @@
 	if err != nil {
 		err = f.awaitUnacked(ctx, x, unacked, err)
 	}
-	if err == nil {
-		f.Budget.RecordSuccess()
-	}
 	return err
 }
 
@@ -81,6 +79,9 @@
 			m, err = f.awaitNewAgent(ctx, x, tried, attempt)
 		}
 		if err != nil {
+			if attempt > 1 {
+				f.Budget.Return()
+			}
 			return overallRefusal(asRefusal(err), mayHaveRun)
 		}
 		if err = try(m, attempt); err == nil {
--- a/filter/dispatch/dispatch_test.go
+++ b/filter/dispatch/dispatch_test.go
@@ -97,6 +97,19 @@
 	}
 }
 
+// Guards against requests that use up the retry budget though there is no agent to retry at, so that others fail later.
+func TestRetryWithoutAgentUsesUpBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, 1)
+		for range 3 * retry.DefaultReserve {
+			assertRefusal(t, f.runAttempts(t.Context(), errNoBackend), rillreach.OutcomeNotRun)
+			f.attempts = 0
+		}
+		f.announce(1)
+		require.NoError(t, f.runAttempts(t.Context(), errNoBackend))
+	})
+}
+
 // A request that may have run failed because the entry learned of an agent only after all others had failed. Time is
 // virtual.
 func TestWaitForUndiscoveredAgent(t *testing.T) {
