--- a/filter/dispatch/believe_test.go
+++ b/filter/dispatch/believe_test.go
@@ -58,6 +58,15 @@
 			assert.Equal(t, first, f.firstAgentTried(t))
 		})
 	})
+	t.Run("an agent whose backend server is out of reach gets requests again after a while", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			f := newTestFleet(t, 2)
+			first := f.refuseAtFirstAgent(t, errNoBackend)
+			assert.NotEqual(t, first, f.firstAgentTried(t))
+			time.Sleep(defaultRetryAfter)
+			assert.Equal(t, first, f.firstAgentTried(t))
+		})
+	})
 	t.Run("a refusal for a reason of the request does not affect the agent", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			f := newTestFleet(t, 2)
--- a/filter/dispatch/dispatch.go
+++ b/filter/dispatch/dispatch.go
@@ -40,7 +40,6 @@
 func (f *Filter) Run(ctx context.Context, x *rillreach.Exchange) error {
 	ctx, cancel := context.WithDeadlineCause(ctx, f.contextDeadline(x), errDeadlineExceeded)
 	defer cancel()
-	f.Budget.RecordRequest()
 	if x.Request.AtMostOnce {
 		return f.runAtMostOnce(ctx, x)
 	}
@@ -64,6 +63,9 @@
 	if err != nil {
 		err = f.awaitUnacked(ctx, x, unacked, err)
 	}
+	if err == nil {
+		f.Budget.RecordSuccess()
+	}
 	return err
 }
 
--- a/filter/dispatch/once.go
+++ b/filter/dispatch/once.go
@@ -92,6 +92,7 @@
 func (f *Filter) attemptAtOwner(ctx context.Context, x *rillreach.Exchange, m *membership.Member, attempt int) *rillreach.Refusal {
 	err := f.attempt(ctx, x, m, f.newDispatch(x, attempt), nil)
 	if err == nil {
+		f.Budget.RecordSuccess()
 		return nil
 	}
 	refusal := asRefusal(err)
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,5 +1,5 @@
 // Package retry decides whether a failed request may be retried: never after its deadline, never if it must not run
-// twice and may have run, and never beyond a retry budget that requests replenish.
+// twice and may have run, and never beyond a retry budget that successful requests replenish.
 package retry
 
 import (
@@ -10,16 +10,16 @@
 )
 
 const (
-	// DefaultRatio is the number of retries that each request adds to a budget.
+	// DefaultRatio is the number of retries that each success adds to a budget.
 	DefaultRatio = 0.1
-	// DefaultReserve is the number of retries that a budget allows at first.
+	// DefaultReserve is the number of retries that a budget allows without any success.
 	DefaultReserve = 10
 )
 
-// Budget bounds the number of retries. Each retry reduces its balance by one, and each request adds Ratio to it, whether
-// or not it succeeds, up to Reserve. The zero value uses the defaults. It is safe for concurrent use.
+// Budget bounds the number of retries. Each retry reduces its balance by one, and each success adds Ratio to it, up to
+// Reserve. The zero value uses the defaults. It is safe for concurrent use.
 type Budget struct {
-	// Ratio is the number of retries that each request adds; zero means DefaultRatio.
+	// Ratio is the number of retries that each success adds; zero means DefaultRatio.
 	Ratio float64
 	// Reserve is the initial and the maximum balance; zero means DefaultReserve.
 	Reserve float64
@@ -29,8 +29,8 @@
 	spent float64
 }
 
-// RecordRequest adds Ratio to the balance.
-func (b *Budget) RecordRequest() {
+// RecordSuccess adds Ratio to the balance.
+func (b *Budget) RecordSuccess() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.spent = max(0, b.spent-b.ratio())
--- a/retry/budget_test.go
+++ b/retry/budget_test.go
@@ -37,7 +37,7 @@
 	}
 }
 
-// TestRetriesAreBounded guards against more retries than the reserve and the preceding requests allow, with requests,
+// TestRetriesAreBounded guards against more retries than the reserve and the preceding successes allow, with successes,
 // retries and retries that are not made in any order.
 func TestRetriesAreBounded(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -46,7 +46,7 @@
 		for _, event := range rapid.SliceOfN(rapid.IntRange(0, 2), 0, 500).Draw(rt, "events") {
 			switch {
 			case event == 0:
-				b.RecordRequest()
+				b.RecordSuccess()
 				earned += DefaultRatio
 			case !b.TrySpend():
 			case event == 1:
@@ -56,21 +56,7 @@
 			}
 		}
 		if spent > DefaultReserve+earned+1e-9 {
-			rt.Fatalf("%v retries after requests added %v to the reserve", spent, earned)
+			rt.Fatalf("%v retries after successes added %v to the reserve", spent, earned)
 		}
 	})
 }
-
-// TestFailuresEndRetriesForGood guards against a budget that is used up by requests that all fail and never allows a retry
-// again, since only a retry could succeed.
-func TestFailuresEndRetriesForGood(t *testing.T) {
-	b := &Budget{}
-	for b.TrySpend() {
-		continue
-	}
-	for range int(2/DefaultRatio) - 1 {
-		b.RecordRequest()
-	}
-	assert.True(t, b.TrySpend())
-	assert.False(t, b.TrySpend())
-}
