Let the test of a quarantined part crash runners clearly apart

Cause (traced: the crashes that the other entry knew, with their ages): the test lets runners crash 100 ms after one another, which is just the time within which crashes count as one. The entry that sees them counts four. Another entry takes a crash's time from when the report arrives; there two of them lie 92.8 to 99.8 ms apart, so that it counts three, and holds the part back only after the next one.

Ruled out: a report that is lost: the other entry has all four crashes in each red play.

Change: the test's crashes are two such times apart; what it asserts of each entry is as before. That the case of before is allowed: four crashes are one less than all entries may need, and TestPartCrashesRunners still plays requests 100 ms apart at two entries against the rule itself.

--- a/gateway/fatal_part_test.go
+++ b/gateway/fatal_part_test.go
@@ -23,6 +23,9 @@
 	// fatalPartRunners is the number of runners, and fatalPartInterval the time between two requests with the part.
 	fatalPartRunners  = 60
 	fatalPartInterval = 100 * time.Millisecond
+	// separateCrashInterval is a time between two crashes after which all entries count them as two. Those that hear of them
+	// from others know their times only as exactly as messages arrive.
+	separateCrashInterval = 2 * fatalPartInterval
 )
 
 // fatalPartRunner returns a runner that crashes when it begins to answer a prompt with the part.
@@ -159,7 +162,7 @@
 	t.Helper()
 	for number := 0; len(w.gateway.suspects.QuarantinedParts(w.gateway.Clock.Now())) == 0; number++ {
 		w.send(t, "POST", "/flow/x", fmt.Sprint(number), promptHeader(number, openingPart, fatalPart)...)
-		time.Sleep(fatalPartInterval)
+		time.Sleep(separateCrashInterval)
 		assert.Less(t, number, fatalPartRunners)
 	}
 }
