Start the entries of tests at ports that nobody else takes

Cause (read, from that line): the tests choose an ephemeral port, close it and start a process that listens there. Until it does, any outgoing connection or listener of the machine may get the port; tests of other packages run at the same time.

Ruled out: two entries of one test at the same port, since each listens at an address that was free after the others were chosen.

Change: such ports lie below the ephemeral range, as those of soaks already do; both take them from one place now, standin.Ports.

--- a/e2e/platform_test.go
+++ b/e2e/platform_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -18,6 +19,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/rillreach/rillreach/internal/standin"
 	"github.com/rillreach/rillreach/internal/standin/site"
 )
 
@@ -31,12 +33,15 @@
 	validSettings    string
 }
 
+// ports gives out the ports of the entries. Test programs that run at the same time begin at different ones.
+var ports = standin.Ports{Next: uint16(rand.IntN(standin.PortCount))}
+
+// freeAddress returns an address that stays free until a process listens there.
 func freeAddress(t *testing.T, host string) string {
 	t.Helper()
-	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	address, err := ports.Free(netip.MustParseAddr(host))
 	require.NoError(t, err)
-	defer func() { require.NoError(t, l.Close()) }()
-	return l.Addr().String()
+	return address.String()
 }
 
 func startPlatformEntry(t *testing.T, store string) *platformEntry {
--- a/soak/address.go
+++ b/soak/address.go
@@ -8,6 +8,8 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/rillreach/rillreach/internal/standin"
 )
 
 const (
@@ -15,12 +17,8 @@
 	// are left to other programs.
 	minNetwork = 1
 	maxNetwork = 254
-	// firstPort and portCount define the range of ports for the processes. It lies below the ephemeral port range, so
-	// that no outgoing connection occupies the port of a process that is being restarted.
-	firstPort = 12000
-	portCount = 20000
 	// claimPort is held open by the owner of a network.
-	claimPort = firstPort - 1
+	claimPort = standin.FirstPort - 1
 )
 
 // tagSeparator separates the name of a request from the tag of its cluster.
@@ -32,9 +30,9 @@
 // network is a range of loopback addresses that belongs to one cluster, so that the processes of clusters that run at
 // the same time never reach each other.
 type network struct {
-	second   byte
-	claim    net.Listener
-	nextPort uint16
+	second byte
+	claim  net.Listener
+	ports  standin.Ports
 	// tag distinguishes the request IDs of this cluster from those of all others.
 	tag string
 }
@@ -82,17 +80,3 @@
 	address[2] += serverOffset
 	return netip.AddrFrom4(address)
 }
-
-// freePort returns the address and a port of the host that is currently free.
-func (n *network) freePort(host netip.Addr) (netip.AddrPort, error) {
-	var err error
-	for range portCount {
-		address := netip.AddrPortFrom(host, firstPort+n.nextPort)
-		n.nextPort = (n.nextPort + 1) % portCount
-		var l net.Listener
-		if l, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", address.String()); err == nil {
-			return address, l.Close()
-		}
-	}
-	return netip.AddrPort{}, errors.Wrap(err, "find a free port")
-}
--- a/soak/address_test.go
+++ b/soak/address_test.go
@@ -27,9 +27,9 @@
 	n, err := claimNetwork()
 	require.NoError(t, err)
 	t.Run("a port is given out once", func(t *testing.T) {
-		first, err := n.freePort(n.host())
+		first, err := n.ports.Free(n.host())
 		require.NoError(t, err)
-		second, err := n.freePort(n.host())
+		second, err := n.ports.Free(n.host())
 		require.NoError(t, err)
 		assert.NotEqual(t, first, second)
 	})
--- a/soak/process.go
+++ b/soak/process.go
@@ -53,7 +53,7 @@
 		return err
 	}
 	p.settings.PlatformAddress = p.storeProxy.address()
-	if p.metricsAddress, err = n.freePort(p.settings.Host); err != nil {
+	if p.metricsAddress, err = n.ports.Free(p.settings.Host); err != nil {
 		return err
 	}
 	return p.write(p.settings.TOML())
@@ -62,7 +62,7 @@
 func newEntry(number int, binary, dir string, n *network, store netip.AddrPort, peerPort uint16) (*entry, error) {
 	e := &entry{number: number, process: process{role: "entry", binary: binary, dir: dir}}
 	for _, address := range []*string{&e.callerAddress, &e.readinessAddress} {
-		free, err := n.freePort(n.host())
+		free, err := n.ports.Free(n.host())
 		if err != nil {
 			return nil, err
 		}
--- a/soak/world.go
+++ b/soak/world.go
@@ -85,7 +85,7 @@
 	c.publishConfig()
 	c.publishWeights()
 	store := netip.MustParseAddrPort(strings.TrimPrefix(c.server.URL, "http://"))
-	peers, err := c.network.freePort(c.network.host())
+	peers, err := c.network.ports.Free(c.network.host())
 	if err != nil {
 		return nil, err
 	}
