--- a/internal/standin/ports.go
+++ b/internal/standin/ports.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// FirstPort is the first port that Ports gives out, and PortCount is how many there are from there on. They lie below
-	// the ephemeral port range, so that no outgoing connection and no listener on port zero takes one before its use.
+	// FirstPort is the first port that Ports gives out.
 	FirstPort = 12000
+	// PortCount is the number of ports from there on. They lie below the ephemeral port range, so that no outgoing
+	// connection and no listener on port zero takes one before its use.
 	PortCount = 20000
 )
 
--- a/internal/standin/ports_test.go
+++ b/internal/standin/ports_test.go
@@ -20,7 +20,8 @@
 	}
 	t.Run("a port is given out once", func(t *testing.T) {
 		p := &Ports{}
-		assert.NotEqual(t, free(t, p), free(t, p))
+		first := free(t, p)
+		assert.NotEqual(t, first, free(t, p))
 	})
 	t.Run("a port in use is left out", func(t *testing.T) {
 		used := free(t, &Ports{})
