Send a call of the demo with a new ticket if it was not run

Ruled out: taking a new ticket after any failure, which would run a call twice whose first outcome is unknown.

Change: a call that all entries refuse as not run is sent again with a new ticket, three times at most.

--- a/demo/run.go
+++ b/demo/run.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/rillreach/rillreach"
@@ -27,6 +29,7 @@
 	weightSteps           = 5
 	roundDuration         = 1500 * time.Millisecond
 	nonIdempotentInterval = 100 * time.Millisecond
+	maxTickets            = 3
 	certLifetime          = 24 * time.Hour
 	tokenInterval         = 2 * time.Millisecond
 	prefillRate           = 40_000
@@ -191,19 +194,14 @@
 	return nil
 }
 
-// callNonIdempotent sends calls that must not run twice, each to all entries at once with the same ticket.
+// errNotRun marks the refusal of a call that was certainly not run.
+var errNotRun = errors.New("call was not run")
+
+// callNonIdempotent sends calls that must not run twice.
 func (d *demonstration) callNonIdempotent(ctx context.Context, end time.Time) error {
 	for time.Now().Before(end) {
 		body := uuid.NewString()
-		group := pool.New().WithContext(ctx)
-		ticket, err := d.ticket(ctx)
-		if err != nil {
-			return err
-		}
-		for _, url := range d.fleet.URLs {
-			group.Go(func(ctx context.Context) error { return d.sendCall(ctx, url, ticket, body) })
-		}
-		err = group.Wait()
+		err := d.callUntilRun(ctx, body)
 		d.mu.Lock()
 		d.sentBodies[body] = err == nil
 		if err != nil {
@@ -215,6 +213,44 @@
 	return nil
 }
 
+// callUntilRun sends a call. If it was not run it is sent again with a new ticket, since the agent that a ticket names may
+// have been taken out of use meanwhile.
+func (d *demonstration) callUntilRun(ctx context.Context, body string) error {
+	var err error
+	for range maxTickets {
+		var ticket string
+		if ticket, err = d.ticket(ctx); err != nil {
+			return err
+		}
+		if err = d.callAllEntries(ctx, ticket, body); !errors.Is(err, errNotRun) {
+			return err
+		}
+		time.Sleep(nonIdempotentInterval)
+	}
+	return err
+}
+
+// callAllEntries sends a call to all entries at once with the same ticket. The error is errNotRun only if all of them refuse
+// the call as not run.
+func (d *demonstration) callAllEntries(ctx context.Context, ticket, body string) error {
+	errs := make([]error, len(d.fleet.URLs))
+	var calls conc.WaitGroup
+	for i, url := range d.fleet.URLs {
+		calls.Go(func() { errs[i] = d.sendCall(ctx, url, ticket, body) })
+	}
+	calls.Wait()
+	mayHaveRun := func(err error) bool { return !errors.Is(err, errNotRun) }
+	if !slices.ContainsFunc(errs, mayHaveRun) {
+		return errNotRun
+	}
+	for _, err := range errs {
+		if err != nil {
+			return errors.Newf("call that may have run failed at an entry: %v", err)
+		}
+	}
+	return nil
+}
+
 func (d *demonstration) ticket(ctx context.Context) (string, error) {
 	answer, err := d.post(ctx, d.fleet.URLs[0]+"/v1/tickets/"+string(Service), "", "")
 	if err != nil {
@@ -252,7 +288,11 @@
 		return "", errors.Wrap(err, "read response")
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
-		return "", errors.Newf("status %d: %s", resp.StatusCode, data)
+		err := errors.Newf("status %d: %s", resp.StatusCode, data)
+		if resp.Header.Get(rillreach.HeaderOutcome) == string(rillreach.OutcomeNotRun) {
+			err = errors.Mark(err, errNotRun)
+		}
+		return "", err
 	}
 	return string(data), nil
 }
