Record data of a caller in the same step that reads it

Cause: data leaves the socket when it is read, and was recorded as the beginning of a request only afterwards. In between, a connection has no unread data and no request, and counts as idle.

Ruled out: a deadline in place of the close, since package http sets deadlines of its own on the same connection; a read by hand through the raw socket, whose errors package http doesn't know.

Change: a read of a connection that may be closed as idle waits until there is something to read, and then reads and records it under the lock under which idle connections are closed.

Result: TestIdleCloserClosesConnectionBeingRead, red before (the connection is closed, its answer can't be written); TestTrackedConn for the errors that package http looks at.

--- a/callerconn/idle.go
+++ b/callerconn/idle.go
@@ -52,15 +52,24 @@
 	}
 }
 
-// recordRead records that data has arrived on a connection, which may be the start of a request. The server itself
-// reports a request only once it has read the complete head.
-func (k *IdleCloser) recordRead(conn net.Conn) {
+// tracks reports whether the connection may be closed as idle, or because the head of a request takes too long.
+func (k *IdleCloser) tracks(conn net.Conn) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if tracked := k.conns[conn]; tracked != nil && !tracked.readingHead {
+	return k.conns[conn] != nil
+}
+
+// read reads the data that has arrived on a connection, and records that a request may have begun. The server itself
+// reports a request only once it has read the complete head. The connection must be readable.
+func (k *IdleCloser) read(conn *trackedConn, buf []byte) (int, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	n, err := conn.Conn.Read(buf)
+	if tracked := k.conns[conn]; n > 0 && tracked != nil && !tracked.readingHead {
 		tracked.readingHead, tracked.since = true, time.Now()
 		tracked.timer.Reset(k.HeadTimeout())
 	}
+	return n, err
 }
 
 // remaining returns how much longer the connection may stay in its present state.
--- a/callerconn/listener.go
+++ b/callerconn/listener.go
@@ -50,13 +50,13 @@
 	idleConns *IdleCloser
 }
 
-// Read reads from the connection, and records that data has arrived.
+// Read reads from the connection, and records that data has arrived. The data is taken and recorded in one step, so that the
+// connection is not closed as idle in between.
 func (c *trackedConn) Read(buf []byte) (int, error) {
-	n, err := c.Conn.Read(buf)
-	if n > 0 {
-		c.idleConns.recordRead(c)
+	if !c.idleConns.tracks(c) || socket.AwaitReadable(c.Conn) != nil {
+		return c.Conn.Read(buf) // returns the reason why the wait has failed
 	}
-	return n, err
+	return c.idleConns.read(c, buf)
 }
 
 // hasUnread reports whether data has arrived that was not read yet.
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -34,14 +34,39 @@
 func IsQuiet(conn any) (bool, error) {
 	quiet := true
 	err := control(conn, func(fd int) error {
-		var buf [1]byte
-		_, _, err := unix.Recvfrom(fd, buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = errors.Is(err, unix.EAGAIN)
+		quiet = !isReadable(fd)
 		return nil
 	})
 	return quiet, errors.Wrap(err, "peek at connection")
 }
 
+// ErrNoSocket means that a connection is not a socket.
+var ErrNoSocket = errors.New("connection is not a socket")
+
+// AwaitReadable waits until a read from the connection would return at once, or until the connection's read deadline.
+func AwaitReadable(conn any) error {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return ErrNoSocket
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "access socket")
+	}
+	return errors.Wrap(raw.Read(func(fd uintptr) bool { return isReadable(int(fd)) }), "wait for data")
+}
+
+// isReadable reports whether a socket has data to read, has reached the end of its data or has failed.
+func isReadable(fd int) bool {
+	var buf [1]byte
+	for {
+		_, _, err := unix.Recvfrom(fd, buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		if !errors.Is(err, unix.EINTR) {
+			return !errors.Is(err, unix.EAGAIN)
+		}
+	}
+}
+
 // HasPendingConn reports whether a listener has connections that were not accepted yet. It is false if the listener is
 // not a socket.
 func HasPendingConn(listener any) (bool, error) {
