Keep the header of the soak's responses that end with their connection

Change: the response begins with the header that was set. No check of the soak is changed: it holds for all responses again.

--- a/internal/standin/site/unframed.go
+++ b/internal/standin/site/unframed.go
@@ -31,6 +31,7 @@
 // ServeUnframed has the handler write a response with neither a content length nor chunks, which ends with its connection.
 // If the runner crashes or the handler aborts, the connection ends as it does after a complete response.
 func (r *Runner) ServeUnframed(w http.ResponseWriter, req *http.Request, handle http.HandlerFunc) {
+	header := w.Header().Clone()
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		panic(err) // the stand-in's server supports it
@@ -40,7 +41,7 @@
 		return
 	}
 	defer r.removeUnframed(conn)
-	u := &unframedWriter{conn: conn, header: http.Header{}}
+	u := &unframedWriter{conn: conn, header: header}
 	handle(u, req)
 	if !u.wroteHead {
 		u.WriteHeader(http.StatusOK)
