Take no answer for complete whose runner doesn't say that it runs

Cause (traced in kept logs): an entry that was paused reads the end of an answer without a length after its runner has crashed and another process has taken its address. It asks by a health check who is there, and took silence of 50 ms for the runner, since another process would have answered by now. A process that has just been started, on a busy machine, doesn't. Class: silence taken for an answer.

Change: only the runner's own answer to a health check makes such a body complete. A check may take 500 ms, and is sent twice, so that one during which the entry stood still doesn't decide. The end of the answer waits for it, its data doesn't. TestCheckByProcess is stricter: a stream whose process doesn't respond is truncated, as whole answers were.

--- a/completeness/body.go
+++ b/completeness/body.go
@@ -64,13 +64,11 @@
 		return ErrNoEvent
 	}
 	switch process() {
+	case ProcessRunning:
+		return nil
 	case ProcessEnded:
 		return ErrProcessEnded // also if it has announced its stop, which may cut responses
-	case ProcessUnresponsive:
-		if b.Events() == 0 {
-			return ErrProcessUnresponsive // nothing else tells whether it is complete
-		}
-	case ProcessRunning:
+	default:
+		return ErrProcessUnresponsive // nothing else tells whether the body is complete
 	}
-	return nil
 }
--- a/completeness/body_test.go
+++ b/completeness/body_test.go
@@ -58,7 +58,7 @@
 	}{
 		{"running", ProcessRunning, nil, nil},
 		{"ended", ProcessEnded, ErrProcessEnded, ErrProcessEnded},
-		{"unresponsive", ProcessUnresponsive, nil, ErrProcessUnresponsive},
+		{"unresponsive", ProcessUnresponsive, ErrProcessUnresponsive, ErrProcessUnresponsive},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			process := func() Process { return c.process }
--- a/gateway/broken_off_test.go
+++ b/gateway/broken_off_test.go
@@ -228,6 +228,77 @@
 	}
 }
 
+// Guards against a broken-off answer that looks complete since a process that has just been started at the address of its
+// runner, which has crashed, takes long to say that it is another one.
+func TestSlowReplacementVouchesForAnswer(t *testing.T) {
+	const busyFor = 200 * time.Millisecond
+	for _, c := range []struct {
+		name   string
+		answer func(w http.ResponseWriter, req *http.Request, released <-chan struct{})
+	}{
+		{"it answers late", func(w http.ResponseWriter, _ *http.Request, _ <-chan struct{}) {
+			time.Sleep(busyFor)
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		}},
+		{"it does not answer", func(_ http.ResponseWriter, _ *http.Request, released <-chan struct{}) { <-released }},
+	} {
+		for path, body := range map[string]string{"/flow/x": eventsUpTo(4), "/once/x": "half of an answer"} {
+			t.Run(c.name+path, func(t *testing.T) {
+				t.Parallel()
+				released := make(chan struct{})
+				r := &site.Runner{ID: "r"}
+				r.Handle = func(w http.ResponseWriter, req *http.Request) {
+					site.WriteUnframed(w, req, contentTypeOf(path), body, func() {
+						r.Crash()
+						replaceRunner(t, r, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) { c.answer(w, req, released) }))
+					})
+				}
+				w := startWorldWithHealthChecks(t, r)
+				defer w.stop()
+				defer close(released)
+				assertIncomplete(t, w.send(t, "POST", path, "prompt"))
+			})
+		}
+	}
+}
+
+// A runner may take a while to answer a health check, and its answers are complete all the same.
+func TestBusyRunnerVouchesForAnswer(t *testing.T) {
+	const busyFor = 200 * time.Millisecond
+	for path, body := range map[string]string{"/flow/x": eventsUpTo(4), "/once/x": "a whole answer"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			r := &site.Runner{ID: "r", HealthDelay: busyFor}
+			r.Handle = func(w http.ResponseWriter, req *http.Request) {
+				site.WriteUnframed(w, req, contentTypeOf(path), body, nil)
+			}
+			w := startWorldWithHealthChecks(t, r)
+			defer w.stop()
+			assertBody(t, w.send(t, "POST", path, "prompt"), body)
+		})
+	}
+}
+
+// startWorldWithHealthChecks starts a world whose runners can be asked who they are.
+func startWorldWithHealthChecks(t *testing.T, r *site.Runner) *world {
+	t.Helper()
+	config := defaultConfig()
+	config["services"] = []jsonMap{{"name": "plain", "max_connections": 100, "health_check": site.HealthPath}}
+	return startWorld(t, config, r)
+}
+
+// replaceRunner has a handler answer at the address of a runner that has crashed.
+func replaceRunner(t *testing.T, r *site.Runner, handler http.Handler) {
+	t.Helper()
+	l, err := net.Listen("tcp", r.Address().String())
+	if !assert.NoError(t, err) { // it may be called by a handler, which must not end the test
+		return
+	}
+	server := &httptest.Server{Listener: l, Config: &http.Server{Handler: handler}}
+	server.Start()
+	t.Cleanup(server.Close)
+}
+
 // contentTypeOf returns the content type of the answers on the route of a path.
 func contentTypeOf(path string) string {
 	if strings.HasPrefix(path, "/flow/") || strings.HasPrefix(path, "/stream/") {
--- a/gateway/runner_process.go
+++ b/gateway/runner_process.go
@@ -18,9 +18,12 @@
 const (
 	// clockError is how far the estimate of the runners' clock may be off.
 	clockError = 50 * time.Millisecond
-	// identifyTimeout limits the wait for the answer of another process at a runner's address, which it gives at once. The
-	// runner itself may be busy.
-	identifyTimeout = 50 * time.Millisecond
+	// identifyTimeout limits the wait for the answer to a health check, which a busy runner or one that has just been
+	// started may take a while to give.
+	identifyTimeout = 500 * time.Millisecond
+	// identifyAttempts is how many health checks are sent until one is answered. A second one tells more if this process
+	// stood still during the first.
+	identifyAttempts = 2
 )
 
 // checkProcess returns what is known of the process that has answered the attempt, after it has closed the connection. It
@@ -90,18 +93,27 @@
 
 // identify asks the process at the runner's address whether it is the runner, by a health check that any other one refuses.
 func (g *Gateway) identify(r *roster.Runner, service *deployment.Service) completeness.Process {
-	ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
-	defer cancel()
 	info := r.Info()
 	g.pool.CloseIdle(info.Address) // those connections end at the process that has closed one
+	process := completeness.ProcessUnresponsive
+	for range identifyAttempts {
+		if process = g.checkHealth(info, service); process != completeness.ProcessUnresponsive {
+			break
+		}
+	}
+	return process
+}
+
+// checkHealth sends a health check to the runner, and returns what its answer tells about the runner's process.
+func (g *Gateway) checkHealth(info deployment.Runner, service *deployment.Service) completeness.Process {
+	ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
+	defer cancel()
 	header := platform.RunnerHeaders{Runner: info.ID, Timeout: identifyTimeout}
 	check := &forward.Request{Method: http.MethodGet, Target: service.HealthPath, Host: info.Address.String(), Header: header.Merge(http.Header{})}
 	answer, err := g.pool.Do(ctx, info.Address, 0, check, func(*http.Response) bool { return true })
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return completeness.ProcessEnded
-	case err != nil && ctx.Err() != nil && !errors.Is(err, forward.ErrNotSent):
-		return completeness.ProcessRunning // another process would have answered by now
 	case err != nil:
 		return completeness.ProcessUnresponsive
 	}
--- a/internal/standin/site/runner.go
+++ b/internal/standin/site/runner.go
@@ -33,6 +33,8 @@
 	Host netip.Addr
 	// Handle writes the response instead of the default one. It must be set before the first request.
 	Handle http.HandlerFunc
+	// HealthDelay is how long the runner takes to answer a health check.
+	HealthDelay time.Duration
 
 	server   *httptest.Server
 	mu       sync.Mutex
@@ -82,6 +84,7 @@
 		return
 	}
 	if req.URL.Path == HealthPath {
+		time.Sleep(r.HealthDelay)
 		w.Header().Set("X-Rillreach-Instance-Id", r.ID)
 		return
 	}
