Report a failed listen of a test without ending its goroutine

Cause: the linter wants require, which a handler's goroutine must not call. Ruled out: a nolint. Change: t.Error and a return.

--- a/gateway/broken_off_test.go
+++ b/gateway/broken_off_test.go
@@ -291,7 +291,8 @@
 func replaceRunner(t *testing.T, r *site.Runner, handler http.Handler) {
 	t.Helper()
 	l, err := net.Listen("tcp", r.Address().String())
-	if !assert.NoError(t, err) { // it may be called by a handler, which must not end the test
+	if err != nil {
+		t.Error(err) // a handler that calls this must not end the test
 		return
 	}
 	server := &httptest.Server{Listener: l, Config: &http.Server{Handler: handler}}
