--- a/review/play/fatal_test.go
+++ b/review/play/fatal_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,15 +21,39 @@
 	fatalPath     = "/a/fatal"
 )
 
-// fatalRuns records which runners a request has crashed.
+// fatalPart is a part of a prompt that crashes runners.
+const fatalPart = "badbad01"
+
+// fatalRuns records when runners crashed: under a request, or under requests with a part of a prompt.
 type fatalRuns struct {
-	mu sync.Mutex
-	at []time.Time
+	// byPart is set if it is the part that crashes runners. crashes is the number of crashes after which the rule counts, and
+	// kills how often all processes are killed.
+	byPart         bool
+	crashes, kills int
+	mu             sync.Mutex
+	at             []time.Time
+}
+
+// isFatal reports whether a request crashes the runner that begins it.
+func (f *fatalRuns) isFatal(r *http.Request) bool {
+	if f.byPart {
+		return slices.Contains(site.PromptParts(r), fatalPart)
+	}
+	return r.URL.Path == fatalPath
+}
+
+// fatalCall returns the next fatal request. Those with the part are all different.
+func (f *fatalRuns) fatalCall(n int) call {
+	c := call{id: fmt.Sprintf("fatal%d", n), key: "key-1", path: fatalPath}
+	if f.byPart {
+		c.path, c.model, c.conversation = fmt.Sprintf("/a/x%d", n), "m", fatalPart
+	}
+	return c
 }
 
 // serve crashes the runner that begins a fatal request, and answers any other.
 func (f *fatalRuns) serve(p *plainRunner, w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != fatalPath {
+	if !f.isFatal(r) {
 		site.WriteResponse(w, r, "hello")
 		return
 	}
@@ -56,8 +81,17 @@
 // once, twice, each time after the request was no longer sent on. Later than contact_ms after the third crash it may reach
 // runners three more times from machines in touch.
 func playFatal(w *world, trouble bool) ([]string, error) {
-	const runners, engines, kills, quiet = 6, 3, 2, 3
-	runs := &fatalRuns{}
+	return w.playFatal(&fatalRuns{crashes: 3, kills: 2}, trouble)
+}
+
+// playFatalPart is the same with a part of prompts that crashes runners, no two of them alike, and one kill. Later than
+// contact_ms after the fifth crash such requests may reach runners three more times from machines in touch.
+func playFatalPart(w *world, trouble bool) ([]string, error) {
+	return w.playFatal(&fatalRuns{crashes: 5, kills: 1, byPart: true}, trouble)
+}
+
+func (w *world) playFatal(runs *fatalRuns, trouble bool) ([]string, error) {
+	const runners, engines, quiet = 8, 3, 3
 	w.store.Put("config", "main", withEngines(plainConfig(1, "non_idempotent", false)))
 	w.store.Put("versions", "m", map[string]any{"model": "m", "version": 1})
 	for i := range byte(runners) {
@@ -84,10 +118,10 @@
 	edges := []*process{first, second}
 	time.Sleep(startTime)
 	var restarts []time.Time
-	for n := 0; len(restarts) <= kills; {
+	for n := 0; len(restarts) <= runs.kills; {
 		n = w.sendUntilRefused(edges, runs, n, quiet)
 		restarts = append(restarts, time.Now())
-		if !trouble || len(restarts) > kills {
+		if !trouble || len(restarts) > runs.kills {
 			continue
 		}
 		if err := w.killAll(); err != nil {
@@ -105,7 +139,7 @@
 		for _, edge := range edges {
 			w.send(edge, call{id: fmt.Sprintf("sound%d-%s", n, edge.name), key: "key-1", path: "/a/x"})
 		}
-		w.send(edges[n%len(edges)], call{id: fmt.Sprintf("fatal%d", n), key: "key-1", path: fatalPath})
+		w.send(edges[n%len(edges)], runs.fatalCall(n))
 		time.Sleep(fatalInterval)
 		if refused++; runs.count() > before {
 			refused = 0
@@ -132,7 +166,7 @@
 
 // judge returns what breaks the rule. Runs from machines that were started less than contact_ms before don't count.
 func (f *fatalRuns) judge(restarts []time.Time) []string {
-	const crashes, allowed = 3, 3
+	const allowed = 3
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var late []string
@@ -141,8 +175,8 @@
 		for _, restart := range restarts {
 			inTouch = inTouch && (at.Before(restart) || at.Sub(restart) > contact+time.Second)
 		}
-		if i >= crashes && at.Sub(f.at[crashes-1]) > contact && inTouch {
-			late = append(late, fmt.Sprintf("BUDGET: run %d, %s after the third crash", i+1, at.Sub(f.at[crashes-1]).Round(time.Millisecond)))
+		if i >= f.crashes && at.Sub(f.at[f.crashes-1]) > contact && inTouch {
+			late = append(late, fmt.Sprintf("BUDGET: run %d, %s after crash %d", i+1, at.Sub(f.at[f.crashes-1]).Round(time.Millisecond), f.crashes))
 		}
 	}
 	if len(late) <= allowed {
--- a/review/play/plain_test.go
+++ b/review/play/plain_test.go
@@ -3,6 +3,7 @@
 package play
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -24,6 +25,8 @@
 	world *world
 	id    string
 	at    netip.AddrPort
+	// listed is the address that the runner's entry names, that at which it listens if it is empty.
+	listed string
 	// handle serves a request; it must be set before the start.
 	handle func(p *plainRunner, w http.ResponseWriter, r *http.Request)
 
@@ -73,7 +76,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.world.store.Put("servers", p.id, map[string]any{
-		"service": plainService, "address": p.at.String(), "zone": "z1", "version": p.software, "slots": 64, "state": state,
+		"service": plainService, "address": cmp.Or(p.listed, p.at.String()), "zone": "z1", "version": p.software, "slots": 64, "state": state,
 		"cold_remaining_ms": 0, "sequence": 1, "born": p.born,
 	})
 	p.world.record("%s writes its entry: %s, version %s", p.id, state, p.software)
