--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -309,7 +309,7 @@
 	took := time.Since(x.arrived)
 	g.Log.Info("answered", "decision", "done", "request", x.wire.ID, "route", x.route.Name, "runner", t.view.ID, "status", status, "sends", x.sends.sendCount(),
 		"first", x.timeToFirstEvent().String(), "waited", x.firstTokenWait.String(), "weights", t.weights, "took", took.String(), "buffered", x.buffered,
-		"framing", a.answer.Framing(), "eventCount", a.reader.response.Body.Events(), "config", x.config.Version)
+		"framing", a.answer.Framing(), "sealed", a.headers.Sealed, "eventCount", a.reader.response.Body.Events(), "config", x.config.Version)
 	if status < minFailureStatus {
 		g.answerTimes.observe(x.route.Name, took)
 	}
