Pass on only answers that a runner has sealed

Cause: whether a response may be passed on was decided in four places, each for a part: by its status, by the seal of a 503 alone, by 200 for the rest of a stream, and by the header of refusals. None asked a success for its seal, whether small, large, a stream, a hedge's or a continued one.

Change: responseclass.Classify decides without I/O; attempt.accept asks it once, when the head has arrived, for all attempts, and for a replaced one that is concluded. An invalid response is a failed attempt (kind=invalid-answer): another runner is asked where that is allowed, and the caller gets 502 otherwise. Nothing of it is believed but a Retry-After of 503.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/internal/operation"
 	"github.com/rillreach/rillreach/platform"
+	"github.com/rillreach/rillreach/responseclass"
 	"github.com/rillreach/rillreach/retry"
 )
 
@@ -41,8 +42,9 @@
 	sending   operation.Operation[error]
 	answer    *forward.Response
 	headers   platform.Response
-	// accepted is set once the runner is known to answer, hasAnswered once this shows that the answer can be used, and
-	// judged once its status was judged.
+	class     responseclass.Class
+	// accepted is set once the answer is known to be the runner's own, hasAnswered once it can be used, and judged once its
+	// status was judged.
 	accepted    bool
 	hasAnswered bool
 	judged      bool
--- a/gateway/backpressure.go
+++ b/gateway/backpressure.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rillreach/rillreach/platform"
+	"github.com/rillreach/rillreach/responseclass"
 )
 
 // The kinds of backpressure that a runner can signal in its response headers.
@@ -14,17 +15,20 @@
 )
 
 // applyRunnerState records what the response headers say about the runner, unless another process has answered at its
-// address.
+// address. Of a response that is not the runner's own only the wish for backoff is honored, which ends by itself.
 func (a *attempt) applyRunnerState(now time.Time) {
 	if a.headers.Misdirected && a.headers.Instance != a.target.view.ID {
 		return
 	}
-	if a.headers.Leaving {
-		a.target.runner.MarkLeaving()
-	}
 	if a.headers.RetryAfter > 0 {
 		a.target.runner.BackOff(now.Add(a.headers.RetryAfter))
 	}
+	if a.class == responseclass.Invalid {
+		return
+	}
+	if a.headers.Leaving {
+		a.target.runner.MarkLeaving()
+	}
 	a.observeLimit(now)
 	a.recordBackpressure()
 }
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -26,13 +26,19 @@
 	// causeEndedByEntry covers all attempts that the entry itself ends: the caller has left, a timeout has expired, or
 	// another attempt has replaced this one.
 	causeEndedByEntry failureCause = "ended-by-entry"
-	// causeUnreadableAnswer means that the answer could not be parsed.
+	// causeUnreadableAnswer means that the answer could not be parsed, causeInvalidAnswer that it is not the runner's own.
 	causeUnreadableAnswer failureCause = "unreadable-answer"
+	causeInvalidAnswer    failureCause = "invalid-answer"
 )
 
 // isRunnersFault reports whether the runner itself ended the attempt without a complete answer.
 func (c failureCause) isRunnersFault() bool {
-	return c == causeRunnerEnded || c == causeConnectionClosed || c == causeUnreadableAnswer
+	switch c {
+	case causeRunnerEnded, causeConnectionClosed, causeUnreadableAnswer, causeInvalidAnswer:
+		return true
+	default:
+		return false
+	}
 }
 
 // The reasons for which the entry cancels an attempt, other than the request's deadline.
@@ -41,6 +47,9 @@
 	errSecondAttemptNotNeeded = errors.New("second attempt is not needed")
 )
 
+// errInvalidAnswer means that the runner has sent a response that is neither its sealed answer nor a refusal.
+var errInvalidAnswer = errors.New("response is neither a sealed answer nor a refusal")
+
 // errInterrupted means that the wait for a runner has ended because another attempt is to go on. The runner goes on.
 var errInterrupted = errors.New("another attempt goes on")
 
@@ -80,7 +89,7 @@
 	spared := a.noEjection.Load() || errors.Is(context.Cause(a.ctx), errSecondAttemptNotNeeded)
 	if !callerLeft && !spared && !errors.Is(err, forward.ErrTooManyConns) {
 		ejectedFor = t.runner.Eject(now)
-		if cause != causeConnectionClosed {
+		if cause != causeConnectionClosed && cause != causeInvalidAnswer { // the process runs
 			g.pool.CloseIdle(t.view.Address)
 		}
 	}
@@ -103,6 +112,8 @@
 	switch {
 	case errors.Is(err, forward.ErrNotSent):
 		return causeNotSent
+	case errors.Is(err, errInvalidAnswer):
+		return causeInvalidAnswer
 	case !forward.ClosedByRunner(err):
 		if a.ctx.Err() != nil {
 			return causeEndedByEntry
--- a/gateway/prefetch.go
+++ b/gateway/prefetch.go
@@ -4,6 +4,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rillreach/rillreach/eventstream"
+	"github.com/rillreach/rillreach/responseclass"
 )
 
 // awaitAnswer waits until the attempt's answer can replace another one, and reports whether it can.
@@ -15,8 +16,8 @@
 	if a.hasAnswered {
 		return true
 	}
-	x, status := a.exchange, a.answer.Head.StatusCode
-	if status >= minFailureStatus || a.isEventStream() && !a.canContinue() {
+	x := a.exchange
+	if a.class == responseclass.Failed || a.isEventStream() && !a.canContinue() {
 		x.maybeRan, x.reason = true, "runner-failed"
 		return false
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -15,6 +15,7 @@
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/pinning"
 	"github.com/rillreach/rillreach/platform"
+	"github.com/rillreach/rillreach/responseclass"
 )
 
 const (
@@ -22,8 +23,6 @@
 	maxBufferedAnswer = 256 << 10
 	// relayBufferSize is the maximum size of one read from a stream, in bytes.
 	relayBufferSize = 4 << 10
-	// minFailureStatus is the lowest HTTP status that counts as a failure of the runner.
-	minFailureStatus = 500
 )
 
 // relay forwards the runner's answer to the caller, and reports whether the request is finished.
@@ -50,9 +49,10 @@
 	}
 	a.judged = true
 	g, x, t, status := a.gateway, a.exchange, a.target, a.answer.Head.StatusCode
-	g.rollouts.recordAnswer(a, status >= minFailureStatus)
+	failed := a.class == responseclass.Failed
+	g.rollouts.recordAnswer(a, failed)
 	// A runner that asks for backoff says itself for how long to send it no requests.
-	if status >= minFailureStatus && a.headers.RetryAfter == 0 {
+	if failed && a.headers.RetryAfter == 0 {
 		failureRate := t.runner.RecordFailure(time.Now())
 		g.Log.Info("runner failed the request", "decision", "judge", "request", x.wire.ID, "runner", t.view.ID, "status", status, "failures", failureRate)
 	}
@@ -65,7 +65,7 @@
 
 // forwardsEvents reports whether the answer's events are forwarded as they arrive.
 func (a *attempt) forwardsEvents() bool {
-	return a.isEventStream() && a.answer.Head.StatusCode < minFailureStatus && !a.exchange.buffered
+	return a.isEventStream() && a.class != responseclass.Failed && !a.exchange.buffered
 }
 
 // isEventStream reports whether the route's answers are event streams.
@@ -88,23 +88,18 @@
 	if err != nil {
 		return a.failRelay(errors.Wrap(err, "answer broke off"))
 	}
-	status := a.answer.Head.StatusCode
-	if status >= minFailureStatus && a.shouldRetryFailure() {
+	if a.class == responseclass.Failed && a.shouldRetryFailure() {
 		return false
 	}
-	if status < minFailureStatus {
+	if a.class != responseclass.Failed {
 		t.runner.RecordSuccess(time.Now())
 	}
-	if !a.headers.Sealed && status == http.StatusServiceUnavailable {
-		x.maybeRan, x.reason = true, "runner-unavailable"
-		return false // a 503 of the entry says that nothing has run, which this one does not guarantee
-	}
 	a.pinStream()
 	h := g.beginAnswer(x, a.answer)
 	if a.answer.Framed() {
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	g.writeHead(x, status)
+	g.writeHead(x, a.answer.Head.StatusCode)
 	if _, err := x.writer.Write(body); err != nil {
 		g.Log.Info("cannot write answer to caller", "decision", "drop", "request", x.wire.ID, "cause", err.Error())
 		return true
@@ -310,7 +305,7 @@
 	g.Log.Info("answered", "decision", "done", "request", x.wire.ID, "route", x.route.Name, "runner", t.view.ID, "status", status, "sends", x.sends.sendCount(),
 		"first", x.timeToFirstEvent().String(), "waited", x.firstTokenWait.String(), "weights", t.weights, "took", took.String(), "buffered", x.buffered,
 		"framing", a.answer.Framing(), "sealed", a.headers.Sealed, "eventCount", a.reader.response.Body.Events(), "config", x.config.Version)
-	if status < minFailureStatus {
+	if a.class != responseclass.Failed {
 		g.answerTimes.observe(x.route.Name, took)
 	}
 	g.Metrics.CountRequest("answered", strings.ToLower(x.route.Kind.String()))
--- a/gateway/replaced_attempt.go
+++ b/gateway/replaced_attempt.go
@@ -69,11 +69,12 @@
 
 // conclude records how the attempt has ended that another one has replaced.
 func (a *attempt) conclude() {
-	if err, ok := a.sending.Poll(); ok && err != nil {
+	err, ok := a.sending.Poll()
+	switch {
+	case ok && err != nil:
 		a.handleSendFailure(err)
 		return
-	} else if ok && a.headers.NotExecuted {
-		a.gateway.handleRefusal(a.exchange, a.target, a.answer, a.headers)
+	case ok && !a.accept():
 		return
 	}
 	if err := a.reader.failure(); err != nil {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -10,6 +10,7 @@
 	"github.com/rillreach/rillreach/eventstream"
 	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/platform"
+	"github.com/rillreach/rillreach/responseclass"
 )
 
 // send sends the request and reads the headers of the answer. It reports whether the runner accepted the request. If the
@@ -18,7 +19,7 @@
 	if a.accepted {
 		return true
 	}
-	g, x, t := a.gateway, a.exchange, a.target
+	g, x := a.gateway, a.exchange
 	if a.sentAt.IsZero() {
 		var allowed bool
 		if a.repeat, allowed = g.takeRepeat(x); !allowed {
@@ -26,8 +27,8 @@
 			return false
 		}
 		a.call = x.call
-		a.call.Header = g.directions(x, t).Merge(x.request.Header)
-		x.sends.recordSend(t.view.ID)
+		a.call.Header = g.directions(x, a.target).Merge(x.request.Header)
+		x.sends.recordSend(a.target.view.ID)
 		a.continues = x.route.Resumable && (a.position != "" || x.wire.LastEventID != "")
 		a.sentAt = time.Now()
 	}
@@ -39,13 +40,27 @@
 		a.handleSendFailure(err)
 		return false
 	}
+	return a.accept()
+}
+
+// accept classifies the answer by its headers, before any of it is forwarded or believed. It reports whether the answer is
+// the runner's own.
+func (a *attempt) accept() bool {
+	a.class = responseclass.Classify(responseclass.Response{
+		Status: a.answer.Head.StatusCode, Sealed: a.headers.Sealed, NotExecuted: a.headers.NotExecuted,
+	})
 	a.applyRunnerState(time.Now())
-	if a.headers.NotExecuted {
-		g.handleRefusal(x, t, a.answer, a.headers)
+	switch a.class {
+	case responseclass.Refused:
+		a.gateway.handleRefusal(a.exchange, a.target, a.answer, a.headers)
 		return false
+	case responseclass.Invalid:
+		a.handleFailure(errors.Wrapf(errInvalidAnswer, "status %d", a.answer.Head.StatusCode))
+		return false
+	default:
+		a.accepted = true
+		return true
 	}
-	a.accepted = true
-	return true
 }
 
 // awaitHead sends the request and waits for the headers of the answer. It may go on while the attempt is given the exchange
