--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -149,6 +149,7 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { p.checkSettingsOnHangup(runCtx, c.String("settings-file"), hangups) })
 	wg.Go(func() { p.serveMetrics(runCtx, uint16(c.Int("metrics-port"))) })
+	wg.Go(func() { (&node.MemoryWatch{LimitBytes: int64(s.MemoryMB) * bytesPerMB, Log: p.log}).Run(runCtx) })
 	err = run(ctx, p)
 	if err != nil {
 		p.log.Error(err, "ended", "decision", "end")
