Bound the head of a response

Cause: conn.readResponse gave http.ReadResponse a reader without a bound. Neither a line nor the number of lines is bounded there. Interim responses and the body of a response to another request were read without a bound as well.

Change: a head has at most 64 KB and 256 lines, 8 interim responses may come before it, and 256 KB of a response to another request are skipped; nothing is skipped of one that ends with its connection. ErrResponseTooLarge is a failure of the runner (kind=oversized-answer), also for an event that is too large.

--- a/forward/conn.go
+++ b/forward/conn.go
@@ -25,6 +25,8 @@
 // conn is a connection to a runner. It carries one request at a time.
 type conn struct {
 	net.Conn
+	// head bounds what reader reads of a head.
+	head   *headReader
 	reader *bufio.Reader
 	// idleSince is when the connection became idle, idleTimeout how long it may stay idle and be used again.
 	idleSince   time.Time
@@ -32,7 +34,8 @@
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferSize)}
+	head := &headReader{from: c}
+	return &conn{Conn: c, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}
 }
 
 // reusable reports whether the connection is open and has no unexpected data to read.
@@ -77,27 +80,48 @@
 // maxStrayResponses is the number of responses to earlier requests that are skipped before a connection is discarded.
 const maxStrayResponses = 3
 
-var errStrayResponses = errors.New("responses on the connection belong to other requests")
-
 // readResponse reads responses until one matches the request, and returns it with the number of those skipped.
 func (c *conn) readResponse(method string, matches func(*http.Response) bool) (resp *http.Response, strays int, err error) {
 	for strays <= maxStrayResponses {
-		resp, err = http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
+		if resp, err = c.readHead(method); err != nil {
 			return nil, strays, err
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
 		if matches(resp) {
 			return resp, strays, nil
 		}
 		strays++
-		_, err = io.Copy(io.Discard, resp.Body)
-		_ = resp.Body.Close()
-		if err != nil || resp.Close {
-			return nil, strays, errors.CombineErrors(errStrayResponses, err)
+		if err = skipBody(resp); err != nil {
+			return nil, strays, err
 		}
 	}
 	return nil, strays, errStrayResponses
 }
+
+// readHead reads the head of the next response that is not an interim one.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	for range maxInterimResponses + 1 {
+		c.head.begin()
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		c.head.end()
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
+	}
+	return nil, errManyInterim
+}
+
+// skipBody reads the body of a response to another request, after which the next response can be read.
+func skipBody(resp *http.Response) error {
+	if resp.Close {
+		return errStrayResponses // no response follows
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStraySize+1))
+	switch {
+	case err != nil:
+		return errors.CombineErrors(errStrayResponses, err)
+	case n > maxStraySize:
+		return errStrayTooLarge
+	default:
+		return resp.Body.Close()
+	}
+}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -9,9 +9,10 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rillreach/rillreach/eventstream"
+	"github.com/rillreach/rillreach/forward"
 )
 
-var errEventTooLarge = errors.New("event is too large")
+var errEventTooLarge = errors.Wrap(forward.ErrResponseTooLarge, "read event")
 
 // maxEventSize is the maximum size of an event, in bytes.
 const maxEventSize = 256 << 10
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -26,15 +26,17 @@
 	// causeEndedByEntry covers all attempts that the entry itself ends: the caller has left, a timeout has expired, or
 	// another attempt has replaced this one.
 	causeEndedByEntry failureCause = "ended-by-entry"
-	// causeUnreadableAnswer means that the answer could not be parsed, causeInvalidAnswer that it is not the runner's own.
+	// causeUnreadableAnswer means that the answer could not be parsed, causeOversizedAnswer that a part of it exceeded its
+	// bound, and causeInvalidAnswer that it is not the runner's own.
 	causeUnreadableAnswer failureCause = "unreadable-answer"
+	causeOversizedAnswer  failureCause = "oversized-answer"
 	causeInvalidAnswer    failureCause = "invalid-answer"
 )
 
 // isRunnersFault reports whether the runner itself ended the attempt without a complete answer.
 func (c failureCause) isRunnersFault() bool {
 	switch c {
-	case causeRunnerEnded, causeConnectionClosed, causeUnreadableAnswer, causeInvalidAnswer:
+	case causeRunnerEnded, causeConnectionClosed, causeUnreadableAnswer, causeOversizedAnswer, causeInvalidAnswer:
 		return true
 	default:
 		return false
@@ -114,6 +116,8 @@
 		return causeNotSent
 	case errors.Is(err, errInvalidAnswer):
 		return causeInvalidAnswer
+	case errors.Is(err, forward.ErrResponseTooLarge):
+		return causeOversizedAnswer
 	case !forward.ClosedByRunner(err):
 		if a.ctx.Err() != nil {
 			return causeEndedByEntry
