Bound the responses to control calls by what they are for

Cause: the same class as the unbounded head of a runner's response: an agent, whose process has 216 MB, took heads of up to 10 MB (the default of net/http) and reports of up to 8 MB from its engine, and what is parsed of many short fields takes 16 times their size. A body over its bound was cut off there and failed to parse, or was taken as it was (an exported state, a block).

--- a/agent/once.go
+++ b/agent/once.go
@@ -11,6 +11,7 @@
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/fleet"
+	"github.com/rillreach/rillreach/internal/bounded"
 	"github.com/rillreach/rillreach/internal/hash"
 	"github.com/rillreach/rillreach/once"
 	"github.com/rillreach/rillreach/peer"
@@ -146,12 +147,12 @@
 		return errorOutcome(backendError(ctx, err))
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxOutcomeBytes+1))
-	if err != nil {
-		return errorOutcome(backendError(ctx, err))
-	}
-	if len(body) > maxOutcomeBytes {
+	body, err := bounded.ReadAll(response.Body, maxOutcomeBytes)
+	switch {
+	case errors.Is(err, bounded.ErrTooLarge):
 		return errorOutcome(rillreach.MayHaveRun(rillreach.ReasonTooLarge, "request was run, but its answer is too large to keep"))
+	case err != nil:
+		return errorOutcome(backendError(ctx, err))
 	}
 	return once.Outcome{Status: response.Status, Header: endToEndHeader(response.Header), Body: body}
 }
--- a/backend/client.go
+++ b/backend/client.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/internal/bounded"
 )
 
 // Client sends calls to one backend server.
@@ -32,10 +33,11 @@
 func NewHTTPClient() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{}).DialContext,
-			MaxIdleConns:        maxIdleConns,
-			MaxIdleConnsPerHost: maxIdleConns,
-			DisableCompression:  true,
+			DialContext:            (&net.Dialer{}).DialContext,
+			MaxIdleConns:           maxIdleConns,
+			MaxIdleConnsPerHost:    maxIdleConns,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: bounded.MaxResponseHead,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/backend/engine.go
+++ b/backend/engine.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/internal/bounded"
 	"github.com/rillreach/rillreach/keep"
 )
 
@@ -62,7 +62,7 @@
 	if err != nil {
 		return rillreach.KVState{}, errors.Wrap(err, "decode number of exported tokens")
 	}
-	payload, err := io.ReadAll(io.LimitReader(resp.Body, maxStateBytes))
+	payload, err := bounded.ReadAll(resp.Body, maxStateBytes)
 	return rillreach.KVState{Tokens: tokens, Payload: payload}, errors.Wrap(err, "read exported state")
 }
 
--- a/blockstore/client.go
+++ b/blockstore/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -13,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/internal/bounded"
 )
 
 const (
@@ -122,6 +122,6 @@
 	default:
 		return nil, errors.Newf("store answered with status %d", resp.StatusCode)
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBlockBytes))
+	data, err := bounded.ReadAll(resp.Body, maxBlockBytes)
 	return data, errors.Wrap(err, "read response of store")
 }
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/internal/bounded"
 	"github.com/rillreach/rillreach/internal/pause"
 )
 
@@ -78,7 +79,7 @@
 	p.baseCtx = ctx
 	p.dialledConns = map[netip.AddrPort]*Conn{}
 	p.allConns = map[*Conn]struct{}{}
-	p.client = &http.Client{Transport: &http.Transport{TLSClientConfig: p.TLS, DialContext: p.Dial}}
+	p.client = &http.Client{Transport: &http.Transport{TLSClientConfig: p.TLS, DialContext: p.Dial, MaxResponseHeaderBytes: bounded.MaxResponseHead}}
 	if p.MessageLimit == 0 {
 		p.MessageLimit = DefaultMessageLimit
 	}
