Ask a runner again whose run was ended for another one

Cause: a run that the entry itself ends counts like one that a runner has broken off, so that the request has used up its runners. Ruled out: keeping both runs for longer, which the platform's rule on two runners at one request forbids. Change: such a send is recorded as withdrawn. Nothing is repeated beyond the retry budget. Conclusion: what ends one of two runs sooner can rely on the other one.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -140,8 +140,17 @@
 // Only some runners can continue it then.
 func (x *exchange) hasBegun() bool { return x.headSent || !x.pin.IsZero() }
 
-// mayUseAnotherRunner reports whether the route allows the request to be sent to one more runner.
-func (x *exchange) mayUseAnotherRunner() bool { return x.runnersLeft() > 0 }
+// mayUseAnotherRunner reports whether the route allows the request to be sent once more.
+func (x *exchange) mayUseAnotherRunner() bool {
+	return x.runnersLeft() > 0 || len(x.sends.runnersToAskAgain()) > 0
+}
+
+// runnerRestriction returns the only runners that the request may be sent to because the route allows no further ones. It
+// returns false if there is no such restriction.
+func (x *exchange) runnerRestriction() ([]rillreach.InstanceID, bool) {
+	again := x.sends.runnersToAskAgain()
+	return again, len(again) > 0 && x.runnersLeft() <= 0
+}
 
 // runnersLeft returns how many more runners the route allows for the request. Each send that may have run counts, even
 // if it is the second one to the same runner. Once an answer has begun, runners that refused to continue it do not
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -141,6 +141,7 @@
 	defer h.mu.Unlock()
 	if h.state == hedgePending {
 		h.state = hedgeCancelled
+		h.secondary.withdraw(errSecondAttemptNotNeeded)
 		h.cancelAll(errSecondAttemptNotNeeded)
 	}
 }
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -98,11 +98,12 @@
 	o.runners = make([]*roster.Runner, 0, len(group.views))
 	o.candidates = make([]scheduler.Candidate, 0, len(group.views))
 	tried, begun := x.sends.runnersTried(), x.sends.runnersBegun()
+	onlyRunners, restricted := x.runnerRestriction()
 	conversation := hash.String(conversationID(x))
 	meanPrefill := g.prefillSizes.mean()
 	evacuations := g.state.Evacuations()
 	for i, v := range group.views {
-		if filter.excludes(v) {
+		if filter.excludes(v) || restricted && !slices.Contains(onlyRunners, v.ID) {
 			continue
 		}
 		o.exclusions.addAllowedVersion(v)
--- a/gateway/replaced_attempt.go
+++ b/gateway/replaced_attempt.go
@@ -87,6 +87,12 @@
 		a.handleFailure(err)
 		return
 	}
-	a.cancel(errSecondAttemptAnswers)
+	a.withdraw(errSecondAttemptAnswers)
 	a.handleFailure(errSecondAttemptAnswers)
 }
+
+// withdraw ends the attempt for another one. Its runner may be asked again should that one fail.
+func (a *attempt) withdraw(cause error) {
+	a.currentExchange().sends.recordWithdrawn(a.target.view.ID)
+	a.cancel(cause)
+}
--- a/gateway/sends.go
+++ b/gateway/sends.go
@@ -19,6 +19,8 @@
 	sendRefused
 	// sendMisdirected means that another process answered at the runner's address, so that the runner had ended before.
 	sendMisdirected
+	// sendWithdrawn means that the request may have run until the entry itself ended it for another attempt.
+	sendWithdrawn
 	// sendOutdated means that the runner refused only because it has other weights than the entry assumed.
 	sendOutdated
 )
@@ -55,6 +57,22 @@
 	}
 }
 
+// recordWithdrawn records that the entry has ended the latest send to the runner for another attempt, unless its outcome is
+// known.
+func (s *sendHistory) recordWithdrawn(id rillreach.InstanceID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := len(s.sends) - 1; i >= 0; i-- {
+		if s.sends[i].runner != id {
+			continue
+		}
+		if s.sends[i].outcome == sendMayHaveRun {
+			s.sends[i].outcome = sendWithdrawn
+		}
+		return
+	}
+}
+
 // recordOutdated records that the runner refused the latest send because of its weights. Only the first send of a
 // request may be repeated at the same runner for this reason.
 func (s *sendHistory) recordOutdated(id rillreach.InstanceID) {
@@ -64,37 +82,60 @@
 }
 
 // runCount returns how many sends may have run the request. A runner that broke off and was sent the request again
-// counts twice.
+// counts twice, one whose run was withdrawn before counts once.
 func (s *sendHistory) runCount() int {
-	return len(s.runnersOf(sendMayHaveRun))
+	began := s.runnersOf(sendMayHaveRun)
+	withdrawn := distinct(s.runnersOf(sendWithdrawn))
+	withdrawn = slices.DeleteFunc(withdrawn, func(id rillreach.InstanceID) bool { return slices.Contains(began, id) })
+	return len(began) + len(withdrawn)
+}
+
+// runnersToAskAgain returns the runners whose only run was withdrawn. They may be sent the request once more even if no
+// further runner may be.
+func (s *sendHistory) runnersToAskAgain() []rillreach.InstanceID {
+	withdrawn := s.runnersOf(sendWithdrawn)
+	if len(withdrawn) == 0 {
+		return nil
+	}
+	runs := map[rillreach.InstanceID]int{}
+	for _, id := range s.runnersBegun() {
+		runs[id]++
+	}
+	return slices.DeleteFunc(withdrawn, func(id rillreach.InstanceID) bool { return runs[id] > 1 })
+}
+
+// distinct sorts the runners and removes duplicates.
+func distinct(runners []rillreach.InstanceID) []rillreach.InstanceID {
+	slices.Sort(runners)
+	return slices.Compact(runners)
 }
 
 // refusingRunnerCount returns how many runners have refused the request and may not have run it either.
 func (s *sendHistory) refusingRunnerCount() int {
-	refused := s.runnersOf(sendRefused)
-	mayHaveRun := s.runnersOf(sendMayHaveRun)
-	slices.Sort(refused)
-	refused = slices.DeleteFunc(slices.Compact(refused), func(id rillreach.InstanceID) bool { return slices.Contains(mayHaveRun, id) })
+	refused, begun := distinct(s.runnersOf(sendRefused)), s.runnersBegun()
+	refused = slices.DeleteFunc(refused, func(id rillreach.InstanceID) bool { return slices.Contains(begun, id) })
 	return len(refused)
 }
 
 // sendCount returns how many times the request was sent.
 func (s *sendHistory) sendCount() int {
-	return len(s.runnersOf(sendMayHaveRun, sendRefused, sendMisdirected, sendOutdated))
+	return len(s.runnersOf(sendMayHaveRun, sendWithdrawn, sendRefused, sendMisdirected, sendOutdated))
 }
 
 // runnersUsed returns, without duplicates, the runners that the request was sent to, other than those that had ended.
 func (s *sendHistory) runnersUsed() []rillreach.InstanceID {
-	return slices.Compact(slices.Sorted(slices.Values(s.runnersOf(sendMayHaveRun, sendRefused))))
+	return distinct(s.runnersOf(sendMayHaveRun, sendWithdrawn, sendRefused))
 }
 
 // runnersTried returns the runners of all sends, including those that could not be reached.
 func (s *sendHistory) runnersTried() []rillreach.InstanceID {
-	return s.runnersOf(sendMayHaveRun, sendNotMade, sendRefused, sendMisdirected, sendOutdated)
+	return s.runnersOf(sendMayHaveRun, sendWithdrawn, sendNotMade, sendRefused, sendMisdirected, sendOutdated)
 }
 
 // runnersBegun returns the runners that may have run the request.
-func (s *sendHistory) runnersBegun() []rillreach.InstanceID { return s.runnersOf(sendMayHaveRun) }
+func (s *sendHistory) runnersBegun() []rillreach.InstanceID {
+	return s.runnersOf(sendMayHaveRun, sendWithdrawn)
+}
 
 // runnersOf returns the runner of each send that has one of the outcomes.
 func (s *sendHistory) runnersOf(outcomes ...sendOutcome) []rillreach.InstanceID {
--- a/gateway/sends_test.go
+++ b/gateway/sends_test.go
@@ -61,6 +61,37 @@
 		assertCounts(t, s, 0, 0, 1)
 		assert.Equal(t, []rillreach.InstanceID{"a"}, s.runnersTried())
 	})
+	t.Run("a runner whose run was withdrawn counts once, and may be asked again once", func(t *testing.T) {
+		s := &sendHistory{}
+		s.recordSend("a")
+		s.recordSend("b")
+		s.recordWithdrawn("a")
+		assertCounts(t, s, 2, 0, 2)
+		assert.Equal(t, []rillreach.InstanceID{"a"}, s.runnersToAskAgain())
+		s.recordSend("a")
+		assertCounts(t, s, 2, 0, 3)
+		assert.Empty(t, s.runnersToAskAgain())
+		s.recordWithdrawn("a")
+		assertCounts(t, s, 2, 0, 3)
+		assert.Empty(t, s.runnersToAskAgain())
+	})
+	t.Run("a runner whose run was withdrawn may be asked again after a refusal", func(t *testing.T) {
+		s := &sendHistory{}
+		s.recordSend("a")
+		s.recordWithdrawn("a")
+		s.recordSend("a")
+		s.recordOutcome("a", sendRefused)
+		assertCounts(t, s, 1, 0, 2)
+		assert.Equal(t, []rillreach.InstanceID{"a"}, s.runnersToAskAgain())
+	})
+	t.Run("a refusal is not withdrawn", func(t *testing.T) {
+		s := &sendHistory{}
+		s.recordSend("a")
+		s.recordOutcome("a", sendRefused)
+		s.recordWithdrawn("a")
+		assertCounts(t, s, 0, 1, 1)
+		assert.Empty(t, s.runnersToAskAgain())
+	})
 	t.Run("a runner that could not be reached is tried but not used", func(t *testing.T) {
 		s := &sendHistory{}
 		s.recordSend("a")
