End one of two runs of a stream by a deadline

A hedge of a silent runner kept both for 1 s.

Cause: hedging.Pair ended an attempt only when data of the other one was read, and only after a time that its data gave. There was no timer, and none at all before the first event of a hedge.

Change: the pair has a deadline, 0.3 s from when the second runner was asked for the rest of a stream, or from the first event if none was sent before. Pair.Expire decides without I/O which run is ended: a run that works is ended only for one that has answered. What a stalled entry has yet to read is read first. A runner whose run was ended may be asked again.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -84,14 +84,11 @@
 // Framed reports whether the end of the body is marked.
 func (r *Response) Framed() bool { return r.Framing() != FramedByNothing }
 
-// IsQuiet reports whether the connection is open and nothing of the response is left to read. It must not be called
-// during Read.
-func (r *Response) IsQuiet() bool {
-	if r.conn.reader.Buffered() > 0 {
-		return false
-	}
+// IsOpen reports whether the runner has not closed the connection, as far as that is known without reading what has
+// arrived. It may be called during Read.
+func (r *Response) IsOpen() bool {
 	quiet, err := socket.IsQuiet(r.conn.Conn)
-	return err == nil && quiet
+	return err == nil && quiet || r.HasUnreadData()
 }
 
 // HasUnreadData reports whether data of the response has arrived and was not read yet. It may be called during Read.
--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/sourcegraph/conc"
 
@@ -11,8 +10,9 @@
 )
 
 // hedge is a second attempt that starts while the first is still running, because the first runner is about to load
-// weights or is silent. The first attempt goes on until the second answers, and is kept until the second is known to go
-// on. A working runner is thus only given up for one that works on the request, never for one that is expected to.
+// weights or is silent. The first attempt goes on until the second answers, and is kept for as long as two runners may work
+// on the request. A working runner is thus only given up for one that works on the request, never for one that is expected
+// to.
 type hedge struct {
 	// primary is the running attempt, and secondary the one beside it, which works on a copy of the request.
 	primary   *attempt
@@ -23,8 +23,6 @@
 	pair   *pair
 	// cancelAll ends secondary and result.
 	cancelAll context.CancelCauseFunc
-	// timeout cancels the hedge if it takes too long to answer. It is nil if the primary is not known to be working.
-	timeout *time.Timer
 
 	wg conc.WaitGroup
 	// answered is closed once result has answered or failed, and released once it is taken over or not needed.
@@ -57,14 +55,12 @@
 	hedgeClosed
 )
 
-// hedgeTimeout is how long a stream whose runner is working waits for the first event of another runner. A runner with
-// room processes a prompt in about 100 ms. One that takes longer has a queue, and both runners would work on the
-// request meanwhile.
-const hedgeTimeout = 350 * time.Millisecond
-
 // run makes the second attempt and offers its answer, until it is taken over or not needed.
 func (h *hedge) run() {
 	offered := h.awaitAnswer() && h.result.canContinueFrom(h.primary.currentExchange().snapshot()) && h.offer()
+	if !offered {
+		h.pair.failed(h.result)
+	}
 	close(h.answered)
 	if offered {
 		<-h.released
@@ -116,9 +112,6 @@
 
 // awaitOutcome waits until the hedge has answered or failed, and reports whether it has answered.
 func (h *hedge) awaitOutcome() bool {
-	if h.timeout != nil {
-		h.timeout.Stop()
-	}
 	<-h.answered
 	return h.currentState() == hedgeAnswered
 }
@@ -148,8 +141,10 @@
 
 // cancel ends the hedge unless its answer was taken over.
 func (h *hedge) cancel() {
+	h.pair.close()
 	h.cancelPending()
 	if h.release(hedgeCancelled) {
+		h.result.withdraw(errSecondAttemptNotNeeded)
 		h.cancelAll(errSecondAttemptNotNeeded)
 	}
 }
--- a/gateway/replaced_attempt.go
+++ b/gateway/replaced_attempt.go
@@ -1,7 +1,5 @@
 package gateway
 
-import "time"
-
 // yieldToHedge makes the attempt's hedge go on, and yieldToReplaced the attempt that this one has replaced.
 func (a *attempt) yieldToHedge()    { a.interrupt(false) }
 func (a *attempt) yieldToReplaced() { a.interrupt(true) }
@@ -61,8 +59,7 @@
 		other.noEjection.Store(true) // its runner works
 	}
 	if p != nil {
-		a.gateway.Log.Info("replaced attempt ended", "decision", "hedge", "reason", p.reason, "request", a.exchange.wire.ID, "runner", other.target.view.ID,
-			"chosen", a.target.view.ID, "together", time.Since(a.sentAt).String(), "lastEvent", a.exchange.lastEvent)
+		p.close()
 	}
 	other.conclude()
 	other.close()
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -29,7 +29,7 @@
 		a.call = x.call
 		a.call.Header = g.directions(x, a.target).Merge(x.request.Header)
 		x.sends.recordSend(a.target.view.ID)
-		a.continues = x.route.Resumable && (a.position != "" || x.wire.LastEventID != "")
+		a.continues = a.isContinuation()
 		a.sentAt = time.Now()
 	}
 	err, ok := a.sending.Await(a.interrupted, func() error { return a.awaitHead(x) })
@@ -43,6 +43,12 @@
 	return a.accept()
 }
 
+// isContinuation reports whether the runner is asked for the rest of a stream.
+func (a *attempt) isContinuation() bool {
+	x := a.exchange
+	return x.route.Resumable && (a.position != "" || x.wire.LastEventID != "")
+}
+
 // accept classifies the answer by its headers, before any of it is forwarded or believed. It reports whether the answer is
 // the runner's own.
 func (a *attempt) accept() bool {
--- a/gateway/start_hedge.go
+++ b/gateway/start_hedge.go
@@ -72,13 +72,7 @@
 	ctx, h.cancelAll = context.WithCancelCause(a.requestCtx)
 	h.secondary = a.gateway.newAttempt(ctx, x, t)
 	h.result = h.secondary
-	h.pair = &pair{
-		reason: reason, attempts: [2]*attempt{a, h.secondary},
-		decision: hedging.Pair{Relieving: reason == hedgeLoading, WholeAnswer: !a.isEventStream()},
-	}
-	if reason == hedgeLoading {
-		h.timeout = time.AfterFunc(hedgeTimeout, h.cancelPending)
-	}
+	h.pair = newPair(h)
 	return h
 }
 
--- a/hedging/pair.go
+++ b/hedging/pair.go
@@ -21,88 +21,89 @@
 // Action is what a decision asks for.
 type Action string
 
-// The actions. KeepBoth changes nothing. Switch makes the other attempt go on with the answer and keeps this one. EndOther
-// ends the attempt that does not go on with the answer.
+// The actions. KeepBoth changes nothing. Switch makes the other attempt go on with the answer and keeps this one. EndPrimary
+// and EndHedge end one of the two attempts, so that the other one goes on.
 const (
-	KeepBoth Action = "keep-both"
-	Switch   Action = "switch"
-	EndOther Action = "end-other"
+	KeepBoth   Action = "keep-both"
+	Switch     Action = "switch"
+	EndPrimary Action = "end-primary"
+	EndHedge   Action = "end-hedge"
 )
 
 const (
-	// steadyReads is the number of reads after which an attempt is relied on alone. A runner that has sent data once may
+	// MaxOverlap is how long two runners may work on one stream. The platform allows 400 ms, of which the rest is for the
+	// link to the runner and for it to notice.
+	MaxOverlap = 300 * time.Millisecond
+	// steadyReads is the number of reads after which an attempt counts as going on. A runner that has sent data once may
 	// have crashed right after it.
 	steadyReads = 2
-	// SteadyTime is how long an attempt must have gone on without a pause before it is relied on alone instead of a
-	// silent one. Data that a runner sent before it crashed may arrive that much later than sent, and the end of the
-	// connection after it.
-	SteadyTime = time.Second
-	// RelievedSteadyTime is the same for an attempt that goes on instead of a working one, whose runner waits for its end.
-	RelievedSteadyTime = 300 * time.Millisecond
 )
 
-// Pair is the state of two concurrent attempts. The zero value is the state at the start of a hedge, with the primary
-// active and silent.
+// Pair is the state of two concurrent attempts. Exported fields are set before use; the primary is active at first, and
+// silent.
 type Pair struct {
 	// Relieving means that the primary's runner works but is to be relieved of the request. Otherwise it is silent.
 	Relieving bool
-	// WholeAnswer means that none of the answer is sent before it is complete.
+	// WholeAnswer means that none of the answer is sent before it is complete. Both attempts then run until one of them is.
 	WholeAnswer bool
+	// Continuing means that the hedge was asked for the rest of a stream, of which the caller has part. Otherwise the
+	// request may run at both runners until one of them has begun to answer.
+	Continuing bool
+	// Started is when the hedge was sent.
+	Started time.Time
 
 	active Attempt
 	states [2]state
 	// hedgeReady means that the hedge has answered and did not go on yet.
 	hedgeReady bool
+	// answered is set once the hedge has answered, and begunAt is when the first data of the two attempts arrived.
+	answered bool
+	begunAt  time.Time
 }
 
 // state is what is known of one attempt.
 type state struct {
-	// reads is the number of reads that have returned data since the attempt was last silent, and since the time of the
-	// first of them.
-	reads  int
-	since  time.Time
-	failed bool
+	// reads is the number of reads that have returned data since the attempt was last silent.
+	reads int
+	// ended is set once the attempt has failed or was ended for the other one.
+	ended bool
+}
+
+// Evidence is what is known of the attempts that do not go on with the answer, whose data is not read.
+type Evidence struct {
+	// PrimaryHasData means that data of the primary waits to be read.
+	PrimaryHasData bool
+	// HedgeUsable means that the caller's stream can continue with the hedge's events, and that its connection is open.
+	HedgeUsable bool
 }
 
 // Active returns the attempt that goes on with the answer.
 func (p *Pair) Active() Attempt { return p.active }
 
-// Received decides after data of an attempt was read. Open reports whether the connection is then known to be open with
-// nothing left to read, so that the runner has not ended right after the data.
-func (p *Pair) Received(now time.Time, from Attempt, open bool) Action {
-	s := &p.states[from]
-	s.add(now)
-	if from != p.active || p.WholeAnswer || !open || !p.isSteady(now, s) {
-		return KeepBoth
-	}
-	if p.Relieving && from == Primary {
-		return KeepBoth
-	}
-	return EndOther
-}
+// HasAnswered reports whether the hedge has answered.
+func (p *Pair) HasAnswered() bool { return p.answered }
 
-// add records a read that has returned data.
-func (s *state) add(now time.Time) {
-	if s.reads == 0 {
-		s.since = now
-	}
-	s.reads++
+// PrimaryWorks reports whether the primary's runner is known to work on the request.
+func (p *Pair) PrimaryWorks(e Evidence) bool {
+	return p.Relieving || p.states[Primary].reads > 0 || e.PrimaryHasData
 }
 
-// isSteady reports whether an attempt can be relied on alone.
-func (p *Pair) isSteady(now time.Time, s *state) bool {
-	needed := SteadyTime
-	if p.Relieving {
-		needed = RelievedSteadyTime
+// HasEnded reports whether an attempt has failed or was ended for the other one.
+func (p *Pair) HasEnded(a Attempt) bool { return p.states[a].ended }
+
+// Received records that data of an attempt was read.
+func (p *Pair) Received(now time.Time, from Attempt) {
+	p.states[from].reads++
+	if p.begunAt.IsZero() {
+		p.begunAt = now
 	}
-	return s.reads >= steadyReads && now.Sub(s.since) >= needed
 }
 
 // Answered decides once the hedge has data that can be sent on: the first event of a stream, or a whole answer.
 func (p *Pair) Answered(now time.Time) Action {
 	p.states[Hedge].reads = 0
-	p.states[Hedge].add(now)
-	p.hedgeReady = true
+	p.Received(now, Hedge)
+	p.hedgeReady, p.answered = true, true
 	primaryContinues := p.states[Primary].reads > 0 && !p.Relieving && !p.WholeAnswer
 	if p.active == Hedge || primaryContinues {
 		return KeepBoth
@@ -115,16 +116,16 @@
 func (p *Pair) Silent(otherHasData bool) Action {
 	p.states[p.active].reads = 0
 	other := p.active.Other()
-	if p.states[other].failed || !p.hedgeReady && !otherHasData {
+	if p.states[other].ended || !p.hedgeReady && !otherHasData {
 		return KeepBoth
 	}
 	return p.switchOver()
 }
 
-// Failed decides after an attempt has failed. The other one goes on with the answer unless it has failed as well.
+// Failed decides after an attempt has failed. The other one goes on with the answer unless it has ended as well.
 func (p *Pair) Failed(a Attempt) Action {
-	p.states[a].failed = true
-	if a != p.active || p.states[a.Other()].failed {
+	p.states[a].ended = true
+	if a != p.active || p.states[a.Other()].ended {
 		return KeepBoth
 	}
 	return p.switchOver()
@@ -137,3 +138,42 @@
 	}
 	return Switch
 }
+
+// Deadline returns when one of the attempts must be ended, at the latest. It returns false while both may go on.
+func (p *Pair) Deadline() (time.Time, bool) {
+	begun := p.begunAt
+	if p.Continuing {
+		begun = p.Started
+	}
+	if p.WholeAnswer || begun.IsZero() || p.states[Primary].ended || p.states[Hedge].ended {
+		return time.Time{}, false
+	}
+	return begun.Add(MaxOverlap), true
+}
+
+// Expire decides which attempt is ended at the deadline, and does nothing before.
+func (p *Pair) Expire(now time.Time, e Evidence) Action {
+	deadline, limited := p.Deadline()
+	if !limited || now.Before(deadline) {
+		return KeepBoth
+	}
+	if p.hedgeGoesOn(e) {
+		p.states[Primary].ended = true
+		return EndPrimary
+	}
+	p.states[Hedge].ended = true
+	return EndHedge
+}
+
+// hedgeGoesOn reports whether the hedge is the one that goes on if one of the attempts must be ended. An attempt that works
+// is only ended for one that works.
+func (p *Pair) hedgeGoesOn(e Evidence) bool {
+	switch {
+	case !p.answered:
+		return !p.PrimaryWorks(e)
+	case p.active == Primary:
+		return p.states[Hedge].reads > 0 && e.HedgeUsable
+	default:
+		return p.Relieving || p.states[Hedge].reads >= steadyReads || !e.PrimaryHasData
+	}
+}
