Don't take a hedge that has failed for one that was withdrawn

Cause: a hedge that fails is cancelled once more at its end, which recorded its send as withdrawn: its runner, which had broken off, was asked again like one whose run the entry had ended (found in the log of TestTwoRunnersWorkOnSilentStream: b chosen for attempt 3). Change: only who ends a hedge from outside withdraws it. Before: the new assertion on the requests of the second runner is red (2 requests). After: green, 2 of 2 under -race, no handler panics.

--- a/gateway/hedge.go
+++ b/gateway/hedge.go
@@ -68,7 +68,7 @@
 	if h.currentState() == hedgeTaken {
 		return
 	}
-	h.cancel()
+	h.cancelPending()
 	h.result.close() // at once, because the request takes up capacity of its runner until then
 	h.setState(hedgeClosed)
 }
@@ -128,22 +128,25 @@
 	return true
 }
 
-// cancelPending cancels the hedge unless it has already answered.
-func (h *hedge) cancelPending() {
+// cancelPending cancels the hedge unless it has already answered. It reports whether it did.
+func (h *hedge) cancelPending() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.state == hedgePending {
-		h.state = hedgeCancelled
-		h.secondary.withdraw(errSecondAttemptNotNeeded)
-		h.cancelAll(errSecondAttemptNotNeeded)
+	if h.state != hedgePending {
+		return false
 	}
+	h.state = hedgeCancelled
+	h.cancelAll(errSecondAttemptNotNeeded)
+	return true
 }
 
 // cancel ends the hedge unless its answer was taken over.
 func (h *hedge) cancel() {
 	h.pair.close()
-	h.cancelPending()
-	if h.release(hedgeCancelled) {
+	switch {
+	case h.cancelPending():
+		h.secondary.withdraw(errSecondAttemptNotNeeded)
+	case h.release(hedgeCancelled):
 		h.result.withdraw(errSecondAttemptNotNeeded)
 		h.cancelAll(errSecondAttemptNotNeeded)
 	}
--- a/gateway/hedge_breaks_off_test.go
+++ b/gateway/hedge_breaks_off_test.go
@@ -266,6 +266,7 @@
 	steps     chan func(w http.ResponseWriter, r *http.Request, next int) int
 	reached   chan struct{}
 	cancelled chan struct{}
+	requests  atomic.Int64
 }
 
 func newSteppedRunner(t *testing.T) *steppedRunner {
@@ -277,6 +278,7 @@
 }
 
 func (s *steppedRunner) serve(w http.ResponseWriter, r *http.Request) {
+	s.requests.Add(1)
 	close(s.reached)
 	next := lastEventIDOf(r) + 1
 	for next <= steppedEvents {
--- a/gateway/overlap_test.go
+++ b/gateway/overlap_test.go
@@ -56,6 +56,7 @@
 		s.again.await(s.again.reached, "the first runner was not asked again")
 		s.again.complete()
 		s.assertComplete()
+		assert.EqualValues(t, 1, s.second.requests.Load(), "the runner that broke off was asked again, too")
 	})
 }
 
