Bound the memory of all bodies and buffered answers together

Cause: the class of the unbounded head, one step further: a body has at most max_body_bytes and a buffered answer 256 KB, each, and nothing bounded how many there are. Change: both reserve their bytes in one budget, a quarter of the process's memory. A request without room is refused at once as not run, with no-memory and a Retry-After; an answer without room is forwarded as it arrives, as one that is too large to buffer.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -11,6 +11,7 @@
 
 	"github.com/rillreach/rillreach/completeness"
 	"github.com/rillreach/rillreach/forward"
+	"github.com/rillreach/rillreach/internal/bounded"
 	"github.com/rillreach/rillreach/internal/operation"
 	"github.com/rillreach/rillreach/platform"
 	"github.com/rillreach/rillreach/responseclass"
@@ -53,6 +54,8 @@
 	// answer that is buffered until it is complete.
 	prefetched bytes.Buffer
 	body       bytes.Buffer
+	// memory is reserved for an answer that is buffered.
+	memory bounded.Reservation
 	// position is the last event that the caller had when the attempt was sent or interrupted, so that its events follow
 	// on from there. resumeAfter is the ID of the last event that the caller has from another attempt; events up to it
 	// are skipped. events reads the events of a stream.
@@ -121,7 +124,7 @@
 
 // newAttempt prepares an attempt on the target.
 func (g *Gateway) newAttempt(ctx context.Context, x *exchange, t *target) *attempt {
-	a := &attempt{gateway: g, exchange: x, target: t, requestCtx: ctx, position: x.lastEvent}
+	a := &attempt{gateway: g, exchange: x, target: t, requestCtx: ctx, position: x.lastEvent, memory: bounded.Reservation{Budget: g.buffers}}
 	if !x.route.AtMostOnce() {
 		a.interrupted = make(chan struct{})
 	}
@@ -199,6 +202,7 @@
 		a.answer.Close() // before the context is cancelled, which would close a reusable connection
 	}
 	a.cancel(nil)
+	a.memory.Release()
 	a.target.inflight.end()
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/forward"
+	"github.com/rillreach/rillreach/internal/bounded"
 	"github.com/rillreach/rillreach/pinning"
 	"github.com/rillreach/rillreach/platform"
 	"github.com/rillreach/rillreach/retry"
@@ -18,8 +19,10 @@
 	writer  http.ResponseWriter
 	request *http.Request
 	// wire is the request as decoded from the caller's headers, and call the request to the runner.
-	wire    platform.Request
-	call    forward.Request
+	wire platform.Request
+	call forward.Request
+	// memory is reserved for the request's body.
+	memory  bounded.Reservation
 	config  *deployment.Config
 	route   *deployment.Route
 	account *deployment.Account
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/rillreach/rillreach/entrycount"
 	"github.com/rillreach/rillreach/fleet"
 	"github.com/rillreach/rillreach/forward"
+	"github.com/rillreach/rillreach/internal/bounded"
 	"github.com/rillreach/rillreach/internal/broadcast"
 	"github.com/rillreach/rillreach/internal/hash"
 	"github.com/rillreach/rillreach/internal/pause"
@@ -59,6 +60,10 @@
 	sweepInterval    = time.Second
 	// maxTrialOffset is the period over which entries spread their trials of a quarantined request.
 	maxTrialOffset = 2 * time.Second
+	// bufferMemoryShare is the share of the process's memory that bodies of requests and buffered answers may take together.
+	// A buffer that grows takes up to twice as much for a moment.
+	bufferMemoryShare = 0.25
+	bytesPerMB        = 1 << 20
 	// noTimeout disables the idle timeout of package http; zero would mean ReadHeaderTimeout.
 	noTimeout = -1
 )
@@ -120,6 +125,9 @@
 	// limited tracks the runners that announce a limit on requests.
 	limited  limitedRunners
 	inflight node.Inflight
+	// buffers bounds the bodies of all requests and all buffered answers together. It is nil if the process has no memory
+	// limit.
+	buffers *bounded.Budget
 	// choices counts choices of a runner, each of which starts at another candidate.
 	choices atomic.Uint64
 	// startedAt is when Run was called.
@@ -153,6 +161,9 @@
 		g.Clock = node.SystemClock()
 	}
 	g.budgets = g.newBudgets()
+	if limit := g.Settings.MemoryMB * bytesPerMB; limit > 0 {
+		g.buffers = bounded.NewBudget(int64(float64(limit) * bufferMemoryShare))
+	}
 	g.server = g.newServer()
 	g.listener = &callerconn.Listener{Listener: node.Listener{Listener: g.Callers}, IdleConns: g.idleConns, Log: g.Log}
 	runCtx, endRun := context.WithCancel(context.WithoutCancel(ctx))
--- a/gateway/gauges.go
+++ b/gateway/gauges.go
@@ -20,6 +20,7 @@
 		{Name: "rillreach.runners.limited", Description: "listed runners that name a limit on requests", Read: func() float64 { return g.countRunnersWhere(func(v roster.View) bool { return v.Limit.Bounded }) }},
 		{Name: "rillreach.zones.evacuated", Description: "zones whose runners get nothing", Read: func() float64 { return float64(len(g.state.Evacuations())) }},
 		{Name: "rillreach.requests.running", Description: "requests that run", Read: func() float64 { return float64(g.inflight.Count()) }},
+		{Name: "rillreach.buffers.used", Description: "bytes of requests' bodies and of buffered answers", Read: func() float64 { return float64(g.buffers.Used()) }},
 		{Name: "rillreach.requests.waiting", Description: "prompts that wait at the entry for room at a model engine", Read: func() float64 { return float64(g.queue.len()) }},
 		{Name: "rillreach.requests.suspected", Description: "requests that were under way at a runner that ended, and not answered since", Read: g.suspectCount},
 		{Name: "rillreach.requests.quarantined", Description: "requests that are not sent to runners, since runners have ended under them", Read: g.quarantinedCount},
--- a/gateway/handle.go
+++ b/gateway/handle.go
@@ -14,6 +14,7 @@
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/forward"
+	"github.com/rillreach/rillreach/internal/bounded"
 	"github.com/rillreach/rillreach/platform"
 )
 
@@ -22,6 +23,8 @@
 	g.inflight.Add()
 	defer g.inflight.Done()
 	x := newExchange(w, r)
+	x.memory.Budget = g.buffers
+	defer x.memory.Release()
 	defer g.cancelUnusedTrial(x)
 	defer g.returnRepeat(x)
 	g.awaitSync(r.Context())
@@ -163,9 +166,11 @@
 	if err := control.SetReadDeadline(x.deadline); err != nil {
 		return refusedBodyUnreadable
 	}
-	body, err := readBody(http.MaxBytesReader(x.writer, r.Body, x.config.Limits.MaxBody), r.ContentLength)
+	body, err := readBody(http.MaxBytesReader(x.writer, r.Body, x.config.Limits.MaxBody), r.ContentLength, &x.memory)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, bounded.ErrNoMemory):
+		return refusedNoMemory
 	case errors.As(err, &tooLarge):
 		return refusedBodyTooLarge
 	case err != nil:
@@ -178,10 +183,13 @@
 	return nil
 }
 
-// readBody reads a body of the given length. A length of zero or less means unknown.
-func readBody(from io.Reader, length int64) ([]byte, error) {
+// readBody reads a body of the given length and reserves memory for it. A length of zero or less means unknown.
+func readBody(from io.Reader, length int64, memory *bounded.Reservation) ([]byte, error) {
 	if length <= 0 || length > maxPreallocatedBody {
-		return io.ReadAll(from)
+		return io.ReadAll(&bounded.Reader{From: from, Memory: memory})
+	}
+	if !memory.Grow(length) {
+		return nil, bounded.ErrNoMemory
 	}
 	body := make([]byte, length)
 	_, err := io.ReadFull(from, body)
--- a/gateway/refuse.go
+++ b/gateway/refuse.go
@@ -29,6 +29,7 @@
 	refusedBodyTooLarge    = &refusal{http.StatusRequestEntityTooLarge, "body-too-large", 0}
 	refusedBodyUnreadable  = &refusal{http.StatusBadRequest, "body-unreadable", 0}
 	refusedCrashesRunners  = &refusal{http.StatusBadGateway, verdictCrashesRunners, 0}
+	refusedNoMemory        = &refusal{http.StatusServiceUnavailable, "no-memory", time.Second}
 	refusedShutdown        = &refusal{http.StatusServiceUnavailable, "entry-stops", shortRetryAfter}
 )
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -13,6 +13,7 @@
 	"github.com/rillreach/rillreach/callerconn"
 	"github.com/rillreach/rillreach/deployment"
 	"github.com/rillreach/rillreach/forward"
+	"github.com/rillreach/rillreach/internal/bounded"
 	"github.com/rillreach/rillreach/pinning"
 	"github.com/rillreach/rillreach/platform"
 	"github.com/rillreach/rillreach/responseclass"
@@ -74,12 +75,18 @@
 // isEventStream reports whether the route's answers are event streams.
 func (x *exchange) isEventStream() bool { return x.route.Kind == deployment.EventStream }
 
-// relayBuffered buffers an answer until it is complete, so that one that breaks off can still be replaced.
+// relayBuffered buffers an answer until it is complete, so that one that breaks off can still be replaced. An answer for
+// which there is no memory is forwarded as it arrives.
 func (a *attempt) relayBuffered() bool {
 	g, x, t := a.gateway, a.exchange, a.target
-	_, err := a.body.ReadFrom(io.LimitReader(a, maxBufferedAnswer+1-int64(a.body.Len())))
+	answer := &bounded.Reader{From: a, Memory: &a.memory}
+	_, err := a.body.ReadFrom(io.LimitReader(answer, maxBufferedAnswer+1-int64(a.body.Len())))
 	body := a.body.Bytes()
-	if err == nil && len(body) > maxBufferedAnswer {
+	switch {
+	case errors.Is(err, bounded.ErrNoMemory):
+		g.Log.Info("answer forwarded before it is complete", "decision", "stream", "reason", "no-memory", "request", x.wire.ID, "buffered", len(body), "buffers", g.buffers.Used())
+		return a.relayLarge(body)
+	case err == nil && len(body) > maxBufferedAnswer:
 		return a.relayLarge(body)
 	}
 	if errors.Is(err, errInterrupted) {
