Soak spoiled answers, memory and the overlap of two runs

Cause: the soak's runners spoiled no answers, nobody looked at the memory of its entries or at the seal of answers, and two runners that work on one stream were not looked for. It takes a stream that its runner spoiled for one that its runner failed; no other bound or check has changed.

--- a/internal/standin/site/specs.go
+++ b/internal/standin/site/specs.go
@@ -179,6 +179,9 @@
 	r.Header.Set("Last-Event-Id", EventID(lastEvent))
 }
 
+// IsSealed reports whether a response has the seal of a runner.
+func IsSealed(resp *http.Response) bool { return resp.Header.Get("X-Rillreach-Response-Seal") != "" }
+
 // RetryAfter returns when a response asks its caller to come back, or zero if it does not.
 func RetryAfter(resp *http.Response) time.Duration {
 	seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
--- a/internal/standin/site/unframed.go
+++ b/internal/standin/site/unframed.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -29,7 +30,8 @@
 }
 
 // ServeUnframed has the handler write a response with neither a content length nor chunks, which ends with its connection.
-// If the runner crashes or the handler aborts, the connection ends as it does after a complete response.
+// If the runner crashes or the handler aborts, the connection ends as it does after a complete response. If the caller closes
+// the connection, the request's context ends, as for other responses.
 func (r *Runner) ServeUnframed(w http.ResponseWriter, req *http.Request, handle http.HandlerFunc) {
 	header := w.Header().Clone()
 	conn, _, err := http.NewResponseController(w).Hijack()
@@ -41,8 +43,14 @@
 		return
 	}
 	defer r.removeUnframed(conn)
+	ctx, cancel := context.WithCancel(req.Context())
+	defer cancel()
+	go func() {
+		_, _ = io.Copy(io.Discard, conn) // returns when either side closes the connection
+		cancel()
+	}()
 	u := &unframedWriter{conn: conn, header: header}
-	handle(u, req)
+	handle(u, req.WithContext(ctx))
 	if !u.wroteHead {
 		u.WriteHeader(http.StatusOK)
 	}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -128,6 +128,7 @@
 		defer resp.Body.Close()
 		var body []byte
 		body, err = io.ReadAll(resp.Body)
+		seen.Sealed = site.IsSealed(resp)
 		seen.Status, seen.Body, seen.RetryAfter = resp.StatusCode, string(body), site.RetryAfter(resp)
 	}
 	seen.Truncated, seen.Refused = err != nil, errors.Is(err, syscall.ECONNREFUSED)
--- a/soak/engine.go
+++ b/soak/engine.go
@@ -23,6 +23,7 @@
 	number int
 	// backpressure holds the backpressure signals in the engine's responses.
 	backpressure backpressureControl
+	spoiler      spoiler
 	// crashAndReplace ends the run with the given label and schedules another, unless something else ends that run. It
 	// returns once the run's connections are closed, and reports whether it ended the run.
 	crashAndReplace func(label string) bool
@@ -78,13 +79,16 @@
 	software := e.software
 	e.events.beginRun(label, engineService, software)
 	next.Handle = func(w http.ResponseWriter, r *http.Request) {
-		started := execution{ID: site.RequestID(r), Runner: label, Zone: zoneOf(e.number), Software: software, Weights: next.LoadedVersion(), Fatal: fatalCause(r)}
+		started := execution{ID: site.RequestID(r), Runner: label, Zone: zoneOf(e.number), Software: software, Weights: next.LoadedVersion(), After: resumedAfter(r), Fatal: fatalCause(r)}
 		if started.Fatal != "" {
 			e.events.crashRunner(started, e.crashAndReplace)
 		}
 		if e.backpressure.handle(e.events, label, w, r) {
 			return
 		}
+		if e.spoiler.handle(e.events, started, w, r) {
+			return
+		}
 		respond(&next.Runner, w, r, func(w http.ResponseWriter, r *http.Request) {
 			streamPieces(w, r, e.events.beginExecution(started), software, e.eventInterval(r))
 		})
--- a/soak/engine_faults.go
+++ b/soak/engine_faults.go
@@ -75,6 +75,7 @@
 		n.slowFor(a.Duration)
 		c.schedule(a.Duration, func() {})
 	case faultEngineFreeze:
+		c.recordSilence(n.name(), a.scaleDuration(minFreeze, maxFreeze))
 		n.proxy.update(func(x *proxy) { x.silent = true })
 		c.schedule(a.scaleDuration(minFreeze, maxFreeze), func() { n.proxy.update(func(x *proxy) { x.silent = false }) })
 	}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -29,7 +29,7 @@
 		c.injectOperatorChange(a)
 	case faultRollout:
 		c.injectRollout(a)
-	case faultFatal, faultFatalPart, faultEvacuate, faultRestore, faultRateLimit, faultRetryAfter, faultLeaveInResponses, faultReplaceSoftware, faultKillSeries, faultOverload:
+	case faultFatal, faultFatalPart, faultEvacuate, faultRestore, faultRateLimit, faultRetryAfter, faultLeaveInResponses, faultReplaceSoftware, faultKillSeries, faultOverload, faultSpoil:
 		c.injectDedicated(a, p, n)
 	default:
 		c.injectEngineOrStore(a, n)
@@ -49,6 +49,8 @@
 		c.injectRestore(a)
 	case faultReplaceSoftware, faultKillSeries:
 		c.injectVersions(a, p, n)
+	case faultSpoil:
+		c.injectSpoil(a, p, n)
 	case faultOverload:
 		c.events.overload(a.Duration)
 		c.schedule(a.Duration, func() {})
--- a/soak/givenup.go
+++ b/soak/givenup.go
@@ -11,14 +11,14 @@
 const resetSlack = 100 * time.Millisecond
 
 // checkAbandonedStream reports streams that were cut although a runner was still answering them. It allows for a runner
-// that failed, and for one that was left for another runner that was already answering. A busy machine is no excuse.
+// that failed or spoiled its answer, and for one that was left for another runner that was already answering. A busy machine is no excuse.
 func (r *observations) checkAbandonedStream(c *callRecord, executions []execution, report func(string, ...any)) {
 	if !c.failedStream() || overlapsAny(c, r.Entries[c.Entry].Outages) || r.stopping(c) {
 		return
 	}
 	for i := range executions {
 		e := &executions[i]
-		if r.runnerFailed(e, c) || r.resumedElsewhere(e, c, executions) {
+		if e.Spoiled || r.runnerFailed(e, c) || r.resumedElsewhere(e, c, executions) {
 			continue
 		}
 		report("request %s of kind %s, taken by entry %d, was cut after %s, though %s was answering it for %s (answer whole: %t)",
--- a/soak/history.go
+++ b/soak/history.go
@@ -27,6 +27,8 @@
 	// itself.
 	SIGTERMs []time.Time
 	Outages  []interval
+	// MostMemory is the most memory that the process has used, in bytes.
+	MostMemory int
 }
 
 // recordSignal records a signal that ends the process.
@@ -79,7 +81,7 @@
 func (p *process) historySnapshot() processHistory {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return processHistory{Lifetimes: slices.Clone(p.history.Lifetimes), SIGTERMs: slices.Clone(p.history.SIGTERMs), Outages: slices.Clone(p.history.Outages)}
+	return processHistory{Lifetimes: slices.Clone(p.history.Lifetimes), SIGTERMs: slices.Clone(p.history.SIGTERMs), Outages: slices.Clone(p.history.Outages), MostMemory: p.history.MostMemory}
 }
 
 // currentLifetime returns the index of the current lifetime.
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -94,7 +94,9 @@
 	r.checkUnexpectedExits(timed, report)
 	r.checkSoftwareVersions(report)
 	r.checkRetryBudget(report)
+	r.checkMemory(report)
 	if timed {
+		r.checkOverlaps(executions, report)
 		r.checkWeights(report)
 		r.checkLeaving(report)
 		r.checkRecovery(report)
@@ -134,6 +136,9 @@
 	if c.Status != statusOK {
 		return
 	}
+	if !c.Sealed {
+		report("request %s: success without a seal", c.ID)
+	}
 	want, body := expectedAfter(c.ID, c.Kind, c.After), withoutSoftware(c.Body)
 	if !c.Truncated && body != want {
 		report("request %s: answer looks whole and is %q", c.ID, c.Body)
--- a/soak/main.go
+++ b/soak/main.go
@@ -38,6 +38,7 @@
 			&cli.BoolFlag{Name: "backpressure", Usage: "only runners that ask for less in their answers, beside kills, pauses, stops and a store that is away"},
 			&cli.BoolFlag{Name: "versions", Usage: "runners of two software versions that replace each other, callers that take streams up, kills and stops in series"},
 			&cli.BoolFlag{Name: "repeats", Usage: "only runners that refuse most requests, kills and stops in series, and whatever makes requests fail"},
+			&cli.BoolFlag{Name: "spoil", Usage: "only runners that spoil some of their answers, beside kills, pauses, stops and crashes"},
 			&cli.BoolFlag{Name: "restore", Usage: "only a store that comes back from copies, beside changes, kills and pauses"},
 			&cli.StringFlag{Name: "binary", Usage: "the program; built from the sources where it is not set"},
 			&cli.StringFlag{Name: "keep", Usage: "folder for logs of a seed that failed"},
@@ -85,7 +86,7 @@
 // buildSchedule draws the faults that the flags select.
 func buildSchedule(c *cli.Command, seed uint64, length time.Duration) []action {
 	actions := sortByTime(append(schedule(seed, length), engineSchedule(seed, length, engineFaults)...))
-	for flag, from := range map[string][]fault{"fatal": fatalFaults, "parts": fatalPartFaults, "evacuate": evacuationFaults, "backpressure": backpressureFaults, "restore": restoreFaults, "versions": versionFaults, "repeats": repeatFaults} {
+	for flag, from := range map[string][]fault{"fatal": fatalFaults, "parts": fatalPartFaults, "evacuate": evacuationFaults, "backpressure": backpressureFaults, "restore": restoreFaults, "versions": versionFaults, "repeats": repeatFaults, "spoil": spoilFaults} {
 		if c.Bool(flag) {
 			actions = engineSchedule(seed, length, from)
 		}
--- a/soak/network_faults.go
+++ b/soak/network_faults.go
@@ -8,6 +8,7 @@
 // injectNetwork disrupts the connections to a runner.
 func (c *cluster) injectNetwork(a action, p *plainRunner) {
 	c.recordRunnerFault(p.name(), a.Duration)
+	c.recordSilence(p.name(), a.Duration)
 	if a.Fault == faultReset {
 		c.recordRunnerFault(p.name(), 0)
 		p.proxy.reset()
--- a/soak/record.go
+++ b/soak/record.go
@@ -35,8 +35,9 @@
 	EndedAt   time.Time
 	Status    int
 	Body      string
-	// Truncated reports whether the response ended early or never came.
+	// Truncated reports whether the response ended early or never came, and Sealed whether it has the seal of a runner.
 	Truncated bool
+	Sealed    bool
 	// Fatal is the name of a fatal request, which crashes the runners that start it and is sent repeatedly, or the fatal part
 	// of its prompt. It is empty for other requests.
 	Fatal string
@@ -72,6 +73,10 @@
 	Software string
 	// Weights is the version of the weights at the start of the execution, or zero if the runner has none.
 	Weights uint64
+	// After is the last event that the caller had when the request was sent.
+	After int
+	// Spoiled reports whether the runner spoiled its answer.
+	Spoiled bool
 	// Fatal is the name of a fatal request, or the fatal part of its prompt, and empty for others. Killed reports whether this execution ended the
 	// runner.
 	Fatal  string
@@ -106,6 +111,8 @@
 	// engine, by name. A fault of zero duration broke all connections of the runner.
 	Entries      map[int]processHistory
 	RunnerFaults map[string][]interval
+	// Silences holds the times for which each plain runner and engine was out of reach, by name.
+	Silences map[string][]interval
 	// SoftwareRuns holds the times for which runners have run with a version of their software.
 	SoftwareRuns []softwareRun
 	// LeavingSince is when each runner's leave was acknowledged, and KeysRemoved when each key was removed.
--- a/soak/runner.go
+++ b/soak/runner.go
@@ -106,6 +106,7 @@
 	number int
 	// backpressure holds the backpressure signals in the runner's responses.
 	backpressure backpressureControl
+	spoiler      spoiler
 	// crashAndReplace ends the run with the given label and schedules another, unless something else ends that run. It
 	// returns once the run's connections are closed, and reports whether it ended the run.
 	crashAndReplace func(label string) bool
@@ -202,16 +203,28 @@
 }
 
 func (p *plainRunner) handle(run *site.Runner, software string, w http.ResponseWriter, r *http.Request) {
-	started := execution{ID: site.RequestID(r), Runner: run.ID, Zone: zoneOf(p.number), Software: software, Fatal: fatalCause(r)}
+	started := execution{ID: site.RequestID(r), Runner: run.ID, Zone: zoneOf(p.number), Software: software, After: resumedAfter(r), Fatal: fatalCause(r)}
 	if started.Fatal != "" {
 		p.events.crashRunner(started, p.crashAndReplace)
 	}
 	if p.backpressure.handle(p.events, run.ID, w, r) {
 		return
 	}
+	if p.spoiler.handle(p.events, started, w, r) {
+		return
+	}
 	respond(run, w, r, func(w http.ResponseWriter, r *http.Request) { p.answer(started, w, r) })
 }
 
+// resumedAfter returns the last event that the caller of a request has, or zero.
+func resumedAfter(r *http.Request) int {
+	last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		return 0
+	}
+	return last
+}
+
 // answer executes a request and writes its response.
 func (p *plainRunner) answer(started execution, w http.ResponseWriter, r *http.Request) {
 	if k := requestKind(r); k.streams() {
@@ -264,12 +277,8 @@
 	}
 	site.SetSealHeaders(w, r)
 	w.Header().Set("Content-Type", "text/event-stream")
-	from, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	if err != nil {
-		from = 0
-	}
 	open.recordFirstEvent()
-	for i := from + 1; i <= streamEvents; i++ {
+	for i := resumedAfter(r) + 1; i <= streamEvents; i++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d%s%s\n\n", i, site.RequestID(r), i, softwareSeparator, software)
 		if http.NewResponseController(w).Flush() != nil || !waitOrCanceled(r, pause) {
 			return
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -101,6 +101,15 @@
 	r.Executions = slices.DeleteFunc(r.Executions, func(one execution) bool { return one.ID == c.ID })
 }
 
+// addSecondRun adds a run of the stream at another runner, at the moment at which the first one begins, which ends at the given
+// time instead.
+func (r *observations) addSecondRun(firstEnds time.Duration, after int) {
+	first := &r.Executions[slices.Index(kinds, kindStream)]
+	first.StartedAt = time.Unix(1000, 0).Add(10 * time.Second)
+	first.EndedAt = time.Unix(1000, 0).Add(firstEnds)
+	r.Executions = append(r.Executions, execution{ID: first.ID, Runner: "q-1", After: after, StartedAt: first.StartedAt, EndedAt: first.EndedAt})
+}
+
 // TestBrokenGuaranteeIsReported breaks each guarantee in observations that satisfy all of them.
 func TestBrokenGuaranteeIsReported(t *testing.T) {
 	start := time.Unix(1000, 0)
@@ -113,12 +122,12 @@
 			id := string(k)
 			r.Calls = append(r.Calls, callRecord{
 				ID: id, Kind: k, Key: permanentKey, SentAt: at(10 * time.Second), WrittenAt: at(10 * time.Second),
-				EndedAt: at(11 * time.Second), Status: 200, Body: expected(id, k),
+				EndedAt: at(11 * time.Second), Status: 200, Sealed: true, Body: expected(id, k),
 			})
 			r.Executions = append(r.Executions, execution{ID: id, Runner: "r-1", StartedAt: at(10*time.Second + time.Duration(i)), EndedAt: at(11 * time.Second)})
 		}
 		r.Calls = append(r.Calls, callRecord{
-			ID: "last", Kind: kindRepeat, Key: permanentKey, SentAt: at(30 * time.Second), EndedAt: at(31 * time.Second), Status: 200, Body: expected("last", kindRepeat),
+			ID: "last", Kind: kindRepeat, Key: permanentKey, SentAt: at(30 * time.Second), EndedAt: at(31 * time.Second), Status: 200, Sealed: true, Body: expected("last", kindRepeat),
 		})
 		return r
 	}
@@ -239,6 +248,17 @@
 			c := of(r, kindFlow)
 			c.Refused, c.NewConnection = false, true
 		}, "took none of 1"},
+		"success without a seal": {func(r *observations) { of(r, kindRepeat).Sealed = false }, "without a seal"},
+		"too much memory": {func(r *observations) {
+			r.updateEntry(func(h *processHistory) { h.MostMemory = memoryLimit + 1 })
+		}, "used 284 MB of 284"},
+		"two runners work on a continued stream":                         {func(r *observations) { r.addSecondRun(10*time.Second+maxOverlap+1, 4) }, "went on at q-1 after event 4"},
+		"two runners work on a continued stream for as long as they may": {func(r *observations) { r.addSecondRun(10*time.Second+maxOverlap, 4) }, ""},
+		"two runners work on a repeated stream":                          {func(r *observations) { r.addSecondRun(10*time.Second+maxOverlap+1, 0) }, ""},
+		"two runners work on a stream, and the entry cannot reach one": {func(r *observations) {
+			r.addSecondRun(10*time.Second+maxOverlap+1, 4)
+			r.Silences = map[string][]interval{"r": {{at(10 * time.Second), at(11 * time.Second)}}}
+		}, ""},
 		"unexpected exit": {func(r *observations) {
 			r.updateEntry(func(h *processHistory) { h.Lifetimes[0].Ended = at(35 * time.Second) })
 		}, "ended by itself"},
--- a/soak/world.go
+++ b/soak/world.go
@@ -55,6 +55,7 @@
 	disturbances     map[int][]interval
 	storeOutages     map[int][]interval
 	runnerFaults     map[string][]interval
+	silences         map[string][]interval
 	evacuations      []interval
 	lastFaultEnd     time.Time
 	scheduled        sync.WaitGroup
@@ -70,7 +71,7 @@
 func newCluster(binary, dir string, counts clusterSize, report func(string, ...any)) (*cluster, error) {
 	c := &cluster{
 		store: site.NewStore(), report: report, keysRemoved: map[string]time.Time{}, leavingSince: map[string]time.Time{}, disturbances: map[int][]interval{},
-		storeOutages: map[int][]interval{}, weightsPublished: map[uint64]time.Time{}, runnerFaults: map[string][]interval{},
+		storeOutages: map[int][]interval{}, weightsPublished: map[uint64]time.Time{}, runnerFaults: map[string][]interval{}, silences: map[string][]interval{},
 	}
 	var err error
 	if c.network, err = claimNetwork(); err != nil {
@@ -230,6 +231,14 @@
 	c.runnerFaults[name] = append(c.runnerFaults[name], interval{From: now, To: now.Add(d)})
 }
 
+// recordSilence records that a plain runner or engine is out of reach for the given time.
+func (c *cluster) recordSilence(name string, d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.silences[name] = append(c.silences[name], interval{From: now, To: now.Add(d)})
+}
+
 // schedule runs fn after the given time. The soak does not end before it has returned.
 func (c *cluster) schedule(d time.Duration, fn func()) {
 	c.scheduled.Go(func() {
@@ -248,6 +257,7 @@
 	c.prober.cluster = c
 	callers.Go(func() { c.balancer.run(stop) })
 	callers.Go(func() { c.prober.run(stop) })
+	callers.Go(func() { c.watchMemory(stop) })
 	callers.Go(func() { c.callers.run(stop) })
 	begun := time.Now()
 	for _, a := range actions {
@@ -270,7 +280,7 @@
 	r := &observations{
 		Executions: slices.Clone(c.events.executions), Arrivals: slices.Clone(c.events.arrivals), ReceivedOrders: slices.Clone(c.events.orders), Disturbances: c.disturbances, LeavingSince: maps.Clone(c.leavingSince),
 		KeysRemoved: c.keysRemoved, LastFaultEnd: c.lastFaultEnd, WeightsPublished: maps.Clone(c.weightsPublished), LoadedWeights: map[string]uint64{}, Ended: time.Now(),
-		SoftwareRuns: slices.Clone(c.events.softwareRuns), RunnerFaults: c.runnerFaults, Evacuations: slices.Clone(c.evacuations), StoreOutages: maps.Clone(c.storeOutages), Entries: map[int]processHistory{},
+		SoftwareRuns: slices.Clone(c.events.softwareRuns), RunnerFaults: c.runnerFaults, Silences: c.silences, Evacuations: slices.Clone(c.evacuations), StoreOutages: maps.Clone(c.storeOutages), Entries: map[int]processHistory{},
 	}
 	for _, n := range c.engines {
 		id, weights := n.idAndWeights()
