--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,12 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/rillreach/rillreach/callerconn"
 	"github.com/rillreach/rillreach/deployment"
-	"github.com/rillreach/rillreach/forward"
 	"github.com/rillreach/rillreach/internal/bounded"
-	"github.com/rillreach/rillreach/pinning"
-	"github.com/rillreach/rillreach/platform"
 	"github.com/rillreach/rillreach/responseclass"
 )
 
@@ -170,132 +165,6 @@
 	}
 }
 
-// beginAnswer copies the runner's headers to the answer to the caller. From then on the answer can be continued but not
-// replaced. If the runner does not mark the end of its answer, the entry doesn't either, since it cannot be sure of it.
-func (g *Gateway) beginAnswer(x *exchange, answer *forward.Response) http.Header {
-	h := x.writer.Header()
-	maps.Copy(h, platform.EndToEndHeader(answer.Head.Header))
-	g.setConnectionClose(h)
-	if !answer.Framed() {
-		callerconn.EndWithConnection(h)
-	}
-	x.recordHead()
-	return h
-}
-
-// writeHead sends the head of a runner's answer to the caller. If only the end of the connection can end the answer, it
-// is a reset until the answer is complete.
-func (g *Gateway) writeHead(x *exchange, status int) {
-	if callerconn.EndsWithConnection(x.request, x.writer.Header()) {
-		x.resetUnlessComplete = true
-		if err := callerconn.ResetUnlessComplete(x.request.Context()); err != nil {
-			g.Log.Error(err, "cannot make an incomplete answer end with a reset", "request", x.wire.ID)
-		}
-	}
-	x.writer.WriteHeader(status)
-}
-
-// allowClose makes the caller's connection end normally, since the answer is complete.
-func (g *Gateway) allowClose(x *exchange) {
-	if !x.resetUnlessComplete {
-		return
-	}
-	if err := callerconn.CloseNormally(x.request.Context()); err != nil {
-		g.Log.Error(err, "cannot make a complete answer end normally", "request", x.wire.ID)
-	}
-}
-
-// setConnectionClose tells the caller to close its connection if the entry is shutting down.
-func (g *Gateway) setConnectionClose(h http.Header) {
-	if g.shuttingDown.Load() {
-		h.Set("Connection", "close")
-	}
-}
-
-// relayStream forwards events as they arrive. If the stream may continue at another runner, it forwards only complete
-// events.
-func (a *attempt) relayStream() bool {
-	g, x, t := a.gateway, a.exchange, a.target
-	if !x.headSent {
-		if !x.continuePastShutdown() {
-			return a.failRelay(errShuttingDown) // the request is already getting an error response
-		}
-		g.beginAnswer(x, a.answer)
-		g.writeHead(x, a.answer.Head.StatusCode)
-	}
-	if a.events == nil {
-		a.events = &eventReader{from: a, wholeEvents: x.route.Resumable, resumeAfter: a.resumeAfter}
-	}
-	for {
-		part, err := a.events.next()
-		if len(part) > 0 {
-			t.runner.RecordSuccess(time.Now())
-			a.writeEvents(part, a.events.lastID)
-		}
-		if errors.Is(err, errInterrupted) {
-			return a.park()
-		}
-		if isCompleteAnswer(err) {
-			a.recordAnswered()
-			return true
-		}
-		if err != nil {
-			return a.failRelay(errors.Wrap(err, "stream broke off"))
-		}
-		if a.shouldMoveStream(time.Now()) {
-			a.startHedge(hedgeLoading)
-		}
-	}
-}
-
-// pinStream records that the caller gets events from the attempt's runner, before the first of them is sent.
-func (a *attempt) pinStream() {
-	x := a.exchange
-	if x.pin.IsZero() {
-		x.pinTo(pinning.Pin{Service: x.service.Name, Software: a.target.view.Software})
-	}
-	if !x.pinRecorded {
-		x.pinRecorded = true
-		a.gateway.recordPin(x)
-	}
-}
-
-// writeEvents sends events to the caller. The last complete one has the given ID.
-func (a *attempt) writeEvents(part []byte, lastID string) {
-	g, x := a.gateway, a.exchange
-	if x.firstEventAt.IsZero() {
-		x.firstEventAt = time.Now()
-		g.Metrics.RecordFirstToken(x.firstEventAt.Sub(x.arrived))
-	}
-	a.pinStream()
-	a.writingToCaller.Store(true)
-	err := x.write(part)
-	a.writingToCaller.Store(false)
-	if err != nil {
-		g.abortAnswer(x, a.target, errors.Wrap(err, "write to caller"))
-	}
-	x.failedSends = 0
-	x.recordWrite(lastID)
-}
-
-// shouldMoveStream reports whether another runner should continue the stream because the current runner waits for its
-// requests to end before it loads weights, and accepts no new requests until then.
-func (a *attempt) shouldMoveStream(now time.Time) bool {
-	x := a.exchange
-	if !x.route.Resumable || x.lastEvent == "" || x.deadline.Sub(now) < x.route.TargetLatency {
-		return false
-	}
-	v := a.target.runner.View(now)
-	return v.ReportFresh && v.Load.LoadingWeights
-}
-
-func (x *exchange) write(part []byte) error {
-	if _, err := x.writer.Write(part); err != nil {
-		return err
-	}
-	return http.NewResponseController(x.writer).Flush()
-}
-
 // abortAnswer closes the connection of an answer that cannot be completed, so that the caller does not take it for a
 // complete one.
 func (g *Gateway) abortAnswer(x *exchange, t *target, cause error) {
