Choose a runner that sends bad answers less often

Cause: a runner that has sent something that is no answer is only ejected, and the next success there ends the ejection. With many requests at once a runner that spoils some of its answers was chosen like any other. Change: an unreadable, oversized or invalid answer counts in the runner's failure rate, as an error status of its own does. Before: the new assertions in TestUnsealedResponseChangesRunnerState and TestEndlessRunnerNotAvoided red. After: green.

--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -137,4 +137,5 @@
 	assertGatewayAnswer(t, w.send(t, "POST", "/once/x", "question"), http.StatusBadGateway)
 	view := w.gateway.state.Roster.Find("r").View(time.Now())
 	assert.True(t, view.Ejected, "the runner is not avoided")
+	assert.Positive(t, view.FailureRate, "the runner is chosen like others once another request succeeds there")
 }
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -35,12 +35,12 @@
 
 // isRunnersFault reports whether the runner itself ended the attempt without a complete answer.
 func (c failureCause) isRunnersFault() bool {
-	switch c {
-	case causeRunnerEnded, causeConnectionClosed, causeUnreadableAnswer, causeOversizedAnswer, causeInvalidAnswer:
-		return true
-	default:
-		return false
-	}
+	return c == causeRunnerEnded || c == causeConnectionClosed || c.isBadAnswer()
+}
+
+// isBadAnswer reports whether the runner has sent something that is no answer.
+func (c failureCause) isBadAnswer() bool {
+	return c == causeUnreadableAnswer || c == causeOversizedAnswer || c == causeInvalidAnswer
 }
 
 // The reasons for which the entry cancels an attempt, other than the request's deadline.
@@ -79,6 +79,9 @@
 		g.rollouts.recordAnswer(a, true)
 	}
 	now := time.Now()
+	if cause.isBadAnswer() {
+		t.runner.RecordFailure(now) // a success between two such answers ends an ejection
+	}
 	if t.cancelled.Load() {
 		x.reason = errStartTooLate.Error()
 		g.Log.Info("request cancelled before it began", "decision", "cancel", "request", x.wire.ID, "runner", t.view.ID, "weights", t.weights,
--- a/gateway/unsealed_test.go
+++ b/gateway/unsealed_test.go
@@ -176,6 +176,7 @@
 	assert.False(t, view.Leaving)
 	assert.False(t, view.Limit.Bounded)
 	assert.True(t, view.Ejected, "the runner is not avoided")
+	assert.Positive(t, view.FailureRate, "the runner is chosen like others once another request succeeds there")
 }
 
 // Guards against reusing a connection after an unsealed response, whose rest may be anything.
