Leave a stream to the runner that has begun it first

Cause: where two runners were asked for a stream from its beginning and both begin to answer, the deadline ended the one that the caller had its events from. That is no continuation, so that the rule on continued requests asks for neither, and the first one is ahead. Change: the hedge goes on over a working primary only where it was asked for the rest. A hedge is not sought any more where the route allows no further runner: the runners that may be asked again are never taken for hedges, and looking for one cost a choice among all runners each 50 ms of a silence. The memory limit in bytes is told by the settings, in one place.

--- a/cmd/platform.go
+++ b/cmd/platform.go
@@ -42,7 +42,6 @@
 	logDrainTimeout = 200 * time.Millisecond
 	// backgroundStopTimeout is the maximum time that background work delays the exit.
 	backgroundStopTimeout = 50 * time.Millisecond
-	bytesPerMB            = 1 << 20
 	// copyAgeDivisor gives the greatest age of a copy of the store's objects as a fraction of the bound on leaving
 	// runners, between minCopyAge and maxCopyAge.
 	copyAgeDivisor = 2
@@ -126,7 +125,7 @@
 		return exitError{error: err, code: ExitUsage}
 	}
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * bytesPerMB * memoryLimitShare))
+	debug.SetMemoryLimit(int64(float64(s.MemoryBytes()) * memoryLimitShare))
 	metrics, err := telemetry.New()
 	if err != nil {
 		return err
@@ -149,7 +148,7 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { p.checkSettingsOnHangup(runCtx, c.String("settings-file"), hangups) })
 	wg.Go(func() { p.serveMetrics(runCtx, uint16(c.Int("metrics-port"))) })
-	wg.Go(func() { (&node.MemoryWatch{LimitBytes: int64(s.MemoryMB) * bytesPerMB, Log: p.log}).Run(runCtx) })
+	wg.Go(func() { (&node.MemoryWatch{LimitBytes: s.MemoryBytes(), Log: p.log}).Run(runCtx) })
 	err = run(ctx, p)
 	if err != nil {
 		p.log.Error(err, "ended", "decision", "end")
--- a/deployment/settings.go
+++ b/deployment/settings.go
@@ -80,3 +80,9 @@
 	check(s.Bounds.GracePeriod <= 0, "grace period is missing")
 	return errs
 }
+
+// MemoryBytes returns the memory limit of the process in bytes.
+func (s *Settings) MemoryBytes() int64 {
+	const bytesPerMB = 1 << 20
+	return int64(s.MemoryMB) * bytesPerMB
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -63,7 +63,6 @@
 	// bufferMemoryShare is the share of the process's memory that bodies of requests and buffered answers may take together.
 	// A buffer that grows takes up to twice as much for a moment.
 	bufferMemoryShare = 0.25
-	bytesPerMB        = 1 << 20
 	// noTimeout disables the idle timeout of package http; zero would mean ReadHeaderTimeout.
 	noTimeout = -1
 )
@@ -161,7 +160,7 @@
 		g.Clock = node.SystemClock()
 	}
 	g.budgets = g.newBudgets()
-	if limit := g.Settings.MemoryMB * bytesPerMB; limit > 0 {
+	if limit := g.Settings.MemoryBytes(); limit > 0 {
 		g.buffers = bounded.NewBudget(int64(float64(limit) * bufferMemoryShare))
 	}
 	g.server = g.newServer()
--- a/gateway/prefetch.go
+++ b/gateway/prefetch.go
@@ -11,7 +11,8 @@
 func (a *attempt) awaitAnswer() bool { return a.send() && a.prefetch() }
 
 // prefetch reads enough of the answer to know that it can replace another one: the first complete event of a stream, or
-// any other answer up to its end, up to maxBufferedAnswer or as far as there is memory. It reports whether the answer can be used.
+// any other answer up to its end, up to maxBufferedAnswer or as far as there is memory. It reports whether the answer can be
+// used.
 func (a *attempt) prefetch() bool {
 	if a.hasAnswered {
 		return true
--- a/gateway/start_hedge.go
+++ b/gateway/start_hedge.go
@@ -35,7 +35,7 @@
 	g, now := a.gateway, time.Now()
 	x := a.exchange.fork()
 	// Checked first because this runs for each event of a stream whose runner is about to load weights.
-	if !x.mayUseAnotherRunner() || g.mayReachCrashLimit(x) || !g.allowsRepeat(x) {
+	if x.runnersLeft() <= 0 || g.mayReachCrashLimit(x) || !g.allowsRepeat(x) {
 		return false
 	}
 	o := g.findOptions(x, g.viewsAt(now), now)
--- a/gateway/successor.go
+++ b/gateway/successor.go
@@ -57,7 +57,7 @@
 	if h == nil {
 		return nil
 	}
-	if x.mayUseAnotherRunner() {
+	if x.runnersLeft() > 0 {
 		h.secondary.watchdog.start(firstByteTimeout(x.route)) // the primary's watchdog no longer covers it
 	}
 	taken := h.take()
@@ -169,7 +169,7 @@
 	a.mu.Lock()
 	hasOther := a.replaced != nil
 	a.mu.Unlock()
-	if hasOther || a.exchange.mayUseAnotherRunner() {
+	if hasOther || a.exchange.runnersLeft() > 0 {
 		a.watchdog.start(a.watchdog.timeout)
 	}
 }
--- a/hedging/pair.go
+++ b/hedging/pair.go
@@ -166,13 +166,14 @@
 }
 
 // hedgeGoesOn reports whether the hedge is the one that goes on if one of the attempts must be ended. An attempt that works
-// is only ended for one that works.
+// is only ended for one that works. If both do, the one that continues the stream is left, and otherwise the one that is
+// active.
 func (p *Pair) hedgeGoesOn(e Evidence) bool {
 	switch {
 	case !p.answered:
 		return !p.PrimaryWorks(e)
 	case p.active == Primary:
-		return p.states[Hedge].reads > 0 && e.HedgeUsable
+		return p.Continuing && p.states[Hedge].reads > 0 && e.HedgeUsable
 	default:
 		return p.Relieving || p.states[Hedge].reads >= steadyReads || !e.PrimaryHasData
 	}
--- a/hedging/pair_test.go
+++ b/hedging/pair_test.go
@@ -260,6 +260,12 @@
 		assert.Equal(t, Primary, p.Active())
 		assert.Equal(t, EndPrimary, p.Expire(later, Evidence{HedgeUsable: true}))
 	})
+	t.Run("the first runner to begin goes on if both begin to answer", func(t *testing.T) {
+		p := Pair{Started: begin}
+		p.Received(begin, Primary)
+		p.Answered(begin)
+		assert.Equal(t, EndHedge, p.Expire(later, Evidence{HedgeUsable: true}))
+	})
 	t.Run("a runner that sends data again goes on if the hedge cannot continue the stream", func(t *testing.T) {
 		p := Pair{Continuing: true, Started: begin}
 		p.Received(begin, Primary)
