--- a/soak/overlap.go
+++ b/soak/overlap.go
@@ -21,19 +21,22 @@
 		slices.SortFunc(runs, func(a, b execution) int { return a.StartedAt.Compare(b.StartedAt) })
 		for n := 1; n < len(runs); n++ {
 			earlier, later := &runs[n-1], &runs[n]
-			if over := earlier.endOr(r.Ended).Sub(later.StartedAt); later.After > 0 && over > maxOverlap && !r.unreachable(c, earlier.Runner) {
+			if over := earlier.overlap(later, r.Ended); later.After > 0 && over > maxOverlap && !r.unreachable(c, earlier.Runner) {
 				report("request %s of kind %s went on at %s after event %d, and %s worked on it for %s more", c.ID, c.Kind, later.Runner, later.After, earlier.Runner, over)
 			}
 		}
 	}
 }
 
-// endOr returns when the execution ended, or the given time if it has not.
-func (e *execution) endOr(now time.Time) time.Time {
-	if e.EndedAt.IsZero() {
-		return now
+// overlap returns for how long both runners worked on the request, of which the later one may have ended first.
+func (e *execution) overlap(later *execution, now time.Time) time.Duration {
+	until := now
+	for _, end := range []time.Time{e.EndedAt, later.EndedAt} {
+		if !end.IsZero() && end.Before(until) {
+			until = end
+		}
 	}
-	return e.EndedAt
+	return until.Sub(later.StartedAt)
 }
 
 // unreachable reports whether a run, or its connections, failed around the call.
