Believe the end of an unframed answer only after the whole request

Cause: the kernel reports the error of a socket once, to whichever call asks first, and a plain end to all reads after that. A body over 4 KB is written beside the reading of the response; when its write took the reset, the next read ended the unframed body. The peek of IsOpen, which hedges use, takes the error as well. And a runner that ended its side before it had received the request passed for one that had answered it. Clients of backend servers had the last fault too. Change: socket.Conn keeps the error that a write or a peek was told, and its reads return it in place of a plain end. At the end of an unframed body forward.Response waits for the write and until all of it is acknowledged, or the connection has failed; completeness.EndOfConnection decides. backend follows its transport's write by httptrace. Ruled out: to ask the state of the socket at the end instead: a keep-alive probe that is reset long after a sound end changes it. Why it works: whoever takes the error, the reader learns of it, and no order of goroutines decides: the write is waited for, and the acknowledgement is the kernel's.

--- a/backend/body.go
+++ b/backend/body.go
@@ -21,14 +21,34 @@
 	io.Closer
 }
 
+// unframedBody is a body that ends with its connection.
+type unframedBody struct {
+	from    io.Reader
+	request *requestWrite
+}
+
+// Read reads the body. It returns completeness.ErrConnectionEnded at its end if the whole request was written.
+func (b *unframedBody) Read(buf []byte) (int, error) {
+	n, err := b.from.Read(buf)
+	if errors.Is(err, io.EOF) {
+		err = completeness.EndOfConnection(b.request.await())
+	}
+	return n, err
+}
+
 // completeBody returns the body of a response of the server.
-func (c *Client) completeBody(resp *http.Response) io.ReadCloser {
+func (c *Client) completeBody(resp *http.Response, request *requestWrite) io.ReadCloser {
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	var from io.Reader = resp.Body
+	if !framed {
+		from = &unframedBody{from: resp.Body, request: request}
+	}
 	return &body{
 		Reader: completeness.Reader{
-			From: resp.Body,
+			From: from,
 			Body: completeness.Body{
 				EventStream: resp.StatusCode == http.StatusOK && eventstream.HasMediaType(resp.Header.Get("Content-Type")),
-				Framed:      resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+				Framed:      framed,
 			},
 			Process: c.checkProcess,
 		},
--- a/backend/body_test.go
+++ b/backend/body_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -65,6 +67,38 @@
 	})
 }
 
+// Guards against taking part of a response for a complete one, if the server ends the connection while the call is still
+// being written.
+func TestEndBeforeCallIsReadLooksComplete(t *testing.T) {
+	for name, end := range map[string]func(*net.TCPConn) error{
+		"an orderly end": (*net.TCPConn).CloseWrite,
+		"a reset": func(c *net.TCPConn) error {
+			return errors.CombineErrors(c.SetLinger(0), c.Close())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if !assert.NoError(t, err) {
+					return
+				}
+				t.Cleanup(func() { _ = conn.Close() })
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+				assert.NoError(t, end(conn.(*net.TCPConn)))
+			}))
+			t.Cleanup(server.Close)
+			c := &Client{BaseURL: server.URL, HTTP: NewHTTPClient()}
+			resp, err := c.Do(context.Background(), rillreach.BackendRequest{Method: http.MethodPost, Path: "/x", Body: make([]byte, 16<<20)})
+			if err != nil {
+				return // the reset came before the response was read
+			}
+			defer func() { _ = resp.Body.Close() }()
+			_, err = io.ReadAll(resp.Body)
+			assert.Error(t, err)
+		})
+	}
+}
+
 // Guards against breaking off a complete response that ends with its connection.
 func TestCompleteResponseEndsWithConnection(t *testing.T) {
 	for contentType, response := range map[string]string{site.EventStream: "data: a\r\n\r\n", "text/plain": "whole"} {
--- a/backend/client.go
+++ b/backend/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -12,6 +13,7 @@
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/internal/bounded"
+	"github.com/rillreach/rillreach/internal/socket"
 )
 
 // Client sends calls to one backend server.
@@ -33,7 +35,7 @@
 func NewHTTPClient() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:            (&net.Dialer{}).DialContext,
+			DialContext:            dial,
 			MaxIdleConns:           maxIdleConns,
 			MaxIdleConnsPerHost:    maxIdleConns,
 			DisableCompression:     true,
@@ -43,6 +45,42 @@
 	}
 }
 
+// conn is a connection to a backend server. Its reads return io.EOF only if the server has ended it in an orderly way after
+// it had received all that was written, since the transport closes the connection then.
+type conn struct {
+	*socket.Conn
+}
+
+// Read reads data.
+func (c conn) Read(buf []byte) (int, error) {
+	n, err := c.Conn.Read(buf)
+	if errors.Is(err, io.EOF) {
+		if acknowledged, statErr := c.IsAcknowledged(); statErr == nil && !acknowledged {
+			return n, socket.ErrUnacknowledged
+		}
+	}
+	return n, err
+}
+
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return conn{Conn: &socket.Conn{Conn: c}}, nil
+}
+
+// send sends a request and returns the response, whose body ends with io.EOF only if it is complete.
+func (c *Client) send(req *http.Request) (*http.Response, error) {
+	var w requestWrite
+	resp, err := c.HTTP.Do(req.WithContext(w.trace(req.Context())))
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = c.completeBody(resp, &w)
+	return resp, nil
+}
+
 // Do sends one call. It returns once the response header has been received.
 func (c *Client) Do(ctx context.Context, call rillreach.BackendRequest) (rillreach.BackendResponse, error) {
 	target := c.BaseURL + (&url.URL{Path: call.Path, RawQuery: call.Query}).RequestURI()
@@ -54,11 +92,11 @@
 	for name, values := range call.Header {
 		req.Header[name] = values
 	}
-	resp, err := c.HTTP.Do(req)
+	resp, err := c.send(req) //nolint:bodyclose // the caller closes it
 	if err != nil {
 		return rillreach.BackendResponse{}, markNotSent(errors.Wrap(err, "call backend server"))
 	}
-	return rillreach.BackendResponse{Status: resp.StatusCode, Header: resp.Header, Body: c.completeBody(resp)}, nil
+	return rillreach.BackendResponse{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body}, nil
 }
 
 // markNotSent marks errors of connecting with ErrNotSent: they occur before anything is sent.
--- a/backend/engine.go
+++ b/backend/engine.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "create request to engine")
 	}
-	resp, err := e.HTTP.Do(req)
+	resp, err := e.send(req)
 	if err != nil {
 		return nil, errors.Wrapf(err, "call %s of engine", path)
 	}
@@ -99,6 +99,5 @@
 		_ = resp.Body.Close()
 		return nil, errors.Newf("engine answered %s with status %d", path, resp.StatusCode)
 	}
-	resp.Body = e.completeBody(resp)
 	return resp, nil
 }
--- a/completeness/body.go
+++ b/completeness/body.go
@@ -26,6 +26,7 @@
 	ErrNoEvent             = truncated("stream without a length or chunks ended before its first event")
 	ErrProcessEnded        = truncated("process has ended with its response, which has neither a length nor chunks")
 	ErrProcessUnresponsive = truncated("process does not respond after a response with neither a length nor chunks")
+	ErrRequestNotWritten   = truncated("connection ended before the whole request was written, with a response that has neither a length nor chunks")
 )
 
 func truncated(reason string) error { return errors.Wrap(io.ErrUnexpectedEOF, reason) }
--- a/completeness/reader.go
+++ b/completeness/reader.go
@@ -10,6 +10,15 @@
 // complete or truncated.
 var ErrConnectionEnded = errors.New("connection ended with a response that has neither a length nor chunks")
 
+// EndOfConnection returns what the end of a connection means for a body that is not framed. The error is why the request was
+// not wholly written, nil if it was. A process that ends the connection before that may have broken off.
+func EndOfConnection(requestErr error) error {
+	if requestErr != nil {
+		return errors.CombineErrors(ErrRequestNotWritten, requestErr)
+	}
+	return ErrConnectionEnded
+}
+
 // Reader reads a body and returns io.EOF only at the end of a complete one. Exported fields are set before use.
 type Reader struct {
 	// From is the body as it was received. Its end, io.EOF or ErrConnectionEnded, need not mean that it is complete.
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -24,21 +24,23 @@
 	conn      *conn
 	address   netip.AddrPort
 	stopWatch func() bool
-	writeDone <-chan error
+	// bodyWrite is nil if the request was written before the response was read.
+	bodyWrite *bodyWrite
 	hadStrays bool
 	sawEOF    bool
 	closed    bool
 }
 
 // Read reads the body. It returns io.EOF at the end that the framing marks, and completeness.ErrConnectionEnded at the end
-// of a body that is not framed; any other error means that the body is incomplete.
+// of a body that is not framed, if the runner has received the whole request. Any other error means that the body is
+// incomplete.
 func (r *Response) Read(buf []byte) (int, error) {
 	n, err := r.Head.Body.Read(buf)
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
 	if !r.Framed() {
-		return n, completeness.ErrConnectionEnded
+		return n, completeness.EndOfConnection(r.checkRequest())
 	}
 	r.sawEOF = true
 	return n, err
@@ -87,25 +89,26 @@
 // IsOpen reports whether the runner has not closed the connection, as far as that is known without reading what has
 // arrived. It may be called during Read.
 func (r *Response) IsOpen() bool {
-	quiet, err := socket.IsQuiet(r.conn.Conn)
-	return err == nil && quiet || r.HasUnreadData()
+	return r.conn.IsQuiet() || r.HasUnreadData()
 }
 
 // HasUnreadData reports whether data of the response has arrived and was not read yet. It may be called during Read.
 func (r *Response) HasUnreadData() bool {
-	unread, err := socket.UnreadBytes(r.conn.Conn)
+	unread, err := socket.UnreadBytes(r.conn.Conn.Conn)
 	return err == nil && unread > 0
 }
 
 // requestWritten reports whether the whole request has been written.
-func (r *Response) requestWritten() bool {
-	if r.writeDone == nil {
-		return true
-	}
-	select {
-	case err := <-r.writeDone:
-		return err == nil
-	default:
-		return false
+func (r *Response) requestWritten() bool { return r.bodyWrite == nil || r.bodyWrite.isWritten() }
+
+// checkRequest returns why the runner, which has ended its side of the connection, has not received the whole request, nil
+// if it has. It waits for a runner that goes on reading the request.
+func (r *Response) checkRequest() error {
+	if r.bodyWrite != nil {
+		<-r.bodyWrite.done
+		if r.bodyWrite.err != nil {
+			return r.bodyWrite.err
+		}
 	}
+	return r.conn.AwaitAcknowledged()
 }
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -24,7 +24,7 @@
 
 // conn is a connection to a runner. It carries one request at a time.
 type conn struct {
-	net.Conn
+	*socket.Conn
 	// head bounds what reader reads of a head.
 	head   *headReader
 	reader *bufio.Reader
@@ -34,22 +34,47 @@
 }
 
 func newConn(c net.Conn) *conn {
-	head := &headReader{from: c}
-	return &conn{Conn: c, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}
+	sc := &socket.Conn{Conn: c}
+	head := &headReader{from: sc}
+	return &conn{Conn: sc, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}
 }
 
 // reusable reports whether the connection is open and has no unexpected data to read.
 func (c *conn) reusable() bool {
-	if c.reader.Buffered() > 0 {
+	return c.reader.Buffered() == 0 && c.IsQuiet()
+}
+
+// bodyWrite is the writing of a request's body beside the reading of its response.
+type bodyWrite struct {
+	// done is closed once the body was written or its writing has failed.
+	done chan struct{}
+	// err is why it has failed. It is set before done is closed.
+	err error
+}
+
+// isWritten reports whether the whole body has been written.
+func (w *bodyWrite) isWritten() bool {
+	select {
+	case <-w.done:
+		return w.err == nil
+	default:
 		return false
 	}
-	open, err := socket.IsQuiet(c.Conn)
-	return err == nil && open
 }
 
-// writeRequest writes the request. A large body is still being written when it returns; the channel then receives the
-// result.
-func (c *conn) writeRequest(req *Request) (<-chan error, error) {
+// startBodyWrite writes the body in a goroutine of its own.
+func (c *conn) startBodyWrite(body []byte) *bodyWrite {
+	w := &bodyWrite{done: make(chan struct{})}
+	go func() {
+		defer close(w.done)
+		_, w.err = c.Write(body)
+	}()
+	return w
+}
+
+// writeRequest writes the request. A large body is still being written when it returns; otherwise the write that it returns
+// is nil.
+func (c *conn) writeRequest(req *Request) (*bodyWrite, error) {
 	w := bufio.NewWriterSize(c.Conn, writeBufferSize)
 	if err := req.writeHead(w); err != nil {
 		return nil, err
@@ -63,12 +88,7 @@
 	if err := w.Flush(); err != nil {
 		return nil, err
 	}
-	done := make(chan error, 1)
-	go func() {
-		_, err := c.Write(req.Body)
-		done <- err
-	}()
-	return done, nil
+	return c.startBodyWrite(req.Body), nil
 }
 
 // closeOnDone closes the connection once the context ends, so that the runner notices it even if no read or write is
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -59,7 +59,7 @@
 		return nil, errors.Mark(errors.Wrap(err, "send request"), ErrNotSent)
 	}
 	stop := c.closeOnDone(ctx)
-	writeDone, err := c.writeRequest(req)
+	bodyWrite, err := c.writeRequest(req)
 	if err != nil {
 		stop()
 		p.discard(to, c)
@@ -71,7 +71,7 @@
 		p.discard(to, c)
 		return nil, errors.Wrap(err, "read response")
 	}
-	return &Response{Head: resp, pool: p, conn: c, address: to, stopWatch: stop, writeDone: writeDone, hadStrays: strays > 0}, nil
+	return &Response{Head: resp, pool: p, conn: c, address: to, stopWatch: stop, bodyWrite: bodyWrite, hadStrays: strays > 0}, nil
 }
 
 func (p *Pool) acquire(ctx context.Context, to netip.AddrPort, maxConns int) (*conn, error) {
--- a/gateway/world_test.go
+++ b/gateway/world_test.go
@@ -73,8 +73,12 @@
 }
 
 func runnerRecord(r *site.Runner, state string) jsonMap {
+	return runnerRecordAt(r.Address().String(), state)
+}
+
+func runnerRecordAt(address, state string) jsonMap {
 	return jsonMap{
-		"service": "plain", "address": r.Address().String(), "zone": "z1", "slots": 6, "state": state,
+		"service": "plain", "address": address, "zone": "z1", "slots": 6, "state": state,
 		"version": "1.7.3", "cold_remaining_ms": 0, "sequence": 1,
 	}
 }
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -30,12 +30,38 @@
 	return unread, errors.Wrap(err, "get number of unread bytes")
 }
 
-// IsQuiet reports whether a connection is open and has nothing to read. It is true if the connection is not a socket.
+// unacknowledgedBytes returns the number of bytes written to a connection that the other side has not acknowledged. It is
+// zero if the connection is not a socket.
+func unacknowledgedBytes(conn any) (int, error) {
+	unacknowledged := 0
+	err := control(conn, func(fd int) error {
+		var err error
+		unacknowledged, err = unix.IoctlGetInt(fd, unix.TIOCOUTQ)
+		return err
+	})
+	return unacknowledged, errors.Wrap(err, "get number of unacknowledged bytes")
+}
+
+// hasFailed reports whether a connection was reset or has timed out, which is known also after its error was reported. It
+// is false if the connection is not a socket.
+func hasFailed(conn any) (bool, error) {
+	failed := false
+	err := control(conn, func(fd int) error {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		failed = err == nil && info.State == unix.BPF_TCP_CLOSE
+		return err
+	})
+	return failed, errors.Wrap(err, "get state of connection")
+}
+
+// IsQuiet reports whether a connection is open and has nothing to read. It is true if the connection is not a socket. It
+// returns the error of a connection that has failed, which no other call is told then.
 func IsQuiet(conn any) (bool, error) {
 	quiet := true
 	err := control(conn, func(fd int) error {
-		quiet = !isReadable(fd)
-		return nil
+		readable, err := peek(fd)
+		quiet = !readable
+		return err
 	})
 	return quiet, errors.Wrap(err, "peek at connection")
 }
@@ -53,16 +79,25 @@
 	if err != nil {
 		return errors.Wrap(err, "access socket")
 	}
-	return errors.Wrap(raw.Read(func(fd uintptr) bool { return isReadable(int(fd)) }), "wait for data")
+	err = raw.Read(func(fd uintptr) bool {
+		readable, err := peek(int(fd))
+		return readable || err != nil // the error follows when the data is read, or the connection ends there
+	})
+	return errors.Wrap(err, "wait for data")
 }
 
-// isReadable reports whether a socket has data to read, has reached the end of its data or has failed.
-func isReadable(fd int) bool {
+// peek reports whether a socket has data to read or has reached the end of its data. It returns the error of a socket that
+// has failed.
+func peek(fd int) (readable bool, err error) {
 	var buf [1]byte
 	for {
 		_, _, err := unix.Recvfrom(fd, buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		if !errors.Is(err, unix.EINTR) {
-			return !errors.Is(err, unix.EAGAIN)
+		switch {
+		case errors.Is(err, unix.EINTR):
+		case errors.Is(err, unix.EAGAIN):
+			return false, nil
+		default:
+			return err == nil, err
 		}
 	}
 }
