Check that bytes are the head of a response before believing them

Cause: every status below 200 was skipped as an interim response, and http.ReadResponse takes three characters that read as a number, and any version of one digit. Whether bytes are a head at all was decided nowhere. Why it works: nothing of a response is decoded before its head is known to be one.

--- a/backend/client.go
+++ b/backend/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/internal/bounded"
+	"github.com/rillreach/rillreach/internal/headcheck"
 	"github.com/rillreach/rillreach/internal/socket"
 )
 
@@ -34,13 +35,13 @@
 // NewHTTPClient returns an HTTP client that does not change responses and sends every call exactly once.
 func NewHTTPClient() *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: &headcheck.Transport{Transport: &http.Transport{
 			DialContext:            dial,
 			MaxIdleConns:           maxIdleConns,
 			MaxIdleConnsPerHost:    maxIdleConns,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: bounded.MaxResponseHead,
-		},
+		}},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -53,7 +53,7 @@
 	}
 	r.closed = true
 	notCancelled := r.stopWatch()
-	if r.sawEOF && notCancelled && r.requestWritten() && !r.hadStrays && !r.Head.Close && r.conn.reader.Buffered() == 0 {
+	if r.sawEOF && notCancelled && r.requestWritten() && !r.hadStrays && !r.Head.Close && !r.conn.hasSurplus() {
 		r.pool.putIdle(r.address, r.conn, r.KeepAliveTimeout)
 		return
 	}
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -25,8 +25,8 @@
 // conn is a connection to a runner. It carries one request at a time.
 type conn struct {
 	*socket.Conn
-	// head bounds what reader reads of a head.
-	head   *headReader
+	// source is what reader reads from.
+	source *replayReader
 	reader *bufio.Reader
 	// idleSince is when the connection became idle, idleTimeout how long it may stay idle and be used again.
 	idleSince   time.Time
@@ -35,13 +35,13 @@
 
 func newConn(c net.Conn) *conn {
 	sc := &socket.Conn{Conn: c}
-	head := &headReader{from: sc}
-	return &conn{Conn: sc, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}
+	source := &replayReader{from: sc}
+	return &conn{Conn: sc, source: source, reader: bufio.NewReaderSize(source, readBufferSize)}
 }
 
 // reusable reports whether the connection is open and has no unexpected data to read.
 func (c *conn) reusable() bool {
-	return c.reader.Buffered() == 0 && c.IsQuiet()
+	return !c.hasSurplus() && c.IsQuiet()
 }
 
 // bodyWrite is the writing of a request's body beside the reading of its response.
@@ -117,19 +117,6 @@
 	return nil, strays, errStrayResponses
 }
 
-// readHead reads the head of the next response that is not an interim one.
-func (c *conn) readHead(method string) (*http.Response, error) {
-	for range maxInterimResponses + 1 {
-		c.head.begin()
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		c.head.end()
-		if err != nil || resp.StatusCode >= http.StatusOK {
-			return resp, err
-		}
-	}
-	return nil, errManyInterim
-}
-
 // skipBody reads the body of a response to another request, after which the next response can be read.
 func skipBody(resp *http.Response) error {
 	if resp.Close {
--- a/forward/head.go
+++ b/forward/head.go
@@ -1,10 +1,15 @@
 package forward
 
 import (
+	"bufio"
 	"bytes"
 	"io"
+	"net/http"
+	"slices"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/rillreach/rillreach/responsehead"
 )
 
 const (
@@ -29,34 +34,74 @@
 	errStrayResponses = errors.New("responses on the connection belong to other requests")
 )
 
-// headReader reads from a connection. It bounds what is read between begin and end.
-type headReader struct {
-	from io.Reader
+// replayReader returns the bytes of replay first, and then reads from a connection.
+type replayReader struct {
+	replay []byte
+	from   io.Reader
+}
 
-	bounded   bool
-	bytesLeft int
-	linesLeft int
+// Read reads data.
+func (r *replayReader) Read(buf []byte) (int, error) {
+	if len(r.replay) == 0 {
+		return r.from.Read(buf)
+	}
+	n := copy(buf, r.replay)
+	r.replay = r.replay[n:]
+	return n, nil
 }
 
-// begin starts to bound what is read, since a head comes next.
-func (h *headReader) begin() {
-	h.bounded, h.bytesLeft, h.linesLeft = true, maxHeadSize, maxHeadLines
+// readRawHead reads up to the end of the empty line that ends a head.
+func (c *conn) readRawHead() ([]byte, error) {
+	var head []byte
+	for lines, lineStart := 0, 0; ; {
+		part, err := c.reader.ReadSlice('\n')
+		head = append(head, part...)
+		switch {
+		case len(head) > maxHeadSize:
+			return nil, errHeadTooLarge
+		case errors.Is(err, bufio.ErrBufferFull): // more of the line follows
+			continue
+		case errors.Is(err, io.EOF):
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
+			return nil, err
+		}
+		if len(bytes.TrimRight(head[lineStart:], "\r\n")) == 0 {
+			return head, nil
+		}
+		lineStart = len(head)
+		if lines++; lines > maxHeadLines {
+			return nil, errHeadTooLarge
+		}
+	}
 }
 
-// end stops it.
-func (h *headReader) end() { h.bounded = false }
+// unread makes the reader return a head again that has just been read.
+func (c *conn) unread(head []byte) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // reads nothing
+	c.source.replay = slices.Concat(head, buffered, c.source.replay)
+	c.reader.Reset(c.source)
+}
 
-// Read reads data. Part of a body may be read together with the end of its head, so that the bounds are checked only if
-// the head needs still more data.
-func (h *headReader) Read(buf []byte) (int, error) {
-	if !h.bounded {
-		return h.from.Read(buf)
-	}
-	if h.bytesLeft <= 0 || h.linesLeft <= 0 {
-		return 0, errHeadTooLarge
+// hasSurplus reports whether data of the connection has been read that belongs to no response so far.
+func (c *conn) hasSurplus() bool { return c.reader.Buffered() > 0 || len(c.source.replay) > 0 }
+
+// readHead reads the head of the next response that is not an interim one. It returns an error marked
+// responsehead.ErrInvalid if the bytes are no head.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	for range maxInterimResponses + 1 {
+		head, err := c.readRawHead()
+		if err != nil {
+			return nil, err
+		}
+		if err := responsehead.Check(head); err != nil {
+			return nil, err
+		}
+		c.unread(head)
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return resp, err
+		}
 	}
-	n, err := h.from.Read(buf)
-	h.bytesLeft -= n
-	h.linesLeft -= bytes.Count(buf[:n], []byte{'\n'})
-	return n, err
+	return nil, errManyInterim
 }
--- a/gateway/raw_runner_test.go
+++ b/gateway/raw_runner_test.go
@@ -82,6 +82,9 @@
 	}
 }
 
+// chunk returns the text as a chunk of a body. The empty one ends the body.
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
 // rawComplete returns a complete answer with the body.
 func rawComplete(body string) rawAnswer {
 	return rawText(fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", sealedHead, len(body), body))
--- a/objectstore/client.go
+++ b/objectstore/client.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rillreach/rillreach"
+	"github.com/rillreach/rillreach/internal/headcheck"
 )
 
 const (
@@ -29,12 +30,15 @@
 type Client struct {
 	// BaseURL is the URL of the API, such as http://127.0.0.1:7000.
 	BaseURL string
-	// HTTP is the client used for calls. If it is nil, http.DefaultClient is used.
+	// HTTP is the client used for calls. If it is nil, one with the default settings is used.
 	HTTP *http.Client
 }
 
 var _ rillreach.ObjectStore = (*Client)(nil)
 
+// defaultClient keeps its connections, which all calls without a client of their own share.
+var defaultClient = &http.Client{Transport: &headcheck.Transport{Transport: http.DefaultTransport.(*http.Transport).Clone()}}
+
 // Get returns one object.
 func (c *Client) Get(ctx context.Context, kind rillreach.ObjectKind, name string) (rillreach.Object, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -136,7 +140,7 @@
 func (c *Client) do(req *http.Request, result any) error {
 	client := c.HTTP
 	if client == nil {
-		client = http.DefaultClient
+		client = defaultClient
 	}
 	resp, err := client.Do(req)
 	if err != nil {
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -18,6 +18,7 @@
 
 	"github.com/rillreach/rillreach"
 	"github.com/rillreach/rillreach/internal/bounded"
+	"github.com/rillreach/rillreach/internal/headcheck"
 	"github.com/rillreach/rillreach/internal/pause"
 )
 
@@ -79,7 +80,9 @@
 	p.baseCtx = ctx
 	p.dialledConns = map[netip.AddrPort]*Conn{}
 	p.allConns = map[*Conn]struct{}{}
-	p.client = &http.Client{Transport: &http.Transport{TLSClientConfig: p.TLS, DialContext: p.Dial, MaxResponseHeaderBytes: bounded.MaxResponseHead}}
+	p.client = &http.Client{Transport: &headcheck.Transport{Transport: &http.Transport{
+		TLSClientConfig: p.TLS, DialContext: p.Dial, MaxResponseHeaderBytes: bounded.MaxResponseHead,
+	}}}
 	if p.MessageLimit == 0 {
 		p.MessageLimit = DefaultMessageLimit
 	}
