Check the names of fields before believing a head

Callers saw: a part of a body, or a body with the sizes of its chunks in it, as a complete answer, where Content-Length or Transfer-Encoding had a blank before the colon; answers with a line such as "X Fill: v" passed on. Cause: Go's reader of heads leaves such a name as it is, so that nobody finds the field, and joins a line that begins with a blank to the one before it; all the rest of the head was believed. Control bytes in names and values, and no name, were held before; their tests stay. Ruled out: to bring such names into their usual form. What their sender meant is not known, and another reader on the way may have taken them differently. Why it works: a head with such a line says nothing, so that it can't be an answer, a refusal or a state of its runner.

--- a/backend/head_test.go
+++ b/backend/head_test.go
@@ -18,6 +18,8 @@
 	"a status with a sign": "HTTP/1.1 +20 OK\r\n",
 	"a status of 600":      "HTTP/1.1 600 OK\r\n",
 	"another version":      "HTTP/7.3 200 OK\r\n",
+	"a blank in a name":    "HTTP/1.1 200 OK\r\nX Fill: v\r\n",
+	"a blank after a name": "HTTP/1.1 200 OK\r\nContent-Length : 9\r\n",
 }
 
 // Guards against passing on a response of a backend server whose head is not valid.
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -10,6 +10,7 @@
 
 	"github.com/rillreach/rillreach/completeness"
 	"github.com/rillreach/rillreach/internal/socket"
+	"github.com/rillreach/rillreach/responsehead"
 )
 
 // Response is a runner's response. Its body has not been read yet.
@@ -42,6 +43,9 @@
 	if !r.Framed() {
 		return n, completeness.EndOfConnection(r.checkRequest())
 	}
+	if err := responsehead.CheckHeader(r.Head.Trailer); err != nil {
+		return n, errors.Wrap(err, "read trailer")
+	}
 	r.sawEOF = true
 	return n, err
 }
--- a/gateway/raw_runner_test.go
+++ b/gateway/raw_runner_test.go
@@ -73,11 +73,16 @@
 	}
 }
 
-// rawText returns an answer that reads the request and writes the text, in which ID stands for the request's ID.
+// rawText returns an answer that reads the request and writes the text, in which ID stands for the request's ID. If the text
+// says so, the connection is closed after it.
 func rawText(text string) rawAnswer {
 	return func(c *net.TCPConn, id string, body io.Reader) bool {
 		_, _ = io.Copy(io.Discard, body)
 		_, _ = io.WriteString(c, strings.ReplaceAll(text, "ID", id))
+		if strings.Contains(text, "Connection: close") {
+			_ = c.Close()
+			return false
+		}
 		return true
 	}
 }
--- a/internal/headcheck/transport_test.go
+++ b/internal/headcheck/transport_test.go
@@ -37,7 +37,7 @@
 
 // Guards against believing a response of another process whose head is not valid, and against using its connection again.
 func TestInvalidHeadBelieved(t *testing.T) {
-	for _, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 600 OK", "HTTP/7.3 200 OK", "HTTP/1.1 101 Switching Protocols"} {
+	for _, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 600 OK", "HTTP/7.3 200 OK", "HTTP/1.1 101 Switching Protocols", "HTTP/1.1 200 OK\r\nX Fill: v"} {
 		t.Run(line, func(t *testing.T) {
 			url, conns := startServer(t, line+"\r\nContent-Length: 0\r\n\r\n")
 			client := &http.Client{Transport: &Transport{Transport: &http.Transport{}}}
