Keep the class of connections that end during an upload

Cause: a read that follows a failed write returned that write's error, a broken pipe or a time-out, where it had returned a plain end, so that a runner that crashes during an upload would count as one that sends unreadable answers, and no crash would be held against the request. Found in the reading of the change; no caller has seen it. Change: socket.Conn marks such an error as io.ErrUnexpectedEOF, which ClosedByRunner knows. The default client of our own object store speaks HTTP/1 alone, since the check of heads knows no other version. Comments and an accessor.

--- a/backend/client.go
+++ b/backend/client.go
@@ -46,8 +46,8 @@
 	}
 }
 
-// conn is a connection to a backend server. Its reads return io.EOF only if the server has ended it in an orderly way after
-// it had received all that was written, since the transport closes the connection then.
+// conn is a connection to a backend server. Its reads return io.EOF only if the server has received all that was written
+// when it ends the connection. The transport closes its side then, so that the server can't receive the rest later.
 type conn struct {
 	*socket.Conn
 }
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rillreach/rillreach/completeness"
-	"github.com/rillreach/rillreach/internal/socket"
 	"github.com/rillreach/rillreach/responsehead"
 )
 
@@ -98,7 +97,7 @@
 
 // HasUnreadData reports whether data of the response has arrived and was not read yet. It may be called during Read.
 func (r *Response) HasUnreadData() bool {
-	unread, err := socket.UnreadBytes(r.conn.Conn.Conn)
+	unread, err := r.conn.UnreadBytes()
 	return err == nil && unread > 0
 }
 
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -25,7 +25,8 @@
 	failure error
 }
 
-// Read reads data. At the end of the connection it returns the failure that another call was told, if there is one.
+// Read reads data. At the end of the connection it returns the failure that another call was told, if there is one, marked
+// as io.ErrUnexpectedEOF.
 func (c *Conn) Read(buf []byte) (int, error) {
 	n, err := c.Conn.Read(buf)
 	if !errors.Is(err, io.EOF) {
@@ -34,7 +35,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.failure != nil {
-		return n, c.failure
+		return n, errors.Mark(c.failure, io.ErrUnexpectedEOF)
 	}
 	return n, err
 }
@@ -66,6 +67,9 @@
 	}
 }
 
+// UnreadBytes returns the number of bytes that have arrived and were not read yet.
+func (c *Conn) UnreadBytes() (int, error) { return UnreadBytes(c.Conn) }
+
 // Write writes data.
 func (c *Conn) Write(data []byte) (int, error) {
 	n, err := c.Conn.Write(data)
--- a/internal/socket/conn_test.go
+++ b/internal/socket/conn_test.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -43,9 +44,17 @@
 			require.NoError(t, server.Close())
 			eventually(t, func() bool { return use(c) })
 			_, err := c.Read(make([]byte, 1))
-			assert.ErrorIs(t, err, syscall.ECONNRESET)
+			require.ErrorIs(t, err, syscall.ECONNRESET)
+			assert.True(t, errors.Is(err, io.ErrUnexpectedEOF), "%v", err)
 		})
 	}
+	t.Run("an end before a write that fails is no orderly end", func(t *testing.T) {
+		c, server := connPair(t)
+		require.NoError(t, server.Close())
+		eventually(t, func() bool { _, err := c.Write([]byte("x")); return err != nil })
+		_, err := c.Read(make([]byte, 1))
+		assert.True(t, errors.Is(err, io.ErrUnexpectedEOF), "%v", err)
+	})
 	t.Run("data that was received is acknowledged", func(t *testing.T) {
 		c, _ := connPair(t)
 		_, err := c.Write([]byte("x"))
--- a/objectstore/client.go
+++ b/objectstore/client.go
@@ -37,7 +37,14 @@
 var _ rillreach.ObjectStore = (*Client)(nil)
 
 // defaultClient keeps its connections, which all calls without a client of their own share.
-var defaultClient = &http.Client{Transport: &headcheck.Transport{Transport: http.DefaultTransport.(*http.Transport).Clone()}}
+var defaultClient = newDefaultClient()
+
+func newDefaultClient() *http.Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.Protocols = new(http.Protocols)
+	transport.Protocols.SetHTTP1(true) // the heads of other versions are not checked
+	return &http.Client{Transport: &headcheck.Transport{Transport: transport}}
+}
 
 // Get returns one object.
 func (c *Client) Get(ctx context.Context, kind rillreach.ObjectKind, name string) (rillreach.Object, error) {
