--- a/bench/days_test.go
+++ b/bench/days_test.go
@@ -35,10 +35,18 @@
 	Wall    float64        `toml:"wall"`
 	Light   bool           `toml:"light"`
 	Closing map[string]any `toml:"closing"`
+	Length  float64        `toml:"length_s"`
+	Classes []dayClass     `toml:"classes"`
 	Plan    []dayEvent     `toml:"plan"`
 	Faults  []dayEvent     `toml:"faults"`
 }
 
+// dayClass is what a day changes of a request class of the site.
+type dayClass struct {
+	Name    string `toml:"name"`
+	Retries int    `toml:"retries"`
+}
+
 // dayEvent is a planned change or a fault, with all fields that a day may use.
 type dayEvent struct {
 	At      float64 `toml:"at"`
@@ -90,6 +98,12 @@
 			assert.Len(t, siteSpecificNames(days[0]), 1)
 		})
 	}
+	t.Run("class that the day changes", func(t *testing.T) {
+		days, err := decodeDays([]byte(`classes = [{ name = "lookup", retries = 3 }]`))
+		require.NoError(t, err)
+		require.Len(t, days, 1)
+		assert.Equal(t, []string{"lookup"}, siteSpecificNames(days[0]))
+	})
 	t.Run("placeholder of another field", func(t *testing.T) {
 		days, err := decodeDays([]byte(`[[day]]` + "\n" + `plan = [{ at = 1.0, kind = "release", service = "@z0" }]`))
 		require.NoError(t, err)
@@ -150,6 +164,9 @@
 			names = append(names, name)
 		}
 	}
+	for _, class := range d.Classes {
+		check(class.Name, "@c")
+	}
 	for _, event := range slices.Concat(d.Plan, d.Faults) {
 		check(event.Zone, "@z")
 		check(event.ToZone, "@z")
