--- a/review/stage/main_test.go
+++ b/review/stage/main_test.go
@@ -22,6 +22,7 @@
 	"6": playTruncated,
 	"7": playTwoModels,
 	"8": playRestored,
+	"9": playPublic,
 }
 
 func TestMain(*testing.M) {
