--- a/review/stage/main_test.go
+++ b/review/stage/main_test.go
@@ -24,6 +24,7 @@
 	"8":     playBusy,
 	"9":     playTwoModels,
 	"10":    playPublic,
+	"dark":  playDark,
 	"drill": playRestored, // shown, but one more than five
 }
 
