--- a/review/stage/main_test.go
+++ b/review/stage/main_test.go
@@ -19,13 +19,14 @@
 
 // cases are the cases by their number. Each reports whether the rule was broken.
 var cases = map[string]func(s *stage) (broken bool, err error){
-	"6":     playTruncated,
-	"7":     playUpgrade,
-	"8":     playDark,
-	"9":     playBusy,
-	"10":    playTwoModels,
-	"key":   playPublic,   // shown, but more than five
-	"drill": playRestored, // the same
+	"6":      playTruncated,
+	"7":      playUpgrade,
+	"8":      playDark,
+	"9":      playBusy,
+	"10":     playTwoModels,
+	"resume": playResume,
+	"key":    playPublic,   // shown, but more than five
+	"drill":  playRestored, // the same
 }
 
 func TestMain(*testing.M) {
--- a/review/stage/upgrade_test.go
+++ b/review/stage/upgrade_test.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -31,11 +32,15 @@
 
 const (
 	upgradedCount = 4
-	pieceCount    = 50
+	pieceCount    = 50 // unless streamLength says otherwise
 	pieceInterval = 100 * time.Millisecond
+	shortInterval = 50 * time.Millisecond
 	upgradeModel  = "daka510000"
 )
 
+// streamLength is the number of pieces of a stream, zero for pieceCount.
+var streamLength atomic.Int64
+
 func (s *stage) startUpgraded(number int) (*upgraded, error) {
 	u := &upgraded{stage: s, id: fmt.Sprintf("i-%08x", 0x7f3a9100+number), address: s.address(2, number, runnerPort), state: "ready"}
 	if err := u.begin("v1"); err != nil {
@@ -170,13 +175,17 @@
 	w.Header().Set("X-Rillreach-Response-Seal", "3e1b.07.5a2.600.0.c9f2a4d1")
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Versions", "1")
-	for piece := from + 1; piece <= pieceCount; piece++ {
+	count, interval := int(streamLength.Load()), shortInterval
+	if count == 0 {
+		count, interval = pieceCount, pieceInterval
+	}
+	for piece := from + 1; piece <= count; piece++ {
 		fmt.Fprintf(w, "id: %d\ndata: piece %d by %s\n\n", piece, piece, r.software)
 		_ = http.NewResponseController(w).Flush()
 		select {
 		case <-req.Context().Done():
 			return
-		case <-time.After(pieceInterval):
+		case <-time.After(interval):
 		}
 	}
 }
