Tell whole answers of a full runner from those of one that has ended

Callers saw: streams with all their events whose connection was reset, and 502 in place of answers that a runner had written whole.

Cause: the end of the connection doesn't tell whether such an answer is whole or its process has ended. The entry asked the address for a health check, twice for half a second, and took silence for the end of the process. A full runner has health checks wait for a slot.

Ruled out: a longer wait alone. Callers of streams give up after two seconds of silence, and a later process under the same id answers for the earlier one (TestLaterProcessVouchesForAnswer, red before where it listens at once).

Change: beside answers without an end of their own, forward keeps one connection to their runner open. It was accepted by the same process. If it is closed with the answer, the process has ended; if it takes data that is sent later than a process needs to end, the process runs. The kernel acknowledges the data, so that no slot is needed.

--- a/completeness/body.go
+++ b/completeness/body.go
@@ -20,6 +20,18 @@
 	ProcessEnded
 )
 
+// String returns the name of the state for logs.
+func (p Process) String() string {
+	switch p {
+	case ProcessRunning:
+		return "running"
+	case ProcessEnded:
+		return "ended"
+	default:
+		return "unresponsive"
+	}
+}
+
 // The reasons why a body is truncated. All of them are io.ErrUnexpectedEOF, too.
 var (
 	ErrInsideEvent         = truncated("stream ended inside an event")
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -24,6 +24,7 @@
 	conn      *conn
 	address   netip.AddrPort
 	stopWatch func() bool
+	sentAt    time.Time
 	// bodyWrite is nil if the request was written before the response was read.
 	bodyWrite *bodyWrite
 	hadStrays bool
@@ -101,6 +102,21 @@
 	return err == nil && unread > 0
 }
 
+// isEstablished reports whether the runner has not closed the connection, as far as that has arrived. Data may be unread.
+func (r *Response) isEstablished() bool {
+	established, err := r.conn.IsEstablished()
+	return err == nil && established
+}
+
+// arrivedBytes returns the number of bytes that have arrived on the connection. Those that are being read may count twice.
+func (r *Response) arrivedBytes() int64 {
+	unread, err := r.conn.UnreadBytes()
+	if err != nil {
+		unread = 0
+	}
+	return int64(unread) + r.conn.BytesRead()
+}
+
 // requestWritten reports whether the whole request has been written.
 func (r *Response) requestWritten() bool { return r.bodyWrite == nil || r.bodyWrite.isWritten() }
 
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -26,8 +26,9 @@
 type conn struct {
 	*socket.Conn
 	// source is what reader reads from.
-	source *replayReader
-	reader *bufio.Reader
+	source   *replayReader
+	reader   *bufio.Reader
+	openedAt time.Time
 	// idleSince is when the connection became idle, idleTimeout how long it may stay idle and be used again.
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -36,7 +37,7 @@
 func newConn(c net.Conn) *conn {
 	sc := &socket.Conn{Conn: c}
 	source := &replayReader{from: sc}
-	return &conn{Conn: sc, source: source, reader: bufio.NewReaderSize(source, readBufferSize)}
+	return &conn{Conn: sc, source: source, reader: bufio.NewReaderSize(source, readBufferSize), openedAt: time.Now()}
 }
 
 // reusable reports whether the connection is open and has no unexpected data to read.
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -41,9 +42,10 @@
 	// Opened is the number of connections opened so far.
 	Opened atomic.Int64
 
-	mu   sync.Mutex
-	idle map[netip.AddrPort][]*conn
-	open map[netip.AddrPort]int
+	mu       sync.Mutex
+	idle     map[netip.AddrPort][]*conn
+	open     map[netip.AddrPort]int
+	monitors map[netip.AddrPort]*monitor
 }
 
 // Do sends the request once. It returns the response for which matches returns true as soon as its header has been
@@ -54,11 +56,27 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
+	return p.send(ctx, to, c, req, matches)
+}
+
+// DoOnNew is like Do, and sends the request on a new connection, which is accepted by the process that listens now.
+func (p *Pool) DoOnNew(ctx context.Context, to netip.AddrPort, req *Request) (*Response, error) {
+	nc, err := p.dial(ctx, to)
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	p.addOpen(to, 1)
+	return p.send(ctx, to, newConn(nc), req, func(*http.Response) bool { return true })
+}
+
+// send sends a request on a connection, which it closes if that fails.
+func (p *Pool) send(ctx context.Context, to netip.AddrPort, c *conn, req *Request, matches func(*http.Response) bool) (*Response, error) {
 	if err := ctx.Err(); err != nil { // reusing an idle connection does not check the context
 		p.discard(to, c)
 		return nil, errors.Mark(errors.Wrap(err, "send request"), ErrNotSent)
 	}
 	stop := c.closeOnDone(ctx)
+	sentAt := time.Now()
 	bodyWrite, err := c.writeRequest(req)
 	if err != nil {
 		stop()
@@ -71,7 +89,7 @@
 		p.discard(to, c)
 		return nil, errors.Wrap(err, "read response")
 	}
-	return &Response{Head: resp, pool: p, conn: c, address: to, stopWatch: stop, bodyWrite: bodyWrite, hadStrays: strays > 0}, nil
+	return &Response{Head: resp, pool: p, conn: c, address: to, stopWatch: stop, sentAt: sentAt, bodyWrite: bodyWrite, hadStrays: strays > 0}, nil
 }
 
 func (p *Pool) acquire(ctx context.Context, to netip.AddrPort, maxConns int) (*conn, error) {
@@ -174,6 +192,18 @@
 func (p *Pool) initMaps() {
 	if p.open == nil {
 		p.open, p.idle = map[netip.AddrPort]int{}, map[netip.AddrPort][]*conn{}
+		p.monitors = map[netip.AddrPort]*monitor{}
+	}
+}
+
+// Reconnect closes the connections to an address on which no request is being sent, since another process has started there.
+func (p *Pool) Reconnect(to netip.AddrPort) {
+	p.CloseIdle(to)
+	p.mu.Lock()
+	m := p.monitors[to]
+	p.mu.Unlock()
+	if m != nil {
+		m.reconnect()
 	}
 }
 
@@ -208,6 +238,8 @@
 			delete(p.idle, to)
 		}
 	}
+	timeout := orDefault(p.IdleTimeout, DefaultIdleTimeout)
+	maps.DeleteFunc(p.monitors, func(_ netip.AddrPort, m *monitor) bool { return m.closeUnused(now, timeout) })
 }
 
 func orDefault(d, defaultValue time.Duration) time.Duration {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -42,8 +42,10 @@
 	sentAt    time.Time
 	sending   operation.Operation[error]
 	answer    *forward.Response
-	headers   platform.Response
-	class     responseclass.Class
+	// follower observes the runner's process if its answer ends with its connection, and is nil otherwise.
+	follower *forward.Follower
+	headers  platform.Response
+	class    responseclass.Class
 	// accepted is set once the answer is known to be the runner's own, hasAnswered once it can be used, and judged once its
 	// status was judged.
 	accepted    bool
@@ -130,7 +132,7 @@
 	}
 	a.ctx, a.cancel = context.WithCancelCause(ctx)
 	a.reader.onData = a.recordArrival
-	a.reader.checkProcess = func() completeness.Process { return a.identifyProcess(x.service) }
+	a.reader.checkProcess = func() completeness.Process { return a.identifyProcess(x) }
 	a.watchdog = g.newWatchdog(a)
 	a.startDeadline = g.newStartDeadline(x, t, func() { a.cancel(errStartTooLate) })
 	a.stopAfterEnd = t.runner.AfterEnd(a.watchdog.checkNow)
@@ -198,6 +200,9 @@
 	a.watchdog.stop()
 	a.startDeadline.stop()
 	a.endOperations()
+	if a.follower != nil {
+		a.follower.Close()
+	}
 	if a.answer != nil {
 		a.answer.Close() // before the context is cancelled, which would close a reusable connection
 	}
--- a/gateway/restart.go
+++ b/gateway/restart.go
@@ -15,7 +15,7 @@
 func (g *Gateway) handleRunnerRestart(info deployment.Runner) {
 	now := time.Now()
 	g.cache.index.ObserveRun(info.Address, info.Run())
-	g.pool.CloseIdle(info.Address)
+	g.pool.Reconnect(info.Address)
 	g.queue.notify()
 	delay, known := g.restartDelay(info.Generation, now)
 	g.Log.Info("runner restarted", "decision", "forget", "runner", info.ID, "generation", info.Generation, "address", info.Address,
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -82,6 +82,9 @@
 	}
 	answer.KeepAliveTimeout = a.headers.KeepAliveTimeout
 	a.answer = answer
+	if !answer.Framed() && x.service.HealthPath != "" {
+		a.follower = g.pool.Follow(answer, g.maxConns(x))
+	}
 	a.reader.start(answer, completeness.Body{
 		EventStream: x.isEventStream() && hasEvents(answer.Head), Continues: a.continues, Framed: answer.Framed(),
 	})
--- a/internal/socket/conn.go
+++ b/internal/socket/conn.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +21,8 @@
 type Conn struct {
 	net.Conn
 
+	bytesRead atomic.Int64
+
 	mu sync.Mutex
 	// failure is the first failure that another call than a read was told.
 	failure error
@@ -29,6 +32,7 @@
 // as io.ErrUnexpectedEOF.
 func (c *Conn) Read(buf []byte) (int, error) {
 	n, err := c.Conn.Read(buf)
+	c.bytesRead.Add(int64(n))
 	if !errors.Is(err, io.EOF) {
 		return n, err
 	}
@@ -40,6 +44,9 @@
 	return n, err
 }
 
+// BytesRead returns the number of bytes that have been read.
+func (c *Conn) BytesRead() int64 { return c.bytesRead.Load() }
+
 // IsAcknowledged reports whether the other side has received all that was written.
 func (c *Conn) IsAcknowledged() (bool, error) {
 	unacknowledged, err := unacknowledgedBytes(c.Conn)
@@ -67,6 +74,9 @@
 	}
 }
 
+// IsEstablished reports whether neither side has ended the connection, as far as that has arrived. Data may be unread.
+func (c *Conn) IsEstablished() (bool, error) { return isEstablished(c.Conn) }
+
 // UnreadBytes returns the number of bytes that have arrived and were not read yet.
 func (c *Conn) UnreadBytes() (int, error) { return UnreadBytes(c.Conn) }
 
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -54,6 +54,18 @@
 	return failed, errors.Wrap(err, "get state of connection")
 }
 
+// isEstablished reports whether neither side of a connection has ended it, also while data is unread. It is true if the
+// connection is not a socket.
+func isEstablished(conn any) (bool, error) {
+	established := true
+	err := control(conn, func(fd int) error {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		established = err == nil && info.State == unix.BPF_TCP_ESTABLISHED
+		return err
+	})
+	return established, errors.Wrap(err, "get state of connection")
+}
+
 // IsQuiet reports whether a connection is open and has nothing to read. It is true if the connection is not a socket. It
 // returns the error of a connection that has failed, which no other call is told then.
 func IsQuiet(conn any) (bool, error) {
