Hold silent crashes against the requests that were under way

Callers saw: time-outs and cut streams of all that ran beside one request, for as long as it came again.

Cause: a crash was held against a request only if the runner closed the connection and was known to have ended at that moment. A machine that goes down closes nothing. The attempt was ended by the entry itself (a time-out, a hedge, a caller that left), and what ran there was forgotten with it, so that nothing was left when the entry learned of a later run seconds later.

At the moment of the failure nothing tells a run that has ended from a slow one or a link that is cut.

Change: poison.SilentRuns remembers the requests that a run has received and not answered, until it is known whether it has ended: by a later run, by its address, which refuses connections or has another runner, or because it can be reached neither there nor by the list. A run that is out of reach is presumed to have ended, at this entry alone, until it is reachable again for as long as a later run takes to be known. A crash counts with the time of the last sign of life: what was answered since is cleared, and runs that a loss of power ended together are one outage, whenever that is learned. Parts of prompts go the same way. A connection that has timed out counts as a silent runner, no longer as an unreadable answer.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -64,6 +64,9 @@
 	r.pool.discard(r.address, r.conn)
 }
 
+// ConnOpenedAt returns when the connection to the runner was opened.
+func (r *Response) ConnOpenedAt() time.Time { return r.conn.openedAt }
+
 // Framing is how a response marks the end of its body.
 type Framing string
 
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,6 +30,10 @@
 	source   *replayReader
 	reader   *bufio.Reader
 	openedAt time.Time
+	// closeOnce guards received, which reports whether the runner had received all that was written when the connection was
+	// closed.
+	closeOnce sync.Once
+	received  bool
 	// idleSince is when the connection became idle, idleTimeout how long it may stay idle and be used again.
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -40,6 +45,21 @@
 	return &conn{Conn: sc, source: source, reader: bufio.NewReaderSize(source, readBufferSize), openedAt: time.Now()}
 }
 
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.closeOnce.Do(func() {
+		acknowledged, err := c.IsAcknowledged()
+		c.received = err == nil && acknowledged
+	})
+	return c.Conn.Close()
+}
+
+// closeReceived closes the connection, and reports whether the runner had received all that was written.
+func (c *conn) closeReceived() bool {
+	_ = c.Close()
+	return c.received
+}
+
 // reusable reports whether the connection is open and has no unexpected data to read.
 func (c *conn) reusable() bool {
 	return !c.hasSurplus() && c.IsQuiet()
--- a/forward/pool.go
+++ b/forward/pool.go
@@ -30,6 +30,9 @@
 // ErrNotSent means that the request certainly did not reach the runner.
 var ErrNotSent = errors.New("request did not reach the runner")
 
+// ErrReceived means that the runner has received the whole request, and the response has not begun.
+var ErrReceived = errors.New("request was received by the runner")
+
 // ErrTooManyConns means that this process has its maximum number of connections to the runner open.
 var ErrTooManyConns = errors.New("too many connections to the runner")
 
@@ -86,7 +89,11 @@
 	resp, strays, err := c.readResponse(req.Method, matches) //nolint:bodyclose // the caller closes the response
 	if err != nil {
 		stop()
-		p.discard(to, c)
+		received := c.closeReceived()
+		p.addOpen(to, -1)
+		if received && (bodyWrite == nil || bodyWrite.isWritten()) {
+			err = errors.Mark(err, ErrReceived)
+		}
 		return nil, errors.Wrap(err, "read response")
 	}
 	return &Response{Head: resp, pool: p, conn: c, address: to, stopWatch: stop, sentAt: sentAt, bodyWrite: bodyWrite, hadStrays: strays > 0}, nil
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -182,10 +182,11 @@
 
 // recordArrival records that the runner has sent part of its answer, whether or not this attempt goes on with it.
 func (a *attempt) recordArrival() {
+	now := time.Now()
 	if a.firstDataAt.Load() == nil {
-		now := time.Now()
 		a.firstDataAt.Store(&now)
 	}
+	a.recordHeard(now)
 	a.startDeadline.stop()
 	a.watchdog.reset()
 }
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -26,6 +27,8 @@
 	// causeEndedByEntry covers all attempts that the entry itself ends: the caller has left, a timeout has expired, or
 	// another attempt has replaced this one.
 	causeEndedByEntry failureCause = "ended-by-entry"
+	// causeRunnerSilent means that the runner's machine no longer responds, as far as the connection tells.
+	causeRunnerSilent failureCause = "runner-silent"
 	// causeUnreadableAnswer means that the answer could not be parsed, causeOversizedAnswer that a part of it exceeded its
 	// bound, and causeInvalidAnswer that it is not the runner's own.
 	causeUnreadableAnswer failureCause = "unreadable-answer"
@@ -35,7 +38,12 @@
 
 // isRunnersFault reports whether the runner itself ended the attempt without a complete answer.
 func (c failureCause) isRunnersFault() bool {
-	return c == causeRunnerEnded || c == causeConnectionClosed || c.isBadAnswer()
+	return c == causeRunnerEnded || c == causeConnectionClosed || c == causeRunnerSilent || c.isBadAnswer()
+}
+
+// leavesRunUnknown reports whether the runner may have ended while it served the request.
+func (c failureCause) leavesRunUnknown() bool {
+	return c == causeEndedByEntry || c == causeConnectionClosed || c == causeRunnerSilent
 }
 
 // isBadAnswer reports whether the runner has sent something that is no answer.
@@ -72,16 +80,8 @@
 		x.maybeRan = true
 	}
 	g.Metrics.CountFailedAttempt(string(cause))
-	if cause == causeRunnerEnded {
-		a.recordCrash()
-	}
-	if cause.isRunnersFault() {
-		g.rollouts.recordAnswer(a, true)
-	}
+	a.recordFault(cause, err)
 	now := time.Now()
-	if cause.isBadAnswer() {
-		t.runner.RecordFailure(now) // a success between two such answers ends an ejection
-	}
 	if t.cancelled.Load() {
 		x.reason = errStartTooLate.Error()
 		g.Log.Info("request cancelled before it began", "decision", "cancel", "request", x.wire.ID, "runner", t.view.ID, "weights", t.weights,
@@ -103,6 +103,22 @@
 		"events", x.lastEvent, "received", a.received, "answering", a.answeringFor(now).String(), "parts", x.partNames(), "cause", err.Error(), "avoidedFor", ejectedFor.String(), "after", now.Sub(x.arrived).String())
 }
 
+// recordFault records what a failure says of the request and of the runner.
+func (a *attempt) recordFault(cause failureCause, err error) {
+	switch {
+	case cause == causeRunnerEnded:
+		a.recordCrash()
+	case cause.leavesRunUnknown() && a.wasReceived(err):
+		a.recordUnanswered()
+	}
+	if cause.isRunnersFault() {
+		a.gateway.rollouts.recordAnswer(a, true)
+	}
+	if cause.isBadAnswer() {
+		a.target.runner.RecordFailure(time.Now()) // a success between two such answers ends an ejection
+	}
+}
+
 // answeringFor returns how long the runner has been sending its answer, zero before the first data.
 func (a *attempt) answeringFor(now time.Time) time.Duration {
 	if at := a.firstDataAt.Load(); at != nil {
@@ -122,10 +138,7 @@
 	case errors.Is(err, forward.ErrResponseTooLarge):
 		return causeOversizedAnswer
 	case !forward.ClosedByRunner(err):
-		if a.ctx.Err() != nil {
-			return causeEndedByEntry
-		}
-		return causeUnreadableAnswer
+		return a.classifyOpenFailure(err)
 	case a.checkProcess() != completeness.ProcessEnded:
 		return causeConnectionClosed
 	case a.target.runner.View(time.Now()).Leaving && !hasLaterRun(a.target.runner):
@@ -134,3 +147,15 @@
 		return causeRunnerEnded
 	}
 }
+
+// classifyOpenFailure is classifyFailure for a runner that has not closed the connection.
+func (a *attempt) classifyOpenFailure(err error) failureCause {
+	switch {
+	case a.ctx.Err() != nil:
+		return causeEndedByEntry
+	case errors.Is(err, syscall.ETIMEDOUT):
+		return causeRunnerSilent
+	default:
+		return causeUnreadableAnswer
+	}
+}
--- a/gateway/full_runner_test.go
+++ b/gateway/full_runner_test.go
@@ -61,6 +61,7 @@
 // Guards against a complete answer that ends with its connection and is cut, since its runner is full and has health checks
 // wait for a slot.
 func TestCompleteAnswerOfFullRunnerCut(t *testing.T) {
+	t.Parallel()
 	for path, body := range wholeBodies {
 		t.Run("an answer in time on "+path, func(t *testing.T) {
 			t.Parallel()
@@ -112,6 +113,7 @@
 // Guards against a broken-off answer that looks complete, since the entry waits for a health check that a later process of
 // the runner answers.
 func TestLaterProcessVouchesForAnswer(t *testing.T) {
+	t.Parallel()
 	for path := range wholeBodies {
 		for _, delay := range []time.Duration{0, 60 * time.Millisecond, 300 * time.Millisecond, fullFor} {
 			t.Run(path+" after "+delay.String(), func(t *testing.T) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -115,6 +115,7 @@
 	observedCrashes poison.Tracker
 	outages         poison.OutageDetector
 	quarantineLog   quarantineLog
+	silentRuns      silentRunChecker
 	// crashesChanged signals that observedCrashes has a new crash or has cleared one.
 	crashesChanged broadcast.Signal
 	budgets        retry.ServiceBudgets
@@ -156,6 +157,7 @@
 	g.suspects.TrialOffset = time.Duration(hash.String(g.Settings.Name) % uint64(maxTrialOffset))
 	g.queue = newAdmissionQueue(g)
 	g.rollouts.gateway = g
+	g.silentRuns.gateway = g
 	if g.Clock == nil {
 		g.Clock = node.SystemClock()
 	}
@@ -192,6 +194,7 @@
 		&serverController{name: "callers", server: g.server, listener: g.listener},
 		&serverController{name: "readiness", server: &http.Server{Handler: http.HandlerFunc(g.handleReadiness), ReadHeaderTimeout: maxHeaderTimeout}, listener: g.Readiness},
 		&poolSweeper{pool: &g.pool},
+		&g.silentRuns,
 		g.queue,
 	}
 	controllers = append(controllers, g.peerControllers(peers)...)
--- a/gateway/replaced_attempt.go
+++ b/gateway/replaced_attempt.go
@@ -1,5 +1,11 @@
 package gateway
 
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/rillreach/rillreach/forward"
+)
+
 // yieldToHedge makes the attempt's hedge go on, and yieldToReplaced the attempt that this one has replaced.
 func (a *attempt) yieldToHedge()    { a.interrupt(false) }
 func (a *attempt) yieldToReplaced() { a.interrupt(true) }
@@ -85,7 +91,17 @@
 		return
 	}
 	a.withdraw(errSecondAttemptAnswers)
-	a.handleFailure(errSecondAttemptAnswers)
+	a.handleFailure(a.endSend(errSecondAttemptAnswers))
+}
+
+// endSend waits until a cancelled attempt has ended its send, and returns the cause, marked if the runner has received the
+// request.
+func (a *attempt) endSend(cause error) error {
+	a.endOperations()
+	if err, ok := a.sending.Poll(); ok && errors.Is(err, forward.ErrReceived) {
+		return errors.Mark(cause, forward.ErrReceived)
+	}
+	return cause
 }
 
 // withdraw ends the attempt for another one. Its runner may be asked again should that one fail.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -56,6 +56,9 @@
 		Status: a.answer.Head.StatusCode, Sealed: a.headers.Sealed, NotExecuted: a.headers.NotExecuted,
 	})
 	a.applyRunnerState(time.Now())
+	if !a.headers.Misdirected {
+		a.recordHeard(time.Now())
+	}
 	switch a.class {
 	case responseclass.Refused:
 		a.gateway.handleRefusal(a.exchange, a.target, a.answer, a.headers)
@@ -134,6 +137,7 @@
 	switch {
 	case headers.Misdirected && headers.Instance != "" && headers.Instance != t.view.ID:
 		x.sends.recordOutcome(t.view.ID, sendMisdirected)
+		g.silentRuns.apply(t.runner, g.silentRuns.silent.Ended(time.Now(), t.view.Run()))
 		t.runner.MarkLeaving() // another process has its address, so this one has ended even if it is still listed
 		select {
 		case g.refreshRunners <- struct{}{}:
--- a/gateway/suspects.go
+++ b/gateway/suspects.go
@@ -89,19 +89,51 @@
 // recordCrash records that the runner crashed while serving the request, and has the crash reported to the other
 // entries.
 func (a *attempt) recordCrash() {
+	a.gateway.recordSuspicion(a.target.runner, a.suspicion())
+}
+
+// suspicion returns what is held against the request if the runner has crashed.
+func (a *attempt) suspicion() poison.Suspicion {
 	g, x, t := a.gateway, a.exchange, a.target
 	crash := poison.Crash{
 		Request: x.fingerprint(), Runner: t.view.ID, Generation: t.view.Generation, Received: a.received, Trial: x.trial,
 		Answered: g.suspects.WasAnswered(x.fingerprint()),
 	}
+	return poison.Suspicion{Request: x.wire.ID, Crashes: append([]poison.Crash{crash}, a.partCrashes(crash)...)}
+}
+
+// recordSuspicion records what is held against a request whose run has ended, and has it reported to the other entries.
+func (g *Gateway) recordSuspicion(r *roster.Runner, s poison.Suspicion) {
 	now := g.Clock.Now()
-	crashes := append(g.outages.Observe(now, x.service.Name, g.listedRuns(x.service.Name, t.runner), crash), crash)
-	crashes = append(crashes, a.partCrashes(crash)...)
+	crashes := g.findOutage(now, r, s.Crashes)
 	g.recordSuspects(now, crashes)
 	g.observedCrashes.Record(now, crashes...)
 	g.crashesChanged.Wake()
-	g.Log.Info("runner ended under a request", "decision", "suspect", "request", x.wire.ID, "fingerprint", crash.Request.String(), "runner", crash.Runner,
-		"generation", crash.Generation, "parts", x.partNames(), "received", a.received, "crashes", g.suspects.Crashes(now, crash.Request))
+	g.logSuspicion(now, "runner ended under a request", s)
+}
+
+// findOutage returns the crashes, of which those are cleared whose request was answered since, and those that are part of the
+// same outage if there is one.
+func (g *Gateway) findOutage(now time.Time, r *roster.Runner, crashes []poison.Crash) []poison.Crash {
+	service := r.Info().Service
+	listed := g.listedRuns(service, r)
+	all := g.suspects.ClearAnswered(now, crashes)
+	for _, c := range crashes {
+		if c.Depth == 0 {
+			all = append(all, g.outages.Observe(now, service, listed, c)...)
+		}
+	}
+	return all
+}
+
+func (g *Gateway) logSuspicion(now time.Time, message string, s poison.Suspicion) {
+	crash := s.Crashes[0]
+	var parts []string
+	for _, c := range s.Crashes[1:] {
+		parts = append(parts, c.Request.String())
+	}
+	g.Log.Info(message, "decision", "suspect", "request", s.Request, "fingerprint", crash.Request.String(), "runner", crash.Runner,
+		"generation", crash.Generation, "parts", parts, "received", crash.Received, "endedBefore", crash.Age.String(), "crashes", g.suspects.Crashes(now, crash.Request))
 }
 
 // recordSuspects adds crashes to those that this entry knows of, and logs which parts of prompts they quarantine.
@@ -149,10 +181,18 @@
 	g.Log.Info("request answered that runners had ended under", "decision", "clear", "request", x.wire.ID, "fingerprint", x.fingerprint().String(), "crashes", len(cleared))
 }
 
-// applyCrashes records crashes that other entries have observed.
+// applyCrashes records crashes that other entries have observed. The requests of some may have been answered here since.
 func (g *Gateway) applyCrashes(crashes []poison.Crash) {
-	if len(crashes) > 0 {
-		g.recordSuspects(g.Clock.Now(), crashes)
+	if len(crashes) == 0 {
+		return
+	}
+	now := g.Clock.Now()
+	checked := g.suspects.ClearAnswered(now, crashes)
+	g.recordSuspects(now, checked)
+	for i, c := range checked {
+		if c.Cleared && !crashes[i].Cleared && g.observedCrashes.Record(now, c) > 0 {
+			g.crashesChanged.Wake()
+		}
 	}
 }
 
--- a/poison/outage.go
+++ b/poison/outage.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// outageMemory is how long after a crash others may still become known that happened at the same time.
+	outageMemory = 30 * time.Second
 	// outageWindow is the period within which the runs of an outage end. It is shorter than the interval between
 	// crashes that the retries of one request cause, since each retry follows the response to the attempt before.
 	outageWindow = 200 * time.Millisecond
@@ -31,22 +33,27 @@
 	crash Crash
 }
 
-// Observe records a crash at a service that has listedRuns runs. If the recent crashes amount to an outage, it returns
-// all of them with Outage set.
+// Observe records a crash at a service that has listedRuns runs. If the crashes around the time of the crash amount to an
+// outage, it returns all of them with Outage set.
 func (o *OutageDetector) Observe(now time.Time, service rillreach.ServiceID, listedRuns int, crash Crash) []Crash {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.recent == nil {
 		o.recent = map[rillreach.ServiceID][]recentCrash{}
 	}
-	recent := slices.DeleteFunc(o.recent[service], func(e recentCrash) bool { return now.Sub(e.at) > outageWindow })
-	recent = append(recent, recentCrash{at: now, crash: crash})
+	at := now.Add(-crash.Age)
+	recent := slices.DeleteFunc(o.recent[service], func(e recentCrash) bool { return now.Sub(e.at) > outageMemory })
+	recent = append(recent, recentCrash{at: at, crash: crash})
 	o.recent[service] = recent
-	if runs := countRuns(recent); runs < minOutageRuns || runs*outageDivisor < listedRuns {
+	first, runs := densestWindow(recent, at)
+	if runs < minOutageRuns || runs*outageDivisor < listedRuns {
 		return nil
 	}
-	crashes := make([]Crash, 0, len(recent))
+	var crashes []Crash
 	for _, e := range recent {
+		if after := e.at.Sub(first); after < 0 || after > outageWindow {
+			continue
+		}
 		e.crash.Age = now.Sub(e.at)
 		e.crash.Outage = true
 		crashes = append(crashes, e.crash)
@@ -54,11 +61,28 @@
 	return crashes
 }
 
-// countRuns returns the number of distinct runs that have crashed.
-func countRuns(crashes []recentCrash) int {
-	runs := map[rillreach.InstanceRun]struct{}{}
+// densestWindow returns the start of the outageWindow that includes a time and in which most runs have ended, and their
+// number.
+func densestWindow(crashes []recentCrash, around time.Time) (start time.Time, runs int) {
+	ends := map[rillreach.InstanceRun]time.Time{}
 	for _, e := range crashes {
-		runs[e.crash.run()] = struct{}{}
+		if known, ok := ends[e.crash.run()]; !ok || e.at.Before(known) {
+			ends[e.crash.run()] = e.at
+		}
 	}
-	return len(runs)
+	for _, first := range ends {
+		if first.After(around) || around.Sub(first) > outageWindow {
+			continue
+		}
+		n := 0
+		for _, end := range ends {
+			if after := end.Sub(first); after >= 0 && after <= outageWindow {
+				n++
+			}
+		}
+		if n > runs {
+			start, runs = first, n
+		}
+	}
+	return start, runs
 }
--- a/poison/outage_test.go
+++ b/poison/outage_test.go
@@ -33,6 +33,24 @@
 			}
 		})
 	}
+	t.Run("runs that ended at once, which becomes known one after the other", func(t *testing.T) {
+		var o OutageDetector
+		var found []Crash
+		for i := range 3 {
+			c := testCrash(1, fmt.Sprint("r", i))
+			c.Age = time.Duration(i) * time.Second
+			found = o.Observe(start.Add(c.Age), "s", listed, c)
+		}
+		assert.Len(t, found, 3)
+	})
+	t.Run("runs that ended one after the other, which becomes known at once", func(t *testing.T) {
+		var o OutageDetector
+		for i := range 3 {
+			c := testCrash(1, fmt.Sprint("r", i))
+			c.Age = time.Duration(i) * time.Second
+			assert.Empty(t, o.Observe(start, "s", listed, c))
+		}
+	})
 	t.Run("one run with many requests is no outage", func(t *testing.T) {
 		var o OutageDetector
 		for i := range listed {
--- a/poison/part_quarantine.go
+++ b/poison/part_quarantine.go
@@ -81,7 +81,7 @@
 	var cleared []Crash
 	for _, part := range parts {
 		t.answeredParts.add(now, part)
-		cleared = append(cleared, t.clear(now, part)...)
+		cleared = append(cleared, t.clear(now, t.requests[part])...)
 		delete(t.suspectedParts, part)
 	}
 	return cleared
--- a/poison/tracker.go
+++ b/poison/tracker.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,20 +50,35 @@
 	nextExpiry time.Time
 }
 
-// record is a recorded crash, its time and the tracker's version at its last change.
+// record is a recorded crash, its time and the tracker's version at its last change. It is presumed as long as it is not
+// certain that the run has ended.
 type record struct {
-	crash   Crash
-	at      time.Time
-	version uint64
+	crash    Crash
+	at       time.Time
+	version  uint64
+	presumed bool
 }
 
 // Record records crashes and returns how many of them were new or changed what was known.
 func (t *Tracker) Record(now time.Time, crashes ...Crash) (added int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.recordAll(now, crashes, false)
+}
+
+// Presume records crashes of runs that have probably ended. They count until they are withdrawn, and other processes are not
+// told of them.
+func (t *Tracker) Presume(now time.Time, crashes ...Crash) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.recordAll(now, crashes, true)
+}
+
+// recordAll records crashes and returns how many of them were new or changed what was known. The caller must hold the lock.
+func (t *Tracker) recordAll(now time.Time, crashes []Crash, presumed bool) (added int) {
 	t.expire(now)
 	for _, c := range crashes {
-		if c.Age < Window && t.record(c, now.Add(-c.Age)) {
+		if c.Age < Window && t.record(c, now.Add(-c.Age), presumed) {
 			added++
 		}
 	}
@@ -72,8 +88,38 @@
 	return added
 }
 
+// Withdraw removes the presumed crashes of a run that has probably not ended.
+func (t *Tracker) Withdraw(run rillreach.InstanceRun) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.elementsOf(run) {
+		if e.Value.(*record).presumed {
+			t.version++ // the verdicts no longer hold
+			t.remove(e)
+		}
+	}
+}
+
+// ClearRun clears the crashes of a run that has not ended, and returns those that counted until now.
+func (t *Tracker) ClearRun(now time.Time, run rillreach.InstanceRun) []Crash {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.clear(now, t.elementsOf(run))
+}
+
+// elementsOf returns the crashes of a run. The caller must hold the lock.
+func (t *Tracker) elementsOf(run rillreach.InstanceRun) []*list.Element {
+	var elements []*list.Element
+	for e := t.records.Front(); e != nil; e = e.Next() {
+		if e.Value.(*record).crash.run() == run {
+			elements = append(elements, e)
+		}
+	}
+	return elements
+}
+
 // record records one crash and reports whether it was new or changed what was known. The caller must hold the lock.
-func (t *Tracker) record(c Crash, at time.Time) bool {
+func (t *Tracker) record(c Crash, at time.Time, presumed bool) bool {
 	if t.requests == nil {
 		t.requests = map[Fingerprint][]*list.Element{}
 	}
@@ -85,22 +131,43 @@
 		if at.Before(existing.at) {
 			existing.at = at // the report with the earlier time was delayed less
 		}
-		merged := existing.crash.merge(c)
-		if merged == existing.crash {
+		merged, certain := existing.crash.merge(c), existing.presumed && !presumed
+		if merged == existing.crash && !certain {
 			return false
 		}
-		existing.crash = merged
+		existing.crash, existing.presumed = merged, existing.presumed && presumed
 		t.markChanged(e)
 		return true
 	}
 	c.Age = 0
-	e := t.records.PushBack(&record{crash: c, at: at})
+	e := t.records.PushBack(&record{crash: c, at: at, presumed: presumed})
 	t.markChanged(e)
 	t.requests[c.Request] = append(t.requests[c.Request], e)
 	t.suspectPartOf(c)
 	return true
 }
 
+// ClearAnswered returns the crashes, of which those are cleared whose request or part runners have answered since.
+func (t *Tracker) ClearAnswered(now time.Time, crashes []Crash) []Crash {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	checked := slices.Clone(crashes)
+	for i, c := range checked {
+		checked[i].Cleared = c.Cleared || t.answeredSince(c, now.Add(-c.Age))
+	}
+	return checked
+}
+
+// answeredSince reports whether runners have answered what a crash is held against since the time of the crash. The caller
+// must hold the lock.
+func (t *Tracker) answeredSince(c Crash, at time.Time) bool {
+	answered := &t.answered
+	if c.Depth > 0 {
+		answered = &t.answeredParts
+	}
+	return answered.last(c.Request).After(at)
+}
+
 // suspectPartOf makes the part that a new crash is about a suspect. The caller must hold the lock.
 func (t *Tracker) suspectPartOf(c Crash) {
 	if c.Depth == 0 || c.Cleared {
@@ -126,7 +193,7 @@
 	defer t.mu.Unlock()
 	t.answered.add(now, f)
 	delete(t.trialDeadlines, f)
-	return t.clear(now, f)
+	return t.clear(now, t.requests[f])
 }
 
 // RecordProgress records how many bytes of its response a request has received. A request that was answered before, and
@@ -144,13 +211,13 @@
 		}
 	}
 	delete(t.trialDeadlines, f)
-	return t.clear(now, f)
+	return t.clear(now, t.requests[f])
 }
 
-// clear clears the crashes of a request and returns those that counted until now. The caller must hold the lock.
-func (t *Tracker) clear(now time.Time, f Fingerprint) []Crash {
+// clear clears crashes and returns those that counted until now. The caller must hold the lock.
+func (t *Tracker) clear(now time.Time, elements []*list.Element) []Crash {
 	var cleared []Crash
-	for _, e := range t.requests[f] {
+	for _, e := range elements {
 		r := e.Value.(*record)
 		if r.crash.Cleared {
 			continue
@@ -244,7 +311,7 @@
 	for ; e != nil && len(crashes) < limit; e = e.Next() {
 		r := e.Value.(*record)
 		version = r.version
-		if now.Sub(r.at) < Window {
+		if now.Sub(r.at) < Window && !r.presumed {
 			crashes = append(crashes, r.message(now))
 		}
 	}
--- a/roster/runner.go
+++ b/roster/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rillreach/rillreach"
@@ -44,6 +45,8 @@
 	// endedCtx is canceled by end once the run is known to have ended.
 	endedCtx context.Context
 	end      context.CancelFunc
+	// lastHeard is when data of the runner last arrived, nil before.
+	lastHeard atomic.Pointer[time.Time]
 
 	mu       sync.Mutex
 	info     deployment.Runner
@@ -142,6 +145,35 @@
 // AfterEnd calls f in its own goroutine once the run is known to have ended; stop cancels that.
 func (r *Runner) AfterEnd(f func()) (stop func() bool) { return context.AfterFunc(r.endedCtx, f) }
 
+// RecordHeard records that data of the runner has arrived.
+func (r *Runner) RecordHeard(now time.Time) { r.lastHeard.Store(&now) }
+
+// LastHeard returns when data of the runner last arrived, zero if none has.
+func (r *Runner) LastHeard() time.Time {
+	if at := r.lastHeard.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// RespondedAt returns when the latest report of its agent arrived, zero if there is none or if it says that the runner does
+// not respond.
+func (r *Runner) RespondedAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.report.Load.Unresponsive {
+		return time.Time{}
+	}
+	return r.report.ReceivedAt
+}
+
+// HasAnnouncedStop reports whether the runner's record or its agent has said that the runner is leaving.
+func (r *Runner) HasAnnouncedStop() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.info.Leaving || r.report.Load.Leaving || !r.leavingSince.IsZero()
+}
+
 // View returns a snapshot of what is known about the runner.
 func (r *Runner) View(now time.Time) View {
 	r.mu.Lock()
